--- /dev/null
+++ b/cmd/chestnut-gateway/main.go
@@ -0,0 +1,4 @@
+// Command chestnut-gateway serves callers on one entry VM.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/pipeline/pipeline.go
@@ -0,0 +1,137 @@
+// Package pipeline defines the request, the handler and the filter from which
+// the path of a request is built.
+package pipeline
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// Hop is how a request reached this gateway.
+type Hop string
+
+// The kinds of hops. Each kind is used at most once, in this order.
+const (
+	HopEntry  Hop = "entry"
+	HopOwner  Hop = "owner"
+	HopRegion Hop = "region"
+)
+
+// Priority is the class of a request.
+type Priority int
+
+// The priorities, highest first.
+const (
+	PriorityHigh Priority = iota
+	PriorityNormal
+	PriorityLow
+)
+
+// Request is one request on its way through the filters. Filters fill in the
+// fields that they own; nothing else is changed.
+type Request struct {
+	ID       string
+	Snapshot *snapshot.Snapshot
+	Hop      Hop
+	// Trail names the VMs that handled the request before this one.
+	Trail []string
+
+	Team string
+	// Target is the name of the model or service.
+	Target string
+	// Model is set for model requests; Service and Call for service requests.
+	Model   *objects.Model
+	Service *objects.Service
+	Call    *objects.Call
+
+	Method string
+	// Path is the path that the backend server gets, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+
+	// Chat is set for model requests.
+	Chat Chat
+
+	Priority Priority
+	// Deadline is on this machine's boot-time clock.
+	Deadline clock.Instant
+	// Idempotent says whether the request may be repeated.
+	Idempotent bool
+	// Key is the idempotency key of a request that isn't idempotent.
+	Key string
+}
+
+// Chat is what the decisions need to know of a chat completion.
+type Chat struct {
+	Stream bool
+	// MaxTokens is the bound on the tokens of the answer.
+	MaxTokens int
+	// PromptTokens is an estimate from the size of the prompt.
+	PromptTokens int
+	// Prefix identifies the leading part of the prompt for cache affinity.
+	Prefix uint64
+}
+
+// Head starts an answer.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Response takes an answer. Start is called at most once, before Write. After
+// Start no other attempt may answer.
+type Response interface {
+	Start(head Head)
+	Write(p []byte) (int, error)
+	Flush()
+	// Started reports whether Start was called.
+	Started() bool
+}
+
+// Handler answers a request, or returns a refusal. A refusal after Start means
+// that the answer is cut.
+type Handler interface {
+	Handle(ctx context.Context, req *Request, w Response) *verdict.Refusal
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(ctx context.Context, req *Request, w Response) *verdict.Refusal
+
+var _ Handler = HandlerFunc(nil)
+
+// Handle implements Handler.
+func (f HandlerFunc) Handle(ctx context.Context, req *Request, w Response) *verdict.Refusal {
+	return f(ctx, req, w)
+}
+
+// Filter wraps a handler.
+type Filter func(next Handler) Handler
+
+// Chain returns the handler that passes a request through the filters in
+// order and then to last.
+func Chain(last Handler, filters ...Filter) Handler {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// BackendSender sends a request to one backend server and passes the answer
+// to w. Its refusal is NotRun only where the request did not run and never
+// will.
+type BackendSender interface {
+	SendBackend(ctx context.Context, req *Request, server *objects.BackendServer, w Response) *verdict.Refusal
+}
+
+// PeerSender passes a request to another gateway over a typed hop. A request
+// that isn't idempotent is written to the wire at most once.
+type PeerSender interface {
+	SendPeer(ctx context.Context, req *Request, hop Hop, to *snapshot.Member, w Response) *verdict.Refusal
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("platform")
+	// ErrAbsent says that the value doesn't exist.
+	ErrAbsent = Errors.NewType("absent", errorx.NotFound())
+	// ErrUnchanged says that a watch ended without a newer revision.
+	ErrUnchanged = Errors.NewType("unchanged", errorx.Timeout())
+	// ErrUnavailable says that the service didn't answer as it should.
+	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
+)
+
+// maxValueBytes is the largest value that the service holds.
+const maxValueBytes = 1 << 20
+
+// Client is a Reader over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ Reader = (*Client)(nil)
+
+// NewClient returns a client of the service at base, such as
+// "http://127.0.0.1:7000".
+func NewClient(base string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Read implements Reader.
+func (c *Client) Read(ctx context.Context, name string) (Value, error) {
+	return c.get(ctx, name, nil)
+}
+
+// Watch implements Reader.
+func (c *Client) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (Value, error) {
+	query := url.Values{
+		"after": {strconv.FormatUint(after, 10)},
+		"wait":  {wait.String()},
+	}
+	return c.get(ctx, name, query)
+}
+
+func (c *Client) get(ctx context.Context, name string, query url.Values) (Value, error) {
+	target := fmt.Sprintf("%s/v1/values/%s?%s", c.base, name, query.Encode())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Value{}, ErrUnavailable.Wrap(err, "request for %s", name)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Value{}, ErrUnavailable.Wrap(err, "read of %s", name)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return readValue(name, resp)
+	case http.StatusNotModified:
+		return Value{}, ErrUnchanged.New("%s is unchanged", name)
+	case http.StatusNotFound:
+		return Value{}, ErrAbsent.New("%s doesn't exist", name)
+	default:
+		return Value{}, ErrUnavailable.New("read of %s: status %d", name, resp.StatusCode)
+	}
+}
+
+func readValue(name string, resp *http.Response) (Value, error) {
+	revision, err := strconv.ParseUint(resp.Header.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return Value{}, ErrUnavailable.Wrap(err, "revision of %s", name)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	if err != nil {
+		return Value{}, ErrUnavailable.Wrap(err, "body of %s", name)
+	}
+	if len(data) > maxValueBytes {
+		return Value{}, ErrUnavailable.New("%s is larger than %d bytes", name, maxValueBytes)
+	}
+	return Value{Name: name, Revision: revision, Data: data}, nil
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,135 @@
+// Package snapshot holds the immutable view that a request reads.
+//
+// A Publisher replaces the whole view; readers take it once per request and
+// never lock.
+package snapshot
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+// Identity names this process. A restart on the same VM is a new incarnation.
+type Identity struct {
+	VM            string `json:"vm"`
+	Incarnation   string `json:"incarnation"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+}
+
+// Member is an entry VM of the system as this process sees it.
+type Member struct {
+	Identity
+	// CallerAddress, ForwardAddress and ControlAddress are IP:port.
+	CallerAddress  string `json:"callerAddress"`
+	ForwardAddress string `json:"forwardAddress"`
+	ControlAddress string `json:"controlAddress"`
+	// Leaving means that a fresh source says that the VM leaves.
+	Leaving bool `json:"leaving"`
+	// Reachable is false while heartbeats are missing.
+	Reachable bool `json:"reachable"`
+	// Revision is the highest configuration revision heard from the member.
+	Revision uint64 `json:"revision"`
+}
+
+// BackendStatus is what is known of one backend server.
+type BackendStatus struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Leaving bool   `json:"leaving"`
+	// Healthy is false after failed probes or an ejection.
+	Healthy bool `json:"healthy"`
+	// Running and Queued are the server's last report.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// TokensPerSecond is the measured rate of one stream; zero is unknown.
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	// Since is when the server was last seen to become usable, for slow start.
+	Since clock.Instant `json:"since"`
+	// Loaded lists "model@version" that the engine has loaded.
+	Loaded []string `json:"loaded,omitempty"`
+	// Fence is the highest fencing number that the engine has accepted.
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+// RegionSummary is what another region reports of one model or service.
+type RegionSummary struct {
+	Region string `json:"region"`
+	Target string `json:"target"`
+	// Healthy replicas, their free slots and the queued requests.
+	Healthy int `json:"healthy"`
+	Free    int `json:"free"`
+	Queued  int `json:"queued"`
+	// WaitSeconds is the expected wait for a slot.
+	WaitSeconds float64 `json:"waitSeconds"`
+	// TokensPerSecond is the median rate of one stream; zero is unknown.
+	TokensPerSecond float64       `json:"tokensPerSecond"`
+	Heard           clock.Instant `json:"heard"`
+}
+
+// Snapshot is one immutable view.
+type Snapshot struct {
+	Self   Identity
+	Config *objects.Set
+	// Confirmed is when Config was last confirmed as the newest.
+	Confirmed clock.Instant
+	// Unconfirmed means that no source has confirmed Config since the start.
+	Unconfirmed bool
+	// Leaving means that this process is shutting down.
+	Leaving bool
+	Members map[string]*Member
+	// Backends holds the status of this region's backend servers by name.
+	Backends map[string]*BackendStatus
+	// Summaries holds other regions' reports: target, then region.
+	Summaries map[string]map[string]*RegionSummary
+	// ReachableRegions holds when each region was last heard of.
+	RegionHeard map[string]clock.Instant
+	// RegionSince is when a region was last seen to come back, for slow start.
+	RegionSince map[string]clock.Instant
+}
+
+// ConfigFresh reports whether the configuration was confirmed within maxAge.
+// It is asked on the path of each request, so that a process that was paused
+// doesn't act on an old view.
+func (s *Snapshot) ConfigFresh(now clock.Instant, maxAge time.Duration) bool {
+	return !s.Unconfirmed && now.Sub(s.Confirmed) <= maxAge
+}
+
+// Publisher holds the current snapshot.
+type Publisher struct {
+	mu      sync.Mutex // serializes writers only
+	current atomic.Pointer[Snapshot]
+}
+
+// NewPublisher returns a publisher that holds a snapshot without configuration.
+func NewPublisher(self Identity) *Publisher {
+	p := &Publisher{}
+	set := objects.NewSet()
+	set.Index()
+	p.current.Store(&Snapshot{
+		Self: self, Config: set, Unconfirmed: true,
+		Members:     map[string]*Member{},
+		Backends:    map[string]*BackendStatus{},
+		Summaries:   map[string]map[string]*RegionSummary{},
+		RegionHeard: map[string]clock.Instant{},
+		RegionSince: map[string]clock.Instant{},
+	})
+	return p
+}
+
+// Load returns the current snapshot. Callers must not change it.
+func (p *Publisher) Load() *Snapshot { return p.current.Load() }
+
+// Update publishes the copy that change has edited. The copy is shallow: change
+// must replace maps and pointers rather than write into them.
+func (p *Publisher) Update(change func(next *Snapshot)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := *p.current.Load()
+	change(&next)
+	p.current.Store(&next)
+}
