Stand-ins of the platform, engines, services, links, directory and weight store

Each serves the published protocol over HTTP or TCP on loopback and fails on command. Answers of engines are a function of the prompt, so that a caller can check them whole.

--- /dev/null
+++ b/internal/standin/directory/directory.go
@@ -0,0 +1,38 @@
+// Package directory is a stand-in of the directory for clients. It gives them
+// the addresses of entry VMs by region.
+package directory
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// Directory serves GET /v1/directory.
+type Directory struct {
+	current atomic.Pointer[platform.Directory]
+}
+
+// New returns a directory with the given entries.
+func New(entries platform.Directory) *Directory {
+	d := &Directory{}
+	d.Set(entries)
+	return d
+}
+
+// Set replaces the entries.
+func (d *Directory) Set(entries platform.Directory) { d.current.Store(&entries) }
+
+// Handler serves the directory.
+func (d *Directory) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/directory", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.current.Load())
+	})
+	return r
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"sort"
+	"time"
+)
+
+// run steps the batch while there is work.
+func (e *Engine) run() {
+	defer close(e.done)
+	ticker := time.NewTicker(e.config.Tick)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		now := time.Now()
+		if !e.step(now, now.Sub(last)) {
+			select {
+			case <-e.wake:
+				last = time.Now()
+				continue
+			case <-e.stop:
+				return
+			}
+		}
+		last = now
+		select {
+		case <-ticker.C:
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+// step does the work of the elapsed time. It reports whether work is left.
+func (e *Engine) step(now time.Time, elapsed time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := len(e.batch)
+	share := float64(n) / float64(e.config.Concurrency)
+	e.counts.BusySeconds += elapsed.Seconds() * share
+	rate := e.streamRate(n)
+	prefill := e.config.PrefillTokensPerSecond / max(1, e.faults.Slow)
+	for _, s := range e.batch {
+		e.advance(s, elapsed.Seconds(), rate, prefill)
+	}
+	e.retire(now)
+	e.admit()
+	e.note(now)
+	return len(e.batch)+len(e.queue)+len(e.streams) > 0
+}
+
+// advance gives a stream its share of the elapsed seconds.
+func (e *Engine) advance(s *stream, seconds, rate, prefill float64) {
+	if s.prefill > 0 {
+		used := min(seconds, s.prefill/prefill)
+		s.prefill -= used * prefill
+		seconds -= used
+		if s.prefill > 1e-9 {
+			return
+		}
+		s.prefill = 0
+	}
+	s.credit += seconds * rate
+	for s.credit >= 1 && s.produced < s.wanted {
+		s.credit--
+		s.produced++
+		e.counts.Tokens++
+	}
+	if s.produced != s.announced {
+		s.announced = s.produced
+		s.notify()
+	}
+}
+
+// retire removes streams that are done or were given up.
+func (e *Engine) retire(now time.Time) {
+	kept := e.batch[:0]
+	for _, s := range e.batch {
+		switch {
+		case s.cancelled:
+		case s.produced == s.wanted:
+			s.finished = true
+			e.counts.Finished++
+		default:
+			kept = append(kept, s)
+		}
+	}
+	clear(e.batch[len(kept):])
+	e.batch = kept
+	for id, s := range e.streams {
+		if s.readers > 0 || now.Sub(s.left) < e.config.Linger {
+			continue
+		}
+		e.cancel(s)
+		delete(e.streams, id)
+	}
+}
+
+// cancel ends a stream that nobody reads. The lock is held.
+func (e *Engine) cancel(s *stream) {
+	if s.finished || s.cancelled {
+		return
+	}
+	s.cancelled = true
+	e.counts.Cancelled++
+	for i, q := range e.queue {
+		if q == s {
+			e.queue = append(e.queue[:i], e.queue[i+1:]...)
+			break
+		}
+	}
+	s.notify()
+}
+
+// admit fills the batch from the queue.
+func (e *Engine) admit() {
+	for len(e.queue) > 0 && len(e.batch) < e.config.Concurrency {
+		s := e.queue[0]
+		e.queue = e.queue[1:]
+		e.batch = append(e.batch, s)
+		e.counts.Started++
+		s.prefill = float64(s.promptTokens)
+		if e.cache.use(s.prefix, s.prefixTokens, &e.events) {
+			s.prefill -= float64(s.prefixTokens)
+			e.counts.CacheHits++
+		} else {
+			e.counts.CacheMisses++
+		}
+	}
+}
+
+// enqueue adds a stream to the queue. It reports false when the queue is full.
+func (e *Engine) enqueue(s *stream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.queue) >= e.config.MaxQueue || e.faults.Refuse || e.role != "serve" {
+		e.counts.Refused++
+		return false
+	}
+	if old := e.streams[s.id]; old != nil {
+		e.cancel(old)
+	}
+	e.streams[s.id] = s
+	at := sort.Search(len(e.queue), func(i int) bool { return e.queue[i].priority > s.priority })
+	e.queue = append(e.queue, nil)
+	copy(e.queue[at+1:], e.queue[at:])
+	e.queue[at] = s
+	e.admit()
+	e.note(time.Now())
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// prefixCache keeps prompt prefixes in limited memory and drops the one that
+// was used longest ago.
+type prefixCache struct {
+	limit int // tokens
+	used  int // tokens
+	order *list.List
+	byKey map[uint64]*list.Element
+}
+
+type cached struct {
+	key    uint64
+	tokens int
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, order: list.New(), byKey: map[uint64]*list.Element{}}
+}
+
+// use reports whether the prefix was stored, and stores it.
+func (c *prefixCache) use(key uint64, tokens int, events *eventLog) bool {
+	if e := c.byKey[key]; e != nil {
+		c.order.MoveToFront(e)
+		return true
+	}
+	if tokens > c.limit {
+		return false
+	}
+	for c.used+tokens > c.limit {
+		oldest := c.order.Back()
+		old := c.order.Remove(oldest).(cached)
+		delete(c.byKey, old.key)
+		c.used -= old.tokens
+		events.add(KindEvicted, old.key)
+	}
+	c.byKey[key] = c.order.PushFront(cached{key, tokens})
+	c.used += tokens
+	events.add(KindStored, key)
+	return false
+}
+
+// The kinds of cache events.
+const (
+	KindStored  = "stored"
+	KindEvicted = "evicted"
+)
+
+// maxEvents bounds the kept events. Older ones are a gap to who asks late.
+const maxEvents = 4096
+
+// Event is a change of the prefix cache.
+type Event struct {
+	Seq  uint64 `json:"seq"`
+	Kind string `json:"kind"`
+	// Prefix is the prefix's identity in hex.
+	Prefix string `json:"prefix"`
+	at     time.Time
+}
+
+// eventLog publishes cache events late and with gaps.
+type eventLog struct {
+	lag time.Duration
+	gap uint64
+
+	mu     sync.Mutex
+	seq    uint64
+	events []Event
+}
+
+func (l *eventLog) add(kind string, key uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seq++
+	if l.gap > 0 && l.seq%l.gap == 0 {
+		return
+	}
+	e := Event{Seq: l.seq, Kind: kind, Prefix: strconv.FormatUint(key, 16), at: time.Now()}
+	l.events = append(l.events, e)
+	if len(l.events) > maxEvents {
+		l.events = l.events[len(l.events)-maxEvents:]
+	}
+}
+
+// after returns the published events above a sequence number.
+func (l *eventLog) after(seq uint64) []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := time.Now().Add(-l.lag)
+	found := []Event{}
+	for _, e := range l.events {
+		if e.Seq > seq && !e.at.After(newest) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors is the namespace of the stand-ins' errors.
+var Errors = errorx.NewNamespace("standin")
+
+// ErrListen says that a stand-in can't listen on its address.
+var ErrListen = Errors.NewType("listen")
+
+// readHeaderTimeout bounds the time that a client takes to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Server serves a handler on a TCP address.
+type Server struct {
+	http *http.Server
+	addr string
+	done chan struct{}
+}
+
+// Serve starts to serve the handler on the address, such as "127.0.0.1:0".
+func Serve(addr string, handler http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "listen on %s", addr)
+	}
+	s := &Server{
+		http: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		addr: l.Addr().String(),
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(l)
+	}()
+	return s, nil
+}
+
+// Addr returns the address as IP:port.
+func (s *Server) Addr() string { return s.addr }
+
+// URL returns the base URL.
+func (s *Server) URL() string { return "http://" + s.addr }
+
+// Close ends the server and its connections at once, as a crash would.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	return err
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,71 @@
+// Package standin holds what the stand-ins of the outside systems share: a
+// small HTTP server, the tokens of verifiable answers and the audit record.
+//
+// Stand-ins are for tests, demonstrations and experiments only.
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token returns token i (counted from 1) of an engine's answer to the prompt,
+// so that a caller can compute the whole answer that it must get.
+func Token(prompt string, i int) string {
+	sum := xxhash.Sum64String(strconv.Itoa(i) + "/" + prompt)
+	return "t" + strconv.FormatUint(sum%0xfffff, 36) + " "
+}
+
+// Answer returns the first n tokens of the answer to the prompt.
+func Answer(prompt string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+// Digest returns the SHA-256 of a body in hex.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// Seen is one request as a stand-in saw it.
+type Seen struct {
+	At        time.Time `json:"at"`
+	Team      string    `json:"team"`
+	RequestID string    `json:"requestId"`
+	Method    string    `json:"method"`
+	Path      string    `json:"path"`
+	// Key is the idempotency key, if any.
+	Key string `json:"key,omitempty"`
+	// Digest is the SHA-256 of the body in hex.
+	Digest string `json:"digest"`
+}
+
+// Audit keeps every request that a stand-in saw.
+type Audit struct {
+	mu   sync.Mutex
+	seen []Seen
+}
+
+// Add records a request.
+func (a *Audit) Add(s Seen) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seen = append(a.seen, s)
+}
+
+// All returns a copy of the record, in order of arrival.
+func (a *Audit) All() []Seen {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Seen(nil), a.seen...)
+}
--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,85 @@
+// Package weights is a stand-in of the weight store, whose rate is limited.
+package weights
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+)
+
+// Config describes a weight store.
+type Config struct {
+	// MegabytesPerSecond is the rate that all loads share.
+	MegabytesPerSecond float64
+	// Megabytes holds the size of each "model@version".
+	Megabytes map[string]int
+}
+
+// defaultMegabytes is the size of weights that the configuration doesn't name.
+const defaultMegabytes = 10
+
+// Store is a weight store. Its methods are safe for concurrent use.
+type Store struct {
+	config  Config
+	limiter *rate.Limiter
+	loads   atomic.Int64
+	active  atomic.Int64
+	peak    atomic.Int64
+}
+
+// New returns a store.
+func New(config Config) *Store {
+	limit := rate.Limit(config.MegabytesPerSecond)
+	if limit == 0 {
+		limit = rate.Inf
+	}
+	return &Store{config: config, limiter: rate.NewLimiter(limit, 1)}
+}
+
+// Loads returns how many loads were completed.
+func (s *Store) Loads() int64 { return s.loads.Load() }
+
+// Peak returns the largest number of loads at once.
+func (s *Store) Peak() int64 { return s.peak.Load() }
+
+// Handler serves GET /v1/weights/{model}/{version}: the answer comes when the
+// weights would have been sent.
+func (s *Store) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/weights/{model}/{version}", s.serve)
+	return r
+}
+
+func (s *Store) serve(w http.ResponseWriter, req *http.Request) {
+	s.enter()
+	defer s.active.Add(-1)
+	name := chi.URLParam(req, "model") + "@" + chi.URLParam(req, "version")
+	size, ok := s.config.Megabytes[name]
+	if !ok {
+		size = defaultMegabytes
+	}
+	for range size {
+		if err := s.limiter.Wait(req.Context()); err != nil {
+			return
+		}
+	}
+	s.loads.Add(1)
+	w.Header().Set("Weight-Megabytes", strconv.Itoa(size))
+	_ = json.NewEncoder(w).Encode(struct {
+		Name string `json:"name"`
+	}{name})
+}
+
+func (s *Store) enter() {
+	active := s.active.Add(1)
+	for {
+		peak := s.peak.Load()
+		if active <= peak || s.peak.CompareAndSwap(peak, active) {
+			return
+		}
+	}
+}
