--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -24,8 +24,8 @@
 	Name string
 	// Concurrency is how many calls run at once; further calls wait.
 	Concurrency int
-	// Duration is the time that a call takes.
-	Duration time.Duration
+	// Duration returns the time that a call takes; nil means none.
+	Duration func(method, path string) time.Duration
 }
 
 // defaultConcurrency is used where the configuration names none.
@@ -73,6 +73,9 @@
 	if config.Concurrency == 0 {
 		config.Concurrency = defaultConcurrency
 	}
+	if config.Duration == nil {
+		config.Duration = func(string, string) time.Duration { return 0 }
+	}
 	return &Service{
 		config:     config,
 		slots:      make(chan struct{}, config.Concurrency),
@@ -200,7 +203,7 @@
 	s.slots <- struct{}{}
 	s.count(&s.queued, -1)
 	s.count(&s.running, 1)
-	time.Sleep(s.config.Duration + delay)
+	time.Sleep(s.config.Duration(seen.Method, seen.Path) + delay)
 	defer func() { <-s.slots }()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/testbed/backends.go
@@ -0,0 +1,113 @@
+package testbed
+
+import (
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
+	"github.com/chestnutspring/chestnutspring/internal/standin/service"
+	"github.com/chestnutspring/chestnutspring/internal/standin/weights"
+)
+
+// startBackends starts the stand-ins of the backend servers and of the weight
+// store.
+func (b *Bed) startBackends(set *objects.Set) error {
+	sizes := map[string]int{}
+	for _, m := range set.Models {
+		sizes[m.Name+"@"+m.Spec.Version] = m.Spec.WeightMegabytes
+	}
+	b.Weights = weights.New(weights.Config{
+		MegabytesPerSecond: b.config.WeightMegabytesPerSecond,
+		Megabytes:          sizes,
+	})
+	store, err := standin.Serve(loopback, b.Weights.Handler())
+	if err != nil {
+		return err
+	}
+	b.others = append(b.others, store)
+	for _, server := range set.BackendServers {
+		if err := b.startBackend(set, server, store.URL()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loopback is the address that stand-ins listen on.
+const loopback = "127.0.0.1:0"
+
+func (b *Bed) startBackend(set *objects.Set, server *objects.BackendServer, weights string) error {
+	handler := b.newService
+	if server.Spec.Model != "" {
+		handler = func(set *objects.Set, server *objects.BackendServer) *standin.Server {
+			return b.newEngine(set, server, weights)
+		}
+	}
+	s := handler(set, server)
+	if s == nil {
+		return ErrStart.New("backend server %s can't listen", server.Name)
+	}
+	b.servers[server.Name] = s
+	return nil
+}
+
+func (b *Bed) newEngine(set *objects.Set, server *objects.BackendServer, weights string) *standin.Server {
+	config := engine.Config{
+		Name:          server.Name,
+		Concurrency:   server.Spec.Concurrency,
+		ChecksFencing: server.Spec.ChecksFencing,
+		Role:          server.Spec.Role,
+		Weights:       weights,
+	}
+	if m := set.Models[server.Spec.Model]; m != nil {
+		config.Loaded = []string{m.Name + "@" + m.Spec.Version}
+		if m.Spec.SecondsPerToken > 0 {
+			config.TokensPerSecond = 1 / m.Spec.SecondsPerToken
+		}
+		if m.Spec.SecondsPerPromptToken > 0 {
+			config.PrefillTokensPerSecond = 1 / m.Spec.SecondsPerPromptToken
+		}
+	}
+	if b.config.Engine != nil {
+		b.config.Engine(server, &config)
+	}
+	e := engine.New(config)
+	b.Engines[server.Name] = e
+	s, err := standin.Serve(loopback, e.Handler())
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+func (b *Bed) newService(set *objects.Set, server *objects.BackendServer) *standin.Server {
+	config := service.Config{
+		Name:        server.Name,
+		Concurrency: server.Spec.Concurrency,
+		Duration: func(method, path string) time.Duration {
+			call := set.CallOf(server.Spec.Service, method, path)
+			if call == nil {
+				return 0
+			}
+			return time.Duration(call.Seconds * float64(time.Second))
+		},
+	}
+	if b.config.Service != nil {
+		b.config.Service(server, &config)
+	}
+	svc := service.New(config)
+	b.Services[server.Name] = svc
+	s, err := standin.Serve(loopback, svc.Handler())
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+// CloseBackend ends a backend server's stand-in, as a crash would.
+func (b *Bed) CloseBackend(name string) {
+	if s := b.servers[name]; s != nil {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/testbed/gateway.go
@@ -0,0 +1,366 @@
+package testbed
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/directory"
+)
+
+// keptLines is how many lines of a gateway's log are kept in memory.
+const keptLines = 400
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 10 * time.Millisecond
+
+// addresses are where a gateway listens, as IP:port.
+type addresses struct{ caller, forward, control, operator string }
+
+// Gateway is an entry VM with its gateway process.
+type Gateway struct {
+	Name          string
+	Region        string
+	FailureDomain string
+
+	bed       *Bed
+	mu        sync.Mutex
+	addresses addresses
+	cmd       *exec.Cmd
+	exited    chan struct{} // closed when the process has ended
+	exitErr   error
+	lines     []string
+}
+
+// nameGateways draws up the entry VMs of each region.
+func (b *Bed) nameGateways(set *objects.Set) error {
+	for region := range set.Regions {
+		domains := domainsOf(set, region)
+		if len(domains) == 0 {
+			return ErrStart.New("region %s has no failure domain", region)
+		}
+		for i := range b.config.GatewaysPerRegion {
+			g := &Gateway{
+				Name:          fmt.Sprintf("%s-entry-%d", region, i+1),
+				Region:        region,
+				FailureDomain: domains[i%len(domains)],
+				bed:           b,
+				addresses:     addresses{loopback, loopback, loopback, loopback},
+			}
+			b.Gateways[g.Name] = g
+		}
+	}
+	return nil
+}
+
+func domainsOf(set *objects.Set, region string) []string {
+	var found []string
+	for _, name := range slices.Sorted(maps.Keys(set.FailureDomains)) {
+		if set.RegionOf(name) == region {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
+func (b *Bed) startGateways(ctx context.Context) error {
+	all, ctx := errgroup.WithContext(ctx)
+	for _, g := range b.Gateways {
+		all.Go(func() error { return g.start(ctx) })
+	}
+	if err := all.Wait(); err != nil {
+		return err
+	}
+	b.directory = directory.New(b.directoryOf())
+	s, err := standin.Serve(loopback, b.directory.Handler())
+	if err != nil {
+		return err
+	}
+	b.others = append(b.others, s)
+	b.DirectoryURL = s.URL()
+	if err := b.publishVMs(); err != nil {
+		return err
+	}
+	return b.WaitReady(ctx)
+}
+
+// WaitReady waits until each running gateway is ready.
+func (b *Bed) WaitReady(ctx context.Context) error {
+	for _, g := range b.Gateways {
+		if err := g.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) vm() platform.VM {
+	return platform.VM{
+		Name: g.Name, Region: g.Region, FailureDomain: g.FailureDomain,
+		Role: platform.RoleEntry, CallerAddress: g.CallerAddress(),
+	}
+}
+
+// CallerAddress returns the IP:port for callers.
+func (g *Gateway) CallerAddress() string { return g.current().caller }
+
+// OperatorURL returns the base URL for operators.
+func (g *Gateway) OperatorURL() string { return "http://" + g.current().operator }
+
+func (g *Gateway) current() addresses {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.addresses
+}
+
+// args returns the flags of the process.
+func (g *Gateway) args() []string {
+	a := g.current()
+	var peers []string
+	for name := range g.bed.Gateways {
+		if address := g.bed.addressOf(g.Region, name, controlPort); name != g.Name && address != "" {
+			peers = append(peers, address)
+		}
+	}
+	slices.Sort(peers)
+	args := []string{
+		"--vm=" + g.Name, "--region=" + g.Region, "--failure-domain=" + g.FailureDomain,
+		"--caller-listen=" + a.caller, "--forward-listen=" + a.forward,
+		"--control-listen=" + a.control, "--operator-listen=" + a.operator,
+		"--platform=" + g.bed.platforms[g.Region],
+		"--peers=" + strings.Join(peers, ","),
+	}
+	return append(args, g.bed.config.GatewayArgs...)
+}
+
+// start starts the process and waits until it listens.
+func (g *Gateway) start(ctx context.Context) error {
+	cmd := exec.Command(g.bed.config.GatewayBinary, g.args()...)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		return ErrGateway.Wrap(err, "%s", g.Name)
+	}
+	if err := cmd.Start(); err != nil {
+		return ErrGateway.Wrap(err, "%s", g.Name)
+	}
+	listening := make(chan addresses, 1)
+	exited := make(chan struct{})
+	g.mu.Lock()
+	g.cmd, g.exited = cmd, exited
+	g.mu.Unlock()
+	go g.follow(cmd, stderr, listening, exited)
+	select {
+	case a := <-listening:
+		g.mu.Lock()
+		g.addresses = a
+		g.mu.Unlock()
+		g.bed.aim(g)
+		return nil
+	case <-exited:
+		return ErrGateway.New("%s ended at its start:\n%s", g.Name, strings.Join(g.Log(), "\n"))
+	case <-ctx.Done():
+		return ErrGateway.Wrap(ctx.Err(), "%s doesn't listen:\n%s", g.Name, strings.Join(g.Log(), "\n"))
+	}
+}
+
+// follow reads the process's log until its end.
+func (g *Gateway) follow(cmd *exec.Cmd, stderr io.Reader, listening chan<- addresses, exited chan<- struct{}) {
+	file := g.openLog()
+	scanner := bufio.NewScanner(stderr)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		line := scanner.Text()
+		g.keep(line)
+		if file != nil {
+			_, _ = fmt.Fprintln(file, line)
+		}
+		if a, ok := parseListening(line); ok {
+			listening <- a
+		}
+	}
+	_, _ = io.Copy(io.Discard, stderr)
+	err := cmd.Wait()
+	g.mu.Lock()
+	g.exitErr = err
+	g.mu.Unlock()
+	if file != nil {
+		_ = file.Close()
+	}
+	close(exited)
+}
+
+func (g *Gateway) openLog() *os.File {
+	if g.bed.config.LogDir == "" {
+		return nil
+	}
+	name := filepath.Join(g.bed.config.LogDir, g.Name+".log")
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil
+	}
+	return file
+}
+
+func (g *Gateway) keep(line string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lines = append(g.lines, line)
+	if len(g.lines) > keptLines {
+		g.lines = g.lines[len(g.lines)-keptLines:]
+	}
+}
+
+// Log returns the last lines of the process's log.
+func (g *Gateway) Log() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.lines)
+}
+
+// parseListening reads the line that says where a gateway listens.
+func parseListening(line string) (addresses, bool) {
+	if !strings.Contains(line, "msg=listening") {
+		return addresses{}, false
+	}
+	var a addresses
+	for field := range strings.FieldsSeq(line) {
+		key, value, _ := strings.Cut(field, "=")
+		switch key {
+		case "caller":
+			a.caller = value
+		case "forward":
+			a.forward = value
+		case "control":
+			a.control = value
+		case "operator":
+			a.operator = value
+		}
+	}
+	return a, a.caller != "" && a.forward != "" && a.control != "" && a.operator != ""
+}
+
+// WaitReady waits until the gateway is ready to serve.
+func (g *Gateway) WaitReady(ctx context.Context) error {
+	for {
+		if g.ready(ctx) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ErrGateway.Wrap(ctx.Err(), "%s isn't ready:\n%s", g.Name, strings.Join(g.Log(), "\n"))
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (g *Gateway) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.OperatorURL()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// signal sends a signal to the process, if it runs.
+func (g *Gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil && g.cmd.Process != nil {
+		_ = g.cmd.Process.Signal(s)
+	}
+}
+
+// done returns the channel that is closed when the process has ended. It is
+// nil if no process was started.
+func (g *Gateway) done() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.exited
+}
+
+// Kill ends the process at once and waits for its end.
+func (g *Gateway) Kill() {
+	done := g.done()
+	if done == nil {
+		return
+	}
+	g.signal(syscall.SIGKILL)
+	<-done
+}
+
+// Freeze pauses the process.
+func (g *Gateway) Freeze() { g.signal(syscall.SIGSTOP) }
+
+// Wake lets a paused process go on.
+func (g *Gateway) Wake() { g.signal(syscall.SIGCONT) }
+
+// Shutdown asks the process to shut down gracefully, without waiting.
+func (g *Gateway) Shutdown() { g.signal(syscall.SIGTERM) }
+
+// Terminate asks the process to shut down gracefully and waits for its end.
+func (g *Gateway) Terminate(ctx context.Context) error {
+	g.Shutdown()
+	select {
+	case <-g.done():
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.exitErr
+	case <-ctx.Done():
+		return ErrGateway.Wrap(ctx.Err(), "%s goes on:\n%s", g.Name, strings.Join(g.Log(), "\n"))
+	}
+}
+
+// Restart starts a new process on the same ports, after the old one has
+// ended, and waits until it is ready.
+func (g *Gateway) Restart(ctx context.Context) error {
+	g.Kill()
+	if err := g.start(ctx); err != nil {
+		return err
+	}
+	return g.WaitReady(ctx)
+}
+
+// Alive reports whether the process runs (or is paused).
+func (g *Gateway) Alive() bool {
+	done := g.done()
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Pid returns the process ID, or zero if none was started.
+func (g *Gateway) Pid() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd == nil || g.cmd.Process == nil {
+		return 0
+	}
+	return g.cmd.Process.Pid
+}
--- /dev/null
+++ b/internal/testbed/network.go
@@ -0,0 +1,173 @@
+package testbed
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/link"
+	standinplatform "github.com/chestnutspring/chestnutspring/internal/standin/platform"
+)
+
+// regionPair names the link between two regions, in alphabetical order. Both
+// are the same for the network within a region.
+type regionPair struct{ a, b string }
+
+func pairOf(a, b string) regionPair {
+	if b < a {
+		a, b = b, a
+	}
+	return regionPair{a, b}
+}
+
+// purpose says what a VM's port is for.
+type purpose int
+
+const (
+	forwardPort purpose = iota
+	controlPort
+)
+
+// portKey names the port through which a region reaches a VM.
+type portKey struct {
+	from    string // region
+	to      string // VM
+	purpose purpose
+}
+
+// startPlatform starts one listener of the platform for each region, and the
+// directory.
+func (b *Bed) startPlatform(set *objects.Set) error {
+	for name := range set.Regions {
+		s, err := standin.Serve(loopback, b.Platform.Handler(name))
+		if err != nil {
+			return err
+		}
+		b.others = append(b.others, s)
+		b.platforms[name] = s.URL()
+		b.Platform.SetView(name, valueVMs, func(data []byte) []byte { return b.viewOf(name, data) })
+	}
+	return nil
+}
+
+// startLinks starts the links and the ports through which each region reaches
+// each VM.
+func (b *Bed) startLinks(set *objects.Set) error {
+	regions := slices.Sorted(maps.Keys(set.Regions))
+	for i, from := range regions {
+		b.links[pairOf(from, from)] = link.New(link.Config{})
+		for j, to := range regions[i+1:] {
+			spec := set.LinkBetween(from, to)
+			if spec == nil {
+				continue
+			}
+			b.links[pairOf(from, to)] = link.New(link.Config{
+				Delay:             spec.Delay.D(),
+				Jitter:            b.config.Jitter,
+				Loss:              b.config.Loss,
+				MegabitsPerSecond: spec.MegabitsPerSecond,
+				Seed:              b.config.Seed + uint64(i*len(regions)+j),
+			})
+		}
+	}
+	for _, from := range regions {
+		for _, g := range b.Gateways {
+			if err := b.openPorts(from, g); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (b *Bed) openPorts(from string, g *Gateway) error {
+	l := b.links[pairOf(from, g.Region)]
+	if l == nil {
+		return nil
+	}
+	direction := link.Forward
+	if from > g.Region {
+		direction = link.Backward
+	}
+	for _, purpose := range []purpose{forwardPort, controlPort} {
+		port, err := l.Listen(direction, "")
+		if err != nil {
+			return err
+		}
+		b.ports[portKey{from, g.Name, purpose}] = port
+	}
+	return nil
+}
+
+// addressOf returns the address by which a region reaches a VM.
+func (b *Bed) addressOf(from, vm string, purpose purpose) string {
+	port := b.ports[portKey{from, vm, purpose}]
+	if port == nil {
+		return ""
+	}
+	return port.Addr()
+}
+
+// aim points the ports of a VM at the addresses that its gateway listens on.
+func (b *Bed) aim(g *Gateway) {
+	for key, port := range b.ports {
+		switch {
+		case key.to != g.Name:
+		case key.purpose == forwardPort:
+			port.SetTarget(g.addresses.forward)
+		default:
+			port.SetTarget(g.addresses.control)
+		}
+	}
+}
+
+// Link returns the link between two regions, or the network within a region
+// if both are the same. It is nil if there is none.
+func (b *Bed) Link(a, c string) *link.Link { return b.links[pairOf(a, c)] }
+
+// Cut makes the link between two regions a black hole.
+func (b *Bed) Cut(a, c string) { b.Link(a, c).SetCut(link.CutBlackhole) }
+
+// Heal makes the link between two regions work again.
+func (b *Bed) Heal(a, c string) { b.Link(a, c).Heal() }
+
+// Isolate cuts a region off from all other regions and from the platform.
+func (b *Bed) Isolate(region string) {
+	for pair, l := range b.links {
+		if pair.a != pair.b && (pair.a == region || pair.b == region) {
+			l.SetCut(link.CutBlackhole)
+		}
+	}
+	b.Platform.SetOutage(region, standinplatform.OutageHang)
+}
+
+// Rejoin undoes Isolate.
+func (b *Bed) Rejoin(region string) {
+	for pair, l := range b.links {
+		if pair.a != pair.b && (pair.a == region || pair.b == region) {
+			l.Heal()
+		}
+	}
+	b.Platform.SetOutage(region, standinplatform.OutageNone)
+}
+
+// Crossing is the traffic from one region to another.
+type Crossing struct {
+	From, To string
+	Bytes    int64
+}
+
+// Crossings returns the bytes that were carried between regions so far.
+func (b *Bed) Crossings() []Crossing {
+	var found []Crossing
+	for pair, l := range b.links {
+		if pair.a == pair.b {
+			continue
+		}
+		found = append(found,
+			Crossing{pair.a, pair.b, l.Bytes(link.Forward)},
+			Crossing{pair.b, pair.a, l.Bytes(link.Backward)})
+	}
+	return found
+}
--- /dev/null
+++ b/internal/testbed/publish.go
@@ -0,0 +1,143 @@
+package testbed
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/chestnutspring/chestnutspring/internal/bundle"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// valueVMs is the name of the list of VMs at the platform.
+const valueVMs = platform.ValueVMs
+
+// Publish publishes a configuration. The addresses of backend servers are
+// replaced by those of the stand-ins.
+func (b *Bed) Publish(set *objects.Set) error {
+	set = b.withAddresses(set)
+	built, err := bundle.Build(set)
+	if err != nil {
+		return ErrStart.Wrap(err, "bundle")
+	}
+	values := map[string][]byte{platform.ValueManifest: built.Manifest}
+	for digest, part := range built.Parts {
+		if b.Platform.Revision(platform.ValuePartPrefix+digest) == 0 {
+			values[platform.ValuePartPrefix+digest] = part
+		}
+	}
+	b.Platform.PublishAll(values)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set = set
+	return nil
+}
+
+// withAddresses returns a copy of the set with the stand-ins' addresses.
+func (b *Bed) withAddresses(set *objects.Set) *objects.Set {
+	next := *set
+	next.BackendServers = map[string]*objects.BackendServer{}
+	for name, server := range set.BackendServers {
+		copied := *server
+		if s := b.servers[name]; s != nil {
+			copied.Spec.Address = s.Addr()
+		}
+		next.BackendServers[name] = &copied
+	}
+	next.Index()
+	return &next
+}
+
+// Change publishes a copy of the configuration that change has edited. The
+// copy is shallow: change must replace objects rather than write into them.
+func (b *Bed) Change(change func(next *objects.Set)) error {
+	next := *b.Set()
+	next.Regions = maps.Clone(next.Regions)
+	next.BackendServers = maps.Clone(next.BackendServers)
+	next.Routes = maps.Clone(next.Routes)
+	next.ResidencyRules = maps.Clone(next.ResidencyRules)
+	next.Teams = maps.Clone(next.Teams)
+	next.Policies = maps.Clone(next.Policies)
+	next.Limits = maps.Clone(next.Limits)
+	change(&next)
+	return b.Publish(&next)
+}
+
+// SetState sets the state of an entry VM or of a backend server's VM in the
+// list of VMs. The state "" removes the VM from the list.
+func (b *Bed) SetState(vm, state string) error {
+	b.mu.Lock()
+	b.states[vm] = state
+	b.mu.Unlock()
+	return b.publishVMs()
+}
+
+// publishVMs publishes the list of VMs and the directory.
+func (b *Bed) publishVMs() error {
+	list, err := json.Marshal(b.vms())
+	if err != nil {
+		return err
+	}
+	entries, err := json.Marshal(b.directoryOf())
+	if err != nil {
+		return err
+	}
+	b.Platform.PublishAll(map[string][]byte{
+		valueVMs:                list,
+		platform.ValueDirectory: entries,
+	})
+	if b.directory != nil {
+		b.directory.Set(b.directoryOf())
+	}
+	return nil
+}
+
+func (b *Bed) vms() platform.VMList {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list platform.VMList
+	add := func(vm platform.VM) {
+		state, set := b.states[vm.Name]
+		if !set {
+			state = platform.StateLive
+		}
+		if state != "" {
+			vm.State = state
+			list.VMs = append(list.VMs, vm)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
+		add(b.Gateways[name].vm())
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.set.BackendServers)) {
+		domain := b.set.BackendServers[name].Spec.FailureDomain
+		add(platform.VM{
+			Name: name, Region: b.set.RegionOf(domain),
+			FailureDomain: domain, Role: platform.RoleBackend,
+		})
+	}
+	return list
+}
+
+// viewOf returns the list of VMs as a region sees it: other VMs are reached
+// over the links.
+func (b *Bed) viewOf(region string, data []byte) []byte {
+	var list platform.VMList
+	if err := json.Unmarshal(data, &list); err != nil {
+		return data
+	}
+	for i := range list.VMs {
+		vm := &list.VMs[i]
+		if vm.Role != platform.RoleEntry {
+			continue
+		}
+		vm.ForwardAddress = b.addressOf(region, vm.Name, forwardPort)
+		vm.ControlAddress = b.addressOf(region, vm.Name, controlPort)
+	}
+	view, err := json.Marshal(list)
+	if err != nil {
+		return data
+	}
+	return view
+}
