Objects from YAML with whole-set check; bundles; both example deployments

Objects are read leniently from each document after every unknown and repeated field has been listed, so that one fault hides no other. Anchors and aliases are refused: references are by name, and an alias may be recursive. Bundles have 128 parts by hash of the object's kind and name; digests are taken over compressed data, so a part is verified before it is read. Tests: round trip of both examples, one part moved by a change, each part missing or damaged is an error.

--- /dev/null
+++ b/internal/bundle/bundle_test.go
@@ -0,0 +1,93 @@
+package bundle
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+var exampleDirs = []string{"../../examples/kite-consortium", "../../examples/co-operative"}
+
+func loadExample(t testing.TB, dir string) *objects.Set {
+	t.Helper()
+	set, err := objects.Load(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+func getFrom(parts map[string][]byte) func(string) ([]byte, error) {
+	return func(digest string) ([]byte, error) {
+		data, ok := parts[digest]
+		if !ok {
+			return nil, errors.New("absent")
+		}
+		return data, nil
+	}
+}
+
+func TestExamplesSurviveTheRoundTrip(t *testing.T) {
+	for _, dir := range exampleDirs {
+		is := is.New(t)
+		set := loadExample(t, dir)
+		b, err := Build(set)
+		is.NoErr(err)
+		again, err := Build(loadExample(t, dir))
+		is.NoErr(err)
+		is.Equal(b, again) // the same set gives the same bytes
+		opened, err := Open(b.Manifest, getFrom(b.Parts))
+		is.NoErr(err)
+		is.Equal(opened, set)
+	}
+}
+
+func TestAChangeMovesOnePartAndSharesTheRest(t *testing.T) {
+	is := is.New(t)
+	set := loadExample(t, exampleDirs[0])
+	before, err := Build(set)
+	is.NoErr(err)
+	reader := NewReader()
+	first, err := reader.Open(before.Manifest, getFrom(before.Parts))
+	is.NoErr(err)
+
+	set.Teams["hamdeok-kite-school"].Spec.Weight = 3
+	after, err := Build(set)
+	is.NoErr(err)
+	var fetched []string
+	second, err := reader.Open(after.Manifest, func(digest string) ([]byte, error) {
+		fetched = append(fetched, digest)
+		return after.Parts[digest], nil
+	})
+	is.NoErr(err)
+	is.Equal(len(fetched), 1)
+	is.Equal(second.Teams["hamdeok-kite-school"].Spec.Weight, 3.0)
+	is.Equal(first.Teams["hamdeok-kite-school"].Spec.Weight, 2.0)
+	is.True(first.Teams["jeju-rescue"] == second.Teams["jeju-rescue"]) // shared
+}
+
+func TestDamageIsAnError(t *testing.T) {
+	is := is.New(t)
+	b, err := Build(loadExample(t, exampleDirs[0]))
+	is.NoErr(err)
+	for digest := range b.Parts {
+		missing := maps.Clone(b.Parts)
+		delete(missing, digest)
+		_, err := Open(b.Manifest, getFrom(missing))
+		is.True(err != nil) // a part is missing
+		flipped := maps.Clone(b.Parts)
+		flipped[digest] = slices.Clone(b.Parts[digest])
+		flipped[digest][len(flipped[digest])/2] ^= 1
+		_, err = Open(b.Manifest, getFrom(flipped))
+		is.True(err != nil) // a part doesn't match
+	}
+	for _, manifest := range []string{"", "{}", "null", `{"format":1,"parts":[]}`, string(b.Manifest) + "x"} {
+		_, err := Open([]byte(manifest), getFrom(b.Parts))
+		is.True(err != nil)
+	}
+}
--- /dev/null
+++ b/internal/bundle/read.go
@@ -0,0 +1,180 @@
+package bundle
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+// Reader opens bundles one after another. It keeps the parts of the last one,
+// so that only changed parts are decoded, and unchanged objects are shared
+// between sets. It must not be used concurrently.
+type Reader struct {
+	parts map[string][]objects.Object // by digest
+}
+
+// NewReader returns a Reader that holds no parts.
+func NewReader() *Reader { return &Reader{parts: map[string][]objects.Object{}} }
+
+// Open decodes a bundle whose parts get returns, and checks the whole set. The
+// error is ErrMalformed, ErrMismatch, ErrPart, or *objects.FaultError.
+func Open(manifest []byte, get func(digest string) ([]byte, error)) (*objects.Set, error) {
+	return NewReader().Open(manifest, get)
+}
+
+// ParseManifest reads a manifest.
+func ParseManifest(data []byte) (*Manifest, error) {
+	if len(data) > maxManifestBytes {
+		return nil, ErrMalformed.New("the manifest has more than %d bytes", maxManifestBytes)
+	}
+	var m Manifest
+	if err := strictJSON(data, &m); err != nil {
+		return nil, ErrMalformed.Wrap(err, "manifest")
+	}
+	if m.Format != formatVersion {
+		return nil, ErrMalformed.New("the manifest's format is %d, not %d", m.Format, formatVersion)
+	}
+	if len(m.Parts) != PartCount {
+		return nil, ErrMalformed.New("the manifest lists %d parts, not %d", len(m.Parts), PartCount)
+	}
+	for _, digest := range m.Parts {
+		if digest != "" && !validDigest(digest) {
+			return nil, ErrMalformed.New("%q isn't a digest", digest)
+		}
+	}
+	return &m, nil
+}
+
+func validDigest(digest string) bool {
+	sum, err := base64.RawURLEncoding.DecodeString(digest)
+	return err == nil && len(sum) == digestBytes
+}
+
+// Digests returns the digests of the parts that aren't empty.
+func (m *Manifest) Digests() []string {
+	digests := make([]string, 0, len(m.Parts))
+	for _, digest := range m.Parts {
+		if digest != "" {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
+// Verify returns ErrMismatch unless data is the part of that digest.
+func Verify(digest string, data []byte) error {
+	if len(data) > maxPartBytes {
+		return ErrMismatch.New("part %s has more than %d bytes", digest, maxPartBytes)
+	}
+	if got := Digest(data); got != digest {
+		return ErrMismatch.New("part %s has the digest %s", digest, got)
+	}
+	return nil
+}
+
+// Open is Open with the parts that r holds. The set of a failed call leaves r
+// as it was.
+func (r *Reader) Open(manifest []byte, get func(digest string) ([]byte, error)) (*objects.Set, error) {
+	m, err := ParseManifest(manifest)
+	if err != nil {
+		return nil, err
+	}
+	set := objects.NewSet()
+	parts := make(map[string][]objects.Object, PartCount)
+	for i, digest := range m.Parts {
+		if digest == "" {
+			continue
+		}
+		part, err := r.part(i, digest, get)
+		if err != nil {
+			return nil, err
+		}
+		parts[digest] = part
+		for _, o := range part {
+			if !set.Add(o.Value) {
+				return nil, ErrMalformed.New("%s %s stands twice in part %d", o.Kind, o.Name, i)
+			}
+		}
+	}
+	set.Index()
+	if faults := set.Check(); len(faults) > 0 {
+		return nil, &objects.FaultError{Faults: faults}
+	}
+	r.parts = parts
+	return set, nil
+}
+
+func (r *Reader) part(number int, digest string, get func(string) ([]byte, error)) ([]objects.Object, error) {
+	if held, ok := r.parts[digest]; ok {
+		return held, nil
+	}
+	data, err := get(digest)
+	if err != nil {
+		return nil, ErrPart.Wrap(err, "part %s", digest)
+	}
+	if err := Verify(digest, data); err != nil {
+		return nil, err
+	}
+	return readPart(number, data)
+}
+
+// readPart decodes the part of that number.
+func readPart(number int, data []byte) ([]objects.Object, error) {
+	unzip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, ErrMalformed.Wrap(err, "part %d", number)
+	}
+	content, err := io.ReadAll(io.LimitReader(unzip, maxPartContent+1))
+	if err != nil {
+		return nil, ErrMalformed.Wrap(err, "part %d", number)
+	}
+	if len(content) > maxPartContent {
+		return nil, ErrMalformed.New("part %d holds more than %d bytes", number, maxPartContent)
+	}
+	var list []objects.Object
+	for line := range bytes.Lines(content) {
+		o, err := readEntry(line)
+		if err != nil {
+			return nil, err
+		}
+		if partOf(o.Kind, o.Name) != number {
+			return nil, ErrMalformed.New("%s %s doesn't belong in part %d", o.Kind, o.Name, number)
+		}
+		list = append(list, o)
+	}
+	return list, nil
+}
+
+func readEntry(line []byte) (objects.Object, error) {
+	var e entry
+	if err := strictJSON(line, &e); err != nil {
+		return objects.Object{}, ErrMalformed.Wrap(err, "entry of a part")
+	}
+	value := objects.New(e.Kind)
+	if value == nil {
+		return objects.Object{}, ErrMalformed.New("unknown kind %q", e.Kind)
+	}
+	if err := strictJSON(e.Object, value); err != nil {
+		return objects.Object{}, ErrMalformed.Wrap(err, "object of kind %s", e.Kind)
+	}
+	return objects.Object{Kind: e.Kind, Name: objects.NameOf(value), Value: value}, nil
+}
+
+// strictJSON decodes exactly one value. An unknown field is an error: a
+// process that doesn't know a field can't honour it.
+func strictJSON(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more data after the value")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/objects/check_route.go
@@ -0,0 +1,129 @@
+package objects
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+var algorithms = []string{AlgorithmExpectedCompletion, AlgorithmHomeRoundRobin, AlgorithmLeastLoad}
+
+func (c *checker) policies() {
+	for _, name := range sortedNames(c.set.Policies) {
+		spec := c.set.Policies[name].Spec
+		if !slices.Contains(algorithms, spec.Algorithm) {
+			c.add(KindPolicy, name, "spec.algorithm", fmt.Sprintf("unknown algorithm %q", spec.Algorithm),
+				didYouMean(spec.Algorithm, algorithms))
+		}
+		c.notNegative(KindPolicy, name, "spec.costWeight", spec.CostWeight)
+		c.notNegative(KindPolicy, name, "spec.shareAwayWeight", spec.ShareAwayWeight)
+		if !(spec.RetryBudget >= 0 && spec.RetryBudget <= maxRetryBudget) {
+			c.add(KindPolicy, name, "spec.retryBudget", fmt.Sprintf("%v isn't between 0 and %v", spec.RetryBudget, maxRetryBudget), "0.1 is a tenth of the requests")
+		}
+		c.policyTimes(name, spec)
+	}
+}
+
+func (c *checker) policyTimes(name string, spec PolicySpec) {
+	if spec.KeyWindow <= 0 || spec.KeyWindow.D() > maxKeyWindow {
+		c.add(KindPolicy, name, "spec.keyWindow", fmt.Sprintf("%v isn't above 0s and at most %v", spec.KeyWindow.D(), maxKeyWindow), "write for example 10m")
+	}
+	if spec.MaxConfigAge.D() < minMaxConfigAge {
+		c.add(KindPolicy, name, "spec.maxConfigAge", fmt.Sprintf("%v is below %v", spec.MaxConfigAge.D(), minMaxConfigAge),
+			"a configuration is confirmed every few seconds at best")
+	}
+	if spec.MaxQueue <= 0 {
+		c.add(KindPolicy, name, "spec.maxQueue", fmt.Sprintf("%v isn't above 0s", spec.MaxQueue.D()), "")
+	}
+	if spec.HedgeAfter < 0 {
+		c.add(KindPolicy, name, "spec.hedgeAfter", fmt.Sprintf("%v is below 0s", spec.HedgeAfter.D()), "leave it out for no hedging")
+	}
+	if spec.SlowStart < 0 {
+		c.add(KindPolicy, name, "spec.slowStart", fmt.Sprintf("%v is below 0s", spec.SlowStart.D()), "leave it out for none")
+	}
+}
+
+func (c *checker) routes() {
+	routesOf := map[string][]string{}
+	for _, name := range sortedNames(c.set.Routes) {
+		spec := c.set.Routes[name].Spec
+		c.target(KindRoute, name, spec.Model, spec.Service)
+		c.regionList(KindRoute, name, spec.Regions)
+		reference(c, KindRoute, name, "spec.policy", spec.Policy, KindPolicy, c.set.Policies)
+		target := spec.Model + spec.Service
+		routesOf[target] = append(routesOf[target], name)
+	}
+	c.oneRoute(KindModel, sortedNames(c.set.Models), routesOf)
+	c.oneRoute(KindService, sortedNames(c.set.Services), routesOf)
+}
+
+func (c *checker) oneRoute(kind Kind, targets []string, routesOf map[string][]string) {
+	for _, target := range targets {
+		routes := routesOf[target]
+		if len(routes) == 0 {
+			c.add(kind, target, "", "there is no route to it", fmt.Sprintf("add a Route with %s: %s", strings.ToLower(string(kind)), target))
+			continue
+		}
+		for _, extra := range routes[1:] {
+			c.add(KindRoute, extra, "", fmt.Sprintf("%s %s has the route %s already", kind, target, routes[0]), "remove one")
+		}
+	}
+}
+
+// reach checks that every route has somewhere to run, for callers of every
+// residency rule that a team uses.
+func (c *checker) reach() {
+	rules := c.rulesInUse()
+	for _, name := range sortedNames(c.set.Routes) {
+		spec := c.set.Routes[name].Spec
+		target := spec.Model + spec.Service
+		if c.set.Models[spec.Model] == nil && c.set.Services[spec.Service] == nil {
+			continue // The dangling reference is reported already.
+		}
+		serving := c.servingRegions(target)
+		if len(serving) == 0 {
+			c.add(KindRoute, name, "spec.regions", "no backend server of "+target+" is in the route's regions",
+				"add a BackendServer with role serve, or widen the route")
+			continue
+		}
+		for _, rule := range rules {
+			c.ruleReaches(rule, name, serving)
+		}
+	}
+}
+
+func (c *checker) ruleReaches(rule, route string, serving []string) {
+	for _, region := range c.set.ResidencyRules[rule].Spec.Regions {
+		if slices.Contains(serving, region) {
+			return
+		}
+	}
+	c.add(KindResidencyRule, rule, "spec.regions",
+		fmt.Sprintf("route %s has nowhere to run for teams under the rule", route),
+		"backend servers that the route allows are in: "+strings.Join(serving, ", "))
+}
+
+// rulesInUse returns the existing rules that some team names, sorted.
+func (c *checker) rulesInUse() []string {
+	used := map[string]bool{}
+	for _, team := range c.set.Teams {
+		if rule := c.set.ResidencyRules[team.Spec.Residency]; rule != nil && len(rule.Spec.Regions) > 0 {
+			used[team.Spec.Residency] = true
+		}
+	}
+	return sortedNames(used)
+}
+
+// servingRegions returns the regions that the target's route allows and that
+// have a backend server of it that isn't held in reserve.
+func (c *checker) servingRegions(target string) []string {
+	found := map[string]bool{}
+	for _, b := range c.set.BackendsOf(target) {
+		region := c.set.RegionOf(b.Spec.FailureDomain)
+		if region != "" && b.Spec.Role != RoleStandby && c.set.RouteAllows(target, region) {
+			found[region] = true
+		}
+	}
+	regions := sortedNames(found)
+	return regions
+}
--- /dev/null
+++ b/internal/objects/document.go
@@ -0,0 +1,193 @@
+package objects
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// document inspects one YAML document before it is decoded: it finds every
+// unknown and repeated field and records where each field stands.
+type document struct {
+	file   string
+	body   ast.Node
+	kind   Kind
+	name   string
+	line   int
+	places map[string]place
+	faults []Fault
+}
+
+func newDocument(file string, body ast.Node) *document {
+	return &document{file: file, body: body, line: lineOf(body), places: map[string]place{}}
+}
+
+// inspect reports whether kind and name are known, so that the document can
+// be decoded.
+func (d *document) inspect() bool {
+	fields, ok := mappingOf(d.body)
+	if !ok {
+		d.fault(d.body, "", "the document isn't a mapping", "write kind, name and spec")
+		return false
+	}
+	if finder := findAlias(d.body); finder != nil {
+		d.fault(finder, "", "anchors, aliases and merge keys aren't supported", "write the value out")
+		return false
+	}
+	d.kind = Kind(textOf(fields, "kind"))
+	d.name = textOf(fields, "name")
+	prototype := New(d.kind)
+	if prototype == nil {
+		d.fault(d.body, "kind", fmt.Sprintf("unknown kind %q", d.kind), didYouMean(string(d.kind), kindNames()))
+		return false
+	}
+	if d.name == "" {
+		d.fault(d.body, "name", "the name is missing", "")
+		return false
+	}
+	d.places[""] = place{d.file, d.line}
+	d.walk(d.body, reflect.TypeOf(prototype).Elem(), "")
+	return true
+}
+
+func kindNames() []string {
+	var names []string
+	for _, k := range Kinds() {
+		names = append(names, string(k))
+	}
+	return names
+}
+
+// walk compares a node with the Go type that it will be decoded into.
+func (d *document) walk(node ast.Node, t reflect.Type, path string) {
+	if path != "" {
+		d.places[path] = place{d.file, lineOf(node)}
+	}
+	switch {
+	case t.Kind() == reflect.Struct:
+		d.walkStruct(node, t, path)
+	case t.Kind() == reflect.Slice:
+		sequence, ok := node.(*ast.SequenceNode)
+		if !ok {
+			return // The decoder reports the wrong type.
+		}
+		for i, item := range sequence.Values {
+			d.walk(item, t.Elem(), fmt.Sprintf("%s[%d]", path, i))
+		}
+	}
+}
+
+func (d *document) walkStruct(node ast.Node, t reflect.Type, path string) {
+	entries, ok := mappingOf(node)
+	if !ok {
+		return
+	}
+	known := yamlFields(t)
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		key := keyOf(entry)
+		field := strings.TrimPrefix(path+"."+key, ".")
+		fieldType, ok := known[key]
+		switch {
+		case path == "" && key == "kind":
+		case !ok:
+			d.fault(entry, field, "unknown field", didYouMean(key, sortedNames(known)))
+			continue
+		default:
+			d.walk(entry.Value, fieldType, field)
+		}
+		if seen[key] {
+			d.fault(entry, field, "the field is given twice", "remove one")
+		}
+		seen[key] = true
+	}
+}
+
+// yamlFields returns the types of a struct's fields by their YAML names.
+func yamlFields(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		if name != "" {
+			fields[name] = t.Field(i).Type
+		}
+	}
+	return fields
+}
+
+func (d *document) fault(node ast.Node, field, message, suggestion string) {
+	d.faults = append(d.faults, Fault{
+		File: d.file, Line: lineOf(node), Kind: d.kind, Name: d.name,
+		Field: field, Message: message, Suggestion: suggestion,
+	})
+}
+
+func mappingOf(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	default:
+		return nil, false
+	}
+}
+
+func keyOf(entry *ast.MappingValueNode) string {
+	if s, ok := entry.Key.(*ast.StringNode); ok {
+		return s.Value
+	}
+	return entry.Key.String()
+}
+
+func textOf(entries []*ast.MappingValueNode, key string) string {
+	for _, entry := range entries {
+		if keyOf(entry) != key {
+			continue
+		}
+		if s, ok := entry.Value.(*ast.StringNode); ok {
+			return s.Value
+		}
+	}
+	return ""
+}
+
+func lineOf(node ast.Node) int {
+	if node == nil {
+		return 1
+	}
+	if entry, ok := node.(*ast.MappingValueNode); ok && entry.Key != nil {
+		node = entry.Key
+	}
+	if m, ok := node.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		return lineOf(m.Values[0])
+	}
+	if t := node.GetToken(); t != nil && t.Position != nil {
+		return t.Position.Line
+	}
+	return 1
+}
+
+// aliasFinder stops at the first anchor, alias or merge key.
+type aliasFinder struct{ found ast.Node }
+
+// Visit implements ast.Visitor.
+func (f *aliasFinder) Visit(node ast.Node) ast.Visitor {
+	if f.found != nil {
+		return nil
+	}
+	switch node.Type() {
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		f.found = node
+		return nil
+	}
+	return f
+}
+
+func findAlias(node ast.Node) ast.Node {
+	finder := &aliasFinder{}
+	ast.Walk(finder, node)
+	return finder.found
+}
--- /dev/null
+++ b/internal/objects/fault.go
@@ -0,0 +1,136 @@
+package objects
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("objects")
+	// ErrRead says that a file or directory can't be read.
+	ErrRead = Errors.NewType("read")
+)
+
+// Fault is one thing that is wrong with a set of objects.
+type Fault struct {
+	// File and Line say where the object stands. They are empty where the
+	// set wasn't read from files.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	Kind Kind   `json:"kind,omitempty"`
+	Name string `json:"name,omitempty"`
+	// Field is the path of the field within the document, such as
+	// "spec.links[0].to".
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+	// Suggestion says what would mend the fault.
+	Suggestion string `json:"suggestion,omitempty"`
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	}
+	if f.Kind != "" {
+		fmt.Fprintf(&b, "%s %s: ", f.Kind, f.Name)
+	}
+	if f.Field != "" {
+		fmt.Fprintf(&b, "%s: ", f.Field)
+	}
+	b.WriteString(f.Message)
+	if f.Suggestion != "" {
+		fmt.Fprintf(&b, " (%s)", f.Suggestion)
+	}
+	return b.String()
+}
+
+// FaultError is an error that lists faults.
+type FaultError struct {
+	Faults []Fault
+}
+
+var _ error = (*FaultError)(nil)
+
+// Error implements error with one line for each fault.
+func (e *FaultError) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	lines = append(lines, fmt.Sprintf("%d faults", len(e.Faults)))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// sortFaults puts faults in the order of files, lines, objects and fields.
+func sortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(i, j int) bool {
+		a, b := faults[i], faults[j]
+		switch {
+		case a.File != b.File:
+			return a.File < b.File
+		case a.Line != b.Line:
+			return a.Line < b.Line
+		case a.Kind != b.Kind:
+			return a.Kind < b.Kind
+		case a.Name != b.Name:
+			return a.Name < b.Name
+		default:
+			return a.Field < b.Field
+		}
+	})
+}
+
+// nearest returns the candidate with the smallest edit distance to name, or
+// "" when none is near.
+func nearest(name string, candidates []string) string {
+	best, bestDistance := "", len(name)/2+1
+	for _, c := range candidates {
+		if d := editDistance(name, c); d < bestDistance || d == bestDistance && best != "" && c < best {
+			best, bestDistance = c, d
+		}
+	}
+	return best
+}
+
+// editDistance is the Levenshtein distance in bytes.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		previous := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			previous, row[j] = row[j], min(row[j]+1, row[j-1]+1, previous+cost)
+		}
+	}
+	return row[len(b)]
+}
+
+// didYouMean returns the suggestion for an unknown name.
+func didYouMean(name string, candidates []string) string {
+	if near := nearest(name, candidates); near != "" {
+		return fmt.Sprintf("did you mean %q?", near)
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	sorted := append([]string(nil), candidates...)
+	sort.Strings(sorted)
+	const shown = 8
+	if len(sorted) > shown {
+		sorted = append(sorted[:shown], "...")
+	}
+	return "known: " + strings.Join(sorted, ", ")
+}
--- /dev/null
+++ b/internal/objects/load.go
@@ -0,0 +1,197 @@
+package objects
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// maxFileBytes bounds one file of objects.
+const maxFileBytes = 16 << 20
+
+// place is where a field or an object stands.
+type place struct {
+	file string
+	line int
+}
+
+// sources holds the places of objects and their fields, for faults.
+type sources map[objectID]map[string]place
+
+type objectID struct {
+	kind Kind
+	name string
+}
+
+// loader collects objects and faults from files.
+type loader struct {
+	set    *Set
+	faults []Fault
+}
+
+// Load reads all .yaml and .yml files below dir and checks the whole set. Each
+// document has the fields kind, name and spec. The error is ErrRead, or a
+// *FaultError that lists every fault.
+func Load(dir string) (*Set, error) {
+	files, err := yamlFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	l := newLoader()
+	for _, file := range files {
+		data, err := readFile(filepath.Join(dir, file))
+		if err != nil {
+			return nil, err
+		}
+		l.parse(file, data)
+	}
+	return l.finish()
+}
+
+// Parse reads the documents of one file and checks them as a whole set. The
+// file's name is used in faults only.
+func Parse(file string, data []byte) (*Set, error) {
+	l := newLoader()
+	l.parse(file, data)
+	return l.finish()
+}
+
+func newLoader() *loader {
+	l := &loader{set: NewSet()}
+	l.set.sources = sources{}
+	return l
+}
+
+func (l *loader) finish() (*Set, error) {
+	l.set.Index()
+	faults := append(l.faults, l.set.Check()...)
+	if len(faults) > 0 {
+		sortFaults(faults)
+		return nil, &FaultError{Faults: faults}
+	}
+	l.set.sources = nil
+	return l.set, nil
+}
+
+func yamlFiles(dir string) ([]string, error) {
+	var files []string
+	walk := func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		if ext := filepath.Ext(path); ext == ".yaml" || ext == ".yml" {
+			files = append(files, path)
+		}
+		return nil
+	}
+	if err := fs.WalkDir(os.DirFS(dir), ".", walk); err != nil {
+		return nil, ErrRead.Wrap(err, "directory %s", dir)
+	}
+	if len(files) == 0 {
+		return nil, ErrRead.New("directory %s has no .yaml files", dir)
+	}
+	return files, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, ErrRead.Wrap(err, "file %s", path)
+	}
+	if info.Size() > maxFileBytes {
+		return nil, ErrRead.New("file %s is larger than %d bytes", path, maxFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrRead.Wrap(err, "file %s", path)
+	}
+	return data, nil
+}
+
+// parse reads the documents of one file. A fault in one document doesn't hide
+// those of the others.
+func (l *loader) parse(file string, data []byte) {
+	parsed, err := parseYAML(data)
+	if err != nil {
+		l.faults = append(l.faults, yamlFault(file, err))
+		return
+	}
+	for _, doc := range parsed.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.CommentType || doc.Body.Type() == ast.NullType {
+			continue
+		}
+		l.document(file, doc.Body)
+	}
+}
+
+// parseYAML turns a panic of the parser into an error, so that a file can't
+// end the program.
+func parseYAML(data []byte) (file *ast.File, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the YAML parser failed: %v", r)
+		}
+	}()
+	return parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+}
+
+func (l *loader) document(file string, body ast.Node) {
+	d := newDocument(file, body)
+	if !d.inspect() {
+		l.faults = append(l.faults, d.faults...)
+		return
+	}
+	value := New(d.kind)
+	if err := decodeNode(body, value); err != nil {
+		fault := yamlFault(file, err)
+		fault.Kind, fault.Name = d.kind, d.name
+		d.faults = append(d.faults, fault)
+	}
+	l.faults = append(l.faults, d.faults...)
+	setName(value, d.name)
+	id := objectID{d.kind, d.name}
+	if !l.set.Add(value) {
+		first := l.set.sources[id][""]
+		l.faults = append(l.faults, Fault{
+			File: file, Line: d.line, Kind: d.kind, Name: d.name,
+			Message:    "the name is used twice",
+			Suggestion: fmt.Sprintf("the first is at %s:%d; rename or remove one", first.file, first.line),
+		})
+		return
+	}
+	l.set.sources[id] = d.places
+}
+
+func decodeNode(body ast.Node, value any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the document can't be decoded: %v", r)
+		}
+	}()
+	return yaml.NodeToValue(body, value)
+}
+
+// setName keeps the object's name also where the rest can't be decoded.
+func setName(value any, name string) {
+	reflect.ValueOf(value).Elem().FieldByName("Name").SetString(name)
+}
+
+func yamlFault(file string, err error) Fault {
+	fault := Fault{File: file, Line: 1, Message: strings.TrimSpace(err.Error())}
+	var detail yaml.Error
+	if errors.As(err, &detail) {
+		fault.Message = detail.GetMessage()
+		if t := detail.GetToken(); t != nil && t.Position != nil {
+			fault.Line = t.Position.Line
+		}
+	}
+	return fault
+}
--- a/internal/objects/types.go
+++ b/internal/objects/types.go
@@ -268,6 +268,10 @@
 	// Derived by Index.
 	backendsOf map[string][]*BackendServer // by model or service name
 	routeOf    map[string]*Route           // by model or service name
+
+	// sources holds where objects stand; nil unless the set is being loaded
+	// from files.
+	sources sources
 }
 
 // NewSet returns an empty set.
