--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -1,4 +1,56 @@
 // Command chestnut-gateway serves callers on one entry VM.
+//
+// It exits with 0 after a graceful shutdown, with 1 when it fails and with 2
+// when its settings are wrong.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/chestnutspring/chestnutspring/internal/gateway"
+	"github.com/chestnutspring/chestnutspring/internal/version"
+)
+
+// The exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type flags struct {
+	gateway.Settings
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f,
+		kong.Name("chestnut-gateway"),
+		kong.Description("Serves callers on one entry VM and passes their requests to backend servers."),
+		kong.Vars{"version": version.String()},
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitSettings
+			}
+			os.Exit(code)
+		}),
+	)
+	if err := f.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, "chestnut-gateway:", err)
+		os.Exit(exitSettings)
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: f.LogLevel}))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := gateway.Run(ctx, &f.Settings, log); err != nil {
+		log.Error("failed", "error", err)
+		os.Exit(exitFailure)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/once.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// sendOnce sends a request that isn't idempotent. It writes the request itself
+// to a connection of its own: an http.Transport replays a request with an
+// Idempotency-Key and an empty body when a reused connection breaks.
+func (s *Sender) sendOnce(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, w pipeline.Response) *verdict.Refusal {
+	started := s.Now()
+	conn, err := s.dialer.DialContext(ctx, "tcp", server.Spec.Address)
+	if err != nil {
+		s.observe(server, started, nil, !isCallerGone(ctx))
+		return verdict.Busy(verdict.CodeBackendFailed, "the backend server could not be reached", retryAfterFailure)
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	resp, err := exchange(newRequest(ctx, req, server), conn)
+	if err != nil {
+		s.observe(server, started, nil, !isCallerGone(ctx))
+		return contextRefusalOrBroken(ctx)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.observe(server, started, loadOf(resp), resp.StatusCode >= http.StatusInternalServerError)
+	if refusal := checkAnswer(req, resp); refusal != nil {
+		return refusal
+	}
+	return passWhole(ctx, req, server, resp, w)
+}
+
+// exchange writes the request once and reads the answer, past interim ones.
+func exchange(out *http.Request, conn net.Conn) (*http.Response, error) {
+	out.Close = true
+	if err := out.Write(conn); err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReader(io.Reader(conn))
+	for {
+		resp, err := http.ReadResponse(reader, out)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func contextRefusalOrBroken(ctx context.Context) *verdict.Refusal {
+	if refusal := contextRefusal(ctx); refusal != nil {
+		return refusal
+	}
+	return verdict.Ambiguous(verdict.CodeBackendFailed, "the connection to the backend server broke", retryAfterFailure)
+}
--- /dev/null
+++ b/internal/filter/body/body.go
@@ -0,0 +1,122 @@
+// Package body reads the body of a request and resolves the model of a chat
+// completion.
+package body
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// bytesPerToken estimates the tokens of a prompt from its size.
+const bytesPerToken = 4
+
+// New returns the filter. It runs after the filters that need the headers only.
+func New() pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+			if refusal := read(req); refusal != nil {
+				return refusal
+			}
+			if req.Service == nil {
+				if refusal := resolveModel(req); refusal != nil {
+					return refusal
+				}
+			}
+			return next.Handle(ctx, req, w)
+		})
+	}
+}
+
+func read(req *pipeline.Request) *verdict.Refusal {
+	if req.RawBody == nil {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(req.RawBody, wire.MaxBodyBytes+1))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return refuseSize()
+		}
+		return verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read")
+	}
+	if len(data) > wire.MaxBodyBytes {
+		return refuseSize()
+	}
+	req.Body, req.RawBody = data, nil
+	return nil
+}
+
+func refuseSize() *verdict.Refusal {
+	return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is larger than 1 MiB")
+}
+
+// chatRequest is the part of a chat completion that the gateway reads.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func resolveModel(req *pipeline.Request) *verdict.Refusal {
+	var chat chatRequest
+	if err := json.Unmarshal(req.Body, &chat); err != nil {
+		return verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body is not a chat completion in JSON")
+	}
+	model := req.Snapshot.Config.Models[chat.Model]
+	if model == nil {
+		return verdict.Refuse(http.StatusNotFound, verdict.CodeUnknownModel, "no model has this name")
+	}
+	if len(chat.Messages) == 0 {
+		return verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the member messages is empty")
+	}
+	req.Model, req.Target = model, model.Name
+	req.Chat = pipeline.Chat{
+		Stream:       chat.Stream,
+		MaxTokens:    boundTokens(chat, model.Spec.MaxOutputTokens),
+		PromptTokens: promptTokens(chat.Messages),
+		Prefix:       prefix(chat),
+	}
+	return nil
+}
+
+func boundTokens(chat chatRequest, bound int) int {
+	asked := max(chat.MaxTokens, chat.MaxCompletionTokens)
+	if asked <= 0 || (bound > 0 && asked > bound) {
+		return bound
+	}
+	return asked
+}
+
+func promptTokens(messages []chatMessage) int {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Content)
+	}
+	return size / bytesPerToken
+}
+
+// prefix identifies the first message, which requests of one kind share.
+func prefix(chat chatRequest) uint64 {
+	var b strings.Builder
+	b.WriteString(chat.Model)
+	b.WriteByte(0)
+	b.Write(chat.Messages[0].Content)
+	return xxhash.Sum64String(b.String())
+}
--- /dev/null
+++ b/internal/filter/deadline/deadline.go
@@ -0,0 +1,32 @@
+// Package deadline ends the work on a request at its deadline.
+package deadline
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// New returns the filter. It refuses a request whose deadline has passed and
+// bounds the context of all others.
+func New(now clock.Clock) pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+			remaining := req.Deadline.Sub(now())
+			if remaining <= 0 {
+				return Passed()
+			}
+			ctx, cancel := context.WithTimeout(ctx, remaining)
+			defer cancel()
+			return next.Handle(ctx, req, w)
+		})
+	}
+}
+
+// Passed returns the refusal of a request that did not run before its deadline.
+func Passed() *verdict.Refusal {
+	return verdict.Refuse(http.StatusGatewayTimeout, verdict.CodeDeadline, "the deadline has passed")
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/answer"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// ServerConfig holds what a Server needs.
+type ServerConfig struct {
+	Publisher *snapshot.Publisher
+	Now       clock.Clock
+	// Handler takes requests.
+	Handler pipeline.Handler
+	// Lookup takes questions for the outcome of an idempotency key.
+	Lookup pipeline.Handler
+	// Heard takes the revision that a sender bears.
+	Heard func(vm string, revision uint64)
+}
+
+// Server takes requests from other gateways.
+type Server struct {
+	ServerConfig
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// NewServer returns a Server.
+func NewServer(config ServerConfig) *Server { return &Server{ServerConfig: config} }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != wire.PathForward || r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	req, sender, ok := s.parse(w, r)
+	if !ok {
+		http.Error(w, "malformed hop", http.StatusBadRequest)
+		return
+	}
+	s.hear(sender, r)
+	w.Header().Set("Trailer", wire.HeaderRefusal)
+	out := answer.NewWriter(w, req)
+	if refusal := s.handlerOf(req).Handle(r.Context(), req, out); refusal != nil {
+		refuse(w, out, req, refusal)
+	}
+}
+
+func (s *Server) handlerOf(req *pipeline.Request) pipeline.Handler {
+	if strings.HasPrefix(req.Path, wire.PathBookings) {
+		return s.Lookup
+	}
+	return s.Handler
+}
+
+// hear passes on the sender's revision.
+func (s *Server) hear(sender string, r *http.Request) {
+	if revision, err := strconv.ParseUint(r.Header.Get(wire.HeaderRevision), 10, 64); err == nil {
+		s.Heard(sender, revision)
+	}
+}
+
+// parse reads the hop's headers. It reports false if they make no sense.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request) (req *pipeline.Request, sender string, ok bool) {
+	method, path, found := strings.Cut(r.Header.Get(wire.HeaderTarget), " ")
+	milliseconds, err := strconv.ParseInt(r.Header.Get(wire.HeaderTimeout), 10, 64)
+	trail := strings.Split(r.Header.Get(wire.HeaderTrail), ",")
+	if !found || !strings.HasPrefix(path, "/") || err != nil || milliseconds <= 0 || trail[0] == "" {
+		return nil, "", false
+	}
+	remaining := min(time.Duration(milliseconds)*time.Millisecond, wire.MaxTimeout)
+	req = &pipeline.Request{
+		ID:       r.Header.Get(wire.HeaderRequestID),
+		Snapshot: s.Publisher.Load(),
+		Hop:      pipeline.Hop(r.Header.Get(wire.HeaderHop)),
+		Trail:    trail,
+		Sender:   r.Header.Get(wire.HeaderIncarnation),
+		Team:     r.Header.Get(wire.HeaderTeam),
+		Method:   method,
+		Path:     path,
+		Header:   r.Header,
+		RawBody:  http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
+		Priority: pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
+		Deadline: s.Now().Add(remaining),
+		Key:      r.Header.Get(wire.HeaderIdempotencyKey),
+	}
+	known := req.Hop == pipeline.HopOwner || req.Hop == pipeline.HopRegion
+	return req, trail[len(trail)-1], known && req.ID != ""
+}
+
+// refuse sends a refusal in a header, or in the trailer of an answer that had
+// begun.
+func refuse(w http.ResponseWriter, out *answer.Writer, req *pipeline.Request, refusal *verdict.Refusal) {
+	w.Header().Set(wire.HeaderRefusal, encodeRefusal(refusal))
+	if out.Started() {
+		return
+	}
+	w.Header().Set(wire.HeaderRequestID, req.ID)
+	w.WriteHeader(refusal.Status)
+}
--- /dev/null
+++ b/internal/httpapi/callers.go
@@ -0,0 +1,122 @@
+// Package httpapi serves the callers' and the operators' ports.
+package httpapi
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"github.com/chestnutspring/chestnutspring/internal/answer"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// maxRequestIDBytes bounds the id that a caller may choose for a request.
+const maxRequestIDBytes = 128
+
+// CallersConfig holds what the callers' port needs.
+type CallersConfig struct {
+	Publisher *snapshot.Publisher
+	Now       clock.Clock
+	// Handler takes requests.
+	Handler pipeline.Handler
+	// Lookup takes questions for the outcome of an idempotency key.
+	Lookup pipeline.Handler
+	// KeyPrefix returns the current prefix of idempotency keys.
+	KeyPrefix func() string
+}
+
+// callers serves the callers' port.
+type callers struct {
+	CallersConfig
+}
+
+// NewCallers returns the handler of the callers' port.
+func NewCallers(config CallersConfig) http.Handler {
+	c := &callers{CallersConfig: config}
+	r := chi.NewRouter()
+	r.Use(c.stamp)
+	r.Get(wire.PathEntries, c.entries)
+	r.Post(wire.PathChatCompletions, c.serve(config.Handler))
+	r.Handle(wire.PathServices+"*", c.serve(config.Handler))
+	r.Get(wire.PathBookings+"*", c.serve(config.Lookup))
+	return r
+}
+
+// stamp gives each answer the key prefix and, while this process leaves, asks
+// the caller to use another connection.
+func (c *callers) stamp(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderKeyPrefix, c.KeyPrefix())
+		if c.Publisher.Load().Leaving {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serve passes a request to a handler of the pipeline.
+func (c *callers) serve(handler pipeline.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req, refusal := c.parse(w, r)
+		out := answer.NewWriter(w, req)
+		if refusal == nil {
+			refusal = handler.Handle(r.Context(), req, out)
+		}
+		if refusal != nil {
+			answer.Refuse(out, refusal)
+		}
+	}
+}
+
+func (c *callers) parse(w http.ResponseWriter, r *http.Request) (*pipeline.Request, *verdict.Refusal) {
+	req := &pipeline.Request{
+		ID:       uuid.NewString(),
+		CallerID: callerID(r),
+		Snapshot: c.Publisher.Load(),
+		Hop:      pipeline.HopEntry,
+		Team:     r.Header.Get(wire.HeaderTeam),
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Header:   r.Header,
+		RawBody:  http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
+		Priority: pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
+		Key:      r.Header.Get(wire.HeaderIdempotencyKey),
+	}
+	timeout, ok := parseTimeout(r.Header.Get(wire.HeaderTimeout))
+	if !ok {
+		return req, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the header "+wire.HeaderTimeout+" is not a number of milliseconds above 0")
+	}
+	if r.ContentLength > wire.MaxBodyBytes {
+		return req, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is larger than 1 MiB")
+	}
+	req.Deadline = c.Now().Add(timeout)
+	return req, nil
+}
+
+// parseTimeout reads the remaining time, bounded by wire.MaxTimeout.
+func parseTimeout(value string) (time.Duration, bool) {
+	if value == "" {
+		return wire.DefaultTimeout, true
+	}
+	milliseconds, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || milliseconds <= 0 {
+		return 0, false
+	}
+	return time.Duration(min(milliseconds, wire.MaxTimeout.Milliseconds())) * time.Millisecond, true
+}
+
+// callerID returns the id that the caller chose, or "" if it is unusable.
+func callerID(r *http.Request) string {
+	id := r.Header.Get(wire.HeaderRequestID)
+	if len(id) > maxRequestIDBytes {
+		return ""
+	}
+	return id
+}
--- /dev/null
+++ b/internal/httpapi/entries.go
@@ -0,0 +1,105 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+const (
+	// entriesGoodFor is how long callers may use an answer of /v1/entries.
+	entriesGoodFor = 2 * time.Second
+	// DefaultKeyWindow is how long a key prefix is valid where no policy
+	// says otherwise.
+	DefaultKeyWindow = 10 * time.Minute
+)
+
+// Entry is an entry VM that a caller may use.
+type Entry struct {
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Entries is the answer of /v1/entries.
+type Entries struct {
+	Entries         []Entry `json:"entries"`
+	KeyPrefix       string  `json:"keyPrefix"`
+	KeyValidSeconds int     `json:"keyValidSeconds"`
+	GoodForSeconds  int     `json:"goodForSeconds"`
+}
+
+func (c *callers) entries(w http.ResponseWriter, r *http.Request) {
+	s := c.Publisher.Load()
+	team, target := r.URL.Query().Get("team"), r.URL.Query().Get("model")
+	result := Entries{
+		Entries:         Rank(s, team),
+		KeyPrefix:       c.KeyPrefix(),
+		KeyValidSeconds: int(keyWindow(s, target) / time.Second),
+		GoodForSeconds:  int(entriesGoodFor / time.Second),
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone; nothing is left to do then.
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+// keyWindow returns the shortest window among the policies that may apply.
+func keyWindow(s *snapshot.Snapshot, target string) time.Duration {
+	if p := s.Config.PolicyOf(target); p != nil && p.Spec.KeyWindow > 0 {
+		return p.Spec.KeyWindow.D()
+	}
+	window := DefaultKeyWindow
+	for _, p := range s.Config.Policies {
+		if p.Spec.KeyWindow > 0 {
+			window = min(window, p.Spec.KeyWindow.D())
+		}
+	}
+	return window
+}
+
+// Rank returns the entry VMs that the team may use, the best first: those that
+// stay before those that leave, reachable ones before silent ones, and this
+// region's before others'. Equal ones are in random order, so that callers
+// spread over them.
+func Rank(s *snapshot.Snapshot, team string) []Entry {
+	members := make([]*snapshot.Member, 0, len(s.Members))
+	for _, m := range s.Members {
+		permitted := team == "" || s.Config.Permits(team, m.Region)
+		if permitted && m.CallerAddress != "" {
+			members = append(members, m)
+		}
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b *snapshot.Member) int { return grade(s, a) - grade(s, b) })
+	entries := make([]Entry, len(members))
+	for i, m := range members {
+		entries[i] = Entry{VM: m.VM, Address: m.CallerAddress, Region: m.Region, Leaving: m.Leaving}
+	}
+	return entries
+}
+
+// The grades of an entry add up; less is better.
+const (
+	gradeOtherRegion = 1
+	gradeUnreachable = 2
+	gradeLeaving     = 4
+)
+
+func grade(s *snapshot.Snapshot, m *snapshot.Member) int {
+	grade := 0
+	if m.Region != s.Self.Region {
+		grade += gradeOtherRegion
+	}
+	if !m.Reachable && m.VM != s.Self.VM {
+		grade += gradeUnreachable
+	}
+	if m.Leaving {
+		grade += gradeLeaving
+	}
+	return grade
+}
--- /dev/null
+++ b/internal/httpapi/operators.go
@@ -0,0 +1,47 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// OperatorsConfig holds what the operators' port needs.
+type OperatorsConfig struct {
+	// Ready reports whether a configuration is in force.
+	Ready func() bool
+	// Metrics serves the metrics.
+	Metrics http.Handler
+	// State returns the dump of the process's state.
+	State func() any
+}
+
+// NewOperators returns the handler of the operators' port.
+func NewOperators(config OperatorsConfig) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok\n") })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !config.Ready() {
+			writeText(w, http.StatusServiceUnavailable, "no configuration in force\n")
+			return
+		}
+		writeText(w, http.StatusOK, "ready\n")
+	})
+	r.Handle("/metrics", config.Metrics)
+	r.Get("/debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(config.State()); err != nil {
+			writeText(w, http.StatusInternalServerError, err.Error())
+		}
+	})
+	return r
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.WriteHeader(status)
+	// The caller may be gone; nothing is left to do then.
+	_, _ = w.Write([]byte(text))
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
@@ -32,14 +33,45 @@
 	PriorityLow
 )
 
+// String returns the form of the priority used in headers.
+func (p Priority) String() string {
+	switch p {
+	case PriorityHigh:
+		return "high"
+	case PriorityLow:
+		return "low"
+	default:
+		return "normal"
+	}
+}
+
+// ParsePriority reads the form that String writes. Anything else is normal.
+func ParsePriority(s string) Priority {
+	switch s {
+	case "high":
+		return PriorityHigh
+	case "low":
+		return PriorityLow
+	default:
+		return PriorityNormal
+	}
+}
+
 // Request is one request on its way through the filters. Filters fill in the
 // fields that they own; nothing else is changed.
 type Request struct {
-	ID       string
+	// ID names the request in the whole system. It is drawn at the entry, so
+	// that no two callers share one.
+	ID string
+	// CallerID is the id that the caller chose, or "". Only the answer to the
+	// caller bears it.
+	CallerID string
 	Snapshot *snapshot.Snapshot
 	Hop      Hop
 	// Trail names the VMs that handled the request before this one.
 	Trail []string
+	// Sender is the incarnation of the gateway that sent the hop, or "".
+	Sender string
 
 	Team string
 	// Target is the name of the model or service.
@@ -53,7 +85,9 @@
 	// Path is the path that the backend server gets, with the query.
 	Path   string
 	Header http.Header
-	Body   []byte
+	// RawBody is the body before the body filter has read it.
+	RawBody io.Reader
+	Body    []byte
 
 	// Chat is set for model requests.
 	Chat Chat
@@ -65,6 +99,8 @@
 	Idempotent bool
 	// Key is the idempotency key of a request that isn't idempotent.
 	Key string
+	// KeyChecked means that the booking filter has taken the request.
+	KeyChecked bool
 }
 
 // Chat is what the decisions need to know of a chat completion.
