--- /dev/null
+++ b/internal/fairqueue/gate.go
@@ -0,0 +1,265 @@
+package fairqueue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("fairqueue")
+	// ErrTooLate says that no slot came free in the time allowed.
+	ErrTooLate = Errors.NewType("too_late", errorx.Timeout())
+	// ErrFull says that the queue holds as many requests as it may.
+	ErrFull = Errors.NewType("full", errorx.Temporary())
+)
+
+const (
+	// pollInterval is how often slots are looked for while requests wait,
+	// as capacity also changes without a release.
+	pollInterval = 5 * time.Millisecond
+	// activeFor is how long a team counts as active after its last request.
+	activeFor = 5 * time.Second
+	// reserveDivisor is the part of the slots, one in so many, that teams
+	// above their share leave free while other teams are active.
+	reserveDivisor = 8
+	// maxQueued bounds the requests that wait at one gate.
+	maxQueued = 10_000
+	// holdSmoothing is the weight of a new measurement of the holding time.
+	holdSmoothing = 0.1
+)
+
+// Claim is a request for a slot.
+type Claim struct {
+	Team   string
+	Weight float64
+	// Priority is the class within the team; 0 is served first.
+	Priority int
+	// Cost is the expected work.
+	Cost time.Duration
+	// Patience is how long the request may wait.
+	Patience time.Duration
+	// Place takes a slot and reports whether there was one. It runs with the
+	// gate locked and must not block.
+	Place func() bool
+	// Capacity returns the number of slots that this process may use. It must
+	// not block.
+	Capacity func() int
+}
+
+// Gate hands out slots in fair order.
+type Gate struct {
+	now clock.Clock
+
+	mu       sync.Mutex // never held across I/O
+	queue    *Queue
+	teams    map[string]*usage
+	weight   float64 // of the teams in teams
+	inFlight int
+	capacity int
+	// stretch is the measured holding time over the expected one.
+	stretch  float64
+	meanCost float64 // seconds
+	polling  bool
+	swept    clock.Instant
+}
+
+type usage struct {
+	weight   float64
+	inFlight int
+	queued   int
+	seen     clock.Instant
+}
+
+type waiter struct {
+	place func() bool
+	ready chan struct{}
+}
+
+// NewGate returns a gate without requests.
+func NewGate(now clock.Clock) *Gate {
+	return &Gate{now: now, queue: NewQueue(), teams: map[string]*usage{}, stretch: 1}
+}
+
+// Acquire waits for a slot. It returns ErrTooLate or ErrFull, or the error of
+// ctx when the caller goes away. After a nil error, Release must follow.
+func (g *Gate) Acquire(ctx context.Context, c Claim) error {
+	it, err := g.enter(c)
+	if it == nil || err != nil {
+		return err
+	}
+	timer := time.NewTimer(c.Patience)
+	defer timer.Stop()
+	select {
+	case <-it.waiter.ready:
+		return nil
+	case <-timer.C:
+		return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
+	case <-ctx.Done():
+		return g.leave(it, ctx.Err())
+	}
+}
+
+// enter takes a slot at once where it can; otherwise it queues the claim and
+// returns its item.
+func (g *Gate) enter(c Claim) (*Item, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.capacity = c.Capacity()
+	u := g.touch(c.Team, c.Weight)
+	cost := c.Cost.Seconds()
+	g.meanCost += holdSmoothing * (cost - g.meanCost)
+	if g.queue.Len() == 0 && g.mayTake(u) && c.Place() {
+		g.grant(u)
+		return nil, nil
+	}
+	if c.Patience <= 0 {
+		return nil, ErrTooLate.New("no slot is free")
+	}
+	if g.queue.Len() >= maxQueued {
+		return nil, ErrFull.New("%d requests wait", maxQueued)
+	}
+	w := &waiter{place: c.Place, ready: make(chan struct{})}
+	it := &Item{Team: c.Team, Weight: c.Weight, Priority: c.Priority, Cost: cost, waiter: w}
+	g.queue.Push(it)
+	u.queued++
+	g.pump()
+	g.poll()
+	return it, nil
+}
+
+// leave gives up an item, unless it was granted meanwhile.
+func (g *Gate) leave(it *Item, reason error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.Remove(it) {
+		return nil
+	}
+	g.teams[it.Team].queued--
+	return reason
+}
+
+// Release returns a slot that was held for the given time. Cost is the cost
+// of the claim.
+func (g *Gate) Release(team string, cost, held time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if u := g.teams[team]; u != nil {
+		u.inFlight--
+		u.seen = g.now()
+	}
+	if cost > 0 {
+		g.stretch += holdSmoothing * (held.Seconds()/cost.Seconds() - g.stretch)
+	}
+	g.pump()
+}
+
+// Wait returns the expected wait for a slot of a new request of the team,
+// when no slot is free now.
+func (g *Gate) Wait(team string, weight float64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	slots := float64(max(g.capacity, g.inFlight, 1))
+	work := (g.queue.Ahead(team, weight) + g.meanCost) * g.stretch
+	return time.Duration(work / slots * float64(time.Second))
+}
+
+// Queued returns the number of requests that wait.
+func (g *Gate) Queued() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Len()
+}
+
+// InFlight returns the number of slots in use.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// pump grants slots in fair order until one can't be placed.
+func (g *Gate) pump() {
+	for g.queue.Len() > 0 {
+		it := g.queue.Peek(func(team string) bool { return g.mayTake(g.teams[team]) })
+		if it == nil || !it.waiter.place() {
+			return
+		}
+		g.queue.Serve(it)
+		u := g.teams[it.Team]
+		u.queued--
+		g.grant(u)
+		close(it.waiter.ready)
+	}
+}
+
+func (g *Gate) grant(u *usage) {
+	u.inFlight++
+	g.inFlight++
+}
+
+// mayTake reports whether the team may have another slot. A team above its
+// share leaves a reserve for the other active teams.
+func (g *Gate) mayTake(u *usage) bool {
+	if len(g.teams) < 2 || g.capacity < reserveDivisor/2 {
+		return true
+	}
+	share := float64(g.capacity) * u.weight / g.weight
+	if float64(u.inFlight) < share {
+		return true
+	}
+	reserve := max(1, g.capacity/reserveDivisor)
+	return g.inFlight < g.capacity-reserve
+}
+
+func (g *Gate) touch(team string, weight float64) *usage {
+	now := g.now()
+	g.sweep(now)
+	u := g.teams[team]
+	if u == nil {
+		u = &usage{weight: weightOf(weight)}
+		g.teams[team] = u
+		g.weight += u.weight
+	}
+	u.seen = now
+	return u
+}
+
+// sweep forgets teams that have been idle.
+func (g *Gate) sweep(now clock.Instant) {
+	if now.Sub(g.swept) < activeFor/4 {
+		return
+	}
+	g.swept = now
+	for name, u := range g.teams {
+		if u.inFlight == 0 && u.queued == 0 && now.Sub(u.seen) > activeFor {
+			delete(g.teams, name)
+			g.weight -= u.weight
+		}
+	}
+}
+
+// poll looks for slots again and again while requests wait.
+func (g *Gate) poll() {
+	if g.polling {
+		return
+	}
+	g.polling = true
+	time.AfterFunc(pollInterval, g.polled)
+}
+
+func (g *Gate) polled() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.polling = false
+	g.pump()
+	if g.queue.Len() > 0 {
+		g.poll()
+	}
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Over any sequence, retries stay within the share of the requests plus what
+// a new process starts with.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		b := NewBudget()
+		requests, retries := 0, 0
+		for _, isRequest := range rapid.SliceOf(rapid.Bool()).Draw(t, "steps") {
+			if isRequest {
+				b.Request(share)
+				requests++
+			} else if b.Take() {
+				retries++
+			}
+			if float64(retries) > float64(requests)*share+initialSaved/unit {
+				t.Fatalf("%d retries of %d requests at share %v", retries, requests, share)
+			}
+		}
+	})
+}
