--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/configwatch"
+	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/filter/route"
+	"github.com/chestnutspring/chestnutspring/internal/fleet"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/version"
+
+	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send the headers.
+	headerTimeout = 10 * time.Second
+	// bodyTimeout bounds how long a caller may take to send a whole request.
+	bodyTimeout = 60 * time.Second
+	// incarnationBytes is the size of the random part of an identity.
+	incarnationBytes = 8
+	// drainTimeout bounds a shutdown. It is longer than any deadline, so that
+	// it cuts off no request.
+	drainTimeout = 15 * time.Minute
+)
+
+// gateway is one running gateway process.
+type gateway struct {
+	settings  *Settings
+	log       *slog.Logger
+	now       clock.Clock
+	self      snapshot.Identity
+	publisher *snapshot.Publisher
+	metrics   *metrics
+	tls       *tlsConfigs
+	listeners *listeners
+
+	fleet   *fleet.Fleet
+	config  *configwatch.Watcher
+	booking *bookingfilter.Filter
+	route   *route.Handler
+}
+
+// Run runs a gateway until ctx ends and then shuts it down gracefully.
+func Run(ctx context.Context, settings *Settings, log *slog.Logger) error {
+	g, err := newGateway(settings, log)
+	if err != nil {
+		return err
+	}
+	return g.run(ctx)
+}
+
+func newGateway(settings *Settings, log *slog.Logger) (*gateway, error) {
+	g := &gateway{settings: settings, now: clock.Boot}
+	g.self = snapshot.Identity{
+		VM: settings.VM, Incarnation: newIncarnation(),
+		Region: settings.Region, FailureDomain: settings.FailureDomain,
+	}
+	g.log = log.With("vm", g.self.VM)
+	g.publisher = snapshot.NewPublisher(g.self)
+	g.metrics = newMetrics()
+	var err error
+	if g.tls, err = loadTLS(settings); err != nil {
+		return nil, err
+	}
+	if g.listeners, err = listen(settings); err != nil {
+		return nil, err
+	}
+	g.assemble()
+	return g, nil
+}
+
+func newIncarnation() string {
+	random := make([]byte, incarnationBytes)
+	// Read never fails.
+	_, _ = rand.Read(random)
+	return hex.EncodeToString(random)
+}
+
+// assemble builds the parts that need the addresses of the listeners.
+func (g *gateway) assemble() {
+	reader := platform.NewClient(g.settings.Platform)
+	g.fleet = fleet.New(fleet.Config{
+		Self:           g.self,
+		CallerAddress:  g.listeners.callers.Addr().String(),
+		ForwardAddress: g.listeners.forward.Addr().String(),
+		ControlAddress: g.listeners.control.Addr().String(),
+		Publisher:      g.publisher,
+		Reader:         reader,
+		Seeds:          g.settings.Peers,
+		ServerTLS:      g.tls.peerServer,
+		ClientTLS:      g.tls.peerClient,
+		Now:            g.now,
+		Log:            g.log,
+		Scope:          g.metrics.scope,
+	})
+	g.config = configwatch.New(configwatch.Config{
+		Self: g.self, Reader: reader, Peers: g.fleet, Publisher: g.publisher,
+		Now: g.now, Log: g.log, Scope: g.metrics.scope, IsWatcher: g.fleet.IsWatcher,
+	})
+	g.fleet.SetConfigSource(g.config)
+}
+
+// listeners are the four open ports.
+type listeners struct {
+	callers, forward, control, operators net.Listener
+}
+
+func listen(settings *Settings) (*listeners, error) {
+	l := &listeners{}
+	ports := []struct {
+		address string
+		into    *net.Listener
+	}{
+		{settings.CallerListen, &l.callers},
+		{settings.ForwardListen, &l.forward},
+		{settings.ControlListen, &l.control},
+		{settings.OperatorListen, &l.operators},
+	}
+	for _, p := range ports {
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return nil, ErrListen.Wrap(err, "%s", p.address)
+		}
+		*p.into = listener
+	}
+	return l, nil
+}
+
+// run serves until ctx ends, and then drains.
+func (g *gateway) run(ctx context.Context) error {
+	handlers := g.handlers()
+	callers := drain.New(&http.Server{
+		Handler: handlers.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		MaxHeaderBytes: maxHeaderBytes, TLSConfig: g.tls.callers, ErrorLog: g.httpLog(),
+	})
+	forward := &http.Server{
+		Handler: handlers.forward, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		TLSConfig: g.tls.peerServer, Protocols: forwardProtocols(g.tls.peerServer != nil), ErrorLog: g.httpLog(),
+	}
+	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout}
+
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	group, failed := errgroup.WithContext(background)
+	group.Go(func() error { return callers.Serve(g.listeners.callers) })
+	group.Go(func() error { return serveForward(forward, g.listeners.forward) })
+	group.Go(func() error { return ignoreClosed(operators.Serve(g.listeners.operators)) })
+	group.Go(func() error { return ignoreEnd(failed, g.fleet.Serve(failed, g.listeners.control)) })
+	group.Go(func() error { return ignoreEnd(failed, g.fleet.Run(failed)) })
+	group.Go(func() error { return ignoreEnd(failed, g.config.Run(failed)) })
+	g.log.Info("listening",
+		"caller", g.listeners.callers.Addr(), "forward", g.listeners.forward.Addr(),
+		"control", g.listeners.control.Addr(), "operator", g.listeners.operators.Addr(),
+		"incarnation", g.self.Incarnation, "region", g.self.Region,
+		"failureDomain", g.self.FailureDomain, "version", version.String())
+
+	select {
+	case <-ctx.Done():
+	case <-failed.Done():
+		return group.Wait()
+	}
+	err := g.shutdown(callers, forward)
+	_ = operators.Close()
+	stopBackground()
+	return errorx.DecorateMany("shutdown", err, group.Wait())
+}
+
+// shutdown tells everybody that this process leaves, goes on taking work for
+// the linger time, and then finishes what is in flight.
+func (g *gateway) shutdown(callers *drain.Server, forward *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	g.log.Info("leaving", "linger", g.settings.Linger)
+	g.fleet.Leave(ctx)
+	time.Sleep(g.settings.Linger)
+	if err := callers.Drain(ctx); err != nil {
+		return err
+	}
+	if err := forward.Shutdown(ctx); err != nil {
+		return err
+	}
+	g.log.Info("drained")
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/handlers.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/chestnutspring/chestnutspring/internal/dispatch"
+	"github.com/chestnutspring/chestnutspring/internal/filter/admission"
+	"github.com/chestnutspring/chestnutspring/internal/filter/body"
+	"github.com/chestnutspring/chestnutspring/internal/filter/deadline"
+	"github.com/chestnutspring/chestnutspring/internal/filter/hopguard"
+	"github.com/chestnutspring/chestnutspring/internal/filter/identify"
+	"github.com/chestnutspring/chestnutspring/internal/filter/residency"
+	"github.com/chestnutspring/chestnutspring/internal/filter/route"
+	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
+	"github.com/chestnutspring/chestnutspring/internal/forward"
+	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/httpapi"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+
+	"github.com/chestnutspring/chestnutspring/internal/booking"
+	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
+)
+
+// handlers serve the HTTP ports.
+type handlers struct {
+	callers, forward, operators http.Handler
+}
+
+// handlers builds the pipeline of filters and the ports around it.
+func (g *gateway) handlers() handlers {
+	peer := forward.NewClient(forward.Config{Self: g.self, Now: g.now, Log: g.log, TLS: g.tls.peerClient})
+	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope, Observe: g.observe})
+	issuer := booking.NewIssuer(g.self, g.now)
+	g.booking = bookingfilter.New(bookingfilter.Config{
+		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.scope,
+	})
+	g.route = route.New(route.Config{
+		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
+	})
+	handler := pipeline.Chain(g.route,
+		settle.New(g.booking),
+		identify.New(),
+		residency.New(),
+		deadline.New(g.now),
+		hopguard.New(),
+		body.New(),
+		settle.Mark(),
+		g.booking.Filter(),
+		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+	)
+	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
+		deadline.New(g.now),
+		hopguard.New(),
+	)
+	return handlers{
+		callers: httpapi.NewCallers(httpapi.CallersConfig{
+			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, KeyPrefix: issuer.Prefix,
+		}),
+		forward: forward.NewServer(forward.ServerConfig{
+			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, Heard: g.config.Heard,
+		}),
+		operators: httpapi.NewOperators(httpapi.OperatorsConfig{
+			Ready: g.ready, Metrics: g.metrics.handler, State: g.state,
+		}),
+	}
+}
+
+// observe passes what an exchange showed of a backend server to the fleet's
+// view.
+func (g *gateway) observe(o dispatch.Observation) {
+	seen := health.Observation{Backend: o.Server, Failed: o.Failed, Latency: o.Latency}
+	if o.Load != nil {
+		seen.HasLoad = true
+		seen.Running, seen.Queued, seen.TokensPerSecond = o.Load.Running, o.Load.Queued, o.Load.TokensPerSecond
+	}
+	g.fleet.Observe(seen)
+}
+
+func (g *gateway) ready() bool {
+	select {
+	case <-g.config.Ready():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"runtime"
+
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/version"
+)
+
+// state is the dump of a gateway. It holds no keys and no bodies of requests.
+type state struct {
+	Self        snapshot.Identity `json:"self"`
+	Version     string            `json:"version"`
+	Revision    uint64            `json:"revision"`
+	Unconfirmed bool              `json:"unconfirmed"`
+	// ConfirmedAgeSeconds is the time since the configuration was confirmed.
+	ConfirmedAgeSeconds float64                                       `json:"confirmedAgeSeconds"`
+	Leaving             bool                                          `json:"leaving"`
+	Members             map[string]*snapshot.Member                   `json:"members"`
+	Backends            map[string]*snapshot.BackendStatus            `json:"backends"`
+	Summaries           map[string]map[string]*snapshot.RegionSummary `json:"summaries"`
+	Config              any                                           `json:"config"`
+	Fleet               any                                           `json:"fleet"`
+	Bookings            any                                           `json:"bookings"`
+	Routing             any                                           `json:"routing"`
+	Goroutines          int                                           `json:"goroutines"`
+	HeapBytes           uint64                                        `json:"heapBytes"`
+}
+
+// state returns the dump of the process's state.
+func (g *gateway) state() any {
+	s := g.publisher.Load()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return state{
+		Self: g.self, Version: version.String(),
+		Revision: s.Config.Revision, Unconfirmed: s.Unconfirmed,
+		ConfirmedAgeSeconds: g.now().Sub(s.Confirmed).Seconds(),
+		Leaving:             s.Leaving, Members: s.Members, Backends: s.Backends, Summaries: s.Summaries,
+		Config: g.config.State(), Fleet: g.fleet.State(),
+		Bookings: g.booking.State(), Routing: g.route.State(),
+		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
+	}
+}
