--- /dev/null
+++ b/cmd/chestnut-load/run.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/chestnutspring/chestnutspring/internal/experiment"
+)
+
+type runCommand struct {
+	Files    []string `arg:"" help:"Experiments in YAML." type:"existingfile"`
+	Bin      string   `help:"Directory of the programs." default:"bin"`
+	Out      string   `help:"Directory for results." default:"out"`
+	Policies []string `help:"Names of the policies to run; all if empty."`
+	Seed     uint64   `help:"Seed in place of the experiment's; zero keeps it."`
+	LogDir   string   `help:"Directory for the gateways' logs; none are kept without it."`
+}
+
+// Run implements the command.
+func (c *runCommand) Run(ctx context.Context) error {
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	runner := experiment.Runner{
+		GatewayBinary: filepath.Join(c.Bin, "chestnut-gateway"),
+		LogDir:        c.LogDir, Log: logger(),
+	}
+	broken := 0
+	for _, file := range c.Files {
+		result, err := c.runFile(ctx, &runner, file)
+		if err != nil {
+			return err
+		}
+		for _, run := range result.Runs {
+			broken += len(run.Violations)
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d promises were broken", broken)
+	}
+	return nil
+}
+
+func (c *runCommand) runFile(ctx context.Context, runner *experiment.Runner, file string) (*experiment.Result, error) {
+	spec, err := experiment.LoadSpec(file)
+	if err != nil {
+		return nil, err
+	}
+	if c.Seed != 0 {
+		spec.Seed = c.Seed
+	}
+	if len(c.Policies) > 0 {
+		spec.KeepPolicies(c.Policies)
+	}
+	result, err := runner.Run(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	result.WriteTable(os.Stdout)
+	for _, run := range result.Runs {
+		run.WriteViolations(os.Stdout)
+	}
+	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	return result, result.Write(filepath.Join(c.Out, name+".json"))
+}
+
+type compareCommand struct {
+	Before string `arg:"" help:"Result in JSON." type:"existingfile"`
+	After  string `arg:"" help:"Result in JSON." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *compareCommand) Run() error {
+	before, err := experiment.ReadResult(c.Before)
+	if err != nil {
+		return err
+	}
+	after, err := experiment.ReadResult(c.After)
+	if err != nil {
+		return err
+	}
+	experiment.WriteComparison(os.Stdout, before, after)
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/answer.go
@@ -0,0 +1,132 @@
+package experiment
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/service"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// maxLineBytes bounds a line of a streamed answer.
+const maxLineBytes = 1 << 20
+
+func errorAs[T error](err error, target *T) bool { return errors.As(err, target) }
+
+// readAnswer reads and checks an answer with status 200.
+func readAnswer(o *Outcome, body io.Reader) {
+	switch {
+	case o.Call.Kind != KindChat:
+		readService(o, body)
+	case o.Call.Stream:
+		readStream(o, body)
+	default:
+		readWhole(o, body)
+	}
+}
+
+func readService(o *Outcome, body io.Reader) {
+	var a service.Answer
+	if !decode(o, body, &a) {
+		return
+	}
+	o.Backend = a.Server
+	switch {
+	case a.Echo != standin.Digest(o.Call.Body):
+		o.Wrong = "the answer is to another body"
+	case a.Key != o.Key:
+		o.Wrong = "the answer is to key " + a.Key
+	case a.Path != o.Call.Path:
+		o.Wrong = "the answer is to path " + a.Path
+	}
+}
+
+func readWhole(o *Outcome, body io.Reader) {
+	var a struct {
+		Choices []struct {
+			Message chatMessage `json:"message"`
+		} `json:"choices"`
+	}
+	if !decode(o, body, &a) {
+		return
+	}
+	if len(a.Choices) != 1 || a.Choices[0].Message.Content != standin.Answer(o.Call.Prompt, o.Call.Tokens) {
+		o.Wrong = "the text isn't the answer to the prompt"
+	}
+}
+
+// decode reads a JSON answer. A connection that breaks is an error; an answer
+// that is short without an error is wrong.
+func decode(o *Outcome, body io.Reader, into any) bool {
+	data, err := io.ReadAll(io.LimitReader(body, wire.MaxAnswerBytes))
+	o.FirstToken = time.Since(o.Intended)
+	if err != nil {
+		o.Err = err.Error()
+		return false
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		o.Wrong = "the answer is no JSON: " + err.Error()
+		return false
+	}
+	return true
+}
+
+// readStream reads server-sent events and compares each token.
+func readStream(o *Outcome, body io.Reader) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLineBytes)
+	tokens, isError := 0, false
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "event: error" {
+			isError = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if isError {
+			o.Err = "error event"
+			readProblem(o, []byte(data))
+			return
+		}
+		if data == "[DONE]" {
+			if tokens != o.Call.Tokens {
+				o.Wrong = "the stream is short"
+			}
+			return
+		}
+		tokens++
+		if tokens == 1 {
+			o.FirstToken = time.Since(o.Intended)
+		}
+		if !isToken(data, o.Call, tokens) {
+			o.Wrong = "a token isn't the prompt's"
+			return
+		}
+	}
+	switch err := lines.Err(); {
+	case err != nil:
+		o.Err = err.Error()
+	default:
+		o.Wrong = "the stream ended without its last event"
+	}
+}
+
+func isToken(data string, call *Call, i int) bool {
+	var c struct {
+		Choices []struct {
+			Delta chatMessage `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &c) != nil || len(c.Choices) != 1 {
+		return false
+	}
+	return i <= call.Tokens && c.Choices[0].Delta.Content == standin.Token(call.Prompt, i)
+}
--- /dev/null
+++ b/internal/experiment/demo.go
@@ -0,0 +1,72 @@
+package experiment
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+// The load of a demonstration, in requests a second of each region.
+const (
+	demoChatRate    = 4
+	demoServiceRate = 4
+	demoTokens      = 24
+	demoTimeout     = 10 * time.Second
+)
+
+// DemoSpec returns an experiment that sends streamed model requests, forecasts
+// and bookings from every region to every model and service.
+func DemoSpec(deployment string, duration time.Duration, seed uint64) (*Spec, error) {
+	set, err := objects.Load(deployment)
+	if err != nil {
+		return nil, err
+	}
+	spec := &Spec{
+		Name: "demo", Deployment: deployment, Seed: seed,
+		Duration: objects.Duration(duration),
+		Links:    LinkSpec{Jitter: objects.Duration(5 * time.Millisecond), Loss: 0.001},
+		Policies: []Variant{{Name: "as published"}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(set.Models)) {
+		spec.Load = append(spec.Load, Load{
+			Class: name, Kind: KindChat, Target: name, Tokens: demoTokens, Spread: 0.5, Stream: true,
+			PrefixTokens: 200, Prefixes: 8, Timeout: objects.Duration(demoTimeout),
+			Rates: everywhere(set, demoChatRate),
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(set.Services)) {
+		for _, call := range set.Services[name].Spec.Calls {
+			spec.Load = append(spec.Load, demoCall(set, name, call))
+		}
+	}
+	return spec, nil
+}
+
+func demoCall(set *objects.Set, service string, call objects.Call) Load {
+	kind := KindForecast
+	if !call.Idempotent {
+		kind = KindBooking
+	}
+	return Load{
+		Class: call.Method + " " + call.PathPrefix, Kind: kind, Target: service,
+		Path: call.PathPrefix + "/today", Timeout: objects.Duration(demoTimeout),
+		Rates: everywhere(set, demoServiceRate),
+	}
+}
+
+// everywhere returns the same rate for each region.
+func everywhere(set *objects.Set, perSecond float64) map[string][]Rate {
+	rates := map[string][]Rate{}
+	for region := range set.Regions {
+		rates[region] = []Rate{{PerSecond: perSecond}}
+	}
+	return rates
+}
+
+// Demo runs a demonstration: the deployment as it is published.
+func (r *Runner) Demo(ctx context.Context, spec *Spec) (*Run, []*Outcome, error) {
+	return r.runOne(ctx, spec, spec.Policies[0])
+}
--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// newTable returns a writer of aligned columns.
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+}
+
+// WriteTable prints the figures of all runs, one line for each policy and
+// phase.
+func (r *Result) WriteTable(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s (%s, seed %d)\n", r.Spec.Name, r.Spec.Deployment, r.Spec.Seed)
+	t := newTable(w)
+	_, _ = fmt.Fprintln(t, "policy\tpart\tsent\tserved\trefused\tmissed\tlate\taway %\tfirst p50\tp99\twhole p50\tp99\tp99.9\trefusal p99\tgoodput/s\tfairness\tcost\tbroken\t")
+	for _, run := range r.Runs {
+		for _, f := range append([]Figures{run.Overall}, run.Phases...) {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t\n",
+				run.Policy.Name, f.Name, f.Sent, f.Served, f.Refused, f.Missed, f.Late,
+				100*f.ShareAway, f.FirstToken.P50, f.FirstToken.P99,
+				f.Whole.P50, f.Whole.P99, f.Whole.P999, f.Refusal.P99,
+				f.Goodput, f.Fairness, f.Cost, len(run.Violations))
+		}
+	}
+	_ = t.Flush()
+}
+
+// maxListed bounds the violations that are printed.
+const maxListed = 20
+
+// WriteViolations prints the broken promises.
+func (r *Run) WriteViolations(w io.Writer) {
+	for i, v := range r.Violations {
+		if i == maxListed {
+			_, _ = fmt.Fprintf(w, "... and %d more\n", len(r.Violations)-maxListed)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "promise broken: %s: %s\n", v.Promise, v.Detail)
+	}
+}
+
+// homeLine is what the callers of one region got.
+type homeLine struct {
+	sent, served, away int
+	endings            map[Ending]int
+	verdicts           map[verdict.Verdict]int
+	whole              histogram
+}
+
+// WriteHomeTable prints what the callers of each region got.
+func WriteHomeTable(w io.Writer, outcomes []*Outcome) {
+	lines := map[string]*homeLine{}
+	for _, o := range outcomes {
+		l := lines[o.Call.Home]
+		if l == nil {
+			l = &homeLine{endings: map[Ending]int{}, verdicts: map[verdict.Verdict]int{}, whole: newHistogram()}
+			lines[o.Call.Home] = l
+		}
+		l.add(o)
+	}
+	t := newTable(w)
+	_, _ = fmt.Fprintln(t, "region\tsent\tserved\tsent away\tp50 ms\tp99 ms\tran\tnot run\tmay have run\twrong\tno answer\t")
+	for _, region := range slices.Sorted(maps.Keys(lines)) {
+		l := lines[region]
+		q := l.whole.quantiles()
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t\n",
+			region, l.sent, l.served, l.away, q.P50, q.P99,
+			l.verdicts[verdict.Ran], l.verdicts[verdict.NotRun], l.verdicts[verdict.MayHaveRun],
+			l.endings[EndingWrong], l.sent-l.served-l.endings[EndingWrong])
+	}
+	_ = t.Flush()
+}
+
+func (l *homeLine) add(o *Outcome) {
+	l.sent++
+	l.endings[o.Ending()]++
+	l.verdicts[o.Verdict]++
+	if o.Ending() != EndingServed {
+		return
+	}
+	l.served++
+	l.whole.record(o.Total)
+	if o.away() {
+		l.away++
+	}
+}
+
+// WriteFailures prints the requests that weren't served.
+func WriteFailures(w io.Writer, outcomes []*Outcome) {
+	listed := 0
+	for _, o := range outcomes {
+		if o.Ending() == EndingServed {
+			continue
+		}
+		if listed++; listed > maxListed {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "%s: %s from %s (%s): status %d, %s %s %s\n",
+			o.Ending(), o.Call.Class, o.Call.Home, o.Call.Team, o.Status, o.Verdict, o.Err, o.Wrong)
+	}
+}
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -6,10 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// prefixBytes is the length of the leading part of a prompt that the cache
-// keeps.
-const prefixBytes = 1024
-
 // completion is a whole answer in the usual shape of chat completions.
 type completion struct {
 	ID      string   `json:"id"`
@@ -60,14 +56,9 @@
 	return data
 }
 
-// leading returns the leading part of a prompt.
-func leading(messages []message) string {
-	text := messages[0].Content
-	return text[:min(len(text), prefixBytes)]
+// prefixOf identifies the first message of a prompt, which is what the cache
+// keeps: the 64-bit xxHash of the model's name, a zero byte and the content as
+// it stands in the request.
+func prefixOf(chat chatRequest) uint64 {
+	return xxhash.Sum64String(chat.Model + "\x00" + string(chat.Messages[0].Content))
 }
-
-// prefixOf identifies the leading part of a prompt.
-func prefixOf(messages []message) uint64 { return xxhash.Sum64String(leading(messages)) }
-
-// prefixTokens is the length of the leading part in tokens.
-func prefixTokens(messages []message) int { return len(leading(messages)) / bytesPerToken }
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -119,6 +119,7 @@
 		e.queue = e.queue[1:]
 		e.batch = append(e.batch, s)
 		e.counts.Started++
+		e.ran[s.id]++
 		s.prefill = float64(s.promptTokens)
 		if e.cache.use(s.prefix, s.prefixTokens, &e.events) {
 			s.prefill -= float64(s.prefixTokens)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 package engine
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	role    string
 	fence   uint64
 	leaving bool
+	ran     map[string]int // by request ID
 	faults  Faults
 	counts  Counts
 }
@@ -85,6 +87,7 @@
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
 		streams: map[string]*stream{},
+		ran:     map[string]int{},
 		cache:   newPrefixCache(config.CacheTokens),
 		loaded:  append([]string(nil), config.Loaded...),
 		role:    config.Role,
@@ -114,6 +117,13 @@
 	return e.counts
 }
 
+// Ran returns how often each request ID was taken into the batch.
+func (e *Engine) Ran() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.ran)
+}
+
 // SetFaults replaces the faults.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -35,11 +35,27 @@
 
 // chatRequest is the part of a chat completion request that counts here.
 type chatRequest struct {
-	Model     string    `json:"model"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	MaxNew    int       `json:"max_completion_tokens"`
-	Stream    bool      `json:"stream"`
+	Model     string       `json:"model"`
+	Messages  []rawMessage `json:"messages"`
+	MaxTokens int          `json:"max_tokens"`
+	MaxNew    int          `json:"max_completion_tokens"`
+	Stream    bool         `json:"stream"`
+}
+
+// rawMessage is a message of a request. The content is a string, or a list of
+// parts that is taken as it is.
+type rawMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// text returns the content as text.
+func (m rawMessage) text() string {
+	var text string
+	if json.Unmarshal(m.Content, &text) != nil {
+		return string(m.Content)
+	}
+	return text
 }
 
 type message struct {
@@ -110,7 +126,7 @@
 	for _, m := range chat.Messages {
 		bytes += len(m.Content)
 		if m.Role == "user" {
-			prompt = m.Content
+			prompt = m.text()
 		}
 	}
 	if len(chat.Messages) == 0 {
@@ -119,9 +135,9 @@
 	s := &stream{
 		id:           req.Header.Get(wire.HeaderRequestID),
 		prompt:       prompt,
-		prefix:       prefixOf(chat.Messages),
+		prefix:       prefixOf(chat),
 		promptTokens: 1 + bytes/bytesPerToken,
-		prefixTokens: prefixTokens(chat.Messages),
+		prefixTokens: len(chat.Messages[0].Content) / bytesPerToken,
 		wanted:       max(chat.MaxTokens, chat.MaxNew),
 		priority:     priorityOf(req.Header.Get(wire.HeaderPriority)),
 		changed:      make(chan struct{}),
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -54,3 +54,13 @@
 	<-s.done
 	return err
 }
+
+// Closed reports whether the server has ended.
+func (s *Server) Closed() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/testbed/backends.go
+++ b/internal/testbed/backends.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
@@ -48,7 +49,7 @@
 	if s == nil {
 		return ErrStart.New("backend server %s can't listen", server.Name)
 	}
-	b.servers[server.Name] = s
+	b.setServer(server.Name, s)
 	return nil
 }
 
@@ -107,7 +108,41 @@
 
 // CloseBackend ends a backend server's stand-in, as a crash would.
 func (b *Bed) CloseBackend(name string) {
-	if s := b.servers[name]; s != nil {
+	if s := b.server(name); s != nil {
 		_ = s.Close()
 	}
 }
+
+func (b *Bed) server(name string) *standin.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.servers[name]
+}
+
+func (b *Bed) setServer(name string, s *standin.Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.servers[name] = s
+}
+
+// ReopenBackend starts a closed backend server again on the same address; an
+// engine has lost its cache. A server that runs is left alone.
+func (b *Bed) ReopenBackend(name string) error {
+	s := b.server(name)
+	if s == nil || !s.Closed() {
+		return nil
+	}
+	var handler http.Handler
+	if e := b.Engines[name]; e != nil {
+		e.ClearCache()
+		handler = e.Handler()
+	} else {
+		handler = b.Services[name].Handler()
+	}
+	next, err := standin.Serve(s.Addr(), handler)
+	if err != nil {
+		return err
+	}
+	b.setServer(name, next)
+	return nil
+}
--- a/internal/testbed/gateway.go
+++ b/internal/testbed/gateway.go
@@ -152,6 +152,8 @@
 // start starts the process and waits until it listens.
 func (g *Gateway) start(ctx context.Context) error {
 	cmd := exec.Command(g.bed.config.GatewayBinary, g.args()...)
+	// A process must not outlive a test that was killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		return ErrGateway.Wrap(err, "%s", g.Name)
--- a/internal/testbed/publish.go
+++ b/internal/testbed/publish.go
@@ -40,7 +40,7 @@
 	next.BackendServers = map[string]*objects.BackendServer{}
 	for name, server := range set.BackendServers {
 		copied := *server
-		if s := b.servers[name]; s != nil {
+		if s := b.server(name); s != nil {
 			copied.Spec.Address = s.Addr()
 		}
 		next.BackendServers[name] = &copied
