--- /dev/null
+++ b/internal/filter/booking/filter.go
@@ -0,0 +1,147 @@
+// Package bookingfilter carries requests that aren't idempotent out at most
+// once.
+//
+// The owner named by a request's idempotency key runs it and answers every
+// attempt with the one outcome. Any other entry passes the request to the
+// owner, once, or answers. Idempotent requests pass through.
+package bookingfilter
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnutspring/chestnutspring/internal/booking"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// defaultKeyWindow is the validity of a key whose route has no policy.
+const defaultKeyWindow = 5 * time.Minute
+
+// Config holds what a Filter needs. Zero bounds mean the defaults.
+type Config struct {
+	Self   snapshot.Identity
+	Issuer *booking.Issuer
+	Peer   pipeline.PeerSender
+	Now    clock.Clock
+	Log    *slog.Logger
+	Scope  tally.Scope
+
+	MaxRecords   int
+	MaxHeldBytes int
+	MaxHops      int
+}
+
+// Filter is the booking filter of one gateway.
+type Filter struct {
+	Config
+	table   *booking.Table
+	hops    *booking.Hops
+	metrics metrics
+}
+
+// New returns a Filter with an empty table.
+func New(config Config) *Filter {
+	return &Filter{
+		Config: config,
+		table: booking.NewTable(booking.TableConfig{
+			Issuer: config.Issuer, Now: config.Now,
+			MaxRecords: config.MaxRecords, MaxHeldBytes: config.MaxHeldBytes,
+		}),
+		hops:    booking.NewHops(config.Now, config.MaxHops),
+		metrics: newMetrics(config.Scope.SubScope("bookings")),
+	}
+}
+
+// Filter returns the filter for the pipeline.
+func (f *Filter) Filter() pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+			if req.Idempotent {
+				return next.Handle(ctx, req, w)
+			}
+			return f.handle(ctx, req, w, next)
+		})
+	}
+}
+
+func (f *Filter) handle(ctx context.Context, req *pipeline.Request, w pipeline.Response, next pipeline.Handler) *verdict.Refusal {
+	if req.Key == "" {
+		return verdict.Refuse(http.StatusBadRequest, verdict.CodeKeyMissing, "this call needs an idempotency key")
+	}
+	key, err := booking.ParseKey(req.Key)
+	if err != nil {
+		f.metrics.malformed.Inc(1)
+		return refuseMalformed()
+	}
+	switch {
+	case req.Hop == pipeline.HopRegion:
+		return f.receive(ctx, req, key, w, next)
+	case f.Issuer.Issued(key):
+		return f.own(ctx, req, key, w, next)
+	default:
+		return f.pass(ctx, req, key, w)
+	}
+}
+
+// State is the part of the state dump that covers bookings.
+type State struct {
+	// Records is the number of keys that this incarnation owns and remembers.
+	Records int `json:"records"`
+	// HeldBytes is the size of the answers that are held for repeats.
+	HeldBytes int `json:"heldBytes"`
+	// ReceivedHops is the number of remembered keys of other owners.
+	ReceivedHops int `json:"receivedHops"`
+	// KeyPrefix is the prefix that is issued now.
+	KeyPrefix string `json:"keyPrefix"`
+}
+
+// State returns a State for the dump.
+func (f *Filter) State() any {
+	records, heldBytes := f.table.Size()
+	return State{
+		Records: records, HeldBytes: heldBytes,
+		ReceivedHops: f.hops.Size(), KeyPrefix: f.Issuer.Prefix(),
+	}
+}
+
+// keyWindow returns the validity of keys of the request's route.
+func keyWindow(req *pipeline.Request) time.Duration {
+	policy := req.Snapshot.Config.PolicyOf(req.Target)
+	if policy == nil || policy.Spec.KeyWindow <= 0 {
+		return defaultKeyWindow
+	}
+	return policy.Spec.KeyWindow.D()
+}
+
+type metrics struct {
+	run         tally.Counter
+	repeated    tally.Counter
+	closed      tally.Counter
+	ambiguous   tally.Counter
+	malformed   tally.Counter
+	mismatch    tally.Counter
+	passed      tally.Counter
+	duplicates  tally.Counter
+	unavailable tally.Counter
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		run:         scope.Counter("run"),
+		repeated:    scope.Counter("repeated"),
+		closed:      scope.Counter("keys_closed"),
+		ambiguous:   scope.Counter("may_have_run"),
+		malformed:   scope.Counter("keys_malformed"),
+		mismatch:    scope.Counter("keys_mismatched"),
+		passed:      scope.Counter("passed_to_owner"),
+		duplicates:  scope.Counter("duplicate_hops"),
+		unavailable: scope.Counter("owner_unavailable"),
+	}
+}
--- /dev/null
+++ b/internal/filter/booking/region.go
@@ -0,0 +1,43 @@
+package bookingfilter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/chestnutspring/chestnutspring/internal/booking"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// receive handles a booking that its owner sent to this region.
+func (f *Filter) receive(ctx context.Context, req *pipeline.Request, key booking.Key, w pipeline.Response, next pipeline.Handler) *verdict.Refusal {
+	if len(req.Trail) == 0 || req.Trail[len(req.Trail)-1] != key.VM {
+		return verdict.Refuse(http.StatusConflict, verdict.CodeLoop, "only the owner of an idempotency key sends it to another region")
+	}
+	switch f.hops.Begin(key, keyWindow(req)) {
+	case booking.HopSeen:
+		f.metrics.duplicates.Inc(1)
+		return refuseDuplicateHop(false)
+	case booking.HopClosed:
+		f.metrics.duplicates.Inc(1)
+		return refuseDuplicateHop(true)
+	case booking.HopFull:
+		// Nothing is remembered, so that a duplicate may still run.
+		return verdict.Ambiguous(verdict.CodeOverloaded, "this gateway takes no more idempotency keys for now", retryAfterUnknown)
+	}
+	if req.Deadline.Sub(f.Now()) <= 0 {
+		f.hops.Refuse(key)
+		return refuseDeadline()
+	}
+	refusal := next.Handle(ctx, req, w)
+	if refusal == nil || refusal.Verdict != verdict.NotRun {
+		return refusal
+	}
+	if w.Started() {
+		ambiguous := *refusal
+		ambiguous.Verdict = verdict.MayHaveRun
+		return &ambiguous
+	}
+	f.hops.Refuse(key)
+	return refusal
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -65,6 +65,9 @@
 	Idempotent bool
 	// Key is the idempotency key of a request that isn't idempotent.
 	Key string
+	// BeforeSend, if set, is asked right before the first byte goes to a
+	// backend server or to another region. After a refusal nothing may be sent.
+	BeforeSend func() *verdict.Refusal
 }
 
 // Chat is what the decisions need to know of a chat completion.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -72,6 +72,7 @@
 	CodeKeyExpired        Code = "key-expired"
 	CodeKeyClosed         Code = "key-closed"
 	CodeKeyMismatch       Code = "key-mismatch"
+	CodeKeyUnknown        Code = "key-unknown"
 	CodeOwnerUnreachable  Code = "owner-unreachable"
 	CodeOwnerGone         Code = "owner-gone"
 	CodeAnswerNotHeld     Code = "answer-not-held"
@@ -101,6 +102,9 @@
 	Final bool
 	// Entries are the addresses of entry VMs that may serve the request.
 	Entries []string
+	// KeyClosed means that the owner of the request's idempotency key has
+	// closed it: no attempt with the key can run any more.
+	KeyClosed bool
 }
 
 var _ error = (*Refusal)(nil)
