--- a/internal/filter/booking/filter_test.go
+++ b/internal/filter/booking/filter_test.go
@@ -82,7 +82,6 @@
 	clock    *manualClock
 	// backend is the handler after the filter.
 	backend pipeline.HandlerFunc
-	runs    atomic.Int64
 }
 
 // newGateways starts gateways with the names of their VMs, one region each.
