--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -91,6 +91,11 @@
 	if remaining <= 0 {
 		return deadline.Passed()
 	}
+	if hop == pipeline.HopRegion {
+		if refusal := req.MaySend(); refusal != nil {
+			return refusal
+		}
+	}
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
 	out := c.newRequest(httptrace.WithClientTrace(ctx, trace), req, hop, to, remaining)
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -11,7 +11,6 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/identify"
 	"github.com/chestnutspring/chestnutspring/internal/filter/residency"
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
-	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
@@ -38,13 +37,12 @@
 		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
 	})
 	handler := pipeline.Chain(g.route,
-		settle.New(g.booking),
+		g.booking.Seal(),
 		identify.New(),
 		residency.New(),
 		deadline.New(g.now),
 		hopguard.New(),
 		body.New(),
-		settle.Mark(),
 		g.booking.Filter(),
 		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
