--- /dev/null
+++ b/internal/routing/region.go
@@ -0,0 +1,167 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+const (
+	// summaryAge is how long a region's summary is worth a decision.
+	summaryAge = 10 * time.Second
+	// silentFor is how long a region may be silent before nothing is sent
+	// there.
+	silentFor = 5 * time.Second
+	// unknownWait is the wait assumed for a region without a summary.
+	unknownWait    = time.Second
+	bitsPerMegabit = 1e6
+	// surePart is the part of an estimated service time that a request is
+	// sure to take. Only a deadline below it is a ground for a refusal.
+	surePart = 0.6
+)
+
+// Plan says where a request goes: to the own region's backend servers, to
+// another region, or, with neither, nowhere now.
+type Plan struct {
+	Local    bool
+	Region   *RegionOption
+	Estimate Estimate
+	// RetryAfter is when a refused request may find room.
+	RetryAfter time.Duration
+}
+
+// Local is the own region's part in a Plan.
+type Local struct {
+	// Allowed is false where the own region may not or can't serve.
+	Allowed bool
+	// Wait is the expected wait for a slot.
+	Wait time.Duration
+}
+
+// Decide weighs the own region against the regions that permitted accepts.
+func (t *Target) Decide(q *Query, own string, local Local, permitted func(region string) bool) Plan {
+	var plan, late Plan
+	consider := func(p Plan) {
+		if p.Estimate.sure() > q.Remaining {
+			late = sooner(late, p)
+			return
+		}
+		if !plan.found() || p.Estimate.Score < plan.Estimate.Score {
+			plan = p
+		}
+	}
+	if local.Allowed {
+		if e, ok := t.localEstimate(q, own, local.Wait); ok {
+			consider(Plan{Local: true, Estimate: e})
+		}
+	}
+	for i := range t.Regions {
+		o := &t.Regions[i]
+		if !permitted(o.Name) || slices.Contains(q.Tried, o.Name) || !o.open(q, t) {
+			continue
+		}
+		consider(Plan{Region: o, Estimate: t.regionEstimate(o, q)})
+	}
+	if !plan.found() && late.found() {
+		return Plan{RetryAfter: max(late.Estimate.Wait, time.Second)}
+	}
+	return plan
+}
+
+func (p Plan) found() bool { return p.Local || p.Region != nil }
+
+// sure returns the time that a request takes at least, with the estimated wait.
+func (e Estimate) sure() time.Duration {
+	return e.Wait + e.Link + time.Duration(surePart*float64(e.Service))
+}
+
+func sooner(a, b Plan) Plan {
+	if !a.found() || b.Estimate.Completion() < a.Estimate.Completion() {
+		return b
+	}
+	return a
+}
+
+func (t *Target) localEstimate(q *Query, own string, wait time.Duration) (Estimate, bool) {
+	best := t.Best(q, wait == 0)
+	if best.Candidate == nil {
+		best = t.Best(q, false)
+	}
+	if best.Candidate == nil {
+		return Estimate{}, false
+	}
+	e := best.Estimate
+	if wait > 0 {
+		e.Score += wait.Seconds() - e.Wait.Seconds()
+		e.Wait = wait
+	}
+	if own != q.Home {
+		e.Score += t.Policy.ShareAwayWeight
+	}
+	return e, true
+}
+
+// open reports whether work may be sent to the region: it is heard of, has
+// healthy replicas, and a region that came back gets its traffic step by step.
+func (o *RegionOption) open(q *Query, t *Target) bool {
+	if o.heard != 0 && q.Now.Sub(o.heard) > silentFor {
+		return false
+	}
+	if s := o.fresh(q.Now); s != nil && s.Healthy == 0 {
+		return false
+	}
+	part := ramp(q.Now, o.since, t.Policy.SlowStart)
+	return part >= 1 || fraction(mix(q.Random)) < part
+}
+
+// fresh returns the region's summary if it is fresh, else nil.
+func (o *RegionOption) fresh(now clock.Instant) *snapshot.RegionSummary {
+	if o.summary == nil || now.Sub(o.summary.Heard) > summaryAge {
+		return nil
+	}
+	return o.summary
+}
+
+// regionEstimate weighs a region by its summary, less what the summary can't
+// show yet. The other gateways of the own region are taken to send as much.
+func (t *Target) regionEstimate(o *RegionOption, q *Query) Estimate {
+	service := q.Service().Seconds()
+	if o.reported > 0 {
+		service *= o.reported
+	}
+	wait, load := unknownWait.Seconds(), 1.0
+	if s := o.fresh(q.Now); s != nil {
+		free := float64(s.Free) - float64(o.Crossing.Unreported()*t.gateways)
+		load = 1 - max(0, free)/float64(o.capacity)
+		wait = 0
+		if free < 1 {
+			wait = s.WaitSeconds + (1-free)/float64(o.capacity)*service
+		}
+	}
+	service *= 1 + loadSlope*min(max(load, 0), 1)
+	megabits := float64(q.RequestBytes+q.AnswerBytes) * 8 / bitsPerMegabit
+	link := 2 * o.Link.Delay.D().Seconds()
+	if o.Link.MegabitsPerSecond > 0 {
+		link += megabits / o.Link.MegabitsPerSecond
+	}
+	score := wait + service + link + t.Policy.CostWeight*megabits*o.Link.CostPerMegabit
+	if o.Name != q.Home {
+		score += t.Policy.ShareAwayWeight
+	}
+	return Estimate{Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score}
+}
+
+// Member returns the region's gateway for the request. Requests with the same
+// prefix tend to the same gateway, which knows where the prefix is cached.
+func (o *RegionOption) Member(q *Query) *snapshot.Member {
+	if len(o.Members) == 0 {
+		return nil
+	}
+	key := q.Prefix
+	if key == 0 {
+		key = q.Random
+	}
+	return o.Members[mix(key)%uint64(len(o.Members))]
+}
