--- a/internal/filter/booking/filter_test.go
+++ b/internal/filter/booking/filter_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/booking"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
+	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -108,7 +109,7 @@
 	last := pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
 		return g.backend(ctx, req, w)
 	})
-	g.handler = pipeline.Chain(last, g.filter.Seal(), g.filter.Filter())
+	g.handler = pipeline.Chain(last, settle.New(g.filter), settle.Mark(), g.filter.Filter())
 	net.gateways[self.VM] = g
 	return g
 }
--- a/internal/filter/booking/settle.go
+++ b/internal/filter/booking/settle.go
@@ -1,46 +1,37 @@
 package bookingfilter
 
 import (
-	"context"
-
 	"github.com/chestnutspring/chestnutspring/internal/booking"
+	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
-	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
-// Settle makes a refusal from before the booking filter true for all attempts
-// with the request's key: "not run" is said only after the key is closed. At a
-// gateway that can't close the key the verdict becomes MayHaveRun.
-func (f *Filter) Settle(req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
-	if refusal == nil || refusal.Verdict != verdict.NotRun || req.Key == "" || isForGood(refusal) {
-		return refusal
-	}
+var _ settle.Closer = (*Filter)(nil)
+
+// Close implements settle.Closer. It closes the request's key if this
+// incarnation owns it, or if the request came over a region hop, and nothing
+// ran with it here. It reports whether nothing can ever run with the key, or,
+// after a region hop, whether nothing can run with it here.
+func (f *Filter) Close(req *pipeline.Request) bool {
 	key, err := booking.ParseKey(req.Key)
 	if err != nil {
-		return refusal
+		// No owner takes a malformed key.
+		return true
 	}
 	switch {
 	case req.Hop == pipeline.HopRegion:
-		if f.hops.Close(key, keyWindow(req)) == booking.HopClosed {
-			return refusal
-		}
+		return f.hops.Close(key, keyWindow(req)) == booking.HopClosed
 	case f.Issuer.Issued(key):
-		if f.close(key, req.Team) {
-			return closing(refusal)
-		}
-	case f.Issuer.Owns(key):
-		return refusal
-	}
-	ambiguous := *refusal
-	ambiguous.Verdict = verdict.MayHaveRun
-	if ambiguous.RetryAfter == 0 {
-		ambiguous.RetryAfter = retryAfterUnknown
+		return f.closeOwn(key, req.Team)
+	default:
+		// Only this incarnation takes keys that name it, and it takes none
+		// with a wrong code.
+		return f.Issuer.Owns(key)
 	}
-	return &ambiguous
 }
 
-// close reports whether the key is closed and never ran.
-func (f *Filter) close(key booking.Key, team string) bool {
+// closeOwn reports whether the key is closed and never ran.
+func (f *Filter) closeOwn(key booking.Key, team string) bool {
 	record, decision := f.table.Close(key, team)
 	switch decision {
 	case booking.Full:
@@ -51,13 +42,3 @@
 		return false
 	}
 }
-
-// Seal returns a filter that goes before all filters that may refuse a request
-// ahead of the booking filter. It settles their refusals.
-func (f *Filter) Seal() pipeline.Filter {
-	return func(next pipeline.Handler) pipeline.Handler {
-		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
-			return f.Settle(req, next.Handle(ctx, req, w))
-		})
-	}
-}
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/identify"
 	"github.com/chestnutspring/chestnutspring/internal/filter/residency"
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
+	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
@@ -37,12 +38,13 @@
 		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
 	})
 	handler := pipeline.Chain(g.route,
-		g.booking.Seal(),
+		settle.New(g.booking),
 		identify.New(),
 		residency.New(),
 		deadline.New(g.now),
 		hopguard.New(),
 		body.New(),
+		settle.Mark(),
 		g.booking.Filter(),
 		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -102,6 +102,8 @@
 	// BeforeSend, if set, is asked right before the first byte goes to a
 	// backend server or to another region. After a refusal nothing may be sent.
 	BeforeSend func() *verdict.Refusal
+	// KeyChecked means that the booking filter has taken the request.
+	KeyChecked bool
 }
 
 // MaySend asks BeforeSend, if it is set.
