--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -27,11 +27,12 @@
 			if refusal == nil || refusal.Verdict != verdict.NotRun || req.Key == "" || req.KeyChecked {
 				return refusal
 			}
+			settled := *refusal
 			if closer.Close(req) {
-				return refusal
+				settled.KeyClosed = true
+			} else {
+				settled.Verdict = verdict.MayHaveRun
 			}
-			settled := *refusal
-			settled.Verdict = verdict.MayHaveRun
 			return &settled
 		})
 	}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -99,10 +99,21 @@
 	Idempotent bool
 	// Key is the idempotency key of a request that isn't idempotent.
 	Key string
+	// BeforeSend, if set, is asked right before the first byte goes to a
+	// backend server or to another region. After a refusal nothing may be sent.
+	BeforeSend func() *verdict.Refusal
 	// KeyChecked means that the booking filter has taken the request.
 	KeyChecked bool
 }
 
+// MaySend asks BeforeSend, if it is set.
+func (r *Request) MaySend() *verdict.Refusal {
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
+}
+
 // Chat is what the decisions need to know of a chat completion.
 type Chat struct {
 	Stream bool
