--- a/internal/standin/link/port.go
+++ b/internal/standin/link/port.go
@@ -32,9 +32,14 @@
 // Listen opens a port on loopback. What its clients send goes in direction d.
 // The target may be set later.
 func (l *Link) Listen(d Direction, target string) (*Port, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return l.ListenOn("127.0.0.1:0", d, target)
+}
+
+// ListenOn opens a port on an address.
+func (l *Link) ListenOn(address string, d Direction, target string) (*Port, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, standin.ErrListen.Wrap(err, "port of a link")
+		return nil, standin.ErrListen.Wrap(err, "port of a link on %s", address)
 	}
 	p := &Port{link: l, from: d, listener: listener}
 	p.SetTarget(target)
