--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/experiment"
+	"github.com/chestnutspring/chestnutspring/internal/report"
 )
 
 type runCommand struct {
@@ -64,7 +65,22 @@
 		run.WriteViolations(os.Stdout)
 	}
 	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
-	return result, result.Write(filepath.Join(c.Out, name+".json"))
+	if err := result.Write(filepath.Join(c.Out, name+".json")); err != nil {
+		return nil, err
+	}
+	return result, writePage(filepath.Join(c.Out, name+".html"), result)
+}
+
+func writePage(name string, result *experiment.Result) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := report.Write(file, result); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
 }
 
 type compareCommand struct {
--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -34,7 +34,7 @@
 		spec.Load = append(spec.Load, Load{
 			Class: name, Kind: KindChat, Target: name, Tokens: demoTokens, Spread: 0.5, Stream: true,
 			PrefixTokens: 200, Prefixes: 8, Timeout: objects.Duration(demoTimeout),
-			Rates: everywhere(set, demoChatRate),
+			PerSecond: everywhere(set, demoChatRate),
 		})
 	}
 	for _, name := range slices.Sorted(maps.Keys(set.Services)) {
@@ -53,15 +53,15 @@
 	return Load{
 		Class: call.Method + " " + call.PathPrefix, Kind: kind, Target: service,
 		Path: call.PathPrefix + "/today", Timeout: objects.Duration(demoTimeout),
-		Rates: everywhere(set, demoServiceRate),
+		PerSecond: everywhere(set, demoServiceRate),
 	}
 }
 
 // everywhere returns the same rate for each region.
-func everywhere(set *objects.Set, perSecond float64) map[string][]Rate {
-	rates := map[string][]Rate{}
+func everywhere(set *objects.Set, perSecond float64) map[string]float64 {
+	rates := map[string]float64{}
 	for region := range set.Regions {
-		rates[region] = []Rate{{PerSecond: perSecond}}
+		rates[region] = perSecond
 	}
 	return rates
 }
--- /dev/null
+++ b/internal/experiment/figures_test.go
@@ -0,0 +1,85 @@
+package experiment
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+func served(team, region string, total time.Duration) *Outcome {
+	return &Outcome{
+		Call:   &Call{Team: team, Home: "jeju", Class: "c", Timeout: time.Second},
+		Status: 200, Verdict: verdict.Ran, Region: region, Total: total,
+	}
+}
+
+func TestFiguresCountLateAwayAndRefused(t *testing.T) {
+	is := is.New(t)
+	refused := served("terns", "", 3*time.Millisecond)
+	refused.Status, refused.Verdict, refused.Err, refused.Code = 503, verdict.NotRun, "overloaded", "overloaded"
+	unanswered := served("terns", "", time.Second)
+	unanswered.Status = 0
+	f := summarize(testSet(), []*Outcome{
+		served("gulls", "jeju", 100*time.Millisecond),
+		served("gulls", "busan", 200*time.Millisecond),
+		served("gulls", "jeju", 2*time.Second),
+		served("terns", "jeju", 100*time.Millisecond),
+		refused, unanswered,
+	})
+	is.Equal([]int{f.Sent, f.Served, f.Refused, f.Late, f.Unanswered, f.Missed}, []int{6, 4, 1, 1, 1, 2})
+	is.Equal(f.ShareAway, 0.25)
+	is.Equal(f.Codes["overloaded"], 1)
+	is.True(math.Abs(f.Whole.Max-2000) < 5)
+	// 4 were served; by weights 3 to 1 that is 3 and 1.
+	is.Equal(f.Teams["terns"].Entitled, 1.0)
+	is.Equal(f.Fairness, 1.0)
+}
+
+func TestMaxMinGivesNobodyMoreThanTheDemand(t *testing.T) {
+	is := is.New(t)
+	weight := map[string]float64{"a": 1, "b": 1, "c": 2}
+	given := maxMin(10, map[string]float64{"a": 1, "b": 100, "c": 100}, weight)
+	is.Equal(given["a"], 1.0)
+	is.True(math.Abs(given["b"]-3) < 1e-9)
+	is.True(math.Abs(given["c"]-6) < 1e-9)
+}
+
+func TestAuditFindsEachBrokenPromise(t *testing.T) {
+	is := is.New(t)
+	notRun := served("gulls", "", 0)
+	notRun.Status, notRun.Verdict, notRun.Err, notRun.Key = 503, verdict.NotRun, "x", "k1"
+	chat := served("gulls", "", 0)
+	chat.Status, chat.Verdict, chat.Err, chat.RequestID = 503, verdict.NotRun, "x", "r1"
+	lost := served("gulls", "jeju", 0)
+	lost.Key = "k9"
+	wrong := served("gulls", "jeju", 0)
+	wrong.Wrong = "short"
+	loop := served("gulls", "jeju", 0)
+	loop.Loop = true
+	records := Records{
+		Seen:       map[string][]standin.Seen{"busan": {{Team: "terns"}, {Team: "gulls"}}},
+		Ran:        map[string]int{"r1": 1},
+		Executions: map[string]int{"k1": 1, "k2": 2},
+	}
+	count := map[string]int{}
+	for _, v := range Audit(testSet(), []*Outcome{notRun, chat, lost, wrong, loop}, records) {
+		count[v.Promise]++
+	}
+	is.Equal(count, map[string]int{
+		PromiseResidency: 1, PromiseAtMostOnce: 1, PromiseNotRun: 2,
+		PromiseOwnAnswer: 2, PromiseNoLoop: 1,
+	})
+	is.Equal(len(Audit(testSet(), []*Outcome{served("gulls", "jeju", 0)}, Records{})), 0)
+}
+
+func TestLoopsAreSeenInThePathOfHops(t *testing.T) {
+	is := is.New(t)
+	is.True(loops("a,b,a"))
+	is.True(!loops("a,b"))
+	is.True(!loops(""))
+}
--- a/internal/experiment/schedule.go
+++ b/internal/experiment/schedule.go
@@ -28,7 +28,7 @@
 	var all []Arrival
 	for i := range spec.Load {
 		load := &spec.Load[i]
-		for _, region := range slices.Sorted(maps.Keys(load.Rates)) {
+		for _, region := range slices.Sorted(maps.Keys(load.PerSecond)) {
 			d := newDrawer(spec, set, load, region)
 			all = append(all, d.draw(spec.Duration.D())...)
 		}
@@ -42,7 +42,7 @@
 	rng    *rand.Rand
 	load   *Load
 	region string
-	rates  []Rate
+	points []Point
 	teams  []string
 	shares []float64 // cumulative
 }
@@ -52,7 +52,10 @@
 	_, _ = h.Write([]byte(load.Class + "/" + region))
 	d := &drawer{
 		rng:  rand.New(rand.NewPCG(spec.Seed, h.Sum64())),
-		load: load, region: region, rates: load.Rates[region],
+		load: load, region: region,
+	}
+	if !load.Flat {
+		d.points = spec.Profile[region]
 	}
 	d.teams = load.Teams
 	if len(d.teams) == 0 {
@@ -89,10 +92,7 @@
 // draw draws a Poisson process of varying rate by thinning one of the largest
 // rate.
 func (d *drawer) draw(duration time.Duration) []Arrival {
-	peak := 0.0
-	for _, r := range d.rates {
-		peak = max(peak, r.PerSecond)
-	}
+	peak := d.load.PerSecond[d.region] * max(1, largest(d.points))
 	if peak == 0 || len(d.teams) == 0 {
 		return nil
 	}
@@ -104,7 +104,7 @@
 		if now >= duration {
 			return found
 		}
-		keep := d.rng.Float64()*peak < rateAt(d.rates, now)
+		keep := d.rng.Float64()*peak < d.rateAt(now)
 		call := d.call(len(found))
 		if keep {
 			found = append(found, Arrival{At: now, Call: call})
@@ -112,21 +112,39 @@
 	}
 }
 
+// largest returns the largest factor.
+func largest(points []Point) float64 {
+	factor := 0.0
+	for _, p := range points {
+		factor = max(factor, p.Factor)
+	}
+	return factor
+}
+
 // rateAt returns the rate at an instant, in requests a second.
-func rateAt(rates []Rate, at time.Duration) float64 {
-	rate := 0.0
-	for i, r := range rates {
-		if r.At.D() > at {
+func (d *drawer) rateAt(at time.Duration) float64 {
+	l := d.load
+	if at < l.From.D() || (l.To > 0 && at >= l.To.D()) {
+		return 0
+	}
+	return l.PerSecond[d.region] * factorAt(d.points, at)
+}
+
+// factorAt returns the factor at an instant.
+func factorAt(points []Point, at time.Duration) float64 {
+	factor := 1.0
+	for i, p := range points {
+		if p.At.D() > at {
 			break
 		}
-		rate = r.PerSecond
-		if r.Ramp && i+1 < len(rates) {
-			next := rates[i+1]
-			part := float64(at-r.At.D()) / float64(next.At-r.At)
-			rate += (next.PerSecond - r.PerSecond) * min(1, part)
+		factor = p.Factor
+		if p.Ramp && i+1 < len(points) {
+			next := points[i+1]
+			part := float64(at-p.At.D()) / float64(next.At-p.At)
+			factor += (next.Factor - p.Factor) * min(1, part)
 		}
 	}
-	return rate
+	return factor
 }
 
 func (d *drawer) call(n int) *Call {
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -28,7 +28,9 @@
 	Links    LinkSpec   `yaml:"links" json:"links"`
 	Engine   EngineSpec `yaml:"engine" json:"engine"`
 	Load     []Load     `yaml:"load" json:"load"`
-	Faults   []Fault    `yaml:"faults,omitempty" json:"faults,omitempty"`
+	// Profile varies the load of each region over time.
+	Profile map[string][]Point `yaml:"profile,omitempty" json:"profile,omitempty"`
+	Faults  []Fault            `yaml:"faults,omitempty" json:"faults,omitempty"`
 	// Phases get figures of their own.
 	Phases []Phase `yaml:"phases,omitempty" json:"phases,omitempty"`
 }
@@ -83,16 +85,23 @@
 	// Teams send the requests; empty means all teams whose home is the
 	// region, in proportion to their weights.
 	Teams []string `yaml:"teams,omitempty" json:"teams,omitempty"`
-	// Rates holds the requests a second of each region over time.
-	Rates map[string][]Rate `yaml:"rates" json:"rates"`
+	// PerSecond holds the requests a second of each region.
+	PerSecond map[string]float64 `yaml:"perSecond" json:"perSecond"`
+	// Flat load doesn't follow the profile.
+	Flat bool `yaml:"flat,omitempty" json:"flat,omitempty"`
+	// From and To bound the time in which the requests arrive; zero is no
+	// bound.
+	From objects.Duration `yaml:"from,omitempty" json:"from,omitempty"`
+	To   objects.Duration `yaml:"to,omitempty" json:"to,omitempty"`
 }
 
-// Rate is the arrival rate from an instant on, until the next one. With Ramp
-// it changes linearly towards the next one.
-type Rate struct {
-	At        objects.Duration `yaml:"at" json:"at"`
-	PerSecond float64          `yaml:"perSecond" json:"perSecond"`
-	Ramp      bool             `yaml:"ramp,omitempty" json:"ramp,omitempty"`
+// Point is a factor of the load from an instant on, until the next one. With
+// Ramp it changes linearly towards the next one. Before the first point the
+// factor is 1.
+type Point struct {
+	At     objects.Duration `yaml:"at" json:"at"`
+	Factor float64          `yaml:"factor" json:"factor"`
+	Ramp   bool             `yaml:"ramp,omitempty" json:"ramp,omitempty"`
 }
 
 // Phase is a part of an experiment.
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,71 @@
+package report
+
+import (
+	"html/template"
+	"io"
+
+	"github.com/chestnutspring/chestnutspring/internal/experiment"
+)
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>{{.Result.Spec.Name}}</title>
+<style>
+body { font-family: sans-serif; margin: 2em; max-width: 100em; }
+table { border-collapse: collapse; margin: 1em 0; }
+th, td { border: 1px solid #ccc; padding: 0.2em 0.6em; text-align: right; }
+td:first-child, td:nth-child(2) { text-align: left; }
+.broken { color: #b00; font-weight: bold; }
+.plots svg { margin: 0.5em; }
+</style>
+</head>
+<body>
+<h1>{{.Result.Spec.Name}}</h1>
+<p>{{.Result.Spec.Question}}</p>
+<p>Deployment {{.Result.Spec.Deployment}}, seed {{.Result.Spec.Seed}}, started {{.Result.Started}}, {{.Result.Go}}, {{.Result.CPUs}} processors.
+Durations are in milliseconds from the intended start of each request.</p>
+<table>
+<tr><th>policy</th><th>part</th><th>sent</th><th>served</th><th>refused</th><th>late</th><th>missed</th><th>goodput/s</th>
+<th>away %</th><th>first p50</th><th>first p99</th><th>first p99.9</th><th>whole p50</th><th>whole p99</th><th>whole p99.9</th>
+<th>refusal p99</th><th>fairness</th><th>crossing megabits</th><th>engine seconds</th><th>cost</th><th>cost per 1000</th></tr>
+{{range .Rows}}<tr><td>{{.Policy}}</td><td>{{.F.Name}}</td><td>{{.F.Sent}}</td><td>{{.F.Served}}</td><td>{{.F.Refused}}</td><td>{{.F.Late}}</td><td>{{.F.Missed}}</td><td>{{printf "%.1f" .F.Goodput}}</td>
+<td>{{printf "%.1f" .Away}}</td><td>{{printf "%.0f" .F.FirstToken.P50}}</td><td>{{printf "%.0f" .F.FirstToken.P99}}</td><td>{{printf "%.0f" .F.FirstToken.P999}}</td><td>{{printf "%.0f" .F.Whole.P50}}</td><td>{{printf "%.0f" .F.Whole.P99}}</td><td>{{printf "%.0f" .F.Whole.P999}}</td>
+<td>{{printf "%.0f" .F.Refusal.P99}}</td><td>{{printf "%.2f" .F.Fairness}}</td><td>{{printf "%.2f" .F.CrossingMegabits}}</td><td>{{printf "%.1f" .F.EngineSeconds}}</td><td>{{printf "%.2f" .F.Cost}}</td><td>{{printf "%.2f" .F.CostPerThousand}}</td></tr>
+{{end}}</table>
+<h2>Promises</h2>
+{{range .Result.Runs}}<p>{{.Policy.Name}}: {{if .Violations}}<span class="broken">{{len .Violations}} broken</span>{{else}}none broken{{end}}</p>
+<ul>{{range .Violations}}<li>{{.Promise}}: {{.Detail}}</li>{{end}}</ul>
+{{end}}
+<h2>Over time</h2>
+<div class="plots">{{range .Plots}}{{.}}{{end}}</div>
+</body>
+</html>
+`))
+
+// row is one line of the table.
+type row struct {
+	Policy string
+	F      experiment.Figures
+	Away   float64 // percent
+}
+
+// Write writes the page of a result.
+func Write(w io.Writer, r *experiment.Result) error {
+	drawn, err := plots(r)
+	if err != nil {
+		return err
+	}
+	var rows []row
+	for _, run := range r.Runs {
+		for _, f := range append([]experiment.Figures{run.Overall}, run.Phases...) {
+			rows = append(rows, row{run.Policy.Name, f, 100 * f.ShareAway})
+		}
+	}
+	return page.Execute(w, struct {
+		Result *experiment.Result
+		Rows   []row
+		Plots  []template.HTML
+	}{r, rows, drawn})
+}
