--- /dev/null
+++ b/internal/fleet/bed_test.go
@@ -0,0 +1,266 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// engine is a backend server that reports its load.
+type engine struct {
+	report atomic.Pointer[health.Report]
+	server *httptest.Server
+	probes atomic.Int64
+}
+
+func newEngine() *engine {
+	e := &engine{}
+	e.report.Store(&health.Report{TokensPerSecond: 40, Loaded: []string{"m@1"}})
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			e.probes.Add(1)
+			_ = json.NewEncoder(w).Encode(e.report.Load())
+			return
+		}
+		_, _ = io.WriteString(w, `{"events":[]}`)
+	}))
+	return e
+}
+
+func (e *engine) set(change func(r *health.Report)) {
+	next := *e.report.Load()
+	change(&next)
+	e.report.Store(&next)
+}
+
+// fakeList is the platform's list of VMs.
+type fakeList struct {
+	mu       sync.Mutex
+	revision uint64
+	list     platform.VMList
+	down     bool
+	wake     chan struct{}
+}
+
+func newFakeList() *fakeList { return &fakeList{wake: make(chan struct{})} }
+
+// publish replaces the list and its revision.
+func (l *fakeList) publish(revision uint64, change func(list *platform.VMList)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	vms := append([]platform.VM(nil), l.list.VMs...)
+	next := platform.VMList{VMs: vms}
+	change(&next)
+	l.revision, l.list = revision, next
+	close(l.wake)
+	l.wake = make(chan struct{})
+}
+
+func (l *fakeList) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *fakeList) value() (platform.Value, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return platform.Value{}, l.wake, platform.ErrUnavailable.New("down")
+	}
+	data, _ := json.Marshal(l.list)
+	return platform.Value{Name: platform.ValueVMs, Revision: l.revision, Data: data}, l.wake, nil
+}
+
+func (l *fakeList) Read(context.Context, string) (platform.Value, error) {
+	v, _, err := l.value()
+	return v, err
+}
+
+// Watch gives the value also when it is older than asked, as a stale replica
+// of the service does.
+func (l *fakeList) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		v, changed, err := l.value()
+		if err != nil || v.Revision != after {
+			return v, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return platform.Value{}, platform.ErrUnchanged.New("unchanged")
+		}
+	}
+}
+
+// bed is several fleets on loopback in one process.
+type bed struct {
+	t       testing.TB
+	list    *fakeList
+	set     *objects.Set
+	engines map[string]*engine
+	nodes   map[string]*testNode
+	log     *slog.Logger
+}
+
+// testNode is one fleet and what it publishes.
+type testNode struct {
+	*Fleet
+	publisher *snapshot.Publisher
+	listener  net.Listener
+	stop      context.CancelFunc
+	done      chan struct{}
+	// offset moves the node's clock, as after a pause.
+	offset atomic.Int64
+	cut    atomic.Pointer[func(address string) bool]
+}
+
+func vmName(region string, i int) string { return fmt.Sprintf("entry-%s-%d", region, i) }
+
+// newBed makes the configuration: backends per region, of the model "m".
+func newBed(t testing.TB, regions []string, backends int) *bed {
+	b := &bed{
+		t: t, list: newFakeList(), set: objects.NewSet(),
+		engines: map[string]*engine{}, nodes: map[string]*testNode{},
+		log: slog.New(slog.NewTextHandler(logWriter{t}, nil)),
+	}
+	b.set.Revision = 1
+	b.set.Models["m"] = &objects.Model{Name: "m", Spec: objects.ModelSpec{MaxOutputTokens: 100, SecondsPerToken: 0.02}}
+	for _, region := range regions {
+		fd := region + "-a"
+		b.set.Regions[region] = &objects.Region{Name: region}
+		b.set.FailureDomains[fd] = &objects.FailureDomain{Name: fd, Spec: objects.FailureDomainSpec{Region: region}}
+		for i := range backends {
+			name := fmt.Sprintf("engine-%s-%d", region, i)
+			e := newEngine()
+			t.Cleanup(e.server.Close)
+			b.engines[name] = e
+			b.set.BackendServers[name] = &objects.BackendServer{Name: name, Spec: objects.BackendServerSpec{
+				Address: strings.TrimPrefix(e.server.URL, "http://"), FailureDomain: fd, Model: "m", Concurrency: 8,
+			}}
+		}
+	}
+	b.set.Index()
+	return b
+}
+
+type logWriter struct{ t testing.TB }
+
+func (w logWriter) Write(p []byte) (int, error) {
+	if testing.Verbose() {
+		fmt.Print(string(p))
+	}
+	return len(p), nil
+}
+
+// add makes a node and lists its VM; start runs it.
+func (b *bed) add(region string, i int, seeds ...string) *testNode {
+	vm := vmName(region, i)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.list.publish(b.list.revision+1, func(list *platform.VMList) {
+		list.VMs = append(list.VMs, platform.VM{
+			Name: vm, Region: region, FailureDomain: region + "-a", Role: platform.RoleEntry,
+			State: platform.StateLive, ControlAddress: l.Addr().String(),
+		})
+	})
+	return b.build(region, vm, "first-"+vm, l, seeds)
+}
+
+func (b *bed) build(region, vm, incarnation string, l net.Listener, seeds []string) *testNode {
+	self := snapshot.Identity{VM: vm, Incarnation: incarnation, Region: region, FailureDomain: region + "-a"}
+	n := &testNode{publisher: snapshot.NewPublisher(self), listener: l, done: make(chan struct{})}
+	n.publisher.Update(func(next *snapshot.Snapshot) { next.Config = b.set })
+	n.Fleet = New(Config{
+		Self: self, ControlAddress: l.Addr().String(),
+		CallerAddress: "127.0.0.1:1", ForwardAddress: "127.0.0.1:2",
+		Publisher: n.publisher, Reader: b.list, Seeds: seeds,
+		Now:   func() clock.Instant { return clock.Boot().Add(time.Duration(n.offset.Load())) },
+		Log:   b.log.With("node", vm),
+		Scope: tally.NoopScope,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if cut := n.cut.Load(); cut != nil && (*cut)(address) {
+				return nil, fmt.Errorf("cut")
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+	})
+	b.nodes[vm] = n
+	return n
+}
+
+func (b *bed) start(nodes ...*testNode) {
+	for _, n := range nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.stop = cancel
+		var both sync.WaitGroup
+		both.Go(func() { _ = n.Serve(ctx, n.listener) })
+		both.Go(func() { _ = n.Run(ctx) })
+		go func() {
+			both.Wait()
+			close(n.done)
+		}()
+		b.t.Cleanup(n.halt)
+	}
+}
+
+// halt ends a node without a word to its peers.
+func (n *testNode) halt() {
+	n.stop()
+	<-n.done
+}
+
+// until waits for a condition and returns how long it took.
+func (b *bed) until(what string, limit time.Duration, ok func() bool) time.Duration {
+	b.t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > limit {
+			b.t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (n *testNode) view() *snapshot.Snapshot { return n.publisher.Load() }
+
+// reachable counts the members that the node can reach.
+func (n *testNode) reachable() int {
+	count := 0
+	for _, m := range n.view().Members {
+		if m.Reachable && m.Incarnation != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// usable reports whether the node would give a backend server new work.
+func (n *testNode) usable(name string) bool {
+	s := n.view()
+	b := s.Backends[name]
+	return b != nil && b.Healthy && !b.Leaving && s.BackendFresh(b, n.cfg.Now())
+}
--- /dev/null
+++ b/internal/fleet/tick.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/membership"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+const (
+	// tickInterval is the time between two looks at the own view.
+	tickInterval = 500 * time.Millisecond
+	// pauseAfter is the gap between two ticks from which on the process counts
+	// as having been paused.
+	pauseAfter = 1500 * time.Millisecond
+	// publishInterval is the least time between two publications of changes
+	// that aren't urgent.
+	publishInterval = 100 * time.Millisecond
+)
+
+// pauseState follows pauses of this process.
+type pauseState struct {
+	// last is the time of the last tick.
+	last clock.Instant
+	// woke is when the last pause ended; zero means that there was none.
+	woke clock.Instant
+	// refreshing means that the backend servers haven't been probed again yet.
+	refreshing bool
+	beat       clock.Instant
+	regionBeat clock.Instant
+	summary    clock.Instant
+}
+
+func (f *Fleet) tickLoop(ctx context.Context, group *errgroup.Group) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f.tick(ctx, group)
+		}
+	}
+}
+
+// tick looks after the own view: pauses, the configuration, heartbeats, roles
+// and links.
+func (f *Fleet) tick(ctx context.Context, group *errgroup.Group) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	gap := now.Sub(f.paused.last)
+	f.paused.last = now
+	if gap > pauseAfter {
+		f.woke(ctx, group, gap, now)
+	}
+	f.tracker.Sync(f.cfg.Publisher.Load().Config, now)
+	members := f.table.Members(now)
+	f.assign(members, now)
+	f.confirmByBeats(now)
+	f.beats(members, now)
+	f.writeSummaries(now)
+	f.connect(ctx, group, now)
+	f.mu.Unlock()
+	f.publish(true)
+	f.clients.tidy(now)
+	f.gauges()
+}
+
+// woke handles the end of a pause. Nobody could be heard in it, so all ages
+// move on; what was known of backend servers must be confirmed before use.
+func (f *Fleet) woke(ctx context.Context, group *errgroup.Group, gap time.Duration, now clock.Instant) {
+	f.cfg.Log.Warn("process was paused", "duration", gap)
+	f.cfg.Scope.Counter("pauses").Inc(1)
+	f.table.Shift(gap)
+	f.paused.woke = now
+	f.paused.refreshing = true
+	group.Go(func() error {
+		f.probeAll(ctx)
+		f.mu.Lock()
+		if f.paused.woke == now {
+			f.paused.refreshing = false
+		}
+		f.mu.Unlock()
+		f.publish(true)
+		return nil
+	})
+}
+
+// beats writes the heartbeats that are due.
+func (f *Fleet) beats(members map[string]*snapshot.Member, now clock.Instant) {
+	if now.Sub(f.paused.beat) >= membership.BeatInterval {
+		f.paused.beat = now
+		beat := membership.Beat{Revision: f.revision(), View: f.roles.view}
+		f.writeOwn(gossip.KindBeat, f.cfg.Self.VM, beat)
+		f.table.Beat(f.cfg.Self.VM, beat, now)
+	}
+	if now.Sub(f.paused.regionBeat) >= regionBeatInterval {
+		f.paused.regionBeat = now
+		name := regionName(f.cfg.Self.Region, f.cfg.Self.VM)
+		f.writeOwn(gossip.KindRegion, name, membership.RegionBeat{Unreachable: f.unreachable(members)})
+	}
+}
+
+// unreachable returns the announced members of the own region that can't be
+// heard.
+func (f *Fleet) unreachable(members map[string]*snapshot.Member) []string {
+	var vms []string
+	for vm, m := range members {
+		if m.Region == f.cfg.Self.Region && !m.Reachable && m.Incarnation != "" {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+func (f *Fleet) publishLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.urgent:
+			f.publish(false)
+			f.kickLinks()
+		case <-f.dirty:
+			f.publish(false)
+			pause(ctx, publishInterval)
+		}
+	}
+}
+
+// publish replaces the fleet's part of the snapshot. alive says that the tick
+// ran, which vouches for the view unless a refresh is under way.
+func (f *Fleet) publish(alive bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	members := f.table.Members(now)
+	backends := f.tracker.Status(f.table.BackendLeaving, now)
+	heard, since := f.regionTimes()
+	summaries := f.summarySnapshot(heard)
+	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) {
+		next.Members = members
+		next.Backends = backends
+		next.Summaries = summaries
+		next.RegionHeard = heard
+		next.RegionSince = since
+		if alive && !f.paused.refreshing {
+			next.BackendsHeard = now
+		}
+	})
+}
+
+func (f *Fleet) gauges() {
+	scope := f.cfg.Scope
+	scope.Gauge("control_bytes_sent").Update(float64(f.meter.Sent.Load()))
+	scope.Gauge("control_bytes_received").Update(float64(f.meter.Received.Load()))
+	scope.Gauge("probe_bytes_sent").Update(float64(f.probing.Sent.Load()))
+	scope.Gauge("probe_bytes_received").Update(float64(f.probing.Received.Load()))
+	scope.Gauge("observations_dropped").Update(float64(f.dropped.Load()))
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -54,8 +54,22 @@
 	Loaded []string `json:"loaded,omitempty"`
 	// Fence is the highest fencing number that the engine has accepted.
 	Fence uint64 `json:"fence,omitempty"`
+	// Prefixes are the prompt prefixes that the engine is known to have
+	// cached, in order. They come late; a gap in its events empties them.
+	Prefixes []uint64 `json:"prefixes,omitempty"`
+	// Heard is when this status was last reported or confirmed by a prober.
+	Heard clock.Instant `json:"heard"`
 }
 
+// Bounds on the age of what is known of backend servers when new work is sent.
+const (
+	// MaxBackendAge bounds the age of a status's confirmation.
+	MaxBackendAge = 5 * time.Second
+	// MaxViewAge bounds the time since the process last looked after its view.
+	// It is exceeded when the process was paused.
+	MaxViewAge = 2 * time.Second
+)
+
 // RegionSummary is what another region reports of one model or service.
 type RegionSummary struct {
 	Region string `json:"region"`
@@ -84,6 +98,9 @@
 	Members map[string]*Member
 	// Backends holds the status of this region's backend servers by name.
 	Backends map[string]*BackendStatus
+	// BackendsHeard is when this process last looked after Backends. After a
+	// pause it stays old until all backend servers have been probed again.
+	BackendsHeard clock.Instant
 	// Summaries holds other regions' reports: target, then region.
 	Summaries map[string]map[string]*RegionSummary
 	// ReachableRegions holds when each region was last heard of.
@@ -99,6 +116,13 @@
 	return !s.Unconfirmed && now.Sub(s.Confirmed) <= maxAge
 }
 
+// BackendFresh reports whether the status may be used for new work. Like
+// ConfigFresh it is asked on the path of each request: a process that was
+// paused doesn't send to a backend server that has left meanwhile.
+func (s *Snapshot) BackendFresh(b *BackendStatus, now clock.Instant) bool {
+	return now.Sub(s.BackendsHeard) <= MaxViewAge && now.Sub(b.Heard) <= MaxBackendAge
+}
+
 // Publisher holds the current snapshot.
 type Publisher struct {
 	mu      sync.Mutex // serializes writers only
