Test bed: logs of gateways, start with one context

Cause: the context of the errgroup that starts the gateways was kept and is cancelled when the group is done, so that no gateway was ever seen ready.

--- a/internal/testbed/gateway.go
+++ b/internal/testbed/gateway.go
@@ -80,9 +80,9 @@
 }
 
 func (b *Bed) startGateways(ctx context.Context) error {
-	all, ctx := errgroup.WithContext(ctx)
+	all, starting := errgroup.WithContext(ctx)
 	for _, g := range b.Gateways {
-		all.Go(func() error { return g.start(ctx) })
+		all.Go(func() error { return g.start(starting) })
 	}
 	if err := all.Wait(); err != nil {
 		return err
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -126,6 +127,11 @@
 	if err != nil {
 		return err
 	}
+	if b.config.LogDir != "" {
+		if err := os.MkdirAll(b.config.LogDir, 0o755); err != nil {
+			return ErrStart.Wrap(err, "directory for logs")
+		}
+	}
 	steps := []func(*objects.Set) error{
 		b.startBackends, b.startPlatform, b.nameGateways, b.startLinks, b.Publish,
 	}
