--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -29,21 +30,20 @@
 	return io.MultiReader(bytes.NewReader(body))
 }
 
-// loadOf reads the load from an engine's answer, or returns nil.
-func loadOf(resp *http.Response) *Load {
+// readLoad takes the load from an engine's answer, if it bears one.
+func readLoad(resp *http.Response, o *health.Observation) {
 	running, err := strconv.Atoi(resp.Header.Get(headerRunning))
 	if err != nil {
-		return nil
+		return
 	}
 	queued, err := strconv.Atoi(resp.Header.Get(headerQueued))
 	if err != nil {
-		return nil
+		return
 	}
-	rate, err := strconv.ParseFloat(resp.Header.Get(headerTokensPerSecond), 64)
-	if err != nil {
-		rate = 0
+	o.Reported, o.Running, o.Queued = true, running, queued
+	if rate, err := strconv.ParseFloat(resp.Header.Get(headerTokensPerSecond), 64); err == nil {
+		o.TokensPerSecond = rate
 	}
-	return &Load{Running: running, Queued: queued, TokensPerSecond: rate}
 }
 
 // headOf returns the start of the answer for the caller.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/filter/deadline"
+	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -35,29 +36,16 @@
 	retryAfterFailure = time.Second
 )
 
-// Observation is what one exchange showed of a backend server.
-type Observation struct {
-	Server string
-	// Failed means that the server could not be reached or broke the exchange.
-	Failed  bool
-	Latency time.Duration
-	// Load is nil if the answer carried none.
-	Load *Load
-}
-
-// Load is the load that an engine reports with an answer.
-type Load struct {
-	Running         int
-	Queued          int
-	TokensPerSecond float64
-}
+// errServerError says that a backend server answered with a server error.
+var errServerError = errors.New("server error")
 
 // Config holds what a Sender needs.
 type Config struct {
-	Now     clock.Clock
-	Log     *slog.Logger
-	Scope   tally.Scope
-	Observe func(Observation)
+	Now   clock.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
+	// Observe takes what each exchange showed of a backend server.
+	Observe func(health.Observation)
 }
 
 // Sender sends requests to backend servers.
@@ -107,11 +95,11 @@
 	started := s.Now()
 	resp, err := s.client.Do(newRequest(ctx, req, server))
 	if err != nil {
-		s.observe(server, started, nil, !isCallerGone(ctx))
+		s.observeError(ctx, server, started, err)
 		return failure(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	s.observe(server, started, loadOf(resp), resp.StatusCode >= http.StatusInternalServerError)
+	s.observeAnswer(server, started, resp)
 	if refusal := checkAnswer(req, resp); refusal != nil {
 		return refusal
 	}
@@ -209,10 +197,20 @@
 	}
 }
 
-func isCallerGone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+// observeError reports an exchange that failed, unless the caller went away.
+func (s *Sender) observeError(ctx context.Context, server *objects.BackendServer, started clock.Instant, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		err = nil
+	}
+	s.Observe(health.Observation{Backend: server.Name, Err: err, Latency: s.Now().Sub(started)})
+}
 
-func (s *Sender) observe(server *objects.BackendServer, started clock.Instant, load *Load, failed bool) {
-	s.Observe(Observation{
-		Server: server.Name, Failed: failed, Latency: s.Now().Sub(started), Load: load,
-	})
+// observeAnswer reports the start of an answer.
+func (s *Sender) observeAnswer(server *objects.BackendServer, started clock.Instant, resp *http.Response) {
+	o := health.Observation{Backend: server.Name, Latency: s.Now().Sub(started)}
+	if resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable {
+		o.Err = errServerError
+	}
+	readLoad(resp, &o)
+	s.Observe(o)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -155,6 +155,7 @@
 		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "short")
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
@@ -189,6 +190,7 @@
 		if i > s.cutAt && s.cut.CompareAndSwap(false, true) {
 			// Half of the next event goes out before the break.
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", i)
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token-%d\n\n", i, i)
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -20,7 +20,7 @@
 	started := s.Now()
 	conn, err := s.dialer.DialContext(ctx, "tcp", server.Spec.Address)
 	if err != nil {
-		s.observe(server, started, nil, !isCallerGone(ctx))
+		s.observeError(ctx, server, started, err)
 		return verdict.Busy(verdict.CodeBackendFailed, "the backend server could not be reached", retryAfterFailure)
 	}
 	defer func() { _ = conn.Close() }()
@@ -32,11 +32,11 @@
 
 	resp, err := exchange(newRequest(ctx, req, server), conn)
 	if err != nil {
-		s.observe(server, started, nil, !isCallerGone(ctx))
+		s.observeError(ctx, server, started, err)
 		return contextRefusalOrBroken(ctx)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	s.observe(server, started, loadOf(resp), resp.StatusCode >= http.StatusInternalServerError)
+	s.observeAnswer(server, started, resp)
 	if refusal := checkAnswer(req, resp); refusal != nil {
 		return refusal
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,9 +88,9 @@
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
-	avoid  map[string]clock.Instant
-	paused pauseState
-	started      clock.Instant
+	avoid   map[string]clock.Instant
+	paused  pauseState
+	started clock.Instant
 }
 
 // New returns a fleet that isn't running yet.
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -13,7 +13,6 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
 	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
-	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 
@@ -29,7 +28,7 @@
 // handlers builds the pipeline of filters and the ports around it.
 func (g *gateway) handlers() handlers {
 	peer := forward.NewClient(forward.Config{Self: g.self, Now: g.now, Log: g.log, TLS: g.tls.peerClient})
-	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope, Observe: g.observe})
+	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope, Observe: g.fleet.Observe})
 	issuer := booking.NewIssuer(g.self, g.now)
 	g.booking = bookingfilter.New(bookingfilter.Config{
 		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.scope,
@@ -65,17 +64,6 @@
 	}
 }
 
-// observe passes what an exchange showed of a backend server to the fleet's
-// view.
-func (g *gateway) observe(o dispatch.Observation) {
-	seen := health.Observation{Backend: o.Server, Failed: o.Failed, Latency: o.Latency}
-	if o.Load != nil {
-		seen.HasLoad = true
-		seen.Running, seen.Queued, seen.TokensPerSecond = o.Load.Running, o.Load.Queued, o.Load.TokensPerSecond
-	}
-	g.fleet.Observe(seen)
-}
-
 func (g *gateway) ready() bool {
 	select {
 	case <-g.config.Ready():
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -60,16 +60,28 @@
 	if err != nil {
 		return ErrFiles.Wrap(err, "key pair %s, %s", s.certFile, s.keyFile)
 	}
+	roots, err := s.readAuthority()
+	if err != nil {
+		return err
+	}
+	s.current, s.stamp = material{cert: cert, roots: roots}, stamp
+	return nil
+}
+
+// readAuthority returns nil where no authority is named.
+func (s *source) readAuthority() (*x509.CertPool, error) {
+	if s.caFile == "" {
+		return nil, nil
+	}
 	pem, err := os.ReadFile(s.caFile)
 	if err != nil {
-		return ErrFiles.Wrap(err, "authority")
+		return nil, ErrFiles.Wrap(err, "authority")
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(pem) {
-		return ErrFiles.New("no certificate in %s", s.caFile)
+		return nil, ErrFiles.New("no certificate in %s", s.caFile)
 	}
-	s.current, s.stamp = material{cert: cert, roots: roots}, stamp
-	return nil
+	return roots, nil
 }
 
 func (s *source) stamps() (stamp [3]time.Time) {
@@ -141,3 +153,22 @@
 	_, err := state.PeerCertificates[0].Verify(options)
 	return err
 }
+
+// LoadServer reads the certificate and the key that are shown to callers and
+// follows changes of the files. Empty names mean no TLS: the result is nil.
+func LoadServer(certFile, keyFile string) (*tls.Config, error) {
+	if certFile == "" && keyFile == "" {
+		return nil, nil
+	}
+	s := &source{certFile: certFile, keyFile: keyFile}
+	if err := s.read(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			m := s.get()
+			return &m.cert, nil
+		},
+	}, nil
+}
