Logging: one line for each event, errors without stack traces

Cause: slog formats errors with %+v, and errorx then prints its stack trace inside the line. Conclusion: errors are logged by their message alone.

--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/chestnutspring/chestnutspring/internal/gateway"
+	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 )
 
@@ -46,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, "chestnut-gateway:", err)
 		os.Exit(exitSettings)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: f.LogLevel}))
+	log := logging.New(os.Stderr, f.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := gateway.Run(ctx, &f.Settings, log); err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,9 +20,10 @@
 func newMetrics() *metrics {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "chestnut",
-		Separator:      prometheus.DefaultSeparator,
-		CachedReporter: reporter,
+		Prefix:                 "chestnut",
+		Separator:              prometheus.DefaultSeparator,
+		CachedReporter:         reporter,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
 }
