--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 
 // Spec is an experiment as its file describes it.
 type Spec struct {
+	// Base is a file whose fields hold where this one has none, relative to
+	// this file.
+	Base string `yaml:"base,omitempty" json:"base,omitempty"`
 	Name string `yaml:"name" json:"name"`
 	// Question is one sentence on what the experiment asks.
 	Question string `yaml:"question,omitempty" json:"question,omitempty"`
@@ -28,6 +32,8 @@
 	Links    LinkSpec   `yaml:"links" json:"links"`
 	Engine   EngineSpec `yaml:"engine" json:"engine"`
 	Load     []Load     `yaml:"load" json:"load"`
+	// More is load beyond that of the base.
+	More []Load `yaml:"more,omitempty" json:"more,omitempty"`
 	// Profile varies the load of each region over time.
 	Profile map[string][]Point `yaml:"profile,omitempty" json:"profile,omitempty"`
 	Faults  []Fault            `yaml:"faults,omitempty" json:"faults,omitempty"`
@@ -116,14 +122,24 @@
 
 // LoadSpec reads an experiment from a YAML file.
 func LoadSpec(file string) (*Spec, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, ErrSpec.Wrap(err, "%s", file)
+	var head struct {
+		Base string `yaml:"base"`
 	}
 	var spec Spec
-	if err := yaml.UnmarshalWithOptions(data, &spec, yaml.Strict()); err != nil {
-		return nil, ErrSpec.Wrap(err, "%s", file)
+	if err := readYAML(file, &head); err != nil {
+		return nil, err
+	}
+	if head.Base != "" {
+		base := filepath.Join(filepath.Dir(file), head.Base)
+		if err := readYAML(base, &spec, yaml.Strict()); err != nil {
+			return nil, err
+		}
+	}
+	if err := readYAML(file, &spec, yaml.Strict()); err != nil {
+		return nil, err
 	}
+	spec.Load = append(spec.Load, spec.More...)
+	spec.More = nil
 	if len(spec.Policies) == 0 {
 		spec.Policies = DefaultVariants()
 	}
@@ -133,6 +149,18 @@
 	return &spec, nil
 }
 
+// readYAML reads a file over what is in the value.
+func readYAML(file string, into any, options ...yaml.DecodeOption) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return ErrSpec.Wrap(err, "%s", file)
+	}
+	if err := yaml.UnmarshalWithOptions(data, into, options...); err != nil {
+		return ErrSpec.Wrap(err, "%s", file)
+	}
+	return nil
+}
+
 // DefaultVariants returns the baselines and the project's own policy.
 func DefaultVariants() []Variant {
 	var none objects.Duration
