--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -17,6 +17,7 @@
 	Out      string   `help:"Directory for results." default:"out"`
 	Policies []string `help:"Names of the policies to run; all if empty."`
 	Seed     uint64   `help:"Seed in place of the experiment's; zero keeps it."`
+	Parallel int      `help:"Policies that run at once, each with a deployment of its own." default:"3"`
 	LogDir   string   `help:"Directory for the gateways' logs; none are kept without it."`
 }
 
@@ -27,7 +28,7 @@
 	}
 	runner := experiment.Runner{
 		GatewayBinary: filepath.Join(c.Bin, "chestnut-gateway"),
-		LogDir:        c.LogDir, Log: logger(),
+		LogDir:        c.LogDir, Parallel: c.Parallel, Log: logger(),
 	}
 	broken := 0
 	for _, file := range c.Files {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
@@ -19,7 +22,10 @@
 	GatewayBinary string
 	// LogDir is where the gateways' logs go; "" keeps none.
 	LogDir string
-	Log    *slog.Logger
+	// Parallel is how many policies run at once, each with a deployment of
+	// its own; zero is one.
+	Parallel int
+	Log      *slog.Logger
 }
 
 // settle is how long a deployment runs before its load starts, so that its
@@ -36,14 +42,19 @@
 // Run runs the experiment once for each policy and works out the figures.
 func (r *Runner) Run(ctx context.Context, spec *Spec) (*Result, error) {
 	result := &Result{Spec: spec, Started: time.Now().UTC(), Go: runtime.Version(), CPUs: runtime.NumCPU()}
-	for _, variant := range spec.Policies {
-		run, _, err := r.runOne(ctx, spec, variant)
-		if err != nil {
-			return nil, err
-		}
-		result.Runs = append(result.Runs, *run)
+	result.Runs = make([]Run, len(spec.Policies))
+	all, ctx := errgroup.WithContext(ctx)
+	all.SetLimit(max(1, r.Parallel))
+	for i, variant := range spec.Policies {
+		all.Go(func() error {
+			run, _, err := r.runOne(ctx, spec, variant)
+			if err == nil {
+				result.Runs[i] = *run
+			}
+			return err
+		})
 	}
-	return result, nil
+	return result, all.Wait()
 }
 
 // runOne runs the experiment with one policy.
@@ -53,7 +64,11 @@
 		return nil, nil, err
 	}
 	set = variant.apply(set)
-	bed, err := testbed.Start(ctx, r.bedConfig(spec, set))
+	config := r.bedConfig(spec, set)
+	if r.LogDir != "" {
+		config.LogDir = filepath.Join(r.LogDir, spec.Name, variant.Name)
+	}
+	bed, err := testbed.Start(ctx, config)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -83,7 +98,6 @@
 	return testbed.Config{
 		Set:           set,
 		GatewayBinary: r.GatewayBinary,
-		LogDir:        r.LogDir,
 		Seed:          spec.Seed,
 		Jitter:        spec.Links.Jitter.D(),
 		Loss:          spec.Links.Loss,
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -16,18 +16,20 @@
 }
 
 // WriteTable prints the figures of all runs, one line for each policy and
-// phase.
+// phase. The class that is listed first has columns of its own.
 func (r *Result) WriteTable(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%s (%s, seed %d)\n", r.Spec.Name, r.Spec.Deployment, r.Spec.Seed)
 	t := newTable(w)
-	_, _ = fmt.Fprintln(t, "policy\tpart\tsent\tserved\trefused\tmissed\tlate\taway %\tfirst p50\tp99\twhole p50\tp99\tp99.9\trefusal p99\tgoodput/s\tfairness\tcost\tbroken\t")
+	lead := r.Spec.Load[0].Class
+	_, _ = fmt.Fprintln(t, "policy\tpart\tsent\tserved\trefused\tmissed\tlate\taway %\tfirst p50\tp99\t"+lead+" p50\tp99\tp99.9\twhole p50\tp99\tp99.9\trefusal p99\tgoodput/s\tfairness\tcrossing\tcost\tbroken\t")
 	for _, run := range r.Runs {
 		for _, f := range append([]Figures{run.Overall}, run.Phases...) {
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t\n",
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t\n",
 				run.Policy.Name, f.Name, f.Sent, f.Served, f.Refused, f.Missed, f.Late,
 				100*f.ShareAway, f.FirstToken.P50, f.FirstToken.P99,
+				f.Classes[lead].P50, f.Classes[lead].P99, f.Classes[lead].P999,
 				f.Whole.P50, f.Whole.P99, f.Whole.P999, f.Refusal.P99,
-				f.Goodput, f.Fairness, f.Cost, len(run.Violations))
+				f.Goodput, f.Fairness, f.CrossingCost, f.Cost, len(run.Violations))
 		}
 	}
 	_ = t.Flush()
