--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 SHELL := /bin/bash
 BIN := bin
 PROGRAMS := chestnut-gateway chestnutctl chestnut-standin chestnut-load
+EXPERIMENTS ?= $(wildcard experiments/kite-*.yaml experiments/co-operative-*.yaml)
 DEPLOYMENT ?= kite-consortium
 
-.PHONY: all build demo test check clean
+.PHONY: all build demo test check clean experiments
 
 all: build
 
@@ -22,5 +23,11 @@
 test:
 	./.ci/test
 
+# Runs all experiments (about ten minutes), writes out/*.json and out/*.html,
+# and prints the table.
+experiments: build
+	$(BIN)/chestnut-load run --bin $(BIN) --out out $(EXPERIMENTS)
+	$(BIN)/chestnut-load summary $(patsubst experiments/%.yaml,out/%.json,$(EXPERIMENTS))
+
 clean:
 	rm -rf $(BIN) out
--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -102,3 +102,21 @@
 	experiment.WriteComparison(os.Stdout, before, after)
 	return nil
 }
+
+type summaryCommand struct {
+	Files []string `arg:"" help:"Results in JSON." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *summaryCommand) Run() error {
+	var results []*experiment.Result
+	for _, file := range c.Files {
+		result, err := experiment.ReadResult(file)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+	}
+	experiment.WriteSummary(os.Stdout, results)
+	return nil
+}
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -26,7 +26,7 @@
 	for _, f := range b.Phases {
 		parts[f.Name] = f
 	}
-	for _, f := range append([]Figures{a.Overall}, a.Phases...) {
+	for _, f := range a.parts() {
 		other, ok := parts[f.Name]
 		if !ok {
 			continue
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -122,8 +122,10 @@
 		if !sleepUntil(ctx, start.Add(f.At.D())) {
 			return
 		}
-		err := faultActions[f.Kind](ctx, bed, f)
-		log.Info("fault", "kind", f.Kind, "name", f.Name, "other", f.Other, "factor", f.Factor, "error", err)
+		log.Info("fault", "kind", f.Kind, "name", f.Name, "other", f.Other, "factor", f.Factor)
+		if err := faultActions[f.Kind](ctx, bed, f); err != nil {
+			log.Error("fault failed", "kind", f.Kind, "name", f.Name, "error", err)
+		}
 	}
 }
 
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -23,7 +23,7 @@
 	lead := r.Spec.Load[0].Class
 	_, _ = fmt.Fprintln(t, "policy\tpart\tsent\tserved\trefused\tmissed\tlate\taway %\tfirst p50\tp99\t"+lead+" p50\tp99\tp99.9\twhole p50\tp99\tp99.9\trefusal p99\tgoodput/s\tfairness\tcrossing\tcost\tbroken\t")
 	for _, run := range r.Runs {
-		for _, f := range append([]Figures{run.Overall}, run.Phases...) {
+		for _, f := range run.parts() {
 			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t\n",
 				run.Policy.Name, f.Name, f.Sent, f.Served, f.Refused, f.Missed, f.Late,
 				100*f.ShareAway, f.FirstToken.P50, f.FirstToken.P99,
