--- /dev/null
+++ b/internal/experiment/quick_test.go
@@ -0,0 +1,42 @@
+package experiment
+
+import (
+	"context"
+	"log/slog"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+)
+
+// The promises hold while a replica is slow, a link is cut and an entry VM is
+// killed. Times aren't checked.
+func TestPromisesHoldInAQuickExperiment(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	spec, err := LoadSpec("../../experiments/quick.yaml")
+	is.NoErr(err)
+	spec.Deployment = filepath.Join("../..", spec.Deployment)
+	runner := Runner{GatewayBinary: testbed.BuildGateway(t), Log: slog.New(slog.DiscardHandler)}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	result, err := runner.Run(ctx, spec)
+	is.NoErr(err)
+	run := result.Runs[0]
+	for _, v := range run.Violations {
+		t.Errorf("seed %d: %s: %s", spec.Seed, v.Promise, v.Detail)
+	}
+	f := run.Overall
+	is.True(f.Served > 0)
+	is.Equal(f.Sent, f.Served+f.Refused+f.Failed+f.Unanswered+f.Wrong)
+	file := filepath.Join(t.TempDir(), "quick.json")
+	is.NoErr(result.Write(file))
+	again, err := ReadResult(file)
+	is.NoErr(err)
+	is.Equal(again.Runs[0].Overall.Served, f.Served)
+}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -93,6 +93,8 @@
 	links     map[regionPair]*link.Link
 	ports     map[portKey]*link.Port
 
+	closing sync.Once
+
 	mu     sync.Mutex
 	set    *objects.Set
 	states map[string]string // VM name -> state in the list of VMs
@@ -173,8 +175,10 @@
 	return found
 }
 
-// Close ends everything that Start started.
-func (b *Bed) Close() {
+// Close ends everything that Start started. Further calls do nothing.
+func (b *Bed) Close() { b.closing.Do(b.close) }
+
+func (b *Bed) close() {
 	var all sync.WaitGroup
 	for _, g := range b.Gateways {
 		all.Go(g.Kill)
--- /dev/null
+++ b/internal/testbed/testbed_test.go
@@ -0,0 +1,48 @@
+package testbed
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBedKillsFreezesRestartsAndEndsItsProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b, err := Start(ctx, Config{
+		Deployment: "../../examples/co-operative", GatewayBinary: BuildGateway(t), GatewaysPerRegion: 1,
+	})
+	is.NoErr(err)
+	defer b.Close()
+	is.Equal(len(b.Gateways), 3)
+	g := b.GatewaysOf("badacsony")[0]
+	address, pid := g.CallerAddress(), g.Pid()
+	g.Kill()
+	is.True(!g.Alive())
+	is.NoErr(g.Restart(ctx))
+	is.Equal(g.CallerAddress(), address) // the same ports
+	is.True(g.Pid() != pid)
+	g.Freeze()
+	quick := http.Client{Timeout: 200 * time.Millisecond}
+	_, err = quick.Get(g.OperatorURL() + "/readyz")
+	is.True(err != nil) // a frozen process doesn't answer
+	g.Wake()
+	is.NoErr(g.WaitReady(ctx))
+	is.NoErr(g.Terminate(ctx))
+	pids := []int{}
+	for _, g := range b.Gateways {
+		pids = append(pids, g.Pid())
+	}
+	b.Close()
+	for _, pid := range pids {
+		is.Equal(syscall.Kill(pid, 0), syscall.ESRCH)
+	}
+}
