--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -85,8 +85,8 @@
 // Stream reports whether the answer that was started is an event stream.
 func (w *Writer) Stream() bool { return w.stream }
 
-// problem is the body of a refusal, as in RFC 9457.
-type problem struct {
+// Problem is the body of a refusal, as in RFC 9457.
+type Problem struct {
 	Type      string       `json:"type"`
 	Title     string       `json:"title"`
 	Status    int          `json:"status"`
@@ -101,8 +101,17 @@
 // typePrefix is the prefix of the URI that names the kind of a problem.
 const typePrefix = "urn:chestnutspring:problem:"
 
-func problemOf(r *verdict.Refusal, requestID string) problem {
-	return problem{
+// ParseProblem reads the body of a refusal. Members that can't be read are
+// left empty.
+func ParseProblem(body []byte) Problem {
+	var p Problem
+	// A body that is no problem leaves p as far as it was read.
+	_ = json.Unmarshal(body, &p)
+	return p
+}
+
+func problemOf(r *verdict.Refusal, requestID string) Problem {
+	return Problem{
 		Type: typePrefix + string(r.Code), Title: http.StatusText(r.Status), Status: r.Status,
 		Detail: r.Detail, Code: r.Code, Verdict: r.Verdict.String(), Final: r.Final,
 		RequestID: requestID, Entries: r.Entries,
@@ -115,7 +124,7 @@
 func Refuse(w *Writer, r *verdict.Refusal) {
 	body, err := json.Marshal(problemOf(r, visibleID(w.req)))
 	if err != nil {
-		// Every field of a problem can be encoded.
+		// Every field of a Problem can be encoded.
 		panic("answer: " + err.Error())
 	}
 	if w.started {
--- a/internal/testbed/gateway.go
+++ b/internal/testbed/gateway.go
@@ -366,3 +366,7 @@
 	}
 	return g.cmd.Process.Pid
 }
+
+// ForwardAddress returns the IP:port for requests from other gateways, without
+// the links between regions.
+func (g *Gateway) ForwardAddress() string { return g.current().forward }
--- /dev/null
+++ b/test/promises/bed_test.go
@@ -0,0 +1,154 @@
+package promises
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/answer"
+	"github.com/chestnutspring/chestnutspring/internal/httpapi"
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// seed makes links and loads repeatable. Every test prints it.
+const seed = 20261204
+
+// startBed starts the kite consortium's deployment.
+func startBed(t *testing.T, change func(*testbed.Config)) *testbed.Bed {
+	t.Helper()
+	root, err := testbed.Root()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := testbed.Config{
+		Deployment:    filepath.Join(root, "examples", "kite-consortium"),
+		GatewayBinary: testbed.BuildGateway(t),
+		Seed:          seed,
+	}
+	if change != nil {
+		change(&config)
+	}
+	t.Logf("seed %d", config.Seed)
+	bed, err := testbed.Start(context.Background(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		bed.Close()
+		if t.Failed() {
+			for name, g := range bed.Gateways {
+				t.Logf("%s:\n%s", name, strings.Join(g.Log(), "\n"))
+			}
+		}
+	})
+	return bed
+}
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	problem answer.Problem
+	err     error
+}
+
+// ok reports whether the caller got an answer other than a refusal.
+func (r reply) ok() bool { return r.err == nil && r.status < http.StatusBadRequest }
+
+func (r reply) String() string {
+	return fmt.Sprintf("status %d, code %q, verdict %q, error %v", r.status, r.problem.Code, r.header.Get(wire.HeaderVerdict), r.err)
+}
+
+// call describes one request of a caller.
+type call struct {
+	method, path, team, key, body string
+	timeout                       time.Duration
+}
+
+// defaultTimeout bounds a caller's request.
+const defaultTimeout = 10 * time.Second
+
+// send sends a request to an entry, on the client's connections.
+func send(client *http.Client, entry string, c call) reply {
+	if c.timeout == 0 {
+		c.timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+entry+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	// The caller must see each break itself.
+	req.GetBody = nil
+	req.Header.Set(wire.HeaderTeam, c.team)
+	req.Header.Set(wire.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
+	if c.key != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, c.key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	r := reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	if r.status >= http.StatusBadRequest {
+		r.problem = answer.ParseProblem(body)
+	}
+	return r
+}
+
+// chat returns a chat completion whose whole answer is expected(prompt).
+func chat(team, prompt string) call {
+	body := fmt.Sprintf(`{"model":"wind-writer","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, chatTokens, prompt)
+	return call{method: http.MethodPost, path: wire.PathChatCompletions, team: team, body: body}
+}
+
+// chatTokens is the size of an answer.
+const chatTokens = 5
+
+// expected returns the text that the answer to the prompt must hold.
+func expected(prompt string) string { return standin.Answer(prompt, chatTokens) }
+
+// isWhole reports whether the reply is the whole answer to the prompt.
+func isWhole(r reply, prompt string) bool {
+	return r.ok() && strings.Contains(r.body, expected(prompt))
+}
+
+// within waits until the condition holds, or fails the test after the time.
+func within(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// usableEntries returns the addresses that an answer of /v1/entries lists,
+// without those that leave.
+func usableEntries(r reply) []string {
+	var list httpapi.Entries
+	if r.err != nil || json.Unmarshal([]byte(r.body), &list) != nil {
+		return nil
+	}
+	var addrs []string
+	for _, e := range list.Entries {
+		if !e.Leaving {
+			addrs = append(addrs, e.Address)
+		}
+	}
+	return addrs
+}
--- /dev/null
+++ b/test/promises/isolation_test.go
@@ -0,0 +1,75 @@
+package promises
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// isolatedTeams have their homes in jeju; one is bound to it.
+var isolatedTeams = []string{"hamdeok-kite-school", "jeju-rescue"}
+
+// book sends a booking with a new key of the entry.
+func book(client *http.Client, entry, team string) reply {
+	first := send(client, entry, call{method: http.MethodGet, path: wire.PathEntries, team: team})
+	key := first.header.Get(wire.HeaderKeyPrefix) + "~" + uuid.NewString()
+	return send(client, entry, call{
+		method: http.MethodPost, path: wire.PathServices + "spot-desk/bookings", team: team, key: key, body: `{"slot":7}`,
+	})
+}
+
+// serves checks that the entry serves models and bookings for the teams.
+func serves(t *testing.T, bed *testbed.Bed, entry *testbed.Gateway, when string) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i := range 10 {
+		for _, team := range isolatedTeams {
+			prompt := fmt.Sprintf("%s %s %d", when, team, i)
+			if r := send(client, entry.CallerAddress(), chat(team, prompt)); !isWhole(r, prompt) {
+				t.Errorf("%s at %s: chat of %s: %v", when, entry.Name, team, r)
+			}
+			if r := book(client, entry.CallerAddress(), team); !r.ok() || r.header.Get(wire.HeaderVerdict) != verdict.Ran.String() {
+				t.Errorf("%s at %s: booking of %s: %v", when, entry.Name, team, r)
+			}
+		}
+	}
+}
+
+// A region that is cut off from all others and from the platform goes on
+// serving its own callers, also through a gateway that restarts meanwhile.
+func TestPromiseIsolatedRegionServes(t *testing.T) {
+	bed := startBed(t, nil)
+	entries := bed.GatewaysOf("jeju")
+	bed.Isolate("jeju")
+	defer bed.Rejoin("jeju")
+	serves(t, bed, entries[0], "right after the cut")
+
+	// Long enough for every other region to count as silent.
+	time.Sleep(silenceBound)
+	serves(t, bed, entries[0], "while cut off")
+
+	entries[1].Kill()
+	serves(t, bed, entries[0], "with one gateway down")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := entries[1].Restart(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := entries[1].WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	serves(t, bed, entries[1], "restarted while cut off")
+}
+
+// silenceBound is longer than heartbeats between regions may be missing before
+// a region counts as silent.
+const silenceBound = 5 * time.Second
--- /dev/null
+++ b/test/promises/residency_test.go
@@ -0,0 +1,149 @@
+package promises
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+)
+
+// configurationBound is the time within which an accepted configuration is in
+// force everywhere, as the users' letter states it.
+const configurationBound = 6 * time.Second
+
+// loadFor sends chat requests of all teams to all entries until the time is
+// over, with the given number of callers, and hands each reply to check.
+func loadFor(bed *testbed.Bed, d time.Duration, callers int, check func(team, region, prompt string, r reply)) {
+	teams := slices.Sorted(maps.Keys(bed.Set().Teams))
+	names := slices.Sorted(maps.Keys(bed.Gateways))
+	end := time.Now().Add(d)
+	var all sync.WaitGroup
+	for n := range callers {
+		all.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(n)))
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for i := 0; time.Now().Before(end); i++ {
+				team := teams[random.IntN(len(teams))]
+				gateway := bed.Gateways[names[random.IntN(len(names))]]
+				prompt := fmt.Sprintf("caller %d question %d", n, i)
+				check(team, gateway.Region, prompt, send(client, gateway.CallerAddress(), chat(team, prompt)))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// seenBy returns what each region's engines and services saw.
+func seenBy(bed *testbed.Bed) map[string][]standin.Seen {
+	set := bed.Set()
+	seen := map[string][]standin.Seen{}
+	add := func(server string, records []standin.Seen) {
+		region := set.RegionOf(set.BackendServers[server].Spec.FailureDomain)
+		seen[region] = append(seen[region], records...)
+	}
+	for name, e := range bed.Engines {
+		add(name, e.Seen())
+	}
+	for name, s := range bed.Services {
+		add(name, s.Seen())
+	}
+	return seen
+}
+
+// Bound data stays in its regions while the home region is short of capacity,
+// callers use wrong entries, and a rule is tightened under load. The wrong
+// entry answers with 421 and names entries that may serve.
+func TestPromiseResidency(t *testing.T) {
+	bed := startBed(t, func(c *testbed.Config) {
+		c.Engine = func(server *objects.BackendServer, e *engine.Config) {
+			// Little capacity at home tempts the router to go away.
+			e.Concurrency = 2
+		}
+	})
+	const tightened = "peninsula-tours"
+	before := bed.Set()
+	var accepted time.Time
+	var changed sync.WaitGroup
+	changed.Go(func() {
+		time.Sleep(2 * time.Second)
+		err := bed.Change(func(next *objects.Set) {
+			next.ResidencyRules["mainland"] = &objects.ResidencyRule{
+				Name: "mainland", Spec: objects.ResidencyRuleSpec{Regions: []string{"busan"}},
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		accepted = time.Now()
+	})
+	loadFor(bed, 2*time.Second+configurationBound+2*time.Second, 24, func(team, region, prompt string, r reply) {
+		permitted := before.Permits(team, region)
+		switch {
+		case r.err != nil:
+			t.Errorf("%s at %s: %v", team, region, r)
+		case !permitted && r.status != http.StatusMisdirectedRequest:
+			t.Errorf("%s at %s: %v, want 421", team, region, r)
+		case r.status == http.StatusMisdirectedRequest && len(r.problem.Entries) == 0:
+			t.Errorf("%s at %s: 421 without entries", team, region)
+		case r.ok() && !isWhole(r, prompt):
+			t.Errorf("%s at %s: a wrong answer: %v", team, region, r)
+		}
+	})
+	changed.Wait()
+	checkResidency(t, bed, before, accepted, tightened)
+}
+
+// checkResidency compares what the backend servers saw with the rules: the old
+// ones until the bound after the change, and the new ones from then on.
+func checkResidency(t *testing.T, bed *testbed.Bed, before *objects.Set, accepted time.Time, tightened string) {
+	t.Helper()
+	total := 0
+	for region, records := range seenBy(bed) {
+		for _, seen := range records {
+			total++
+			rules := before
+			if seen.At.After(accepted.Add(configurationBound)) {
+				rules = bed.Set()
+			}
+			if !rules.Permits(seen.Team, region) {
+				t.Errorf("data of %s was in %s %v after the change", seen.Team, region, seen.At.Sub(accepted))
+			}
+		}
+	}
+	if total == 0 {
+		t.Error("the backend servers saw nothing")
+	}
+	if bed.Set().Permits(tightened, "saemangeum") {
+		t.Error("the rule was not tightened")
+	}
+}
+
+// A receiver refuses what its own rules forbid, whoever sends it.
+func TestPromiseResidencyHoldsAgainstForgedHops(t *testing.T) {
+	bed := startBed(t, nil)
+	client := newHopClient()
+	for _, hop := range []string{"region", "owner"} {
+		r := client.send(t, bed.GatewaysOf("busan")[0], forgedHop{
+			hop: hop, trail: "jeju-entry-1", team: "jeju-rescue", body: chat("jeju-rescue", "forged").body,
+		})
+		if r.refusal == nil || r.refusal.Code != verdict.CodeResidency {
+			t.Errorf("hop %s: refusal %v, want %s", hop, r.refusal, verdict.CodeResidency)
+		}
+	}
+	for region, records := range seenBy(bed) {
+		if len(records) > 0 {
+			t.Errorf("backend servers in %s saw %v", region, records)
+		}
+	}
+}
--- /dev/null
+++ b/test/promises/shutdown_test.go
@@ -0,0 +1,133 @@
+package promises
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// sharedClient keeps connections alive over all tests' requests.
+var sharedClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: drain.KeepAlive}}
+
+// chatStream returns a streamed chat completion.
+func chatStream(team, prompt string) call {
+	c := chat(team, prompt)
+	c.body = strings.Replace(c.body, `{"model"`, `{"stream":true,"model"`, 1)
+	return c
+}
+
+// rollingRestart shuts each gateway down gracefully, and starts it again, one
+// after the other.
+func rollingRestart(t *testing.T, bed *testbed.Bed) {
+	t.Helper()
+	for _, region := range bed.Regions() {
+		for _, g := range bed.GatewaysOf(region) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			if err := g.Terminate(ctx); err != nil {
+				t.Errorf("%s did not shut down: %v", g.Name, err)
+			}
+			if err := g.Restart(ctx); err != nil {
+				t.Errorf("%s did not start: %v", g.Name, err)
+			}
+			if err := g.WaitReady(ctx); err != nil {
+				t.Error(err)
+			}
+			cancel()
+		}
+	}
+}
+
+// entryList asks the gateways which entry to use, as callers do, and uses the
+// answer for its stated time.
+type entryList struct {
+	bed   *testbed.Bed
+	mu    sync.Mutex
+	addrs []string
+	until time.Time
+}
+
+// goodFor is how long an answer of /v1/entries may be used.
+const goodFor = 2 * time.Second
+
+// pick returns the n-th entry that may be used now.
+func (l *entryList) pick(n int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Now().After(l.until) {
+		l.refresh()
+	}
+	return l.addrs[n%len(l.addrs)]
+}
+
+func (l *entryList) refresh() {
+	for _, g := range l.bed.Gateways {
+		r := send(sharedClient, g.CallerAddress(), call{method: http.MethodGet, path: wire.PathEntries, timeout: time.Second})
+		if addrs := usableEntries(r); len(addrs) > 0 {
+			l.addrs, l.until = addrs, time.Now().Add(goodFor)
+			return
+		}
+	}
+}
+
+// A rolling restart of all gateways under load cuts off no request: not a
+// whole answer, not a stream, not a booking, and none on a kept connection.
+func TestPromiseGracefulShutdownCutsOffNothing(t *testing.T) {
+	bed := startBed(t, func(c *testbed.Config) { c.GatewayArgs = []string{"--linger=3s"} })
+	list := &entryList{bed: bed}
+	var stop atomic.Bool
+	var sent atomic.Int64
+	var all sync.WaitGroup
+	for n := range 12 {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{IdleConnTimeout: drain.KeepAlive}}
+			defer client.CloseIdleConnections()
+			for i := 0; !stop.Load(); i++ {
+				prompt := fmt.Sprintf("rolling %d %d", n, i)
+				entry := list.pick(n)
+				sent.Add(1)
+				if problem := sendOneOf(client, entry, n+i, prompt); problem != "" {
+					t.Errorf("%s: %s", entry, problem)
+				}
+				// Some connections are idle when the shutdown comes.
+				time.Sleep(time.Duration(n*i%5) * 100 * time.Millisecond)
+			}
+		})
+	}
+	rollingRestart(t, bed)
+	stop.Store(true)
+	all.Wait()
+	t.Logf("%d requests over a rolling restart", sent.Load())
+}
+
+// sendOneOf sends a whole request, a stream or a booking, and returns what was
+// wrong with the answer, or "".
+func sendOneOf(client *http.Client, entry string, kind int, prompt string) string {
+	var r reply
+	switch kind % 3 {
+	case 0:
+		if r = send(client, entry, chat(anyTeam, prompt)); isWhole(r, prompt) {
+			return ""
+		}
+	case 1:
+		if r = send(client, entry, chatStream(anyTeam, prompt)); r.ok() && strings.Contains(r.body, "[DONE]") {
+			return ""
+		}
+	default:
+		if r = book(client, entry, anyTeam); r.ok() {
+			return ""
+		}
+	}
+	return fmt.Sprintf("request of kind %d: %v", kind%3, r)
+}
+
+// anyTeam may be served in each region.
+const anyTeam = "hamdeok-kite-school"
