configwatch: newest valid configuration in force, few watch and many learn

Platform client: a 304 may bear the service's newest revision, which tells a stale replica from a current one (Value with ErrUnchanged).

Without it every member that doesn't watch reads the service every 2 s for itself; with it mostly watching members do.

--- /dev/null
+++ b/internal/configwatch/apply.go
@@ -0,0 +1,237 @@
+package configwatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutspring/chestnutspring/internal/bundle"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("configwatch")
+	// ErrWaiting says that parts of a configuration aren't there yet.
+	ErrWaiting = Errors.NewType("waiting", errorx.Temporary())
+	// ErrRejected says that a configuration failed the check.
+	ErrRejected = Errors.NewType("rejected")
+	// ErrLower says that a revision is below the one in force.
+	ErrLower = Errors.NewType("lower")
+)
+
+// parallelParts is how many parts are fetched at once.
+const parallelParts = 16
+
+// partSource returns a part by its digest.
+type partSource func(ctx context.Context, digest string) ([]byte, error)
+
+// offer puts the configuration in force where it is newer than the one that
+// is. A nil error means that this configuration, or a newer one, is in force.
+// Other errors are ErrLower, ErrWaiting and ErrRejected.
+func (w *Watcher) offer(ctx context.Context, value platform.Value, sources []partSource) error {
+	if done, err := w.settled(value); done {
+		return err
+	}
+	manifest, err := bundle.ParseManifest(value.Data)
+	if err != nil {
+		return w.reject(value, err)
+	}
+	parts, err := w.collect(ctx, value, manifest, sources)
+	if err != nil {
+		return err
+	}
+	return w.apply(value, parts)
+}
+
+// settled reports whether the value needs no work, and with which outcome.
+func (w *Watcher) settled(value platform.Value) (bool, error) {
+	switch revision := w.revision(); {
+	case value.Revision == revision:
+		return true, nil
+	case value.Revision < revision:
+		w.ignore(value)
+		return true, ErrLower.New("revision %d is below %d", value.Revision, revision)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rejected.matches(value) {
+		return true, ErrRejected.New("revision %d: %s", value.Revision, w.rejected.reason)
+	}
+	return false, nil
+}
+
+func (w *Watcher) ignore(value platform.Value) {
+	w.metrics.ignored.Inc(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.view.ignored++
+}
+
+// collect returns all parts of the manifest: those in force, those of an
+// earlier try, and the rest from the sources in order.
+func (w *Watcher) collect(ctx context.Context, value platform.Value, manifest *bundle.Manifest, sources []partSource) (map[string][]byte, error) {
+	parts, missing := w.held(value, manifest)
+	if len(missing) == 0 {
+		return parts, nil
+	}
+	// The first alone: where it is absent, the others needn't be asked for.
+	data, err := fetchPart(ctx, missing[0], sources)
+	if err != nil {
+		return nil, w.wait(value, parts, missing[0], err)
+	}
+	parts[missing[0]] = data
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallelParts)
+	absent := ""
+	for _, digest := range missing[1:] {
+		g.Go(func() error {
+			data, err := fetchPart(ctx, digest, sources)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				parts[digest] = data
+			} else if absent == "" {
+				absent = digest
+			}
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, w.wait(value, parts, absent, err)
+	}
+	return parts, nil
+}
+
+// held returns the parts of the manifest that this process has and the digests
+// of the others, beginning with the one that was missing before.
+func (w *Watcher) held(value platform.Value, manifest *bundle.Manifest) (map[string][]byte, []string) {
+	w.mu.Lock()
+	waiting := w.pending
+	w.mu.Unlock()
+	parts := make(map[string][]byte, bundle.PartCount)
+	var missing []string
+	for _, digest := range manifest.Digests() {
+		if data, ok := w.Part(digest); ok {
+			parts[digest] = data
+			continue
+		}
+		if waiting != nil && waiting.parts[digest] != nil {
+			parts[digest] = waiting.parts[digest]
+			continue
+		}
+		missing = append(missing, digest)
+		if waiting != nil && waiting.value.Revision == value.Revision && digest == waiting.missing {
+			missing[0], missing[len(missing)-1] = digest, missing[0]
+		}
+	}
+	return parts, missing
+}
+
+// fetchPart asks the sources in order for a part that matches its digest.
+func fetchPart(ctx context.Context, digest string, sources []partSource) ([]byte, error) {
+	err := error(platform.ErrAbsent.New("no source of parts"))
+	for _, source := range sources {
+		var data []byte
+		if data, err = source(ctx, digest); err != nil {
+			continue
+		}
+		if err = bundle.Verify(digest, data); err == nil {
+			return data, nil
+		}
+	}
+	return nil, err
+}
+
+// wait remembers a configuration whose parts aren't all there.
+func (w *Watcher) wait(value platform.Value, parts map[string][]byte, missing string, cause error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	first := w.pending == nil || w.pending.value.Revision != value.Revision
+	if w.pending == nil || w.pending.value.Revision <= value.Revision {
+		w.pending = &pending{value: value, parts: parts, missing: missing, reason: cause.Error()}
+		w.metrics.waiting.Update(1)
+	}
+	if first {
+		w.Log.Warn("configuration waits for parts", "revision", value.Revision, "part", missing, "error", cause)
+	}
+	return ErrWaiting.Wrap(cause, "revision %d", value.Revision)
+}
+
+// apply checks the whole set and puts it in force.
+func (w *Watcher) apply(value platform.Value, parts map[string][]byte) error {
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
+	if value.Revision <= w.revision() {
+		return nil
+	}
+	get := func(digest string) ([]byte, error) { return parts[digest], nil }
+	set, err := w.reader.Open(value.Data, get)
+	if err != nil {
+		return w.reject(value, err)
+	}
+	set.Revision = value.Revision
+	w.current.Store(&inForce{value: value, parts: parts})
+	w.Publisher.Update(func(next *snapshot.Snapshot) { next.Config = set })
+	w.applied(value, set.Len())
+	return nil
+}
+
+// applied does the bookkeeping after a configuration came into force.
+func (w *Watcher) applied(value platform.Value, objects int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.pending != nil && w.pending.value.Revision <= value.Revision {
+		w.pending = nil
+		w.metrics.waiting.Update(0)
+	}
+	if w.rejected != nil && w.rejected.value.Revision <= value.Revision {
+		w.rejected = nil
+		w.metrics.invalid.Update(0)
+	}
+	w.metrics.applied.Inc(1)
+	w.metrics.revision.Update(float64(value.Revision))
+	w.Log.Info("configuration in force", "revision", value.Revision, "objects", objects)
+	select {
+	case <-w.ready:
+	default:
+		close(w.ready)
+	}
+}
+
+// reject remembers and reports a configuration that failed the check.
+func (w *Watcher) reject(value platform.Value, cause error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rejected == nil || w.rejected.value.Revision <= value.Revision {
+		w.rejected = &rejection{value: value, reason: cause.Error()}
+		w.metrics.invalid.Update(1)
+	}
+	if w.pending != nil && w.pending.value.Revision == value.Revision {
+		w.pending = nil
+		w.metrics.waiting.Update(0)
+	}
+	w.metrics.rejected.Inc(1)
+	w.Log.Error("configuration rejected", "revision", value.Revision, "error", firstLines(cause))
+	return ErrRejected.Wrap(cause, "revision %d", value.Revision)
+}
+
+// firstLines bounds the text of an error for a log line.
+func firstLines(err error) string {
+	const limit = 1000
+	text := err.Error()
+	if len(text) > limit {
+		return text[:limit] + "..."
+	}
+	return text
+}
+
+// isTemporary reports whether a later try of the same offer may succeed.
+func isTemporary(err error) bool {
+	return err != nil && !errorx.IsOfType(err, ErrRejected) && !errorx.IsOfType(err, ErrLower) && !errors.Is(err, context.Canceled)
+}
--- /dev/null
+++ b/internal/configwatch/fakes_test.go
@@ -0,0 +1,451 @@
+package configwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/bundle"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// accepted is the brief's bound on the time from the acceptance of a
+// configuration until it is in force everywhere.
+const accepted = 6 * time.Second
+
+var errDown = errors.New("down")
+
+// fakeService is a configuration service in memory. Time is that of the
+// synctest bubble.
+type fakeService struct {
+	mu       sync.Mutex
+	history  []platform.Value // manifests, oldest first
+	parts    map[string][]byte
+	changed  chan struct{}
+	down     bool
+	lag      func() int // revisions that the next answer lags behind
+	answerIn func() time.Duration
+	calls    int
+}
+
+func newFakeService() *fakeService {
+	return &fakeService{
+		parts: map[string][]byte{}, changed: make(chan struct{}),
+		lag:      func() int { return 0 },
+		answerIn: func() time.Duration { return 3 * time.Millisecond },
+	}
+}
+
+func (s *fakeService) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// publish adds a bundle as the next revision and returns that.
+func (s *fakeService) publish(b *bundle.Bundle) uint64 {
+	s.addParts(b)
+	return s.publishManifest(b.Manifest)
+}
+
+func (s *fakeService) addParts(b *bundle.Bundle) {
+	s.set(func() { maps.Copy(s.parts, b.Parts) })
+}
+
+func (s *fakeService) publishManifest(manifest []byte) uint64 {
+	var revision uint64
+	s.set(func() {
+		revision = uint64(len(s.history) + 1)
+		s.history = append(s.history, platform.Value{Name: platform.ValueManifest, Revision: revision, Data: manifest})
+	})
+	return revision
+}
+
+func (s *fakeService) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// newest returns what a reader sees now.
+func (s *fakeService) newest() (platform.Value, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Value{}, s.changed, errDown
+	}
+	i := len(s.history) - 1 - s.lag()
+	if len(s.history) == 0 {
+		return platform.Value{}, s.changed, nil
+	}
+	return s.history[max(i, 0)], s.changed, nil
+}
+
+// reader is one member's access to the service.
+type reader struct {
+	service *fakeService
+	cut     *bool // guarded by the fleet's mutex
+	fleet   *fakeFleet
+}
+
+func (r *reader) call(ctx context.Context) error {
+	r.service.mu.Lock()
+	r.service.calls++
+	delay := r.service.answerIn()
+	r.service.mu.Unlock()
+	if !pause(ctx, delay) {
+		return ctx.Err()
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if *r.cut {
+		return errDown
+	}
+	return nil
+}
+
+func (r *reader) Read(ctx context.Context, name string) (platform.Value, error) {
+	if err := r.call(ctx); err != nil {
+		return platform.Value{}, err
+	}
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	if r.service.down {
+		return platform.Value{}, errDown
+	}
+	data, ok := r.service.parts[name[len(platform.ValuePartPrefix):]]
+	if !ok {
+		return platform.Value{}, platform.ErrAbsent.New("%s", name)
+	}
+	return platform.Value{Name: name, Revision: 1, Data: data}, nil
+}
+
+func (r *reader) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Value, error) {
+	if err := r.call(ctx); err != nil {
+		return platform.Value{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		value, changed, err := r.service.newest()
+		if err != nil {
+			return platform.Value{}, err
+		}
+		if value.Revision > after {
+			return value, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			unchanged := platform.Value{Name: value.Name, Revision: value.Revision}
+			return unchanged, platform.ErrUnchanged.New("unchanged")
+		case <-ctx.Done():
+			return platform.Value{}, ctx.Err()
+		}
+	}
+}
+
+// member is one gateway of the fake fleet.
+type member struct {
+	vm, region string
+	watches    bool
+	noService  bool // can't reach the service
+	silent     bool // sends no heartbeats
+	watcher    *Watcher
+	publisher  *snapshot.Publisher
+	heard      map[string]uint64
+	heardAt    map[string]time.Time
+	stop       context.CancelFunc
+	history    []uint64 // revisions in force, in order
+}
+
+// fakeFleet connects members. Heartbeats go out once a second.
+type fakeFleet struct {
+	t       *testing.T
+	ctx     context.Context
+	service *fakeService
+	wg      sync.WaitGroup
+	rng     *rand.Rand
+	mu      sync.Mutex
+	members map[string]*member
+	cut     map[[2]string]bool // pairs of regions
+	confirm bool               // peers answer Confirmation
+	look    time.Duration      // between looks at what is in force
+}
+
+func newFakeFleet(t *testing.T, regions, perRegion, watchers int) *fakeFleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fakeFleet{
+		t: t, ctx: ctx, service: newFakeService(), members: map[string]*member{},
+		cut: map[[2]string]bool{}, rng: rand.New(rand.NewPCG(1, 2)), confirm: true, look: 20 * time.Millisecond,
+	}
+	for r := range regions {
+		for i := range perRegion {
+			m := &member{vm: fmt.Sprintf("vm-%d-%d", r, i), region: fmt.Sprintf("region-%d", r), watches: i < watchers}
+			f.members[m.vm] = m
+		}
+	}
+	t.Cleanup(func() {
+		cancel()
+		f.wg.Wait()
+	})
+	return f
+}
+
+func (f *fakeFleet) startAll() {
+	for _, m := range f.members {
+		f.start(m)
+	}
+}
+
+// start runs a new incarnation of the member.
+func (f *fakeFleet) start(m *member) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	self := snapshot.Identity{VM: m.vm, Region: m.region}
+	publisher := snapshot.NewPublisher(self)
+	w := New(Config{
+		Self: self, Reader: &reader{f.service, &m.noService, f}, Peers: &peersOf{f, m},
+		Publisher: publisher, Now: clock.Synthetic(), IsWatcher: func() bool { return m.watches },
+	})
+	f.mu.Lock()
+	m.watcher, m.publisher, m.stop = w, publisher, cancel
+	m.heard, m.heardAt = map[string]uint64{}, map[string]time.Time{}
+	f.mu.Unlock()
+	f.wg.Go(func() { _ = w.Run(ctx) })
+	f.wg.Go(func() { f.heartbeats(ctx, m) })
+	f.wg.Go(func() { f.observe(ctx, m) })
+}
+
+// heartbeats tells all reachable members the revision in force.
+func (f *fakeFleet) heartbeats(ctx context.Context, m *member) {
+	f.mu.Lock()
+	offset := time.Duration(f.rng.Int64N(int64(time.Second)))
+	f.mu.Unlock()
+	for pause(ctx, offset) {
+		for _, to := range f.members {
+			f.heartbeat(ctx, m, to)
+		}
+		offset = time.Second
+	}
+}
+
+func (f *fakeFleet) heartbeat(ctx context.Context, from, to *member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if to == from || from.silent || f.isCut(from, to) {
+		return
+	}
+	revision := from.watcher.revision()
+	f.wg.Go(func() {
+		if !pause(ctx, f.delay(from, to)) {
+			return
+		}
+		f.mu.Lock()
+		w := to.watcher
+		if w != nil {
+			to.heard[from.vm], to.heardAt[from.vm] = revision, time.Now()
+		}
+		f.mu.Unlock()
+		if w != nil {
+			w.Heard(from.vm, revision)
+		}
+	})
+}
+
+// observe records every configuration that comes into force.
+func (f *fakeFleet) observe(ctx context.Context, m *member) {
+	for pause(ctx, f.look) {
+		revision := m.publisher.Load().Config.Revision
+		f.mu.Lock()
+		if n := len(m.history); revision > 0 && (n == 0 || m.history[n-1] != revision) {
+			m.history = append(m.history, revision)
+		}
+		f.mu.Unlock()
+	}
+}
+
+func (f *fakeFleet) isCut(a, b *member) bool {
+	return f.cut[[2]string{a.region, b.region}] || f.cut[[2]string{b.region, a.region}]
+}
+
+func (f *fakeFleet) delay(a, b *member) time.Duration {
+	if a.region == b.region {
+		return 3 * time.Millisecond
+	}
+	return 80 * time.Millisecond
+}
+
+func (f *fakeFleet) change(edit func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit()
+}
+
+// inForce reports whether all members have the revision in force.
+func (f *fakeFleet) inForce(revision uint64) bool {
+	for _, m := range f.members {
+		if m.publisher.Load().Config.Revision != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// await waits until all have the revision in force and returns how long that
+// took. It fails the test after limit.
+func (f *fakeFleet) await(revision uint64, limit time.Duration) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !f.inForce(revision) {
+		if time.Since(start) > limit {
+			for _, m := range f.members {
+				f.t.Logf("%s watches=%v: %+v", m.vm, m.watches, m.watcher.State())
+			}
+			f.t.Fatalf("revision %d isn't in force on all after %v", revision, limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// checkMonotone fails the test where a member went back.
+func (f *fakeFleet) checkMonotone() {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		for i := 1; i < len(m.history); i++ {
+			if m.history[i] <= m.history[i-1] {
+				f.t.Fatalf("%s went back: %v", m.vm, m.history)
+			}
+		}
+	}
+}
+
+// peersOf is the fleet as one member sees it.
+type peersOf struct {
+	fleet *fakeFleet
+	self  *member
+}
+
+var (
+	_ Peers     = (*peersOf)(nil)
+	_ Confirmer = (*peersOf)(nil)
+)
+
+// Revisions implements Peers.
+func (p *peersOf) Revisions() map[string]uint64 {
+	const reachable = 3 * time.Second
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	revisions := map[string]uint64{}
+	for vm, revision := range p.self.heard {
+		if time.Since(p.self.heardAt[vm]) < reachable {
+			revisions[vm] = revision
+		}
+	}
+	return revisions
+}
+
+// reach takes the time of a call and returns the other side.
+func (p *peersOf) reach(ctx context.Context, vm string) (*Watcher, error) {
+	p.fleet.mu.Lock()
+	to := p.fleet.members[vm]
+	cut := to == nil || p.fleet.isCut(p.self, to)
+	p.fleet.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !pause(ctx, 2*p.fleet.delay(p.self, to)) {
+		return nil, ctx.Err()
+	}
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if to.watcher == nil {
+		return nil, errDown
+	}
+	return to.watcher, nil
+}
+
+// Manifest implements Peers.
+func (p *peersOf) Manifest(ctx context.Context, vm string) (platform.Value, error) {
+	w, err := p.reach(ctx, vm)
+	if err != nil {
+		return platform.Value{}, err
+	}
+	value, ok := w.Manifest()
+	if !ok {
+		return value, errDown
+	}
+	return value, nil
+}
+
+// Part implements Peers.
+func (p *peersOf) Part(ctx context.Context, vm, digest string) ([]byte, error) {
+	w, err := p.reach(ctx, vm)
+	if err != nil {
+		return nil, err
+	}
+	data, ok := w.Part(digest)
+	if !ok {
+		return nil, errDown
+	}
+	return data, nil
+}
+
+// Confirmation implements Confirmer.
+func (p *peersOf) Confirmation(ctx context.Context, vm string) (Confirmation, error) {
+	if !p.fleet.confirm {
+		return Confirmation{}, errDown
+	}
+	w, err := p.reach(ctx, vm)
+	if err != nil {
+		return Confirmation{}, err
+	}
+	return w.Confirmation(), nil
+}
+
+// testBundle returns the bundle of a small valid set that differs by n.
+func testBundle(t testing.TB, n int) *bundle.Bundle {
+	t.Helper()
+	set := objects.NewSet()
+	set.Add(&objects.Region{Name: "r"})
+	set.Add(&objects.FailureDomain{Name: "r-a", Spec: objects.FailureDomainSpec{Region: "r"}})
+	for i := range 20 {
+		team := &objects.Team{Name: fmt.Sprintf("team-%d", i), Spec: objects.TeamSpec{Home: "r", Weight: 1}}
+		if i == n%20 {
+			team.Spec.Weight = float64(n + 2)
+		}
+		set.Add(team)
+	}
+	return buildBundle(t, set)
+}
+
+func buildBundle(t testing.TB, set *objects.Set) *bundle.Bundle {
+	t.Helper()
+	b, err := bundle.Build(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// invalidBundle returns a bundle whose set fails the check.
+func invalidBundle(t testing.TB) *bundle.Bundle {
+	t.Helper()
+	set := objects.NewSet()
+	set.Add(&objects.Team{Name: "lost", Spec: objects.TeamSpec{Home: "nowhere"}})
+	return buildBundle(t, set)
+}
--- /dev/null
+++ b/internal/configwatch/never_back_test.go
@@ -0,0 +1,205 @@
+package configwatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/bundle"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// TestStaleReplicasNeverBringAnOldRevisionBack lets each answer of the service
+// lag behind by a random number of revisions, and overtake others.
+func TestStaleReplicasNeverBringAnOldRevisionBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 3, 1)
+		rng, ofService := rand.New(rand.NewPCG(5, 6)), rand.New(rand.NewPCG(6, 5))
+		f.service.set(func() {
+			f.service.lag = func() int { return ofService.IntN(4) }
+			f.service.answerIn = func() time.Duration { return time.Duration(ofService.IntN(700)) * time.Millisecond }
+		})
+		var last uint64
+		for n := range 40 {
+			last = f.service.publish(testBundle(t, n+1))
+			time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+		}
+		f.await(last, accepted)
+		f.checkMonotone()
+	})
+}
+
+// TestRestartDuringStalenessTakesThePeersRevision restarts each member while
+// the service shows an old revision. An old one must not come into force even
+// for a moment.
+func TestRestartDuringStalenessTakesThePeersRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 3, 2, 1)
+		revision := f.service.publish(testBundle(t, 1))
+		f.await(revision, accepted)
+		f.service.set(func() { f.service.lag = func() int { return 1 } })
+		for _, m := range f.members {
+			m.stop()
+			time.Sleep(time.Second)
+			f.change(func() { m.history = nil })
+			f.start(m)
+			time.Sleep(accepted)
+			f.change(func() { is.Equal(m.history, []uint64{revision}) })
+		}
+	})
+}
+
+// TestPeerThatOffersAnOlderRevisionIsIgnored gives a member a peer that claims
+// a high revision and hands out an old one.
+func TestPeerThatOffersAnOlderRevisionIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 1, 2, 1)
+		old, _ := f.members["vm-0-0"].watcher.Manifest()
+		revision := f.service.publish(testBundle(t, 1))
+		f.await(revision, accepted)
+		w := f.members["vm-0-1"].watcher
+		err := w.offer(context.Background(), old, nil)
+		is.True(err != nil)
+		w.Heard("vm-0-0", revision+7) // claims what it doesn't have
+		w.Heard("vm-0-0", old.Revision)
+		time.Sleep(behindLimit + 2*learnInterval)
+		is.Equal(w.revision(), revision)
+		f.checkMonotone()
+		is.True(f.members["vm-0-1"].publisher.Load().Unconfirmed) // a newer revision is said to exist
+	})
+}
+
+// TestTornSetWaits publishes a manifest whose parts come later.
+func TestTornSetWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 3, 3, 1)
+		torn := testBundle(t, 1)
+		before := f.service.callCount()
+		revision := f.service.publishManifest(torn.Manifest)
+		time.Sleep(time.Minute)
+		is.True(f.inForce(1)) // the set in force stays
+		waiting := f.members["vm-0-0"].watcher.State().(State).Waiting
+		is.True(waiting != nil)
+		is.Equal(waiting.Revision, revision)
+		calls := f.service.callCount() - before
+		t.Logf("%d calls of 9 members in a minute with a torn set", calls)
+		is.True(float64(calls) < serviceLimit/plannedNodes*9*60) // the missing part isn't asked for in bulk
+		f.service.addParts(torn)
+		f.await(revision, accepted)
+
+		later := testBundle(t, 2) // torn for good, and replaced
+		f.service.publishManifest(later.Manifest)
+		time.Sleep(3 * time.Second)
+		f.await(f.service.publish(testBundle(t, 3)), accepted)
+		f.checkMonotone()
+	})
+}
+
+// TestDamagedPartWaits serves a part that doesn't match its digest.
+func TestDamagedPartWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 1, 2, 1)
+		whole := testBundle(t, 1)
+		damaged := &bundle.Bundle{Manifest: whole.Manifest, Parts: map[string][]byte{}}
+		for digest, data := range whole.Parts {
+			damaged.Parts[digest] = data[:len(data)-1]
+		}
+		revision := f.service.publish(damaged)
+		time.Sleep(10 * time.Second)
+		is.True(f.inForce(1))
+		f.service.addParts(whole)
+		f.await(revision, accepted)
+	})
+}
+
+// TestInvalidSetIsReportedAndNotApplied publishes a set that fails the check,
+// and then a valid one.
+func TestInvalidSetIsReportedAndNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 3, 3, 1)
+		invalid := f.service.publish(invalidBundle(t))
+		time.Sleep(10 * time.Second)
+		is.True(f.inForce(1))
+		for _, m := range f.members {
+			if m.watches {
+				rejected := m.watcher.State().(State).Rejected
+				is.True(rejected != nil)
+				is.Equal(rejected.Revision, invalid)
+			}
+		}
+		f.await(f.service.publish(testBundle(t, 1)), accepted)
+		is.True(f.members["vm-0-0"].watcher.State().(State).Rejected == nil)
+		f.checkMonotone()
+	})
+}
+
+// TestRacingOperators publishes valid, invalid and torn sets at close range
+// while answers overtake each other.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 3, 3, 1)
+		rng, ofService := rand.New(rand.NewPCG(7, 8)), rand.New(rand.NewPCG(8, 7))
+		f.service.set(func() {
+			f.service.answerIn = func() time.Duration { return time.Duration(ofService.IntN(500)) * time.Millisecond }
+		})
+		for n := range 60 {
+			b := testBundle(t, n+1)
+			switch rng.IntN(4) {
+			case 0:
+				f.service.publish(invalidBundle(t))
+			case 1:
+				f.service.publishManifest(b.Manifest)
+			default:
+				f.service.publish(b)
+			}
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		}
+		f.await(f.service.publish(testBundle(t, 100)), accepted)
+		f.checkMonotone()
+	})
+}
+
+// TestLowerRevisionIsIgnoredEvenWhenItIsWhole applies an old whole set below
+// the one in force at the last step.
+func TestLowerRevisionIsIgnoredEvenWhenItIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 1, 1, 1)
+		w := f.members["vm-0-0"].watcher
+		old, parts := w.current.Load().value, w.current.Load().parts
+		revision := f.service.publish(testBundle(t, 1))
+		f.await(revision, accepted)
+		is.NoErr(w.apply(old, parts)) // as after a slow fetch
+		is.Equal(w.revision(), revision)
+		same := platform.Value{Revision: revision, Data: old.Data}
+		is.NoErr(w.apply(same, parts))
+		is.Equal(w.publisherRevision(), revision)
+	})
+}
+
+func (w *Watcher) publisherRevision() uint64 { return w.Publisher.Load().Config.Revision }
+
+// TestRuleOfAnInvalidSetNeverTakesEffect keeps a residency rule of a rejected
+// set out of the snapshot.
+func TestRuleOfAnInvalidSetNeverTakesEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 1, 1, 1)
+		set := objects.NewSet()
+		set.Add(&objects.Region{Name: "r"})
+		set.Add(&objects.Team{Name: "team-0", Spec: objects.TeamSpec{Home: "r", Residency: "gone"}})
+		f.service.publish(buildBundle(t, set))
+		time.Sleep(accepted)
+		is.True(f.members["vm-0-0"].publisher.Load().Config.Permits("team-0", "r"))
+	})
+}
--- /dev/null
+++ b/internal/configwatch/outage_test.go
@@ -0,0 +1,180 @@
+package configwatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// serviceLimit is the brief's rate of calls across all readers.
+const serviceLimit = 2000.0
+
+// plannedNodes is the number of nodes that the letter plans for.
+const plannedNodes = 360
+
+// TestFallbackReadsTheService takes the service from all watching members of a
+// region and silences them, so that nobody tells the others.
+func TestFallbackReadsTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 2, 4, 1)
+		f.change(func() {
+			for _, m := range f.members {
+				m.noService = m.watches
+				m.silent = true
+			}
+			f.confirm = false
+		})
+		time.Sleep(10 * time.Second)
+		revision := f.service.publish(testBundle(t, 1))
+		start := time.Now()
+		for _, m := range f.members {
+			for !m.watches && m.watcher.revision() != revision {
+				time.Sleep(10 * time.Millisecond)
+				if time.Since(start) > accepted {
+					t.Fatalf("%s: %+v", m.vm, m.watcher.State())
+				}
+			}
+		}
+		t.Logf("in force on members that don't watch after %v", time.Since(start))
+	})
+}
+
+// TestFrozenConfirmationIsNotRenewed has watching members that answer peers
+// but have lost the service: their age grows, so the others read.
+func TestFrozenConfirmationIsNotRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 2, 4, 1)
+		f.change(func() {
+			for _, m := range f.members {
+				m.noService = m.watches
+			}
+		})
+		time.Sleep(30 * time.Second)
+		f.await(f.service.publish(testBundle(t, 1)), accepted)
+	})
+}
+
+// TestOutageOfAnHour keeps the set in force, bounds the calls, lets the
+// confirmation age, and applies the next change in time.
+func TestOutageOfAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeFleet(t, 3, 2, 1)
+		f.look = 500 * time.Millisecond
+		f.service.publish(testBundle(t, 0))
+		f.startAll()
+		f.await(1, 10*time.Second)
+		time.Sleep(5 * time.Second)
+		f.service.set(func() { f.service.down = true })
+		time.Sleep(time.Second)
+		before := f.service.callCount()
+		time.Sleep(time.Hour)
+		calls := f.service.callCount() - before
+		is.True(f.inForce(1))
+		for _, m := range f.members {
+			s := m.publisher.Load()
+			is.True(s.ConfigFresh(m.watcher.Now(), 2*time.Hour))
+			is.True(!s.ConfigFresh(m.watcher.Now(), 59*time.Minute)) // nobody could confirm
+		}
+		rate := float64(calls) / time.Hour.Seconds() / 6
+		t.Logf("%.2f calls a second and member in the outage", rate)
+		is.True(rate*plannedNodes < serviceLimit)
+		f.service.set(func() { f.service.down = false })
+		f.await(f.service.publish(testBundle(t, 1)), accepted)
+	})
+}
+
+// TestRegionCutFromAllKeepsItsConfiguration cuts a region from service and
+// peers, restarts one of its members, and heals it.
+func TestRegionCutFromAllKeepsItsConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 3, 2, 1)
+		a, b := f.members["vm-0-0"], f.members["vm-0-1"]
+		f.change(func() {
+			a.noService, b.noService = true, true
+			f.cut[[2]string{"region-0", "region-1"}] = true
+			f.cut[[2]string{"region-0", "region-2"}] = true
+		})
+		time.Sleep(5 * time.Second)
+		revision := f.service.publish(testBundle(t, 1))
+		b.stop()
+		time.Sleep(time.Second)
+		f.start(b)
+		time.Sleep(2 * time.Minute)
+		for _, m := range []*member{a, b} {
+			is.Equal(m.watcher.revision(), uint64(1)) // the restarted one learned from its neighbour
+			is.True(!m.publisher.Load().ConfigFresh(m.watcher.Now(), time.Minute))
+		}
+		f.change(func() { clear(f.cut) }) // only the peers come back
+		f.await(revision, accepted)
+		f.checkMonotone()
+	})
+}
+
+// TestCallsStayFarUnderTheLimit counts the calls of a fleet with one watching
+// member in five, in which nothing changes and then 14,000 changes a day come.
+func TestCallsStayFarUnderTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const members = 20
+		f := startFleet(t, 2, members/2, 2)
+		const day = 24 * time.Hour
+		const changesADay = 14000
+		const span = 40 * time.Second
+		before := f.service.callCount()
+		time.Sleep(span)
+		quiet := float64(f.service.callCount()-before) / span.Seconds() / members
+		before = f.service.callCount()
+		published := 0
+		for start := time.Now(); time.Since(start) < span; published++ {
+			f.service.publish(testBundle(t, published+1))
+			time.Sleep(day / changesADay)
+		}
+		busy := float64(f.service.callCount()-before) / span.Seconds() / members
+		t.Logf("calls a second and member: %.3f quiet, %.3f with %d changes", quiet, busy, published)
+		is.True(quiet*plannedNodes < serviceLimit/4)
+		is.True(busy*plannedNodes < serviceLimit/4)
+	})
+}
+
+// TestUnconfirmedUntilAPeerAnswers starts a member that hears nobody.
+func TestUnconfirmedUntilAPeerAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 2, 1, 1)
+		m := f.members["vm-0-0"]
+		m.stop()
+		f.change(func() { f.cut[[2]string{"region-0", "region-1"}] = true })
+		time.Sleep(5 * time.Second)
+		f.start(m)
+		<-m.watcher.Ready()
+		time.Sleep(time.Minute)
+		is.Equal(m.watcher.revision(), uint64(1)) // it serves
+		is.True(m.publisher.Load().Unconfirmed)   // and says that nobody confirmed
+		f.change(func() { clear(f.cut) })
+		time.Sleep(5 * time.Second)
+		is.True(!m.publisher.Load().Unconfirmed)
+	})
+}
+
+// TestFenceOfAnEngineIsAFloor keeps a member unconfirmed below a fencing
+// number that an engine has accepted.
+func TestFenceOfAnEngineIsAFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 1, 2, 1)
+		m := f.members["vm-0-0"]
+		m.publisher.Update(func(next *snapshot.Snapshot) {
+			next.Backends = map[string]*snapshot.BackendStatus{"e": {Name: "e", Fence: 5}}
+		})
+		time.Sleep(time.Second)
+		at := m.publisher.Load().Confirmed
+		time.Sleep(time.Minute)
+		is.Equal(m.publisher.Load().Confirmed, at) // revision 1 can't be the newest
+	})
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -70,7 +70,9 @@
 	case http.StatusOK:
 		return readValue(name, resp)
 	case http.StatusNotModified:
-		return Value{}, ErrUnchanged.New("%s is unchanged", name)
+		// The service's newest revision tells a stale replica from a current one.
+		newest, _ := strconv.ParseUint(resp.Header.Get(HeaderRevision), 10, 64)
+		return Value{Name: name, Revision: newest}, ErrUnchanged.New("%s is unchanged", name)
 	case http.StatusNotFound:
 		return Value{}, ErrAbsent.New("%s doesn't exist", name)
 	default:
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,7 +8,8 @@
 //	GET /v1/values/{name}?after=R&wait=20s   waits for a revision above R;
 //	                                         304 when the wait ends without one
 //
-// The revision comes in the header Value-Revision. An absent value is 404.
+// The revision comes in the header Value-Revision, with 304 too: it tells a
+// stale replica from a current one. An absent value is 404.
 package platform
 
 import (
@@ -43,7 +44,8 @@
 	// Read returns the newest value. ErrAbsent says that there is none.
 	Read(ctx context.Context, name string) (Value, error)
 	// Watch waits for a revision above after, for at most wait. It returns
-	// ErrUnchanged when the wait ends without one.
+	// ErrUnchanged when the wait ends without one; the value then has only
+	// the service's newest revision, or zero where it doesn't say.
 	Watch(ctx context.Context, name string, after uint64, wait time.Duration) (Value, error)
 }
 
