--- a/internal/fleet/bed_test.go
+++ b/internal/fleet/bed_test.go
@@ -8,8 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,22 +24,27 @@
 
 // engine is a backend server that reports its load.
 type engine struct {
-	report atomic.Pointer[health.Report]
-	server *httptest.Server
-	probes atomic.Int64
+	report  atomic.Pointer[health.Report]
+	events  atomic.Pointer[string]
+	address string
+	probes  atomic.Int64
 }
 
-func newEngine() *engine {
-	e := &engine{}
+func newEngine(t testing.TB, l net.Listener) *engine {
+	e := &engine{address: l.Addr().String()}
+	none := `{"events":[]}`
+	e.events.Store(&none)
 	e.report.Store(&health.Report{TokensPerSecond: 40, Loaded: []string{"m@1"}})
-	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/load" {
 			e.probes.Add(1)
 			_ = json.NewEncoder(w).Encode(e.report.Load())
 			return
 		}
-		_, _ = io.WriteString(w, `{"events":[]}`)
-	}))
+		_, _ = io.WriteString(w, *e.events.Load())
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
 	return e
 }
 
@@ -113,14 +116,16 @@
 	}
 }
 
-// bed is several fleets on loopback in one process.
+// bed is several fleets in one process, on a network in memory or on loopback.
 type bed struct {
 	t       testing.TB
+	memory  *memNet // nil means loopback
 	list    *fakeList
 	set     *objects.Set
 	engines map[string]*engine
 	nodes   map[string]*testNode
 	log     *slog.Logger
+	now     clock.Clock
 }
 
 // testNode is one fleet and what it publishes.
@@ -132,16 +137,17 @@
 	done      chan struct{}
 	// offset moves the node's clock, as after a pause.
 	offset atomic.Int64
-	cut    atomic.Pointer[func(address string) bool]
+	halted atomic.Bool
 }
 
-func vmName(region string, i int) string { return fmt.Sprintf("entry-%s-%d", region, i) }
+func vmName(region string, i int) string { return fmt.Sprintf("%s-entry-%d", region, i) }
 
 // newBed makes the configuration: backends per region, of the model "m".
-func newBed(t testing.TB, regions []string, backends int) *bed {
+func newBed(t testing.TB, memory *memNet, regions []string, backends int) *bed {
 	b := &bed{
-		t: t, list: newFakeList(), set: objects.NewSet(),
+		t: t, memory: memory, list: newFakeList(), set: objects.NewSet(),
 		engines: map[string]*engine{}, nodes: map[string]*testNode{},
+		now: clock.Synthetic(),
 		log: slog.New(slog.NewTextHandler(logWriter{t}, nil)),
 	}
 	b.set.Revision = 1
@@ -151,12 +157,11 @@
 		b.set.Regions[region] = &objects.Region{Name: region}
 		b.set.FailureDomains[fd] = &objects.FailureDomain{Name: fd, Spec: objects.FailureDomainSpec{Region: region}}
 		for i := range backends {
-			name := fmt.Sprintf("engine-%s-%d", region, i)
-			e := newEngine()
-			t.Cleanup(e.server.Close)
+			name := fmt.Sprintf("%s-engine-%d", region, i)
+			e := newEngine(t, b.listen(""))
 			b.engines[name] = e
 			b.set.BackendServers[name] = &objects.BackendServer{Name: name, Spec: objects.BackendServerSpec{
-				Address: strings.TrimPrefix(e.server.URL, "http://"), FailureDomain: fd, Model: "m", Concurrency: 8,
+				Address: e.address, FailureDomain: fd, Model: "m", Concurrency: 8,
 			}}
 		}
 	}
@@ -164,6 +169,24 @@
 	return b
 }
 
+func (b *bed) listen(address string) net.Listener {
+	if b.memory != nil {
+		return b.memory.listen(address)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return l
+}
+
+func (b *bed) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	if b.memory != nil {
+		return b.memory.dial(ctx, from, to)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", to)
+}
+
 type logWriter struct{ t testing.TB }
 
 func (w logWriter) Write(p []byte) (int, error) {
@@ -176,10 +199,7 @@
 // add makes a node and lists its VM; start runs it.
 func (b *bed) add(region string, i int, seeds ...string) *testNode {
 	vm := vmName(region, i)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.t.Fatal(err)
-	}
+	l := b.listen("")
 	b.list.publish(b.list.revision+1, func(list *platform.VMList) {
 		list.VMs = append(list.VMs, platform.VM{
 			Name: vm, Region: region, FailureDomain: region + "-a", Role: platform.RoleEntry,
@@ -193,18 +213,19 @@
 	self := snapshot.Identity{VM: vm, Incarnation: incarnation, Region: region, FailureDomain: region + "-a"}
 	n := &testNode{publisher: snapshot.NewPublisher(self), listener: l, done: make(chan struct{})}
 	n.publisher.Update(func(next *snapshot.Snapshot) { next.Config = b.set })
+	now := clock.Clock(clock.Boot)
+	if b.memory != nil {
+		now = b.now
+	}
 	n.Fleet = New(Config{
 		Self: self, ControlAddress: l.Addr().String(),
 		CallerAddress: "127.0.0.1:1", ForwardAddress: "127.0.0.1:2",
 		Publisher: n.publisher, Reader: b.list, Seeds: seeds,
-		Now:   func() clock.Instant { return clock.Boot().Add(time.Duration(n.offset.Load())) },
+		Now:   func() clock.Instant { return now().Add(time.Duration(n.offset.Load())) },
 		Log:   b.log.With("node", vm),
 		Scope: tally.NoopScope,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			if cut := n.cut.Load(); cut != nil && (*cut)(address) {
-				return nil, fmt.Errorf("cut")
-			}
-			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return b.dial(ctx, l.Addr().String(), address)
 		},
 	})
 	b.nodes[vm] = n
@@ -228,6 +249,7 @@
 
 // halt ends a node without a word to its peers.
 func (n *testNode) halt() {
+	n.halted.Store(true)
 	n.stop()
 	<-n.done
 }
@@ -240,7 +262,7 @@
 		if time.Since(start) > limit {
 			b.t.Fatalf("not within %s: %s", limit, what)
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	return time.Since(start)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -71,7 +72,9 @@
 	dirty        chan struct{}
 	urgent       chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// set is the configuration that the last tick saw.
+	set     *objects.Set
 	store   *gossip.Store
 	table   *membership.Table
 	tracker *health.Tracker
@@ -88,9 +91,9 @@
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
-	avoid  map[string]clock.Instant
-	paused pauseState
-	started      clock.Instant
+	avoid   map[string]clock.Instant
+	paused  pauseState
+	started clock.Instant
 }
 
 // New returns a fleet that isn't running yet.
@@ -102,6 +105,7 @@
 		observations: make(chan health.Observation, 1024),
 		dirty:        make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
+		set:          cfg.Publisher.Load().Config,
 		store:        gossip.NewStore(),
 		table:        membership.NewTable(cfg.Self),
 		tracker:      health.NewTracker(cfg.Self.Region),
@@ -148,6 +152,7 @@
 	group.Go(func() error { return f.tickLoop(ctx, group) })
 	group.Go(func() error { return f.listLoop(ctx) })
 	group.Go(func() error { return f.probeLoop(ctx, group) })
+	group.Go(func() error { return f.eventLoop(ctx) })
 	group.Go(func() error { return f.observeLoop(ctx) })
 	group.Go(func() error { return f.publishLoop(ctx) })
 	err := group.Wait()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/health"
@@ -9,8 +10,10 @@
 
 var threeRegions = []string{"jeju", "busan", "saemangeum"}
 
-func startedBed(t *testing.T, members, backends int) *bed {
-	b := newBed(t, threeRegions, backends)
+// startBed starts members in each of three regions and waits until all know
+// all.
+func startBed(t *testing.T, memory *memNet, members, backends int) *bed {
+	b := newBed(t, memory, threeRegions, backends)
 	for _, region := range threeRegions {
 		for i := range members {
 			b.add(region, i)
@@ -30,12 +33,22 @@
 	return b
 }
 
+func TestMembersBackendsAndSummariesReachAllOverTCP(t *testing.T) {
+	b := startBed(t, nil, 2, 3)
+	reachesAll(b)
+}
+
 func TestMembersBackendsAndSummariesReachAll(t *testing.T) {
-	b := startedBed(t, 2, 3)
-	b.engines["engine-jeju-0"].set(func(r *health.Report) { r.Running, r.Queued = 8, 4 })
+	synctest.Test(t, func(t *testing.T) {
+		reachesAll(startBed(t, newMemNet(), 5, 3))
+	})
+}
+
+func reachesAll(b *bed) {
+	b.engines["jeju-engine-0"].set(func(r *health.Report) { r.Running, r.Queued = 8, 4 })
 	b.until("load known in the region", 5*time.Second, func() bool {
 		for i := range 2 {
-			status := b.nodes[vmName("jeju", i)].view().Backends["engine-jeju-0"]
+			status := b.nodes[vmName("jeju", i)].view().Backends["jeju-engine-0"]
 			if status == nil || status.Running != 8 || status.Queued != 4 {
 				return false
 			}
--- /dev/null
+++ b/internal/fleet/leaving_test.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// leavingBound is the promise: no new work after it.
+const leavingBound = 5 * time.Second
+
+// region returns the running nodes of a region.
+func (b *bed) region(region string) []*testNode {
+	var nodes []*testNode
+	for _, n := range b.nodes {
+		if n.cfg.Self.Region == region && !n.halted.Load() {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// usableAnywhere reports whether a node of the region would use the server.
+func (b *bed) usableAnywhere(region, name string) bool {
+	for _, n := range b.region(region) {
+		if n.usable(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bed) usableEverywhere(region, name string) bool {
+	for _, n := range b.region(region) {
+		if !n.usable(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// listBackend puts a backend server's VM into the list.
+func (b *bed) listBackend(revision uint64, name, region, state string) {
+	b.list.publish(revision, func(list *platform.VMList) {
+		for i := range list.VMs {
+			if list.VMs[i].Name == name {
+				list.VMs[i].State = state
+				return
+			}
+		}
+		list.VMs = append(list.VMs, platform.VM{Name: name, Region: region, Role: platform.RoleBackend, State: state})
+	})
+}
+
+func TestLeavingByProbeAlsoWhenAProberDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 5, 3)
+		name := "jeju-engine-0"
+		b.until("usable", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
+		any := b.region("jeju")[0]
+		any.mu.Lock()
+		prober := any.roles.probers[name][0]
+		any.mu.Unlock()
+		b.engines[name].set(func(r *health.Report) { r.Leaving = true })
+		b.nodes[prober].halt()
+		b.until("no new work", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
+		b.always("other servers stay usable", leavingBound, func() bool {
+			return b.usableEverywhere("jeju", "jeju-engine-1")
+		})
+	})
+}
+
+func TestLeavingByListWhichAnOlderListDoesNotUndo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 5, 3)
+		name := "jeju-engine-0"
+		b.listBackend(100, name, "jeju", platform.StateLive)
+		b.until("usable", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
+		b.listBackend(101, name, "jeju", platform.StateLeaving)
+		b.until("no new work", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
+		// A stale replica of the service shows the older list, and one member
+		// is restarted and reads nothing else.
+		b.listBackend(100, name, "jeju", platform.StateLive)
+		restarted := b.restart(vmName("jeju", 0))
+		b.until("restarted member has a view", leavingBound, func() bool { return restarted.usable("jeju-engine-1") })
+		b.until("no new work by the restarted one", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
+		b.always("no new work under the older list", time.Minute, func() bool { return !b.usableAnywhere("jeju", name) })
+		b.listBackend(102, name, "jeju", platform.StateLive)
+		b.until("back by a newer list", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
+		since := restarted.view().Backends[name].Since
+		if now := restarted.cfg.Now(); since == 0 || now.Sub(since) > leavingBound {
+			t.Fatalf("no slow start: since %d at %d", since, now)
+		}
+	})
+}
+
+func TestWokenGatewayUsesNoOldView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 2, 3)
+		n := b.nodes[vmName("jeju", 0)]
+		b.until("usable", leavingBound, func() bool { return n.usable("jeju-engine-0") && n.usable("jeju-engine-1") })
+		b.engines["jeju-engine-0"].set(func(r *health.Report) { r.Leaving = true })
+		n.offset.Add(int64(30 * time.Second)) // frozen and woken at once
+		if n.usable("jeju-engine-0") || n.usable("jeju-engine-1") {
+			t.Fatal("the view from before the pause is used")
+		}
+		b.until("refreshed", time.Second, func() bool { return n.usable("jeju-engine-1") })
+		if !n.view().Backends["jeju-engine-0"].Leaving {
+			t.Fatal("the refreshed view doesn't know who left in the pause")
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/memnet_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+)
+
+// memNet is a network in memory, so that tests run on synctest's time.
+type memNet struct {
+	mu        sync.Mutex
+	next      int
+	listeners map[string]*memListener
+	conns     []memConn
+	cut       func(from, to string) bool
+}
+
+type memConn struct {
+	from, to string
+	conn     net.Conn
+}
+
+func newMemNet() *memNet { return &memNet{listeners: map[string]*memListener{}} }
+
+type memListener struct {
+	network *memNet
+	address memAddr
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+type memAddr string
+
+func (memAddr) Network() string  { return "mem" }
+func (a memAddr) String() string { return string(a) }
+
+var errRefused = errors.New("connection refused")
+
+// listen opens a listener; an empty address means a new one.
+func (n *memNet) listen(address string) *memListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if address == "" {
+		n.next++
+		address = "10.0.0.1:" + strconv.Itoa(n.next)
+	}
+	l := &memListener{network: n, address: memAddr(address), accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return l.address }
+
+// dial connects from one address to another.
+func (n *memNet) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	cut := n.cut != nil && n.cut(from, to)
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done() // packets are lost
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accept <- far:
+	case <-l.closed:
+		return nil, errRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, memConn{from, to, near})
+	n.mu.Unlock()
+	return near, nil
+}
+
+// setCut replaces which connections are cut and ends those that are.
+func (n *memNet) setCut(cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	for _, c := range n.conns {
+		if cut != nil && cut(c.from, c.to) {
+			_ = c.conn.Close()
+		}
+	}
+}
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// probersPerBackend is how many members probe a backend server, so that
-	// the loss of one delays nothing.
-	probersPerBackend = 2
 	// minProbeInterval and maxProbeInterval bound the time between two probes
 	// of a backend server by the same member.
 	minProbeInterval = time.Second
@@ -75,8 +72,9 @@
 	return &http.Client{Transport: transport}
 }
 
-// divideProbes chooses the members that probe each backend server, in
-// different failure domains where there are several.
+// divideProbes chooses the two members that probe each backend server, so that
+// the loss of one delays nothing; in different failure domains where there are
+// several.
 func (f *Fleet) divideProbes(live []string, members map[string]*snapshot.Member) map[string][]string {
 	probers := map[string][]string{}
 	for _, name := range f.tracker.Names() {
@@ -270,8 +268,9 @@
 		return f.probeFailed(name, p, err, now)
 	}
 	p.count.Succeeded()
+	f.tracker.Confirm(name, started)
 	state := r.State()
-	changed := f.writeState(name, state, now)
+	changed := f.writeState(name, state)
 	f.writeLoad(name, r.Load(), now)
 	return changed
 }
@@ -282,18 +281,18 @@
 		return false
 	}
 	p.due = now.Add(minProbeInterval)
-	state, _ := f.tracker.State(name)
+	state := f.tracker.State(name)
 	state.Healthy = false
-	if f.writeState(name, state, now) {
+	if f.writeState(name, state) {
 		f.cfg.Log.Warn("backend server unhealthy", "backend", name, "error", err)
 		return true
 	}
 	return false
 }
 
-func (f *Fleet) writeState(name string, s health.State, now clock.Instant) bool {
+func (f *Fleet) writeState(name string, s health.State) bool {
 	changed := f.write(gossip.KindState, name, s)
-	f.tracker.SetState(name, s, now)
+	f.tracker.SetState(name, s)
 	if changed {
 		f.cfg.Log.Info("backend server state", "backend", name, "healthy", s.Healthy, "leaving", s.Leaving)
 	}
@@ -303,7 +302,7 @@
 // writeLoad keeps the exact load for this process and shares it when it
 // differs by enough from what is shared.
 func (f *Fleet) writeLoad(name string, l health.Load, now clock.Instant) {
-	f.tracker.SetLoad(name, l, now)
+	f.tracker.SetLoad(name, l)
 	var shared health.Load
 	record, ok := f.store.Get(gossip.Key{Kind: gossip.KindLoad, Name: name})
 	if ok && gossip.Decode(record.Value, &shared) == nil &&
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
@@ -13,7 +14,7 @@
 
 // raiseInterval is the least time between two raises of the own version over
 // that of another incarnation, in case two processes claim the same VM.
-const raiseInterval = 5e9 // nanoseconds
+const raiseInterval = 5 * time.Second
 
 // handler answers peers on behalf of a Fleet.
 type handler struct{ f *Fleet }
@@ -111,6 +112,9 @@
 		f.cfg.Log.Warn("peer record refused", "kind", int(r.Kind), "name", r.Name, "error", err)
 		return false
 	}
+	if r.Kind == gossip.KindListed && f.table.Outdated(r.Name, r.Version) {
+		return false
+	}
 	if r.Kind == gossip.KindMember && r.Name == f.cfg.Self.VM {
 		return f.ownRecord(r, *target.(*membership.Announcement))
 	}
@@ -173,9 +177,9 @@
 		f.table.List(r.Name, *v, r.Version)
 		f.listRevision = max(f.listRevision, r.Version)
 	case *health.State:
-		f.tracker.SetState(r.Name, *v, now)
+		f.tracker.SetState(r.Name, *v)
 	case *health.Load:
-		f.tracker.SetLoad(r.Name, *v, now)
+		f.tracker.SetLoad(r.Name, *v)
 		f.loadWritten[r.Name] = now
 	case *summary:
 		f.takeSummary(r.Name, *v, now)
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
@@ -24,7 +25,7 @@
 	// time, in turn.
 	attempts = 2
 	// attemptInterval is how long one of them is tried.
-	attemptInterval = 5e9 // nanoseconds
+	attemptInterval = 5 * time.Second
 )
 
 // roles is what this member does for the fleet; it follows from who is
@@ -66,7 +67,7 @@
 }
 
 func (f *Fleet) viewOf(live []string) uint32 {
-	text := strings.Join(live, " ") + " " + strconv.FormatUint(f.revision(), 10)
+	text := strings.Join(live, " ") + " " + strconv.FormatUint(f.set.Revision, 10)
 	return uint32(xxhash.Sum64String(text) & 0xffff)
 }
 
--- a/internal/fleet/summaries.go
+++ b/internal/fleet/summaries.go
@@ -128,7 +128,7 @@
 // writeSummaries writes the summaries of the own region that this member is
 // chosen to write and that have changed by enough.
 func (f *Fleet) writeSummaries(now clock.Instant) {
-	set := f.cfg.Publisher.Load().Config
+	set := f.set
 	targets := slices.Sorted(maps.Keys(set.Models))
 	targets = append(targets, slices.Sorted(maps.Keys(set.Services))...)
 	interval := time.Duration(len(targets)*(len(f.region)+1)) * summaryBudget
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,8 @@
 	// pauseAfter is the gap between two ticks from which on the process counts
 	// as having been paused.
 	pauseAfter = 1500 * time.Millisecond
+	// pruneInterval is the time between two looks for records of what is gone.
+	pruneInterval = time.Minute
 	// publishInterval is the least time between two publications of changes
 	// that aren't urgent.
 	publishInterval = 100 * time.Millisecond
@@ -34,6 +37,7 @@
 	beat       clock.Instant
 	regionBeat clock.Instant
 	summary    clock.Instant
+	prune      clock.Instant
 }
 
 func (f *Fleet) tickLoop(ctx context.Context, group *errgroup.Group) error {
@@ -59,13 +63,15 @@
 	if gap > pauseAfter {
 		f.woke(ctx, group, gap, now)
 	}
-	f.tracker.Sync(f.cfg.Publisher.Load().Config, now)
+	f.set = f.cfg.Publisher.Load().Config
+	f.tracker.Sync(f.set, now)
 	members := f.table.Members(now)
 	f.assign(members, now)
 	f.confirmByBeats(now)
 	f.beats(members, now)
 	f.writeSummaries(now)
 	f.connect(ctx, group, now)
+	f.prune(now)
 	f.mu.Unlock()
 	f.publish(true)
 	f.clients.tidy(now)
@@ -96,7 +102,7 @@
 func (f *Fleet) beats(members map[string]*snapshot.Member, now clock.Instant) {
 	if now.Sub(f.paused.beat) >= membership.BeatInterval {
 		f.paused.beat = now
-		beat := membership.Beat{Revision: f.revision(), View: f.roles.view}
+		beat := membership.Beat{Revision: f.revision(), View: f.vouchedView(now)}
 		f.writeOwn(gossip.KindBeat, f.cfg.Self.VM, beat)
 		f.table.Beat(f.cfg.Self.VM, beat, now)
 	}
@@ -107,6 +113,20 @@
 	}
 }
 
+// vouchedView is the view that the heartbeat bears, or zero when this member
+// is behind with its probes and can't vouch for their results.
+func (f *Fleet) vouchedView(now clock.Instant) uint32 {
+	if f.paused.refreshing {
+		return 0
+	}
+	for name, vms := range f.roles.probers {
+		if slices.Contains(vms, f.cfg.Self.VM) && now.Sub(f.tracker.Heard(name)) > confirmWithin && f.tracker.State(name).Healthy {
+			return 0
+		}
+	}
+	return f.roles.view
+}
+
 // unreachable returns the announced members of the own region that can't be
 // heard.
 func (f *Fleet) unreachable(members map[string]*snapshot.Member) []string {
@@ -119,6 +139,32 @@
 	return vms
 }
 
+// prune forgets VMs that the list dropped long ago, and what is known of
+// backend servers that the configuration no longer holds.
+func (f *Fleet) prune(now clock.Instant) {
+	if now.Sub(f.paused.prune) < pruneInterval {
+		return
+	}
+	f.paused.prune = now
+	for _, vm := range f.table.Prune(now) {
+		for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindBeat, gossip.KindListed} {
+			f.store.Delete(gossip.Key{Kind: kind, Name: vm})
+		}
+	}
+	if f.set.Revision == 0 {
+		return
+	}
+	for _, kind := range []gossip.Kind{gossip.KindState, gossip.KindLoad, gossip.KindPrefixes} {
+		f.store.Each(kind, func(r gossip.Record) {
+			if f.set.BackendServers[r.Name] == nil {
+				f.store.Delete(r.Key)
+				delete(f.probe, r.Name)
+				delete(f.loadWritten, r.Name)
+			}
+		})
+	}
+}
+
 func (f *Fleet) publishLoop(ctx context.Context) error {
 	for {
 		select {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -65,7 +65,6 @@
 
 type backend struct {
 	state    State
-	known    bool // a state was reported
 	load     Load
 	usable   bool
 	since    clock.Instant
@@ -122,17 +121,18 @@
 // Names returns the names of the region's backend servers in order.
 func (t *Tracker) Names() []string { return slices.Sorted(maps.Keys(t.backends)) }
 
-// SetState takes in a report of a prober.
-func (t *Tracker) SetState(name string, s State, now clock.Instant) {
+// SetState takes in what some member reported. It may be old: Confirm says
+// until when it was right.
+func (t *Tracker) SetState(name string, s State) {
 	if b := t.backends[name]; b != nil {
-		b.state, b.known, b.heard = s, true, now
+		b.state = s
 	}
 }
 
 // SetLoad takes in a reported load.
-func (t *Tracker) SetLoad(name string, l Load, now clock.Instant) {
+func (t *Tracker) SetLoad(name string, l Load) {
 	if b := t.backends[name]; b != nil {
-		b.load, b.heard = l, now
+		b.load = l
 	}
 }
 
@@ -151,7 +151,7 @@
 	}
 }
 
-// Heard returns when a backend server was last reported or confirmed.
+// Heard returns when a backend server's state was last confirmed.
 func (t *Tracker) Heard(name string) clock.Instant {
 	if b := t.backends[name]; b != nil {
 		return b.heard
@@ -159,14 +159,13 @@
 	return 0
 }
 
-// State returns the last reported state of a backend server and whether any
-// was reported.
-func (t *Tracker) State(name string) (State, bool) {
+// State returns the last reported state of a backend server.
+func (t *Tracker) State(name string) State {
 	b := t.backends[name]
 	if b == nil {
-		return State{}, false
+		return State{}
 	}
-	return b.state, b.known
+	return b.state
 }
 
 // Observe takes in the outcome of an own request. It reports whether the
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,6 +20,9 @@
 // as unreachable.
 const UnreachableAfter = 6 * time.Second
 
+// keepGone is how long a VM is remembered after the list has dropped it.
+const keepGone = time.Hour
+
 // Announcement is a gateway's word about itself.
 type Announcement struct {
 	Incarnation    string
@@ -58,7 +61,8 @@
 	own       Announcement
 	listed    bool
 	listing   Listing
-	revision  uint64 // of the list
+	revision  uint64        // of the list
+	gone      clock.Instant // when the drop from the list was noticed
 	// listedBefore is the list's revision when the present incarnation was
 	// first heard; a listing that isn't newer may be of an earlier one.
 	listedBefore uint64
@@ -75,6 +79,8 @@
 	nodes map[string]*node
 	// unreachable holds what other regions' carriers say: region, VMs.
 	unreachable map[string]map[string]bool
+	// pruned is the highest list revision of the VMs that were forgotten.
+	pruned uint64
 }
 
 // NewTable returns a table that knows nothing.
@@ -104,10 +110,15 @@
 	n.announced, n.own = true, a
 }
 
-// Beat notes that a gateway was heard, and its configuration revision.
+// Beat notes that a gateway was heard, and its configuration revision. The
+// first heartbeat of a gateway may be an old one that a peer passed on; its
+// view isn't used.
 func (t *Table) Beat(vm string, b Beat, now clock.Instant) {
 	n := t.node(vm)
-	n.heard, n.beat, n.view = now, now, b.View
+	if n.beat != 0 {
+		n.view = b.View
+	}
+	n.heard, n.beat = now, now
 	n.config = max(n.config, b.Revision)
 }
 
@@ -129,6 +140,31 @@
 		return
 	}
 	n.listed, n.listing, n.revision = true, l, revision
+	n.gone = 0
+}
+
+// Outdated reports whether an entry of the list speaks of a VM that was
+// dropped by a newer list and has been forgotten since.
+func (t *Table) Outdated(vm string, revision uint64) bool {
+	return t.nodes[vm] == nil && revision <= t.pruned
+}
+
+// Prune forgets the VMs that the list dropped longer than keepGone ago and
+// returns their names.
+func (t *Table) Prune(now clock.Instant) []string {
+	var names []string
+	for vm, n := range t.nodes {
+		switch {
+		case !n.listed || !n.listing.Gone:
+		case n.gone == 0:
+			n.gone = now
+		case now.Sub(n.gone) > keepGone:
+			t.pruned = max(t.pruned, n.revision)
+			delete(t.nodes, vm)
+			names = append(names, vm)
+		}
+	}
+	return names
 }
 
 // RegionUnreachable takes in which gateways a region's carrier can't hear.
