--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,18 +99,35 @@
 }
 
 func TestWokenGatewayUsesNoOldView(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := startBed(t, newMemNet(), 2, 3)
-		n := b.nodes[vmName("jeju", 0)]
-		b.until("usable", leavingBound, func() bool { return n.usable("jeju-engine-0") && n.usable("jeju-engine-1") })
-		b.engines["jeju-engine-0"].set(func(r *health.Report) { r.Leaving = true })
-		n.offset.Add(int64(30 * time.Second)) // frozen and woken at once
-		if n.usable("jeju-engine-0") || n.usable("jeju-engine-1") {
-			t.Fatal("the view from before the pause is used")
-		}
-		b.until("refreshed", time.Second, func() bool { return n.usable("jeju-engine-1") })
-		if !n.view().Backends["jeju-engine-0"].Leaving {
-			t.Fatal("the refreshed view doesn't know who left in the pause")
+	for _, frozen := range []time.Duration{3 * time.Second, 30 * time.Second, time.Hour} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { wakeAfter(t, frozen) })
+		})
+	}
+}
+
+func wakeAfter(t *testing.T, frozen time.Duration) {
+	b := startBed(t, newMemNet(), 6, 3)
+	b.until("usable", leavingBound, func() bool {
+		return b.usableEverywhere("jeju", "jeju-engine-0") && b.usableEverywhere("jeju", "jeju-engine-1")
+	})
+	// One that leaves the probes of this server to others.
+	nodes := b.region("jeju")
+	n := nodes[slices.IndexFunc(nodes, func(n *testNode) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return !slices.Contains(n.roles.probers["jeju-engine-0"], n.cfg.Self.VM)
+	})]
+	b.engines["jeju-engine-0"].set(func(r *health.Report) { r.Leaving = true })
+	n.offset.Add(int64(frozen)) // frozen and woken at once
+	if n.usable("jeju-engine-0") || n.usable("jeju-engine-1") {
+		t.Fatal("the view from before the pause is used")
+	}
+	b.until("refreshed", time.Second, func() bool {
+		if n.usable("jeju-engine-0") {
+			t.Fatal("the server that left in the pause is used")
 		}
+		return n.usable("jeju-engine-1")
 	})
+	b.always("no new work", leavingBound, func() bool { return !n.usable("jeju-engine-0") })
 }
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -24,7 +24,10 @@
 			jeju[e.address] = strings.HasPrefix(name, "jeju")
 		}
 		b.memory.setCut(func(from, to string) bool { return jeju[from] != jeju[to] })
-		restarted := b.restart(vmName("jeju", 0), b.nodes[vmName("jeju", 1)].listener.Addr().String())
+		// The VM is replaced: the name is the same, the address is new.
+		address := b.listen("").Addr().String()
+		jeju[address] = true
+		restarted := b.restartAt(vmName("jeju", 0), address, b.nodes[vmName("jeju", 1)].listener.Addr().String())
 		b.until("the restarted member serves", 10*time.Second, func() bool {
 			m := restarted.view().Members[vmName("jeju", 1)]
 			return m != nil && m.Reachable && b.usableEverywhere("jeju", "jeju-engine-0")
@@ -83,7 +86,7 @@
 		b.until("region heard", 10*time.Second, fresh(regionBeatInterval))
 		carry := membership.Choose(b.nodes[vmName("jeju", 0)].live(), "carrier/busan", carriers)
 		b.nodes[carry[0]].halt()
-		b.always("one path is left", 30*time.Second, fresh(regionSilence))
+		b.always("one path is left", 30*time.Second, fresh(2*regionBeatInterval+exchangeInterval))
 		carry = membership.Choose(b.region("jeju")[0].live(), "carrier/busan", carriers)
 		for _, vm := range carry {
 			b.nodes[vm].halt()
@@ -165,10 +168,14 @@
 }
 
 // restart replaces a node by a new incarnation on the same address.
-func (b *bed) restart(vm string, seeds ...string) *testNode {
+func (b *bed) restart(vm string) *testNode {
+	return b.restartAt(vm, b.nodes[vm].listener.Addr().String())
+}
+
+func (b *bed) restartAt(vm, address string, seeds ...string) *testNode {
 	old := b.nodes[vm]
 	old.halt()
-	l := b.listen(old.listener.Addr().String())
+	l := b.listen(address)
 	next := b.build(old.cfg.Self.Region, vm, "second-"+vm, l, seeds)
 	b.start(next)
 	return next
