--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -106,6 +106,14 @@
 	KeyChecked bool
 }
 
+// MaySend asks BeforeSend, if it is set.
+func (r *Request) MaySend() *verdict.Refusal {
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
+}
+
 // Chat is what the decisions need to know of a chat completion.
 type Chat struct {
 	Stream bool
