--- /dev/null
+++ b/internal/booking/table_test.go
@@ -0,0 +1,240 @@
+package booking_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutspring/chestnutspring/internal/booking"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// TestMain fixes the seed of the property tests, unless a flag names another.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "4", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
+const (
+	testRecords   = 12
+	testHeldBytes = 3 << 10
+)
+
+// tableMachine drives a table with few keys and remembers what was promised.
+type tableMachine struct {
+	now    clock.Instant
+	issuer *booking.Issuer
+	table  *booking.Table
+	window time.Duration
+	// longest is the longest window at any attempt so far.
+	longest time.Duration
+	// horizon is the time before which keys may be forgotten.
+	horizon clock.Instant
+
+	prefixes []string
+	running  map[string]*booking.Record
+	ran      map[string]bool   // keys that were let run
+	closed   map[string]bool   // keys of which "not run" was said
+	content  map[string]string // the content of the attempt that ran
+	answers  map[string]string
+}
+
+func newTableMachine() *tableMachine {
+	m := &tableMachine{
+		now: clock.Instant(time.Hour), window: time.Minute,
+		running: map[string]*booking.Record{}, ran: map[string]bool{}, closed: map[string]bool{},
+		content: map[string]string{}, answers: map[string]string{},
+	}
+	now := func() clock.Instant { return m.now }
+	m.issuer = booking.NewIssuer(self, now)
+	m.table = booking.NewTable(booking.TableConfig{
+		Issuer: m.issuer, Now: now, MaxRecords: testRecords, MaxHeldBytes: testHeldBytes,
+	})
+	m.prefixes = []string{m.issuer.Prefix()}
+	return m
+}
+
+func (m *tableMachine) drawKey(t *rapid.T) booking.Key {
+	prefix := rapid.SampledFrom(m.prefixes).Draw(t, "prefix")
+	unique := rapid.IntRange(0, 4).Draw(t, "unique")
+	key, err := booking.ParseKey(prefix + "~" + strconv.Itoa(unique))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (m *tableMachine) begin(t *rapid.T) {
+	key, content := m.drawKey(t), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "content")
+	text := key.String()
+	m.longest = max(m.longest, m.window)
+	m.horizon = max(m.horizon, m.now.Add(-m.longest-wire.MaxTimeout))
+	record, decision := m.table.Begin(key, "team", booking.FingerprintOf([]byte(content)), m.window)
+	switch decision {
+	case booking.Run:
+		if m.now > m.table.Expires(key, m.window) {
+			t.Fatalf("%s runs after its window", text)
+		}
+		if m.ran[text] || m.closed[text] {
+			t.Fatalf("%s runs; ran before %v, closed before %v", text, m.ran[text], m.closed[text])
+		}
+		m.ran[text], m.running[text], m.content[text] = true, record, content
+	case booking.Wait:
+		if m.ran[text] && m.content[text] != content {
+			t.Fatalf("%s with other content shares the outcome", text)
+		}
+		m.checkOutcome(t, text, record)
+	case booking.Mismatch:
+		if m.content[text] == content {
+			t.Fatalf("%s was refused as a mismatch", text)
+		}
+	case booking.Expired, booking.Full:
+		m.sayNotRun(t, text)
+	case booking.Forgotten:
+		if m.table.Expires(key, 0) > m.horizon {
+			t.Fatalf("%s is forgotten too early", text)
+		}
+	}
+}
+
+// checkOutcome compares a finished record with what happened.
+func (m *tableMachine) checkOutcome(t *rapid.T, text string, record *booking.Record) {
+	if m.running[text] != nil {
+		return
+	}
+	outcome := record.Outcome()
+	if outcome.Refusal != nil && outcome.Refusal.Verdict == verdict.NotRun {
+		if !m.closed[text] {
+			t.Fatalf("%s is closed, but it may have run", text)
+		}
+		return
+	}
+	if outcome.Answer != nil && string(outcome.Answer.Body) != m.answers[text] {
+		t.Fatalf("%s got another answer", text)
+	}
+}
+
+func (m *tableMachine) sayNotRun(t *rapid.T, text string) {
+	if m.ran[text] && !m.closed[text] {
+		t.Fatalf("%s ran, and not-run is said", text)
+	}
+	m.closed[text] = true
+}
+
+func (m *tableMachine) close(t *rapid.T) {
+	key := m.drawKey(t)
+	record, decision := m.table.Close(key, "team")
+	if decision == booking.Full || decision == booking.Wait && record.NeverRan() {
+		m.sayNotRun(t, key.String())
+	}
+}
+
+func (m *tableMachine) finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	text := rapid.SampledFrom(slices.Sorted(maps.Keys(m.running))).Draw(t, "key")
+	record := m.running[text]
+	delete(m.running, text)
+	switch rapid.IntRange(0, 2).Draw(t, "outcome") {
+	case 0:
+		m.answers[text] = fmt.Sprintf("%s%0*d", text, rapid.IntRange(1, 1000).Draw(t, "size"), 1)
+		m.table.Finish(record, booking.Outcome{Answer: &booking.Answer{Body: []byte(m.answers[text])}})
+	case 1:
+		m.closed[text] = true
+		m.table.Finish(record, booking.Outcome{Refusal: booking.ClosedRefusal()})
+	default:
+		m.table.Finish(record, booking.Outcome{Refusal: verdict.Ambiguous(verdict.CodeBackendFailed, "", 0)})
+	}
+}
+
+func (m *tableMachine) advance(t *rapid.T) {
+	steps := []time.Duration{time.Second, booking.EpochLength, time.Minute, 12 * time.Minute}
+	m.now = m.now.Add(rapid.SampledFrom(steps).Draw(t, "time"))
+	m.prefixes = append(m.prefixes, m.issuer.Prefix())
+	if len(m.prefixes) > 6 {
+		m.prefixes = m.prefixes[1:]
+	}
+}
+
+// publishWindow makes a longer or shorter window the valid one.
+func (m *tableMachine) publishWindow(t *rapid.T) {
+	windows := []time.Duration{10 * time.Second, time.Minute, time.Hour}
+	m.window = rapid.SampledFrom(windows).Draw(t, "window")
+}
+
+func (m *tableMachine) checkBounds(t *rapid.T) {
+	records, held := m.table.Size()
+	if records > testRecords || held > testHeldBytes {
+		t.Fatalf("%d records and %d bytes", records, held)
+	}
+}
+
+// TestTableKeepsItsWord holds the table against its promises over windows that
+// change, full tables and times beyond the retention.
+func TestTableKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newTableMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": m.begin, "begin again": m.begin, "close": m.close, "finish": m.finish,
+			"advance": m.advance, "publish window": m.publishWindow, "": m.checkBounds,
+		})
+	})
+}
+
+// TestFullTableClosesKeys checks that a key that was refused for want of room,
+// which leaves no record, doesn't run when there is room again.
+func TestFullTableClosesKeys(t *testing.T) {
+	is := is.New(t)
+	m := newTableMachine()
+	m.window = time.Hour
+	begin := func(prefix, unique string) booking.Decision {
+		key, err := booking.ParseKey(prefix + "~" + unique)
+		is.NoErr(err)
+		_, decision := m.table.Begin(key, "team", booking.Fingerprint{}, m.window)
+		return decision
+	}
+	for i := range testRecords {
+		is.Equal(begin(m.issuer.Prefix(), strconv.Itoa(i)), booking.Run)
+	}
+	m.now = m.now.Add(20 * time.Minute)
+	refused := m.issuer.Prefix()
+	is.Equal(begin(refused, "late"), booking.Full)
+	m.now = m.now.Add(55 * time.Minute) // The first records are dropped.
+	is.Equal(begin(m.issuer.Prefix(), "new"), booking.Run)
+	is.Equal(begin(refused, "late"), booking.Full)
+}
+
+// TestHopsRememberDuplicates checks that a key received again never runs, that
+// a refused one is told as such, and that memory is bounded.
+func TestHopsRememberDuplicates(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	hops := booking.NewHops(func() clock.Instant { return now }, 2)
+	key := func(unique string) booking.Key {
+		return booking.Key{VM: "a", Incarnation: "b", Code: "c", Unique: unique}
+	}
+	is.Equal(hops.Begin(key("1"), time.Minute), booking.HopNew)
+	is.Equal(hops.Begin(key("1"), time.Minute), booking.HopSeen)
+	is.Equal(hops.Close(key("1"), time.Minute), booking.HopSeen)
+	hops.Refuse(key("1"))
+	is.Equal(hops.Begin(key("1"), time.Minute), booking.HopClosed)
+	is.Equal(hops.Close(key("2"), time.Minute), booking.HopClosed)
+	is.Equal(hops.Begin(key("3"), time.Minute), booking.HopFull)
+	now = now.Add(time.Hour)
+	is.Equal(hops.Begin(key("3"), time.Minute), booking.HopNew)
+	is.Equal(hops.Size(), 1)
+}
