Route: expected completion, fair slots, retries, hedges and the region hop

Headers alone don't begin the answer of a hedged request, as engines send them before the first token.

--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -160,14 +160,19 @@
 	g.pump()
 }
 
-// Wait returns the expected wait for a slot of a new request of the team,
-// when no slot is free now.
-func (g *Gate) Wait(team string, weight float64) time.Duration {
+// Wait returns the expected wait of a new request of the team. now is zero
+// where the team may take a free slot at once; full is the wait where none is
+// free.
+func (g *Gate) Wait(team string, weight float64) (now, full time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	slots := float64(max(g.capacity, g.inFlight, 1))
 	work := (g.queue.Ahead(team, weight) + g.meanCost) * g.stretch
-	return time.Duration(work / slots * float64(time.Second))
+	full = time.Duration(work / slots * float64(time.Second))
+	if g.queue.Len() == 0 && (g.teams[team] == nil || g.mayTake(g.teams[team])) {
+		return 0, full
+	}
+	return full, full
 }
 
 // Queued returns the number of requests that wait.
--- /dev/null
+++ b/internal/filter/route/meter.go
@@ -0,0 +1,43 @@
+package route
+
+import (
+	"bytes"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+)
+
+// eventEnd ends each server-sent event.
+var eventEnd = []byte("\n\n")
+
+// meter passes an answer on and notes its first byte and its events.
+type meter struct {
+	pipeline.Response
+	now     clock.Clock
+	onFirst func(now clock.Instant)
+	begun   bool
+	events  int
+	// failed means that the answer could not be passed on.
+	failed bool
+}
+
+var _ pipeline.Response = (*meter)(nil)
+
+// Write implements pipeline.Response.
+func (m *meter) Write(p []byte) (int, error) {
+	m.first()
+	m.events += bytes.Count(p, eventEnd)
+	n, err := m.Response.Write(p)
+	m.failed = m.failed || err != nil
+	return n, err
+}
+
+// end notes that the answer has ended, also without a byte.
+func (m *meter) end() { m.first() }
+
+func (m *meter) first() {
+	if !m.begun {
+		m.begun = true
+		m.onFirst(m.now())
+	}
+}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,96 +1,141 @@
 // Package route is the last handler of the pipeline: it chooses the backend
 // server or the region that serves a request, sends it, and repeats it where
 // that is safe.
+//
+// A request is sent a second time only where the first attempt did not run, or
+// where it is idempotent and no answer has begun, and only within the retry
+// budget and the deadline. A request crosses to another region at most once,
+// and one that came from another region never does.
 package route
 
 import (
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/retry"
+	"github.com/chestnutspring/chestnutspring/internal/routing"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
-// retryAfterNoBackend is told to callers while nothing can serve them.
-const retryAfterNoBackend = time.Second
+const (
+	// retryAfterNoBackend is told to callers while nothing can serve them.
+	retryAfterNoBackend = time.Second
+	// maxAttempts bounds how often one request is sent, hedges left out.
+	maxAttempts = 3
+)
 
 // Config holds what the handler needs.
 type Config struct {
 	Backend pipeline.BackendSender
 	Peer    pipeline.PeerSender
-	// Publisher gives the newest snapshot to requests that waited.
+	// Publisher gives the newest snapshot, also to requests that waited.
 	Publisher *snapshot.Publisher
 	Now       clock.Clock
 	Log       *slog.Logger
 	Scope     tally.Scope
+	// Random returns random numbers; nil means math/rand/v2.
+	Random func() uint64
 }
 
 // Handler routes requests.
 type Handler struct {
-	cfg Config
+	cfg     Config
+	records *routing.Records
+	picker  atomic.Pointer[routing.Picker]
+	gates   sync.Map // target name -> *fairqueue.Gate
+	budget  *retry.Budget
+	metrics metrics
 }
 
 var _ pipeline.Handler = (*Handler)(nil)
 
 // New returns a handler.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
-
-// State returns what the handler knows, for the dump.
-func (h *Handler) State() any { return struct{}{} }
+func New(cfg Config) *Handler {
+	if cfg.Random == nil {
+		cfg.Random = rand.Uint64
+	}
+	return &Handler{
+		cfg: cfg, records: routing.NewRecords(), budget: retry.NewBudget(),
+		metrics: newMetrics(cfg.Scope),
+	}
+}
 
 // Handle implements pipeline.Handler.
 func (h *Handler) Handle(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
-	servers := usable(req)
-	for len(servers) > 0 {
-		i := rand.IntN(len(servers))
-		refusal := h.cfg.Backend.SendBackend(ctx, req, servers[i], w)
-		if refusal == nil || w.Started() || refusal.Verdict != verdict.NotRun || ctx.Err() != nil {
+	r := &run{h: h, req: req, w: w}
+	if policy := req.Snapshot.Config.PolicyOf(req.Target); policy != nil {
+		h.budget.Request(policy.Spec.RetryBudget)
+	}
+	for attempt := 1; ; attempt++ {
+		refusal, sent := r.attempt(ctx)
+		if refusal == nil || !sent || attempt == maxAttempts || !r.mayRepeat(ctx, refusal) {
 			return refusal
 		}
-		servers = append(servers[:i], servers[i+1:]...)
-	}
-	if member := h.member(req); member != nil {
-		return h.cfg.Peer.SendPeer(ctx, req, pipeline.HopRegion, member, w)
+		if !h.budget.Take() {
+			h.metrics.budgetEmpty.Inc(1)
+			return refusal
+		}
+		h.metrics.retries.Inc(1)
 	}
-	return verdict.Busy(verdict.CodeNoBackend, "no backend server can serve the request now", retryAfterNoBackend)
 }
 
-func usable(req *pipeline.Request) []*objects.BackendServer {
-	s := req.Snapshot
-	var list []*objects.BackendServer
-	for _, server := range s.Config.BackendsOf(req.Target) {
-		if s.Config.RegionOf(server.Spec.FailureDomain) != s.Self.Region {
-			continue
-		}
-		status := s.Backends[server.Name]
-		if status != nil && (status.Leaving || !status.Healthy) {
-			continue
-		}
-		list = append(list, server)
+// current returns the picker of the newest snapshot.
+func (h *Handler) current() *routing.Picker {
+	newest := h.cfg.Publisher.Load()
+	p := h.picker.Load()
+	if p != nil && p.Snapshot == newest {
+		return p
 	}
-	return list
+	next := routing.NewPicker(newest, h.records)
+	h.picker.CompareAndSwap(p, next)
+	return next
 }
 
-func (h *Handler) member(req *pipeline.Request) *snapshot.Member {
-	s := req.Snapshot
-	policy := s.Config.PolicyOf(req.Target)
-	if req.Hop == pipeline.HopRegion || policy == nil || !s.ConfigFresh(h.cfg.Now(), policy.Spec.MaxConfigAge.D()) {
-		return nil
+func (h *Handler) gate(target string) *fairqueue.Gate {
+	if g, ok := h.gates.Load(target); ok {
+		return g.(*fairqueue.Gate)
 	}
-	for _, m := range s.Members {
-		if m.Region == s.Self.Region || m.Leaving || !m.Reachable {
-			continue
-		}
-		if s.Config.Permits(req.Team, m.Region) && s.Config.RouteAllows(req.Target, m.Region) {
-			return m
-		}
+	g, _ := h.gates.LoadOrStore(target, fairqueue.NewGate(h.cfg.Now))
+	return g.(*fairqueue.Gate)
+}
+
+// repeatable lists the codes of refusals after which another backend server or
+// region may serve the request.
+var repeatable = map[verdict.Code]bool{
+	verdict.CodeOverloaded:       true,
+	verdict.CodeNoBackend:        true,
+	verdict.CodeBackendFailed:    true,
+	verdict.CodeAnswerCut:        true,
+	verdict.CodeOwnerUnreachable: true,
+	verdict.CodeShuttingDown:     true,
+	verdict.CodeInternal:         true,
+	verdict.CodeResidency:        true,
+	verdict.CodeRevisionTooOld:   true,
+	verdict.CodeUnconfirmed:      true,
+	verdict.CodeLimited:          true,
+	verdict.CodeUnknownTeam:      true,
+	verdict.CodeUnknownModel:     true,
+	verdict.CodeUnknownService:   true,
+}
+
+// mayRepeat reports whether the request may be sent again after the refusal.
+func (r *run) mayRepeat(ctx context.Context, refusal *verdict.Refusal) bool {
+	switch {
+	case r.w.Started() || ctx.Err() != nil || !repeatable[refusal.Code]:
+		return false
+	case refusal.Verdict == verdict.NotRun:
+		return true
+	default:
+		return refusal.Verdict == verdict.MayHaveRun && r.req.Idempotent
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/filter/route/state.go
@@ -0,0 +1,76 @@
+package route
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
+	"github.com/chestnutspring/chestnutspring/internal/routing"
+)
+
+type metrics struct {
+	local, crossed, refused tally.Counter
+	retries, budgetEmpty    tally.Counter
+	hedges, hedgeWins       tally.Counter
+	queueWait               tally.Timer
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	s := scope.SubScope("route")
+	return metrics{
+		local: s.Counter("local"), crossed: s.Counter("crossed"), refused: s.Counter("refused"),
+		retries: s.Counter("retries"), budgetEmpty: s.Counter("retry_budget_empty"),
+		hedges: s.Counter("hedges"), hedgeWins: s.Counter("hedge_wins"),
+		queueWait: s.Timer("queue_wait"),
+	}
+}
+
+// State is the handler's part of the dump.
+type State struct {
+	RetriesLeft float64               `json:"retriesLeft"`
+	Queues      map[string]QueueState `json:"queues"`
+	Targets     []routing.TargetState `json:"targets"`
+}
+
+// QueueState is the state of one target's queue.
+type QueueState struct {
+	Queued   int `json:"queued"`
+	InFlight int `json:"inFlight"`
+	// WaitSeconds is the expected wait where no slot is free.
+	WaitSeconds float64 `json:"waitSeconds"`
+}
+
+// State returns what the handler knows, for the dump.
+func (h *Handler) State() any {
+	state := State{RetriesLeft: h.budget.Left(), Queues: map[string]QueueState{}}
+	h.gates.Range(func(name, value any) bool {
+		g := value.(*fairqueue.Gate)
+		_, full := g.Wait("", 1)
+		state.Queues[name.(string)] = QueueState{
+			Queued: g.Queued(), InFlight: g.InFlight(), WaitSeconds: full.Seconds(),
+		}
+		return true
+	})
+	state.Targets = h.current().State(h.cfg.Now())
+	return state
+}
+
+// Load is what this gateway knows of one target's load in its region, for the
+// summary that it gives to other regions.
+type Load struct {
+	// Queued and InFlight count the requests of this gateway.
+	Queued, InFlight int
+	// Wait is the expected wait of a request that comes now.
+	Wait time.Duration
+}
+
+// LoadOf returns the load of a target.
+func (h *Handler) LoadOf(target string) Load {
+	g := h.gate(target)
+	wait, _ := g.Wait("", 1)
+	return Load{Queued: g.Queued(), InFlight: g.InFlight(), Wait: wait}
+}
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -30,6 +30,8 @@
 	// outlierFactor is how much slower than the median a server is that gets
 	// no new work.
 	outlierFactor = 3
+	// outlierSeconds is the least difference to the median of an outlier.
+	outlierSeconds = 0.05
 	// typicalAge is how long the median is used.
 	typicalAge = 200 * time.Millisecond
 	// fullScan is the number of candidates up to which all are weighed. Of
@@ -64,6 +66,10 @@
 // Estimate is what a choice is expected to take.
 type Estimate struct {
 	Wait, Service, Link time.Duration
+	// Prompt is the expected time for the prompt, and Pace how much longer
+	// the load makes a request, both at a server of the expected rate.
+	Prompt time.Duration
+	Pace   float64
 	// Score is in seconds; the least is best.
 	Score float64
 }
@@ -71,6 +77,12 @@
 // Completion returns the expected time until the answer is complete.
 func (e Estimate) Completion() time.Duration { return e.Wait + e.Service + e.Link }
 
+// Expected returns the service time that a server of the expected rate would
+// have needed for an answer that took answerTime.
+func (e Estimate) Expected(answerTime time.Duration) time.Duration {
+	return time.Duration(float64(e.Prompt+answerTime) * e.Pace)
+}
+
 // Choice is a backend server of the own region.
 type Choice struct {
 	Candidate *Candidate
@@ -143,15 +155,17 @@
 // tried yet, its breaker lets requests through and it isn't far slower than
 // the others.
 func (t *Target) usable(c *Candidate, q *Query, typical float64) bool {
-	return c.healthy && c.Server.Breaker.Ready(q.Now) && !t.outlier(c, q.Now, typical) &&
+	return c.healthy && c.Server.Breaker.Ready(q.Now) && !t.outlier(c, q, typical) &&
 		!slices.Contains(q.Tried, c.Config.Name)
 }
 
-func (t *Target) outlier(c *Candidate, now clock.Instant, typical float64) bool {
+func (t *Target) outlier(c *Candidate, q *Query, typical float64) bool {
 	if len(t.Candidates) < 2 {
 		return false
 	}
-	return t.slowness(c, now) > outlierFactor*typical
+	slowness := t.slowness(c, q.Now)
+	excess := (slowness - typical) * q.Service().Seconds()
+	return slowness > outlierFactor*typical && excess > outlierSeconds
 }
 
 func (t *Target) anyUsable(q *Query, typical float64) bool {
@@ -194,7 +208,8 @@
 			spread = prompt * spreadShare * fraction(mix(q.Prefix^c.hash))
 		}
 	}
-	service := (prompt + q.AnswerTime.Seconds()) * slowness * (1 + loadSlope*min(load, 1))
+	pace := 1 + loadSlope*min(load, 1)
+	service := (prompt + q.AnswerTime.Seconds()) * slowness * pace
 	wait := max(0, load-1) * q.Service().Seconds() * slowness
 	if stalled := c.Server.Stalled(q.Now); stalled > firstByteGrace+time.Duration(2*slowness*prompt*float64(time.Second)) {
 		wait += stalled.Seconds()
@@ -204,7 +219,10 @@
 		score += crossDomainSeconds
 	}
 	score *= 1 + noise*fraction(mix(q.Random^c.hash))
-	return Estimate{Wait: toDuration(wait), Service: toDuration(service), Score: score}
+	return Estimate{
+		Wait: toDuration(wait), Service: toDuration(service), Score: score,
+		Prompt: toDuration(prompt), Pace: pace,
+	}
 }
 
 // slowness returns the service time of the candidate over the expected one:
@@ -264,19 +282,40 @@
 }
 
 // Capacity returns the number of slots of the own region that this gateway may
-// use now.
-func (t *Target) Capacity(now clock.Instant) int {
+// use now for requests such as q.
+func (t *Target) Capacity(q *Query) int {
 	total := 0
-	typical := t.typicalSlowness(now)
+	typical := t.typicalSlowness(q.Now)
 	for i := range t.Candidates {
 		c := &t.Candidates[i]
-		if c.healthy && c.Server.Breaker.Ready(now) && !t.outlier(c, now, typical) {
-			total += t.limit(c, now)
+		if c.healthy && c.Server.Breaker.Ready(q.Now) && !t.outlier(c, q, typical) {
+			total += t.limit(c, q.Now)
 		}
 	}
 	return total
 }
 
+// Place takes a slot at the best candidate with a free one. Release at the
+// candidate's Server must follow.
+func (t *Target) Place(q *Query) (Choice, bool) {
+	const races = 4
+	for range races {
+		choice := t.Best(q, true)
+		if choice.Candidate == nil {
+			return Choice{}, false
+		}
+		server := choice.Candidate.Server
+		if !server.Reserve(t.limit(choice.Candidate, q.Now)) {
+			continue
+		}
+		if server.Breaker.Claim(q.Now) || !server.Breaker.Ready(q.Now) {
+			return choice, true
+		}
+		server.Release()
+	}
+	return Choice{}, false
+}
+
 // Used records that the candidate served a request with the prefix.
 func (t *Target) Used(c *Candidate, prefix uint64, now clock.Instant) {
 	if t.Prefixes != nil && prefix != 0 {
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -36,8 +36,9 @@
 type Local struct {
 	// Allowed is false where the own region may not or can't serve.
 	Allowed bool
-	// Wait is the expected wait for a slot.
-	Wait time.Duration
+	// Wait is the expected wait for a slot; zero means that the request may
+	// take a free one now. FullWait is the wait where none is free.
+	Wait, FullWait time.Duration
 }
 
 // Decide weighs the own region against the regions that permitted accepts.
@@ -53,7 +54,7 @@
 		}
 	}
 	if local.Allowed {
-		if e, ok := t.localEstimate(q, own, local.Wait); ok {
+		if e, ok := t.localEstimate(q, own, local); ok {
 			consider(Plan{Local: true, Estimate: e})
 		}
 	}
@@ -84,10 +85,11 @@
 	return a
 }
 
-func (t *Target) localEstimate(q *Query, own string, wait time.Duration) (Estimate, bool) {
+func (t *Target) localEstimate(q *Query, own string, local Local) (Estimate, bool) {
+	wait := local.Wait
 	best := t.Best(q, wait == 0)
 	if best.Candidate == nil {
-		best = t.Best(q, false)
+		best, wait = t.Best(q, false), max(wait, local.FullWait)
 	}
 	if best.Candidate == nil {
 		return Estimate{}, false
