Limits: parts of published limits by reported demand; admission filter

Ways weighed: a shared counter (rules out a cut region), an even split (a team whose callers all use one entry gets a sixth of its limit), parts by demand with a floor.

--- a/internal/filter/admission/admission.go
+++ b/internal/filter/admission/admission.go
@@ -1,29 +1,65 @@
-// Package admission refuses work that a team may not or cannot have done now.
+// Package admission refuses, at once and with the time of a useful retry, what
+// a team may not have done now.
+//
+// It applies the published limits of teams. The wait for a slot and the
+// deadline are weighed by package route, where the place is chosen.
 package admission
 
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
 // Config holds what the filter needs.
 type Config struct {
-	Now   clock.Clock
-	Log   *slog.Logger
-	Scope tally.Scope
+	// Limiter may be shared with the exchange of demand reports; nil means
+	// one of its own.
+	Limiter *limits.Limiter
+	Now     clock.Clock
+	Log     *slog.Logger
+	Scope   tally.Scope
 }
 
 // New returns the filter.
-func New(Config) pipeline.Filter {
+func New(cfg Config) pipeline.Filter {
+	if cfg.Limiter == nil {
+		cfg.Limiter = limits.NewLimiter(cfg.Now)
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	limited := cfg.Scope.SubScope("admission").Counter("limited")
 	return func(next pipeline.Handler) pipeline.Handler {
 		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+			// The gateway that sent a region hop has counted the request.
+			if req.Hop == pipeline.HopRegion {
+				return next.Handle(ctx, req, w)
+			}
+			release, wait := cfg.Limiter.Admit(req.Snapshot, req.Team, tokensOf(req))
+			if release == nil {
+				limited.Inc(1)
+				return refuse(wait)
+			}
+			defer release()
 			return next.Handle(ctx, req, w)
 		})
 	}
 }
+
+// tokensOf returns the tokens that the request may use at most.
+func tokensOf(req *pipeline.Request) int { return req.Chat.PromptTokens + req.Chat.MaxTokens }
+
+func refuse(wait time.Duration) *verdict.Refusal {
+	refusal := verdict.Refuse(http.StatusTooManyRequests, verdict.CodeLimited, "the team's limit is used up")
+	refusal.RetryAfter = wait
+	return refusal
+}
