--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -125,7 +125,10 @@
 		return false
 	}
 	if model != nil && len(status.Loaded) > 0 {
-		return slices.Contains(status.Loaded, model.Name+"@"+model.Spec.Version)
+		// While a new version is being loaded, the old one serves.
+		return slices.ContainsFunc(status.Loaded, func(loaded string) bool {
+			return strings.HasPrefix(loaded, model.Name+"@")
+		})
 	}
 	return b.Spec.Role != RoleStandby
 }
