--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -78,7 +78,12 @@
 	}
 	for attempt := 1; ; attempt++ {
 		refusal, sent := r.attempt(ctx)
-		if refusal == nil || !sent || attempt == maxAttempts || !r.mayRepeat(ctx, refusal) {
+		if refusal == nil {
+			return nil
+		}
+		repeat := sent && attempt < maxAttempts && r.mayRepeat(ctx, refusal)
+		refusal = r.truthful(refusal)
+		if !repeat {
 			return refusal
 		}
 		if !h.budget.Take() {
@@ -128,6 +133,18 @@
 	verdict.CodeUnknownService:   true,
 }
 
+// truthful returns the refusal with a verdict that holds for all attempts so
+// far.
+func (r *run) truthful(refusal *verdict.Refusal) *verdict.Refusal {
+	r.mayHaveRun = r.mayHaveRun || refusal.Verdict != verdict.NotRun
+	if !r.mayHaveRun || refusal.Verdict != verdict.NotRun {
+		return refusal
+	}
+	changed := *refusal
+	changed.Verdict = verdict.MayHaveRun
+	return &changed
+}
+
 // mayRepeat reports whether the request may be sent again after the refusal.
 func (r *run) mayRepeat(ctx context.Context, refusal *verdict.Refusal) bool {
 	switch {
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -32,6 +32,8 @@
 	tried []string
 	// crossed means that the region hop has been used.
 	crossed bool
+	// mayHaveRun means that some attempt may have run.
+	mayHaveRun bool
 }
 
 // attempt chooses a place and sends the request there. sent is false where the
