--- a/internal/filter/route/hops_test.go
+++ b/internal/filter/route/hops_test.go
@@ -77,6 +77,10 @@
 	p.Update(func(s *snapshot.Snapshot) {
 		s.Config, s.Unconfirmed, s.Confirmed = w.set, !fresh, w.now()
 		s.Members, s.Summaries = map[string]*snapshot.Member{}, map[string]map[string]*snapshot.RegionSummary{"desk": {}}
+		s.BackendsHeard, s.Backends = w.now(), map[string]*snapshot.BackendStatus{}
+		for server := range w.set.BackendServers {
+			s.Backends[server] = &snapshot.BackendStatus{Healthy: true, Heard: w.now()}
+		}
 		for _, other := range names {
 			s.Members[other] = &snapshot.Member{Identity: snapshot.Identity{VM: other, Region: other}, Reachable: true}
 			if other != name {
--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,8 @@
 	f.publisher = snapshot.NewPublisher(snapshot.Identity{VM: "gw-a", Region: "a", FailureDomain: "a-x"})
 	f.publisher.Update(func(s *snapshot.Snapshot) {
 		s.Config, s.Confirmed, s.Unconfirmed = set, f.now(), false
+		s.BackendsHeard = f.now().Add(time.Hour)
+		s.Backends = f.statuses()
 		s.Members = map[string]*snapshot.Member{
 			"gw-b": {Identity: snapshot.Identity{VM: "gw-b", Region: "b"}, Reachable: true}}
 	})
@@ -92,6 +95,15 @@
 	return f
 }
 
+// statuses has fresh word of the servers of region a, some of them leaving.
+func (f *fixture) statuses(leaving ...string) map[string]*snapshot.BackendStatus {
+	out := map[string]*snapshot.BackendStatus{}
+	for _, name := range []string{"a1", "a2"} {
+		out[name] = &snapshot.BackendStatus{Healthy: true, Heard: f.now().Add(time.Hour), Leaving: slices.Contains(leaving, name)}
+	}
+	return out
+}
+
 func answer(w pipeline.Response) *verdict.Refusal {
 	w.Start(pipeline.Head{Status: http.StatusOK})
 	_, _ = w.Write([]byte("answer"))
@@ -182,7 +194,7 @@
 	is := is.New(t)
 	f := newFixture(nil)
 	f.publisher.Update(func(s *snapshot.Snapshot) {
-		s.Backends = map[string]*snapshot.BackendStatus{"a1": {Leaving: true}, "a2": {Leaving: true}}
+		s.Backends = f.statuses("a1", "a2")
 	})
 	f.peer = func(context.Context, string, pipeline.Response) *verdict.Refusal { return notRun() }
 	refusal, _ := f.handle(f.request(true))
@@ -200,7 +212,7 @@
 func TestNothingCrossesOnAnOldConfigurationOrAgainstResidency(t *testing.T) {
 	leaving := func(f *fixture) {
 		f.publisher.Update(func(s *snapshot.Snapshot) {
-			s.Backends = map[string]*snapshot.BackendStatus{"a1": {Leaving: true}, "a2": {Leaving: true}}
+			s.Backends = f.statuses("a1", "a2")
 		})
 	}
 	bound := func(set *objects.Set) {
@@ -252,7 +264,7 @@
 		synctest.Wait()
 		is.Equal(len(f.sends()), 4)
 		f.publisher.Update(func(s *snapshot.Snapshot) {
-			s.Backends = map[string]*snapshot.BackendStatus{"a1": {Leaving: true}, "a2": {Healthy: true}}
+			s.Backends = f.statuses("a1")
 		})
 		close(release)
 		wg.Wait()
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -8,7 +8,7 @@
 	n := len(t.Candidates)
 	for range n {
 		c := &t.Candidates[t.turn.Add(1)%uint64(n)]
-		if c.healthy && c.Server.Breaker.Ready(q.Now) && !slices.Contains(q.Tried, c.Config.Name) {
+		if c.healthy && t.fresh(c, q.Now) && c.Server.Breaker.Ready(q.Now) && !slices.Contains(q.Tried, c.Config.Name) {
 			return c
 		}
 	}
@@ -29,7 +29,7 @@
 	}
 	for i := range t.Candidates {
 		c := &t.Candidates[i]
-		if !local || !c.healthy || !c.Server.Breaker.Ready(q.Now) || slices.Contains(q.Tried, c.Config.Name) {
+		if !local || !c.healthy || !t.fresh(c, q.Now) || !c.Server.Breaker.Ready(q.Now) || slices.Contains(q.Tried, c.Config.Name) {
 			continue
 		}
 		busy := float64(c.Server.InFlight()) + c.Server.Others()
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -25,6 +25,7 @@
 	// Prefixes is nil for services.
 	Prefixes *PrefixTable
 
+	snapshot *snapshot.Snapshot
 	// gateways is the number of live gateways of the own region.
 	gateways int
 	// typical is the median slowness of the candidates, as the bits of a
@@ -44,6 +45,7 @@
 	healthy    bool
 	sameDomain bool
 	since      clock.Instant
+	status     *snapshot.BackendStatus
 	// reported is the slowness by the server's own report; zero is unknown.
 	reported float64
 }
@@ -77,7 +79,7 @@
 			continue
 		}
 		t := &Target{
-			Name: name, Policy: &policy.Spec, turn: r.turn(name),
+			Name: name, Policy: &policy.Spec, turn: r.turn(name), snapshot: s,
 			gateways: max(1, len(members[s.Self.Region])),
 		}
 		if s.Config.Models[name] != nil {
@@ -108,7 +110,7 @@
 			sameDomain: b.Spec.FailureDomain == s.Self.FailureDomain,
 		}
 		if status != nil {
-			c.since = status.Since
+			c.since, c.status = status.Since, status
 			c.reported = slownessOf(model, status.TokensPerSecond)
 		}
 		t.Candidates = append(t.Candidates, c)
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -112,7 +112,7 @@
 	var best Choice
 	try := func(i int) {
 		c := &t.Candidates[i]
-		if !t.usable(c, q, typical) || needRoom && c.Server.InFlight() >= t.limit(c, q.Now) {
+		if !t.usable(c, q, typical) || needRoom && !t.hasRoom(c, q.Now) {
 			return
 		}
 		e := t.estimate(c, q)
@@ -151,6 +151,29 @@
 	}
 }
 
+// hasRoom reports whether the candidate has a free slot and is known, by fresh
+// word, not to be leaving.
+func (t *Target) hasRoom(c *Candidate, now clock.Instant) bool {
+	return t.fresh(c, now) && c.Server.InFlight() < t.limit(c, now)
+}
+
+func (t *Target) fresh(c *Candidate, now clock.Instant) bool {
+	return c.status != nil && t.snapshot.BackendFresh(c.status, now)
+}
+
+// holds reports whether the candidate is expected to have the prefix cached,
+// by own routing or by the engine's events.
+func (t *Target) holds(c *Candidate, q *Query) bool {
+	if t.Prefixes.Holds(q.Prefix, c.id, q.Now) {
+		return true
+	}
+	if c.status == nil {
+		return false
+	}
+	_, found := slices.BinarySearch(c.status.Prefixes, q.Prefix)
+	return found
+}
+
 // usable reports whether the candidate may get the request: it is healthy, not
 // tried yet, its breaker lets requests through and it isn't far slower than
 // the others.
@@ -182,7 +205,7 @@
 		if slices.Contains(q.Tried, c.Config.Name) {
 			continue
 		}
-		if needRoom && c.Server.InFlight() >= t.limit(c, q.Now) {
+		if needRoom && !t.hasRoom(c, q.Now) {
 			continue
 		}
 		e := t.estimate(c, q)
@@ -202,7 +225,7 @@
 	prompt := q.PromptTime.Seconds()
 	spread := 0.0
 	if q.Prefix != 0 && t.Prefixes != nil {
-		if t.Prefixes.Holds(q.Prefix, c.id, q.Now) {
+		if t.holds(c, q) {
 			prompt *= cachedPromptShare
 		} else {
 			spread = prompt * spreadShare * fraction(mix(q.Prefix^c.hash))
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -41,7 +41,12 @@
 		add(fmt.Sprint("b", i), "b")
 	}
 	set.Index()
+	statuses := map[string]*snapshot.BackendStatus{}
+	for _, b := range set.BackendsOf("m") {
+		statuses[b.Name] = &snapshot.BackendStatus{Healthy: true, Heard: start.Add(time.Hour)}
+	}
 	return &snapshot.Snapshot{
+		Backends: statuses, BackendsHeard: start.Add(time.Hour),
 		Self: snapshot.Identity{VM: "gw-a", Region: "a", FailureDomain: "a"}, Config: set,
 		Members: map[string]*snapshot.Member{
 			"gw-b": {Identity: snapshot.Identity{VM: "gw-b", Region: "b"}, Reachable: true}},
@@ -85,14 +90,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newView(rapid.IntRange(1, 30).Draw(t, "replicas"))
 		records := NewRecords()
-		s.Backends = map[string]*snapshot.BackendStatus{}
 		staying := 0
 		for _, b := range s.Config.BackendsOf("m") {
 			if b.Spec.FailureDomain != "a" {
 				continue
 			}
-			status := &snapshot.BackendStatus{Healthy: rapid.Bool().Draw(t, "healthy"), Leaving: rapid.Bool().Draw(t, "leaving")}
-			s.Backends[b.Name] = status
+			status := s.Backends[b.Name]
+			status.Healthy = rapid.Bool().Draw(t, "healthy")
+			status.Leaving = rapid.Bool().Draw(t, "leaving")
 			if !status.Leaving {
 				staying++
 			}
@@ -117,6 +122,23 @@
 	})
 }
 
+// A process that was paused places nothing until it has heard again of the
+// backend servers, of which one may have left meanwhile.
+func TestNothingIsPlacedOnAnOldView(t *testing.T) {
+	is := is.New(t)
+	s := newView(2)
+	s.BackendsHeard = start
+	target := NewPicker(s, NewRecords()).Target("m")
+	q := query(1)
+	q.Now = start.Add(snapshot.MaxViewAge + time.Millisecond)
+	_, ok := target.Place(q)
+	is.True(!ok)
+	is.True(target.NextInTurn(q) == nil)
+	q.Now = start.Add(snapshot.MaxViewAge)
+	_, ok = target.Place(q)
+	is.True(ok)
+}
+
 func TestASlowReplicaIsSeenInItsOwnRate(t *testing.T) {
 	is := is.New(t)
 	target := NewPicker(newView(4), NewRecords()).Target("m")
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -48,7 +48,8 @@
 	// the report shows beyond it; both as the bits of a float64.
 	own    atomic.Uint64
 	others atomic.Uint64
-	report atomic.Pointer[snapshot.BackendStatus]
+	// heard is when the last report that was counted was heard.
+	heard atomic.Int64
 }
 
 // InFlight returns the number of own requests at the server.
@@ -122,7 +123,7 @@
 // Reported takes a report of the server's load into account. The same report
 // is counted once.
 func (s *Server) Reported(status *snapshot.BackendStatus) {
-	if status == nil || s.report.Swap(status) == status {
+	if status == nil || s.heard.Swap(int64(status.Heard)) == int64(status.Heard) {
 		return
 	}
 	smooth(&s.own, float64(s.InFlight()), ownSmoothing)
