--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -134,10 +134,7 @@
 	switch {
 	case refusal == nil:
 		server.Breaker.Success()
-		if m.events > 1 && r.req.Model != nil {
-			expected = p.choice.Estimate.Expected(seconds(float64(m.events) * r.req.Model.Spec.SecondsPerToken))
-		}
-		server.Measure(now, expected, actual)
+		server.Measure(now, p.choice.Estimate.Expected(r.answerTime(p, m)), actual)
 		p.target.Used(p.choice.Candidate, p.query.Prefix, now)
 	case m.failed:
 		// The caller went away, or another attempt has answered.
@@ -149,6 +146,16 @@
 	}
 }
 
+// answerTime returns the expected time for the answer that came. The events of
+// a stream count its tokens, unless they are so few that an event must hold
+// several.
+func (r *run) answerTime(p *placement, m *meter) time.Duration {
+	if r.req.Model == nil || 2*m.events < r.req.Chat.MaxTokens {
+		return p.query.AnswerTime
+	}
+	return seconds(float64(m.events) * r.req.Model.Spec.SecondsPerToken)
+}
+
 // cross sends the request to another region.
 func (r *run) cross(ctx context.Context, picker *routing.Picker, plan routing.Plan, q *routing.Query) *verdict.Refusal {
 	option := plan.Region
