--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -17,12 +17,16 @@
 	ErrTooLate = Errors.NewType("too_late", errorx.Timeout())
 	// ErrFull says that the queue holds as many requests as it may.
 	ErrFull = Errors.NewType("full", errorx.Temporary())
+	// ErrElsewhere says that Claim.Leave ended the wait.
+	ErrElsewhere = Errors.NewType("elsewhere")
 )
 
 const (
 	// pollInterval is how often slots are looked for while requests wait,
 	// as capacity also changes without a release.
 	pollInterval = 5 * time.Millisecond
+	// leaveInterval is how often a waiting request asks whether to leave.
+	leaveInterval = 50 * time.Millisecond
 	// activeFor is how long a team counts as active after its last request.
 	activeFor = 5 * time.Second
 	// reserveDivisor is the part of the slots, one in so many, that teams
@@ -44,6 +48,9 @@
 	Cost time.Duration
 	// Patience is how long the request may wait.
 	Patience time.Duration
+	// Leave, unless nil, is asked while the request waits, with the time that
+	// it has waited. True ends the wait with ErrElsewhere.
+	Leave func(waited time.Duration) bool
 	// Place takes a slot and reports whether there was one. It runs with the
 	// gate locked and must not block.
 	Place func() bool
@@ -86,22 +93,36 @@
 	return &Gate{now: now, queue: NewQueue(), teams: map[string]*usage{}, stretch: 1}
 }
 
-// Acquire waits for a slot. It returns ErrTooLate or ErrFull, or the error of
+// Acquire waits for a slot. It returns ErrTooLate, ErrFull or ErrElsewhere, or the error of
 // ctx when the caller goes away. After a nil error, Release must follow.
 func (g *Gate) Acquire(ctx context.Context, c Claim) error {
 	it, err := g.enter(c)
 	if it == nil || err != nil {
 		return err
 	}
+	return g.wait(ctx, c, it)
+}
+
+// wait waits until the item is granted, or gives it up.
+func (g *Gate) wait(ctx context.Context, c Claim, it *Item) error {
 	timer := time.NewTimer(c.Patience)
 	defer timer.Stop()
-	select {
-	case <-it.waiter.ready:
-		return nil
-	case <-timer.C:
-		return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
-	case <-ctx.Done():
-		return g.leave(it, ctx.Err())
+	ticker := time.NewTicker(leaveInterval)
+	defer ticker.Stop()
+	entered := g.now()
+	for {
+		select {
+		case <-it.waiter.ready:
+			return nil
+		case <-timer.C:
+			return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
+		case <-ctx.Done():
+			return g.leave(it, ctx.Err())
+		case <-ticker.C:
+			if c.Leave != nil && c.Leave(g.now().Sub(entered)) {
+				return g.leave(it, ErrElsewhere.New("another place is better"))
+			}
+		}
 	}
 }
 
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -54,33 +54,52 @@
 	}
 }
 
-// bestPlace sends to the place with the least score.
+// bestPlace sends to the place with the least score. A request that waits for
+// a slot of the own region leaves for another region once that is better.
 func (r *run) bestPlace(ctx context.Context, picker *routing.Picker, target *routing.Target) (*verdict.Refusal, bool) {
 	q := r.query(picker)
 	plan := target.Decide(q, picker.Snapshot.Self.Region, r.local(picker, target, q), r.permitted(picker, target))
-	for {
-		switch {
-		case plan.Region != nil:
-			return r.cross(ctx, picker, plan, q), true
-		case !plan.Local:
-			r.h.metrics.refused.Inc(1)
-			return r.refuse(plan), false
-		}
-		refusal, sent := r.serve(ctx, plan)
-		if refusal == nil || sent || refusal.Code != verdict.CodeOverloaded || ctx.Err() != nil {
+	if plan.Local {
+		refusal, sent, better := r.serve(ctx, plan)
+		if better == nil {
 			return refusal, sent
 		}
-		// No slot came free in time: another region may still do.
-		picker = r.h.current()
-		if target = picker.Target(r.req.Target); target == nil {
-			return refusal, false
-		}
-		q = r.query(picker)
-		plan = target.Decide(q, picker.Snapshot.Self.Region, routing.Local{}, r.permitted(picker, target))
-		if plan.Region == nil {
-			return refusal, false
-		}
+		picker, plan, q = better.picker, better.plan, better.query
+	}
+	if plan.Region != nil {
+		return r.cross(ctx, picker, plan, q), true
+	}
+	r.h.metrics.refused.Inc(1)
+	return r.refuse(plan), false
+}
+
+// alternative is a crossing that is better than a longer wait.
+type alternative struct {
+	picker *routing.Picker
+	plan   routing.Plan
+	query  *routing.Query
+}
+
+// elsewhere returns a crossing that is better than to wait on, or nil. A wait
+// that has lasted longer than was expected is taken to last as long again.
+// Without local, any crossing in time is better.
+func (r *run) elsewhere(expected, waited time.Duration, local bool) *alternative {
+	picker := r.h.current()
+	target := picker.Target(r.req.Target)
+	if target == nil {
+		return nil
+	}
+	left := expected - waited
+	if left <= 0 {
+		left = waited
+	}
+	q := r.query(picker)
+	own := routing.Local{Allowed: local && r.mayServe(picker), Wait: left, FullWait: left}
+	plan := target.Decide(q, picker.Snapshot.Self.Region, own, r.permitted(picker, target))
+	if plan.Region == nil {
+		return nil
 	}
+	return &alternative{picker: picker, plan: plan, query: q}
 }
 
 // refuse returns the refusal of a request that no place can serve in time.
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -26,23 +26,32 @@
 	query  *routing.Query
 }
 
-// serve waits for a slot of the own region and sends the request there.
-func (r *run) serve(ctx context.Context, plan routing.Plan) (refusal *verdict.Refusal, sent bool) {
+// serve waits for a slot of the own region and sends the request there. It
+// returns a better place where one turns up meanwhile.
+func (r *run) serve(ctx context.Context, plan routing.Plan) (refusal *verdict.Refusal, sent bool, better *alternative) {
 	gate := r.h.gate(r.req.Target)
 	var place placement
 	claim := r.claim(plan, &place)
+	claim.Leave = func(waited time.Duration) bool {
+		better = r.elsewhere(plan.Estimate.Wait, waited, true)
+		return better != nil
+	}
 	entered := r.h.cfg.Now()
 	err := gate.Acquire(ctx, claim)
-	r.h.metrics.queueWait.Record(r.h.cfg.Now().Sub(entered))
+	waited := r.h.cfg.Now().Sub(entered)
+	r.h.metrics.queueWait.Record(waited)
 	if err != nil {
-		return r.noSlot(ctx, err, gate), false
+		if better == nil && ctx.Err() == nil {
+			better = r.elsewhere(0, waited, false)
+		}
+		return r.noSlot(ctx, err, gate), false, better
 	}
 	granted := r.h.cfg.Now()
 	release := func() { gate.Release(r.req.Team, claim.Cost, r.h.cfg.Now().Sub(granted)) }
 	if ctx.Err() != nil || r.req.Deadline.Sub(granted) <= 0 {
 		place.choice.Candidate.Server.Release()
 		release()
-		return givenUp(), false
+		return givenUp(), false, nil
 	}
 	r.h.metrics.local.Inc(1)
 	r.tried = append(r.tried, place.choice.Candidate.Config.Name)
@@ -50,7 +59,7 @@
 		defer release()
 		return r.send(ctx, &place, w)
 	}
-	return r.hedged(ctx, place.target, r.hedgeDelay(&place), first), true
+	return r.hedged(ctx, place.target, r.hedgeDelay(&place), first), true, nil
 }
 
 // claim describes the request to the gate. The slot is chosen on the newest
