Routing: slots beyond the own share are taken step by step and given back at once

Cause: kite, peak in one region, p99 3,416 ms; the slow requests had not crossed but waited inside full engines, as both gateways counted the same free slots. Ruled out: the wait in our queue (it was short).

--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		rec := r.record(b.Name)
-		rec.server.Reported(status)
+		rec.server.Reported(status, slotsOf(b), t.shareOf(b))
 		c := Candidate{
 			Config: b, Server: rec.server, id: rec.id, hash: mix(uint64(rec.id) + 1),
 			healthy:    status == nil || status.Healthy,
@@ -117,6 +117,14 @@
 	}
 }
 
+// slotsOf returns how many requests the server takes at once.
+func slotsOf(b *objects.BackendServer) int { return max(1, b.Spec.Concurrency) }
+
+// shareOf returns this gateway's part of the server's slots.
+func (t *Target) shareOf(b *objects.BackendServer) int {
+	return (slotsOf(b) + t.gateways - 1) / t.gateways
+}
+
 // takesWork reports whether the server may get work at all: it isn't leaving
 // or held in reserve, and is not known to lack the model.
 func takesWork(b *objects.BackendServer, status *snapshot.BackendStatus, model *objects.Model) bool {
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -219,7 +219,7 @@
 // estimate weighs a candidate. The load is the own requests in flight, which
 // are known at once, and what the reports show beyond them.
 func (t *Target) estimate(c *Candidate, q *Query) Estimate {
-	slots := float64(max(1, c.Config.Spec.Concurrency))
+	slots := float64(slotsOf(c.Config))
 	load := (float64(c.Server.InFlight()) + c.Server.Others()) / slots
 	slowness := t.slowness(c, q.Now)
 	prompt := q.PromptTime.Seconds()
@@ -280,12 +280,10 @@
 	return median
 }
 
-// limit returns how many own requests may be in flight at the candidate: its
-// slots that others don't use, and at least this gateway's share.
+// limit returns how many own requests may be in flight at the candidate: this
+// gateway's share of its slots, and what others leave unused.
 func (t *Target) limit(c *Candidate, now clock.Instant) int {
-	slots := max(1, c.Config.Spec.Concurrency)
-	share := (slots + t.gateways - 1) / t.gateways
-	limit := max(share, slots-int(math.Round(c.Server.Others())))
+	limit := t.shareOf(c.Config) + int(c.Server.extra.Load())
 	if part := ramp(now, c.since, t.Policy.SlowStart); part < 1 && t.settled(now) {
 		limit = int(math.Ceil(float64(limit) * part))
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -26,7 +26,7 @@
 	maxSlowness = 50
 	// ownSmoothing is the weight of a new sample of the own requests in
 	// flight, which are taken out of the server's report.
-	ownSmoothing = 0.3
+	ownSmoothing = 0.5
 )
 
 // Server is this process's own record of one backend server. It is kept over
@@ -48,6 +48,8 @@
 	// the report shows beyond it; both as the bits of a float64.
 	own    atomic.Uint64
 	others atomic.Uint64
+	// extra is how many slots beyond the own share may be used.
+	extra atomic.Int32
 	// heard is when the last report that was counted was heard.
 	heard atomic.Int64
 }
@@ -121,8 +123,10 @@
 }
 
 // Reported takes a report of the server's load into account. The same report
-// is counted once.
-func (s *Server) Reported(status *snapshot.BackendStatus) {
+// is counted once. Share is this gateway's part of the server's slots: what
+// other gateways leave unused beyond it is taken step by step, and given back
+// at once when requests wait at the server.
+func (s *Server) Reported(status *snapshot.BackendStatus, slots, share int) {
 	if status == nil || s.heard.Swap(int64(status.Heard)) == int64(status.Heard) {
 		return
 	}
@@ -130,6 +134,13 @@
 	own := math.Float64frombits(s.own.Load())
 	beyond := max(0, float64(status.Running+status.Queued)-own)
 	smooth(&s.others, beyond, ownSmoothing)
+	if status.Queued > 0 {
+		s.extra.Store(0)
+		return
+	}
+	unused := max(0, slots-share-int(math.Ceil(s.Others())))
+	extra := int(s.extra.Load())
+	s.extra.Store(int32(min(unused, extra+(unused-extra+1)/2)))
 }
 
 // smooth moves the float64 in v towards sample. A lost race loses one sample.
