--- a/internal/filter/route/policy_test.go
+++ b/internal/filter/route/policy_test.go
@@ -52,13 +52,12 @@
 	defer func() { <-e.slots }()
 	e.add(1, -1)
 	defer e.add(-1, 1)
-	const step = 10
-	for range tokens / step {
+	for left, step := tokens, 1; left > 0; left, step = left-step, min(10, left-step) {
 		e.mu.Lock()
 		pace := (1 + batchSlowdown*float64(e.running-1)) * e.slow
 		e.mu.Unlock()
 		select {
-		case <-time.After(time.Duration(step * pace * float64(perToken))):
+		case <-time.After(time.Duration(float64(step) * pace * float64(perToken))):
 		case <-ctx.Done():
 			return verdict.Ambiguous(verdict.CodeDeadline, "late", time.Second)
 		}
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -18,6 +18,11 @@
 	// in a stream.
 	tokenBytes = 5
 	eventBytes = 200
+	// hopWeightDivisor is the part of its weight, one in so many, that a team
+	// has in another region's queue.
+	hopWeightDivisor = 4
+	// atOnce is the longest wait that still counts as none.
+	atOnce = 100 * time.Millisecond
 	// serviceAnswerBytes is the size of a plain service's answer.
 	serviceAnswerBytes = 2000
 )
@@ -82,7 +87,8 @@
 
 // elsewhere returns a crossing that is better than to wait on, or nil. A wait
 // that has lasted longer than was expected is taken to last as long again.
-// Without local, any crossing in time is better.
+// Without local, a request that has waited as long as it may crosses only to a
+// region that has a slot for it at once.
 func (r *run) elsewhere(expected, waited time.Duration, local bool) *alternative {
 	picker := r.h.current()
 	target := picker.Target(r.req.Target)
@@ -96,7 +102,7 @@
 	q := r.query(picker)
 	own := routing.Local{Allowed: local && r.mayServe(picker), Wait: left, FullWait: left}
 	plan := target.Decide(q, picker.Snapshot.Self.Region, own, r.permitted(picker, target))
-	if plan.Region == nil {
+	if plan.Region == nil || !local && plan.Estimate.Wait > atOnce {
 		return nil
 	}
 	return &alternative{picker: picker, plan: plan, query: q}
@@ -171,11 +177,18 @@
 	}
 }
 
+// weight returns the team's share in the queue. Requests from other regions get
+// a part of it: a team with its own region's queue full must not gain a whole
+// share in each region.
 func (r *run) weight(picker *routing.Picker) float64 {
-	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil {
-		return team.Spec.Weight
+	weight := 1.0
+	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil && team.Spec.Weight > 0 {
+		weight = team.Spec.Weight
 	}
-	return 1
+	if r.req.Hop == pipeline.HopRegion {
+		weight /= hopWeightDivisor
+	}
+	return weight
 }
 
 // request returns the request as it is sent with the snapshot that decided.
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/routing"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
@@ -18,6 +19,10 @@
 // must have waited before it is hedged.
 const hedgeFactor = 2
 
+// hopQueueDivisor is the part of the longest wait, one in so many, that a
+// request from another region may wait.
+const hopQueueDivisor = 4
+
 // placement is a slot at a backend server.
 type placement struct {
 	picker *routing.Picker
@@ -69,9 +74,9 @@
 	picker := r.h.current()
 	target := picker.Target(r.req.Target)
 	remaining := r.req.Deadline.Sub(r.h.cfg.Now())
-	patience := remaining - plan.Estimate.Service*6/10
+	patience := remaining - plan.Estimate.Service
 	if target != nil {
-		patience = min(patience, target.Policy.MaxQueue.D())
+		patience = min(patience, r.maxQueue(target))
 	}
 	return fairqueue.Claim{
 		Team: r.req.Team, Weight: r.weight(picker), Priority: int(r.req.Priority),
@@ -86,6 +91,17 @@
 	}
 }
 
+// maxQueue returns how long the request may wait. One from another region has
+// waited there and gets a part of the time, so that its sender hears soon that
+// this region is full.
+func (r *run) maxQueue(target *routing.Target) time.Duration {
+	longest := target.Policy.MaxQueue.D()
+	if r.req.Hop == pipeline.HopRegion {
+		return longest / hopQueueDivisor
+	}
+	return longest
+}
+
 // place takes a slot on the newest snapshot.
 func (r *run) place(into *placement) bool {
 	picker := r.h.current()
@@ -173,15 +189,34 @@
 	r.tried = append(r.tried, option.Name)
 	r.h.metrics.crossed.Inc(1)
 	first := func(ctx context.Context, w pipeline.Response) *verdict.Refusal {
-		option.Crossing.Start()
-		defer option.Crossing.End()
-		return r.h.cfg.Peer.SendPeer(ctx, r.request(picker), pipeline.HopRegion, member, w)
+		return r.sendAcross(ctx, picker, plan, member, w)
 	}
 	target := picker.Target(r.req.Target)
 	delay := r.firstByte(target, plan.Estimate)
 	return r.hedged(ctx, target, delay, first)
 }
 
+// sendAcross sends the request to the region's gateway and learns how long it
+// waited there.
+func (r *run) sendAcross(ctx context.Context, picker *routing.Picker, plan routing.Plan, member *snapshot.Member, w pipeline.Response) *verdict.Refusal {
+	now, crossing := r.h.cfg.Now, plan.Region.Crossing
+	crossing.Start()
+	defer crossing.End()
+	expected := plan.Estimate.Link + plan.Estimate.Service
+	if r.req.Chat.Stream {
+		expected = plan.Estimate.Link + plan.Estimate.Prompt
+	}
+	started := now()
+	m := &meter{Response: w, now: now, onFirst: func(at clock.Instant) {
+		crossing.Waited(at, at.Sub(started)-expected)
+	}}
+	refusal := r.h.cfg.Peer.SendPeer(ctx, r.request(picker), pipeline.HopRegion, member, m)
+	if refusal != nil && refusal.Code == verdict.CodeOverloaded {
+		crossing.Waited(now(), refusal.RetryAfter)
+	}
+	return refusal
+}
+
 // hedgeDelay returns how long a request may wait for its first byte at a
 // backend server before it is hedged.
 func (r *run) hedgeDelay(p *placement) time.Duration {
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -19,7 +19,7 @@
 	bitsPerMegabit = 1e6
 	// surePart is the part of an estimated service time that a request is
 	// sure to take. Only a deadline below it is a ground for a refusal.
-	surePart = 0.6
+	surePart = 0.8
 )
 
 // Plan says where a request goes: to the own region's backend servers, to
@@ -142,7 +142,9 @@
 			wait = s.WaitSeconds + (1-free)/float64(o.capacity)*service
 		}
 	}
-	service *= 1 + loadSlope*min(max(load, 0), 1)
+	wait = max(wait, o.Crossing.Wait(q.Now))
+	pace := 1 + loadSlope*min(max(load, 0), 1)
+	service *= pace
 	megabits := float64(q.RequestBytes+q.AnswerBytes) * 8 / bitsPerMegabit
 	link := 2 * o.Link.Delay.D().Seconds()
 	if o.Link.MegabitsPerSecond > 0 {
@@ -152,7 +154,10 @@
 	if o.Name != q.Home {
 		score += t.Policy.ShareAwayWeight
 	}
-	return Estimate{Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score}
+	return Estimate{
+		Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score,
+		Prompt: q.PromptTime, Pace: pace,
+	}
 }
 
 // Member returns the region's gateway for the request. Requests with the same
