--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -25,6 +25,7 @@
 	// Prefixes is nil for services.
 	Prefixes *PrefixTable
 
+	snapshot *snapshot.Snapshot
 	// gateways is the number of live gateways of the own region.
 	gateways int
 	// typical is the median slowness of the candidates, as the bits of a
@@ -44,6 +45,7 @@
 	healthy    bool
 	sameDomain bool
 	since      clock.Instant
+	status     *snapshot.BackendStatus
 	// reported is the slowness by the server's own report; zero is unknown.
 	reported float64
 }
@@ -77,7 +79,7 @@
 			continue
 		}
 		t := &Target{
-			Name: name, Policy: &policy.Spec, turn: r.turn(name),
+			Name: name, Policy: &policy.Spec, turn: r.turn(name), snapshot: s,
 			gateways: max(1, len(members[s.Self.Region])),
 		}
 		if s.Config.Models[name] != nil {
@@ -101,20 +103,28 @@
 			continue
 		}
 		rec := r.record(b.Name)
-		rec.server.Reported(status)
+		rec.server.Reported(status, slotsOf(b), t.shareOf(b))
 		c := Candidate{
 			Config: b, Server: rec.server, id: rec.id, hash: mix(uint64(rec.id) + 1),
 			healthy:    status == nil || status.Healthy,
 			sameDomain: b.Spec.FailureDomain == s.Self.FailureDomain,
 		}
 		if status != nil {
-			c.since = status.Since
+			c.since, c.status = status.Since, status
 			c.reported = slownessOf(model, status.TokensPerSecond)
 		}
 		t.Candidates = append(t.Candidates, c)
 	}
 }
 
+// slotsOf returns how many requests the server takes at once.
+func slotsOf(b *objects.BackendServer) int { return max(1, b.Spec.Concurrency) }
+
+// shareOf returns this gateway's part of the server's slots.
+func (t *Target) shareOf(b *objects.BackendServer) int {
+	return (slotsOf(b) + t.gateways - 1) / t.gateways
+}
+
 // takesWork reports whether the server may get work at all: it isn't leaving
 // or held in reserve, and is not known to lack the model.
 func takesWork(b *objects.BackendServer, status *snapshot.BackendStatus, model *objects.Model) bool {
@@ -125,7 +135,10 @@
 		return false
 	}
 	if model != nil && len(status.Loaded) > 0 {
-		return slices.Contains(status.Loaded, model.Name+"@"+model.Spec.Version)
+		// While a new version is being loaded, the old one serves.
+		return slices.ContainsFunc(status.Loaded, func(loaded string) bool {
+			return strings.HasPrefix(loaded, model.Name+"@")
+		})
 	}
 	return b.Spec.Role != RoleStandby
 }
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -19,7 +19,7 @@
 	bitsPerMegabit = 1e6
 	// surePart is the part of an estimated service time that a request is
 	// sure to take. Only a deadline below it is a ground for a refusal.
-	surePart = 0.6
+	surePart = 0.8
 )
 
 // Plan says where a request goes: to the own region's backend servers, to
@@ -36,8 +36,9 @@
 type Local struct {
 	// Allowed is false where the own region may not or can't serve.
 	Allowed bool
-	// Wait is the expected wait for a slot.
-	Wait time.Duration
+	// Wait is the expected wait for a slot; zero means that the request may
+	// take a free one now. FullWait is the wait where none is free.
+	Wait, FullWait time.Duration
 }
 
 // Decide weighs the own region against the regions that permitted accepts.
@@ -53,7 +54,7 @@
 		}
 	}
 	if local.Allowed {
-		if e, ok := t.localEstimate(q, own, local.Wait); ok {
+		if e, ok := t.localEstimate(q, own, local); ok {
 			consider(Plan{Local: true, Estimate: e})
 		}
 	}
@@ -84,10 +85,11 @@
 	return a
 }
 
-func (t *Target) localEstimate(q *Query, own string, wait time.Duration) (Estimate, bool) {
+func (t *Target) localEstimate(q *Query, own string, local Local) (Estimate, bool) {
+	wait := local.Wait
 	best := t.Best(q, wait == 0)
 	if best.Candidate == nil {
-		best = t.Best(q, false)
+		best, wait = t.Best(q, false), max(wait, local.FullWait)
 	}
 	if best.Candidate == nil {
 		return Estimate{}, false
@@ -140,7 +142,9 @@
 			wait = s.WaitSeconds + (1-free)/float64(o.capacity)*service
 		}
 	}
-	service *= 1 + loadSlope*min(max(load, 0), 1)
+	wait = max(wait, o.Crossing.Wait(q.Now))
+	pace := 1 + loadSlope*min(max(load, 0), 1)
+	service *= pace
 	megabits := float64(q.RequestBytes+q.AnswerBytes) * 8 / bitsPerMegabit
 	link := 2 * o.Link.Delay.D().Seconds()
 	if o.Link.MegabitsPerSecond > 0 {
@@ -150,7 +154,10 @@
 	if o.Name != q.Home {
 		score += t.Policy.ShareAwayWeight
 	}
-	return Estimate{Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score}
+	return Estimate{
+		Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score,
+		Prompt: q.PromptTime, Pace: pace,
+	}
 }
 
 // Member returns the region's gateway for the request. Requests with the same
