--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -16,15 +16,17 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/chestnutspring/chestnutspring/internal/experiment"
+	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 )
 
 type flags struct {
-	Demo    demoCommand      `cmd:"" help:"Start a deployment, send it requests and check every answer."`
-	Run     runCommand       `cmd:"" help:"Run experiments and write their figures."`
-	Compare compareCommand   `cmd:"" help:"Compare the figures of two results."`
-	Summary summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, one line for each result."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Demo     demoCommand      `cmd:"" help:"Start a deployment, send it requests and check every answer."`
+	Run      runCommand       `cmd:"" help:"Run experiments and write their figures."`
+	Compare  compareCommand   `cmd:"" help:"Compare the figures of two results."`
+	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, one line for each result."`
+	Overhead overheadCommand  `cmd:"" help:"Measure what a gateway adds to a direct call."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func main() {
@@ -43,7 +45,7 @@
 }
 
 // logger writes one line of key=value pairs for each event.
-func logger() *slog.Logger { return slog.New(slog.NewTextHandler(os.Stderr, nil)) }
+func logger() *slog.Logger { return logging.New(os.Stderr, slog.LevelInfo) }
 
 type demoCommand struct {
 	Deployment string        `help:"Deployment under --examples, or a directory of objects." default:"kite-consortium"`
