Experiments: load average, reasons of failures, next entry after refusals about the entry

An entry VM that has just been restarted answers /v1/entries with an empty list before it is ready; callers took that as the answer and sent nothing. They now ask the next entry VM. Limits are scaled in experiments, because the prompts there are longer than the published limits allow for.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -140,7 +140,7 @@
 	o.RetryAfter = resp.Header.Get("Retry-After")
 	if resp.StatusCode != http.StatusOK {
 		readRefusal(o, resp.Body)
-		return resp.StatusCode == http.StatusMisdirectedRequest
+		return o.Verdict == verdict.NotRun && otherEntryHelps(verdict.Code(o.Code))
 	}
 	if got := resp.Header.Get(wire.HeaderRequestID); got != req.Header.Get(wire.HeaderRequestID) {
 		o.Wrong = "the answer is to request " + got
@@ -150,6 +150,17 @@
 	return false
 }
 
+// otherEntryHelps reports whether a refusal is about the entry VM and not
+// about the request.
+func otherEntryHelps(code verdict.Code) bool {
+	switch code {
+	case verdict.CodeWrongRegion, verdict.CodeShuttingDown, verdict.CodeUnknownConfigured:
+		return true
+	default:
+		return false
+	}
+}
+
 // loops reports whether a path of hops names a gateway twice.
 func loops(path string) bool {
 	vms := strings.Split(path, ",")
--- a/internal/experiment/entries.go
+++ b/internal/experiment/entries.go
@@ -117,5 +117,8 @@
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return entryList{}, err
 	}
+	if len(list.Entries) == 0 {
+		return entryList{}, ErrNoEntry.New("%s names no entry VM", address)
+	}
 	return list, nil
 }
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
@@ -15,7 +17,11 @@
 	Started time.Time `json:"started"`
 	Go      string    `json:"go"`
 	CPUs    int       `json:"cpus"`
-	Runs    []Run     `json:"runs"`
+	// LoadBefore and LoadAfter are the machine's load averages of a minute:
+	// what else ran here beside the experiment.
+	LoadBefore float64 `json:"loadBefore"`
+	LoadAfter  float64 `json:"loadAfter"`
+	Runs       []Run   `json:"runs"`
 }
 
 // Run is an experiment with one policy.
@@ -35,6 +41,18 @@
 	Megabits float64 `json:"megabits"`
 }
 
+// loadAverage returns the machine's load average of a minute, or zero where it
+// can't be read.
+func loadAverage() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	average, _ := strconv.ParseFloat(first, 64)
+	return average
+}
+
 // Write writes the result as JSON.
 func (r *Result) Write(file string) error {
 	data, err := json.MarshalIndent(r, "", " ")
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -41,7 +41,10 @@
 
 // Run runs the experiment once for each policy and works out the figures.
 func (r *Runner) Run(ctx context.Context, spec *Spec) (*Result, error) {
-	result := &Result{Spec: spec, Started: time.Now().UTC(), Go: runtime.Version(), CPUs: runtime.NumCPU()}
+	result := &Result{
+		Spec: spec, Started: time.Now().UTC(),
+		Go: runtime.Version(), CPUs: runtime.NumCPU(), LoadBefore: loadAverage(),
+	}
 	result.Runs = make([]Run, len(spec.Policies))
 	all, ctx := errgroup.WithContext(ctx)
 	all.SetLimit(max(1, r.Parallel))
@@ -54,7 +57,9 @@
 			return err
 		})
 	}
-	return result, all.Wait()
+	err := all.Wait()
+	result.LoadAfter = loadAverage()
+	return result, err
 }
 
 // runOne runs the experiment with one policy.
@@ -63,7 +68,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	set = variant.apply(set)
+	set = scaleLimits(variant.apply(set), spec.LimitFactor)
 	config := r.bedConfig(spec, set)
 	if r.LogDir != "" {
 		config.LogDir = filepath.Join(r.LogDir, spec.Name, variant.Name)
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -32,6 +32,8 @@
 	Links    LinkSpec   `yaml:"links" json:"links"`
 	Engine   EngineSpec `yaml:"engine" json:"engine"`
 	Load     []Load     `yaml:"load" json:"load"`
+	// LimitFactor multiplies the rates of all Limits objects; zero leaves them.
+	LimitFactor float64 `yaml:"limitFactor,omitempty" json:"limitFactor,omitempty"`
 	// More is load beyond that of the base.
 	More []Load `yaml:"more,omitempty" json:"more,omitempty"`
 	// Profile varies the load of each region over time.
@@ -230,6 +232,24 @@
 	return &next
 }
 
+// scaleLimits returns the set with the rates of all Limits objects multiplied.
+func scaleLimits(set *objects.Set, factor float64) *objects.Set {
+	if factor == 0 {
+		return set
+	}
+	next := *set
+	next.Limits = map[string]*objects.Limits{}
+	for name, l := range set.Limits {
+		copied := *l
+		copied.Spec.RequestsPerSecond *= factor
+		copied.Spec.TokensPerSecond *= factor
+		copied.Spec.Concurrent = int(float64(copied.Spec.Concurrent) * factor)
+		next.Limits[name] = &copied
+	}
+	next.Index()
+	return &next
+}
+
 func replace[T any](field *T, value *T) {
 	if value != nil {
 		*field = *value
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -24,7 +24,7 @@
 <body>
 <h1>{{.Result.Spec.Name}}</h1>
 <p>{{.Result.Spec.Question}}</p>
-<p>Deployment {{.Result.Spec.Deployment}}, seed {{.Result.Spec.Seed}}, started {{.Result.Started}}, {{.Result.Go}}, {{.Result.CPUs}} processors.
+<p>Deployment {{.Result.Spec.Deployment}}, seed {{.Result.Spec.Seed}}, started {{.Result.Started}}, {{.Result.Go}}, {{.Result.CPUs}} processors, load average {{printf "%.1f" .Result.LoadBefore}} to {{printf "%.1f" .Result.LoadAfter}}.
 Durations are in milliseconds from the intended start of each request.</p>
 <table>
 <tr><th>policy</th><th>part</th><th>sent</th><th>served</th><th>refused</th><th>late</th><th>missed</th><th>goodput/s</th>
