--- a/internal/objects/check.go
+++ b/internal/objects/check.go
@@ -60,12 +60,17 @@
 // add records a fault of a field of an object.
 func (c *checker) add(kind Kind, name, field, message, suggestion string) {
 	f := Fault{Kind: kind, Name: name, Field: field, Message: message, Suggestion: suggestion}
-	places := c.set.sources[objectID{kind, name}]
-	at, ok := places[field]
-	if !ok {
-		at = places[""]
+	if s := c.set.sources; s != nil {
+		id := objectID{kind, name}
+		if s.broken[id] {
+			return
+		}
+		at, ok := s.places[id][field]
+		if !ok {
+			at = s.places[id][""]
+		}
+		f.File, f.Line = at.file, at.line
 	}
-	f.File, f.Line = at.file, at.line
 	c.faults = append(c.faults, f)
 }
 
--- a/internal/objects/check_route.go
+++ b/internal/objects/check_route.go
@@ -73,6 +73,9 @@
 // reach checks that every route has somewhere to run, for callers of every
 // residency rule that a team uses.
 func (c *checker) reach() {
+	if s := c.set.sources; s != nil && len(s.broken) > 0 {
+		return // What couldn't be decoded may be what is missing.
+	}
 	rules := c.rulesInUse()
 	for _, name := range sortedNames(c.set.Routes) {
 		spec := c.set.Routes[name].Spec
--- a/internal/objects/load.go
+++ b/internal/objects/load.go
@@ -23,8 +23,14 @@
 	line int
 }
 
-// sources holds the places of objects and their fields, for faults.
-type sources map[objectID]map[string]place
+// sources holds what is known of the files that objects were read from.
+type sources struct {
+	// places of objects, under the path "", and of their fields.
+	places map[objectID]map[string]place
+	// broken objects couldn't be decoded. They exist for references, but
+	// nothing else is said of them.
+	broken map[objectID]bool
+}
 
 type objectID struct {
 	kind Kind
@@ -66,7 +72,7 @@
 
 func newLoader() *loader {
 	l := &loader{set: NewSet()}
-	l.set.sources = sources{}
+	l.set.sources = &sources{places: map[objectID]map[string]place{}, broken: map[objectID]bool{}}
 	return l
 }
 
@@ -149,17 +155,18 @@
 		l.faults = append(l.faults, d.faults...)
 		return
 	}
+	id := objectID{d.kind, d.name}
 	value := New(d.kind)
 	if err := decodeNode(body, value); err != nil {
 		fault := yamlFault(file, err)
 		fault.Kind, fault.Name = d.kind, d.name
 		d.faults = append(d.faults, fault)
+		l.set.sources.broken[id] = true
 	}
 	l.faults = append(l.faults, d.faults...)
 	setName(value, d.name)
-	id := objectID{d.kind, d.name}
 	if !l.set.Add(value) {
-		first := l.set.sources[id][""]
+		first := l.set.sources.places[id][""]
 		l.faults = append(l.faults, Fault{
 			File: file, Line: d.line, Kind: d.kind, Name: d.name,
 			Message:    "the name is used twice",
@@ -167,7 +174,7 @@
 		})
 		return
 	}
-	l.set.sources[id] = d.places
+	l.set.sources.places[id] = d.places
 }
 
 func decodeNode(body ast.Node, value any) (err error) {
@@ -176,7 +183,7 @@
 			err = fmt.Errorf("the document can't be decoded: %v", r)
 		}
 	}()
-	return yaml.NodeToValue(body, value)
+	return yaml.NodeToValue(body, value, yaml.AllowDuplicateMapKey())
 }
 
 // setName keeps the object's name also where the rest can't be decoded.
--- a/internal/objects/types.go
+++ b/internal/objects/types.go
@@ -271,7 +271,7 @@
 
 	// sources holds where objects stand; nil unless the set is being loaded
 	// from files.
-	sources sources
+	sources *sources
 }
 
 // NewSet returns an empty set.
