Tests of the peer protocol, TLS, gossip, membership and health

Fixes: a session took an equal version from a neighbour for the same record. Found by TestStoresAgreeAndNeverGoBack (rapid): two stores that wrote the same key at once each held back its own value, and never agreed. The session now compares whole records.

--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -23,10 +23,10 @@
 		for name, e := range b.engines {
 			jeju[e.address] = strings.HasPrefix(name, "jeju")
 		}
-		b.memory.setCut(func(from, to string) bool { return jeju[from] != jeju[to] })
-		// The VM is replaced: the name is the same, the address is new.
+		// One VM will be replaced: the name is the same, the address is new.
 		address := b.listen("").Addr().String()
 		jeju[address] = true
+		b.memory.setCut(func(from, to string) bool { return jeju[from] != jeju[to] })
 		restarted := b.restartAt(vmName("jeju", 0), address, b.nodes[vmName("jeju", 1)].listener.Addr().String())
 		b.until("the restarted member serves", 10*time.Second, func() bool {
 			m := restarted.view().Members[vmName("jeju", 1)]
--- a/internal/gossip/session.go
+++ b/internal/gossip/session.go
@@ -43,17 +43,17 @@
 	cursor uint64
 	names  map[string]uint32
 	// has is what the neighbour sent, so that it isn't sent back.
-	has map[Key]uint64
+	has map[Key]Record
 }
 
 // NewSession returns a session that sends the records that wants accepts; nil
 // accepts all. The first delta holds everything.
 func NewSession(store *Store, wants func(Record) bool) *Session {
-	return &Session{store: store, wants: wants, names: map[string]uint32{}, has: map[Key]uint64{}}
+	return &Session{store: store, wants: wants, names: map[string]uint32{}, has: map[Key]Record{}}
 }
 
 // Heard notes that the neighbour has the record.
-func (s *Session) Heard(r Record) { s.has[r.Key] = r.Version }
+func (s *Session) Heard(r Record) { s.has[r.Key] = r }
 
 // Next returns the next changes and whether there may be more at once. It
 // takes in a bounded number of records.
@@ -79,9 +79,9 @@
 	if s.store.entries[e.Key] != e {
 		return true // replaced since
 	}
-	if version, ok := s.has[e.Key]; ok {
+	if has, ok := s.has[e.Key]; ok {
 		delete(s.has, e.Key)
-		if version >= e.Version {
+		if !newer(e.Record, has) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,100 @@
+package health
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+func replicas(n int) *objects.Set {
+	set := objects.NewSet()
+	set.FailureDomains["jeju-a"] = &objects.FailureDomain{Name: "jeju-a", Spec: objects.FailureDomainSpec{Region: "jeju"}}
+	for i := range n {
+		name := fmt.Sprint("engine-", i)
+		set.BackendServers[name] = &objects.BackendServer{Name: name, Spec: objects.BackendServerSpec{FailureDomain: "jeju-a", Model: "m"}}
+	}
+	set.Index()
+	return set
+}
+
+func notListed(string) bool { return false }
+
+var errFailed = errors.New("connection reset")
+
+func TestEjectionLeavesAtLeastHalf(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "replicas")
+		set := replicas(n)
+		tracker := NewTracker("jeju")
+		now := clock.Instant(time.Hour)
+		tracker.Sync(set, now)
+		for range rapid.IntRange(1, 100).Draw(t, "outcomes") {
+			o := Observation{Backend: fmt.Sprint("engine-", rapid.IntRange(0, n-1).Draw(t, "replica"))}
+			if rapid.IntRange(0, 9).Draw(t, "failed") > 0 {
+				o.Err = errFailed
+			}
+			tracker.Observe(o, set, now)
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			healthy := 0
+			for _, s := range tracker.Status(notListed, now) {
+				if s.Healthy {
+					healthy++
+				}
+			}
+			if 2*healthy < n {
+				t.Fatalf("%d of %d are left", healthy, n)
+			}
+		}
+	})
+}
+
+func TestOwnFailuresCountAtOnceAndReturnStartsSlowly(t *testing.T) {
+	is := is.New(t)
+	set, tracker, now := replicas(3), NewTracker("jeju"), clock.Instant(time.Hour)
+	tracker.Sync(set, now)
+	is.Equal(tracker.Status(notListed, now)["engine-0"].Since, clock.Instant(0)) // warm at the start
+	for range failuresToEject {
+		tracker.Observe(Observation{Backend: "engine-0", Err: errFailed}, set, now)
+	}
+	is.True(!tracker.Status(notListed, now)["engine-0"].Healthy)
+	now = now.Add(ejection + time.Millisecond)
+	is.Equal(tracker.Status(notListed, now)["engine-0"].Since, now)
+	for range failuresToEject {
+		tracker.Observe(Observation{Backend: "engine-0", Err: errFailed}, set, now)
+	}
+	now = now.Add(ejection + time.Millisecond)
+	is.True(!tracker.Status(notListed, now)["engine-0"].Healthy) // longer the second time
+}
+
+func TestAnySourceMakesABackendServerLeave(t *testing.T) {
+	is := is.New(t)
+	set, tracker, now := replicas(2), NewTracker("jeju"), clock.Instant(time.Hour)
+	tracker.Sync(set, now)
+	listed := func(string) bool { return true }
+	is.True(tracker.Status(listed, now)["engine-0"].Leaving)
+	tracker.SetState("engine-0", Report{Leaving: true}.State())
+	is.True(tracker.Status(notListed, now)["engine-0"].Leaving)
+	is.True(!tracker.Status(notListed, now)["engine-1"].Leaving)
+}
+
+func TestGapInEventsDropsWhatWasKnown(t *testing.T) {
+	is := is.New(t)
+	var p PrefixSet
+	is.True(!p.Apply([]Event{{1, EventStored, "a"}, {2, EventStored, "b"}, {3, EventEvicted, "a"}}))
+	is.Equal(p.Sorted(), []uint64{0xb})
+	is.True(p.Apply([]Event{{5, EventStored, "c"}})) // 4 is missing: it may have evicted b
+	is.Equal(p.Sorted(), []uint64{0xc})
+	is.True(p.Apply([]Event{{1, EventStored, "d"}})) // the engine was restarted
+	is.Equal(p.Sorted(), []uint64{0xd})
+	for i := range uint64(2 * MaxPrefixes) {
+		p.Apply([]Event{{p.After + 1, EventStored, fmt.Sprintf("%x", 100+i)}})
+	}
+	is.Equal(len(p.Sorted()), MaxPrefixes)
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,103 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// In regions of any size everyone reaches everyone over the neighbours, also
+// when one member dies.
+func TestNeighboursConnectTheRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 70).Draw(t, "members")
+		salt := rapid.Uint32().Draw(t, "salt")
+		var members []string
+		for i := range n {
+			members = append(members, fmt.Sprint("vm-", salt, "-", i))
+		}
+		from := members[rapid.IntRange(0, n-1).Draw(t, "from")]
+		dead := members[rapid.IntRange(0, n-1).Draw(t, "dead")]
+		for _, self := range members {
+			next := Neighbours(members, self)
+			if len(next) > Degree || len(next) < min(Degree, n-1) || slices.Contains(next, self) {
+				t.Fatalf("%s sends to %v", self, next)
+			}
+		}
+		if from != dead && len(reached(members, from, dead)) != n-1 {
+			t.Fatalf("%s reaches %d of %d without %s", from, len(reached(members, from, dead)), n-1, dead)
+		}
+	})
+}
+
+func reached(members []string, from, dead string) map[string]bool {
+	seen := map[string]bool{from: true}
+	for queue := []string{from}; len(queue) > 0; queue = queue[1:] {
+		for _, next := range Neighbours(members, queue[0]) {
+			if next != dead && !seen[next] {
+				seen[next] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return seen
+}
+
+func table() *Table {
+	return NewTable(snapshot.Identity{VM: "self", Region: "jeju", Incarnation: "s1"})
+}
+
+func entry(state string) Listing {
+	return Listing{VM: platform.VM{Name: "a", Region: "jeju", Role: platform.RoleEntry, State: state}}
+}
+
+func TestLeavingOutlivesOlderLists(t *testing.T) {
+	is := is.New(t)
+	tb, now := table(), clock.Instant(time.Hour)
+	tb.Announce("a", Announcement{Incarnation: "a1", Region: "jeju"}, now)
+	tb.List("a", entry(platform.StateLeaving), 9)
+	tb.List("a", entry(platform.StateLive), 8) // an older list
+	is.True(tb.Members(now)["a"].Leaving)
+	tb.List("a", entry(platform.StateLive), 10)
+	is.True(!tb.Members(now)["a"].Leaving)
+	tb.Announce("a", Announcement{Incarnation: "a1", Region: "jeju", Leaving: true}, now)
+	tb.List("a", entry(platform.StateLive), 11) // the member's own word outranks the list
+	is.True(tb.Members(now)["a"].Leaving)
+	tb.Announce("a", Announcement{Incarnation: "a2", Region: "jeju"}, now)
+	is.True(!tb.Members(now)["a"].Leaving) // a restart is a new incarnation
+	is.Equal(tb.Members(now)["a"].Incarnation, "a2")
+}
+
+func TestForgottenVMsDoNotComeBackByAnOldList(t *testing.T) {
+	is := is.New(t)
+	tb, now := table(), clock.Instant(time.Hour)
+	tb.List("a", entry(platform.StateLive), 5)
+	gone := entry(platform.StateLive)
+	gone.Gone = true
+	tb.List("a", gone, 9)
+	is.Equal(tb.Members(now)["a"], nil)
+	is.Equal(len(tb.Prune(now)), 0)
+	is.Equal(tb.Prune(now.Add(2*keepGone)), []string{"a"})
+	is.True(tb.Outdated("a", 5))
+	is.True(!tb.Outdated("a", 10))
+}
+
+func TestMessagesOfAnEarlierIncarnationDoNotCount(t *testing.T) {
+	is := is.New(t)
+	tb, now := table(), clock.Instant(time.Hour)
+	tb.Announce("a", Announcement{Incarnation: "a2", Region: "jeju"}, now)
+	later := now.Add(UnreachableAfter + time.Second)
+	tb.HeardFrom("a", "a1", 7, later) // it was paused and doesn't know of its successor
+	is.True(!tb.Members(later)["a"].Reachable)
+	tb.HeardFrom("a", "a2", 8, later)
+	is.True(tb.Members(later)["a"].Reachable)
+	is.Equal(tb.Members(later)["a"].Revision, uint64(8))
+}
--- /dev/null
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -0,0 +1,185 @@
+package tlsconfig
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/peer"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// authority signs the certificates of a test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, _ := x509.ParseCertificate(der)
+	return &authority{cert: cert, key: key}
+}
+
+// write puts a key pair of the authority, and the authority, into dir.
+func (a *authority) write(t *testing.T, dir string) (cert, key, ca string) {
+	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "gateway"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &own.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, _ := x509.MarshalECPrivateKey(own)
+	put := func(name, kind string, data []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		// A later time than that of the files that were replaced.
+		later := time.Now().Add(time.Duration(template.SerialNumber.Int64() % 1e9))
+		_ = os.Chtimes(path, later, later)
+		return path
+	}
+	return put("cert.pem", "CERTIFICATE", der), put("key.pem", "EC PRIVATE KEY", keyDER),
+		put("ca.pem", "CERTIFICATE", a.cert.Raw)
+}
+
+type quiet struct{}
+
+func (quiet) Self() peer.Hello {
+	return peer.Hello{Version: peer.ProtocolVersion, VM: "b", Incarnation: "1", Region: "r"}
+}
+func (quiet) Heard(peer.Hello, uint64)                 {}
+func (quiet) Gossip(peer.Hello, []gossip.Record)       {}
+func (quiet) Manifest() (v platform.Value, found bool) { return }
+func (quiet) Part(string) (data []byte, found bool)    { return }
+
+type safeBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *safeBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+// bench is a control server with mutual TLS.
+type bench struct {
+	address string
+	logged  safeBuffer
+}
+
+func newBench(t *testing.T, server *tls.Config) *bench {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{address: l.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s := &peer.Server{Handler: quiet{}, TLS: server, Log: slog.New(slog.NewTextHandler(&b.logged, nil))}
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, l)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return b
+}
+
+func (b *bench) open(t *testing.T, client *tls.Config) error {
+	d := &peer.Dialer{TLS: client, Log: slog.New(slog.DiscardHandler)}
+	c, err := d.Open(t.Context(), b.address, quiet{}.Self())
+	if err == nil {
+		c.Close()
+	}
+	return err
+}
+
+func TestWrongCertificatesAreRefusedAndLogged(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
+	server, client, err := Load(ours.write(t, t.TempDir()))
+	is.NoErr(err)
+	otherServer, otherClient, err := Load(theirs.write(t, t.TempDir()))
+	is.NoErr(err)
+
+	b := newBench(t, server)
+	is.NoErr(b.open(t, client))
+	is.True(b.open(t, otherClient) != nil)                           // signed by another authority
+	is.True(b.open(t, &tls.Config{InsecureSkipVerify: true}) != nil) // no certificate
+	is.True(b.open(t, nil) != nil)                                   // no TLS
+	for start := time.Now(); strings.Count(b.logged.text(), "peer refused") < 3; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("not logged: " + b.logged.text())
+		}
+	}
+	is.True(newBench(t, otherServer).open(t, client) != nil) // a server that isn't ours
+}
+
+func TestChangedFilesAreUsedAndBrokenOnesAreNot(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	old, next := newAuthority(t, "old"), newAuthority(t, "next")
+	cert, key, ca := old.write(t, dir)
+	server, oldClient, err := Load(cert, key, ca)
+	is.NoErr(err)
+	_, client, err := Load(next.write(t, t.TempDir()))
+	is.NoErr(err)
+	b := newBench(t, server)
+	is.True(b.open(t, client) != nil)
+
+	is.NoErr(os.WriteFile(cert, []byte("torn"), 0o600))
+	is.NoErr(b.open(t, oldClient)) // the old files stay in force
+	next.write(t, dir)
+	for start := time.Now(); b.open(t, client) != nil; time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("the new files aren't used")
+		}
+	}
+	_, _, err = Load(cert, key, filepath.Join(dir, "absent"))
+	is.True(err != nil)
+}
