--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -17,6 +17,7 @@
 	Out      string   `help:"Directory for results." default:"out"`
 	Policies []string `help:"Names of the policies to run; all if empty."`
 	Seed     uint64   `help:"Seed in place of the experiment's; zero keeps it."`
+	Parallel int      `help:"Policies that run at once, each with a deployment of its own." default:"3"`
 	LogDir   string   `help:"Directory for the gateways' logs; none are kept without it."`
 }
 
@@ -27,7 +28,7 @@
 	}
 	runner := experiment.Runner{
 		GatewayBinary: filepath.Join(c.Bin, "chestnut-gateway"),
-		LogDir:        c.LogDir, Log: logger(),
+		LogDir:        c.LogDir, Parallel: c.Parallel, Log: logger(),
 	}
 	broken := 0
 	for _, file := range c.Files {
@@ -101,3 +102,21 @@
 	experiment.WriteComparison(os.Stdout, before, after)
 	return nil
 }
+
+type summaryCommand struct {
+	Files []string `arg:"" help:"Results in JSON." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *summaryCommand) Run() error {
+	var results []*experiment.Result
+	for _, file := range c.Files {
+		result, err := experiment.ReadResult(file)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+	}
+	experiment.WriteSummary(os.Stdout, results)
+	return nil
+}
