--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -31,7 +32,9 @@
 	activeFor = 5 * time.Second
 	// reserveDivisor is the part of the slots, one in so many, that teams
 	// above their share leave free while other teams are active.
-	reserveDivisor = 8
+	reserveDivisor = 3
+	// demandWindow is the time over which a team's demand is smoothed.
+	demandWindow = 2 * time.Second
 	// maxQueued bounds the requests that wait at one gate.
 	maxQueued = 10_000
 	// holdSmoothing is the weight of a new measurement of the holding time.
@@ -42,6 +45,9 @@
 type Claim struct {
 	Team   string
 	Weight float64
+	// Guest means that the request's own region is another one. Guests have no
+	// share of the slots and take what the others leave.
+	Guest bool
 	// Priority is the class within the team; 0 is served first.
 	Priority int
 	// Cost is the expected work.
@@ -77,10 +83,21 @@
 }
 
 type usage struct {
-	weight   float64
+	weight   float64 // zero for guests
 	inFlight int
 	queued   int
 	seen     clock.Instant
+	// demand is the smoothed number of requests in flight and queued, as of
+	// weighed.
+	demand  float64
+	weighed clock.Instant
+}
+
+// weigh brings the smoothed demand up to now.
+func (u *usage) weigh(now clock.Instant) {
+	part := 1 - math.Exp(-now.Sub(u.weighed).Seconds()/demandWindow.Seconds())
+	u.demand += part * (float64(u.inFlight+u.queued) - u.demand)
+	u.weighed = now
 }
 
 type waiter struct {
@@ -93,8 +110,9 @@
 	return &Gate{now: now, queue: NewQueue(), teams: map[string]*usage{}, stretch: 1}
 }
 
-// Acquire waits for a slot. It returns ErrTooLate, ErrFull or ErrElsewhere, or the error of
-// ctx when the caller goes away. After a nil error, Release must follow.
+// Acquire waits for a slot. It returns ErrTooLate, ErrFull or ErrElsewhere, or
+// the error of ctx when the caller goes away. After a nil error, Release must
+// follow.
 func (g *Gate) Acquire(ctx context.Context, c Claim) error {
 	it, err := g.enter(c)
 	if it == nil || err != nil {
@@ -132,16 +150,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.capacity = c.Capacity()
-	u := g.touch(c.Team, c.Weight)
+	u := g.touch(c)
 	cost := c.Cost.Seconds()
 	g.meanCost += holdSmoothing * (cost - g.meanCost)
 	if g.queue.Len() == 0 && g.mayTake(u) && c.Place() {
 		g.grant(u)
 		return nil, nil
 	}
-	if c.Patience <= 0 {
-		return nil, ErrTooLate.New("no slot is free")
-	}
 	if g.queue.Len() >= maxQueued {
 		return nil, ErrFull.New("%d requests wait", maxQueued)
 	}
@@ -150,6 +165,10 @@
 	g.queue.Push(it)
 	u.queued++
 	g.pump()
+	if c.Patience <= 0 && g.queue.Remove(it) {
+		u.queued--
+		return nil, ErrTooLate.New("no slot is free")
+	}
 	g.poll()
 	return it, nil
 }
@@ -172,6 +191,7 @@
 	defer g.mu.Unlock()
 	g.inFlight--
 	if u := g.teams[team]; u != nil {
+		u.weigh(g.now())
 		u.inFlight--
 		u.seen = g.now()
 	}
@@ -190,7 +210,8 @@
 	slots := float64(max(g.capacity, g.inFlight, 1))
 	work := (g.queue.Ahead(team, weight) + g.meanCost) * g.stretch
 	full = time.Duration(work / slots * float64(time.Second))
-	if g.queue.Len() == 0 && (g.teams[team] == nil || g.mayTake(g.teams[team])) {
+	u := g.teams[team]
+	if u == nil || u.queued == 0 && g.mayTake(u) {
 		return 0, full
 	}
 	return full, full
@@ -230,29 +251,57 @@
 	g.inFlight++
 }
 
-// mayTake reports whether the team may have another slot. A team above its
-// share leaves a reserve for the other active teams.
+// mayTake reports whether the team may have another slot. A team whose demand
+// is above its share leaves free what the other active teams have not used of
+// theirs, up to a part of all slots, so that they neither wait nor find full
+// servers. How much it leaves free grows with its demand, which is smoothed:
+// a short burst isn't held up like a team that asks for too much all the time.
 func (g *Gate) mayTake(u *usage) bool {
-	if len(g.teams) < 2 || g.capacity < reserveDivisor/2 {
+	if len(g.teams) < 2 || g.capacity < reserveDivisor {
 		return true
 	}
-	share := float64(g.capacity) * u.weight / g.weight
-	if float64(u.inFlight) < share {
+	u.weigh(g.now())
+	share, excess := g.share(u), 1.0
+	if share > 0 {
+		excess = min(u.demand, float64(u.inFlight+u.queued))/share - 1
+	}
+	if excess <= 0 {
 		return true
 	}
-	reserve := max(1, g.capacity/reserveDivisor)
-	return g.inFlight < g.capacity-reserve
+	reserve := min(float64(g.capacity)/reserveDivisor, g.unused()) * min(1, excess)
+	return float64(g.inFlight) < float64(g.capacity)-reserve
 }
 
-func (g *Gate) touch(team string, weight float64) *usage {
+// share returns the slots that are the team's own.
+func (g *Gate) share(u *usage) float64 {
+	if u.weight == 0 {
+		return 0
+	}
+	return float64(g.capacity) * u.weight / g.weight
+}
+
+// unused returns the slots that active teams have not used of their shares.
+func (g *Gate) unused() float64 {
+	total := 0.0
+	for _, u := range g.teams {
+		total += max(0, g.share(u)-float64(u.inFlight))
+	}
+	return total
+}
+
+func (g *Gate) touch(c Claim) *usage {
 	now := g.now()
 	g.sweep(now)
-	u := g.teams[team]
+	u := g.teams[c.Team]
 	if u == nil {
-		u = &usage{weight: weightOf(weight)}
-		g.teams[team] = u
+		u = &usage{weight: weightOf(c.Weight), weighed: now}
+		if c.Guest {
+			u.weight = 0
+		}
+		g.teams[c.Team] = u
 		g.weight += u.weight
 	}
+	u.weigh(now)
 	u.seen = now
 	return u
 }
--- a/internal/filter/route/policy_test.go
+++ b/internal/filter/route/policy_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,7 @@
 	tokens        = 100
 	reportEvery   = time.Second
 	length        = 30 * time.Second
+	warmUp        = 5 * time.Second
 )
 
 // fakeEngine batches continuously: each further stream slows all of them.
@@ -81,6 +83,7 @@
 
 // trial is one run of one algorithm.
 type trial struct {
+	begun    time.Time
 	set      *objects.Set
 	now      clock.Clock
 	engines  map[string]*fakeEngine
@@ -89,6 +92,7 @@
 
 	mu       sync.Mutex
 	times    []time.Duration
+	others   []time.Duration // of the teams of region a that aren't greedy
 	late     int
 	refused  int
 	away     int
@@ -104,14 +108,20 @@
 	slow map[string]float64
 	// gone names replicas that aren't there.
 	gone []string
+	// greedy is how many times its share the first team of region a asks for;
+	// zero is 1.
+	greedy float64
 }
 
 var regions = []string{"a", "b", "c"}
 
-const replicasPerRegion = 4
+const (
+	replicasPerRegion = 4
+	teamsPerRegion    = 3
+)
 
 func newTrial(policy objects.PolicySpec, s scenario) *trial {
-	t := &trial{now: clock.Synthetic(), set: objects.NewSet(), engines: map[string]*fakeEngine{},
+	t := &trial{begun: time.Now(), now: clock.Synthetic(), set: objects.NewSet(), engines: map[string]*fakeEngine{},
 		gateways: map[string]*Handler{}, views: map[string]*snapshot.Publisher{}}
 	t.set.Models["m"] = &objects.Model{Name: "m", Spec: objects.ModelSpec{SecondsPerToken: 0.02, SecondsPerPromptToken: 0.0002}}
 	t.set.Routes["m"] = &objects.Route{Spec: objects.RouteSpec{Model: "m", Policy: "p"}}
@@ -125,7 +135,7 @@
 		}
 		t.set.Regions[region] = &objects.Region{Name: region, Spec: objects.RegionSpec{Links: links}}
 		t.set.FailureDomains[region] = &objects.FailureDomain{Name: region, Spec: objects.FailureDomainSpec{Region: region}}
-		for i := range 3 {
+		for i := range teamsPerRegion {
 			name := fmt.Sprint("team-", region, i)
 			t.set.Teams[name] = &objects.Team{Name: name, Spec: objects.TeamSpec{Home: region}}
 		}
@@ -237,15 +247,20 @@
 	})
 	var load sync.WaitGroup
 	for i, region := range regions {
-		load.Go(func() {
-			rng := rand.New(rand.NewPCG(uint64(i), 99))
-			rate := full * s.load[region]
-			for begun := time.Now(); time.Since(begun) < length; {
-				time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-				vm, team := fmt.Sprint("gw-", region, rng.IntN(2)), fmt.Sprint("team-", region, rng.IntN(3))
-				load.Go(func() { t.request(vm, team, timeout) })
-			}
-		})
+		for k := range teamsPerRegion {
+			load.Go(func() {
+				rng := rand.New(rand.NewPCG(uint64(i), uint64(k)))
+				rate := full * s.load[region] / teamsPerRegion
+				if region == "a" && k == 0 {
+					rate *= max(1, s.greedy)
+				}
+				for begun := time.Now(); time.Since(begun) < length; {
+					time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+					vm, team := fmt.Sprint("gw-", region, rng.IntN(2)), fmt.Sprint("team-", region, k)
+					load.Go(func() { t.request(vm, team, timeout) })
+				}
+			})
+		}
 	}
 	load.Wait()
 	stop()
@@ -263,6 +278,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requests++
+	if strings.HasPrefix(team, "team-a") && team != "team-a0" && begun.Sub(t.begun) > warmUp {
+		t.others = append(t.others, took)
+	}
 	switch {
 	case refusal == nil:
 		t.times = append(t.times, took)
@@ -277,6 +295,7 @@
 // figures are what a trial showed.
 type figures struct {
 	p50, p99          time.Duration
+	othersP99         time.Duration
 	late, refused, of int
 	away              float64
 }
@@ -294,6 +313,8 @@
 		slices.Sort(run.times)
 		f = figures{late: run.late, refused: run.refused, of: run.requests,
 			away: float64(run.away) / float64(run.requests)}
+		slices.Sort(run.others)
+		f.othersP99 = run.others[len(run.others)*99/100]
 		if n := len(run.times); n > 0 {
 			f.p50, f.p99 = run.times[n/2], run.times[n*99/100]
 		}
@@ -386,3 +407,16 @@
 		}
 	}
 }
+
+// Issue 5: a greedy team at ten times its share moves the others' p99 by at
+// most 10 %.
+func TestAGreedyTeamLeavesTheOthersTheirTail(t *testing.T) {
+	for name, policy := range map[string]func(string) objects.PolicySpec{"kite": kite, "co-operative": coOperative} {
+		before := measure(t, policy(objects.AlgorithmExpectedCompletion), scenario{load: evenly(0.6)})
+		after := measure(t, policy(objects.AlgorithmExpectedCompletion), scenario{load: evenly(0.6), greedy: 10})
+		t.Logf("%s: p99 of the others %v, with a greedy team %v", name, before.othersP99, after.othersP99)
+		if after.othersP99*10 > before.othersP99*11 {
+			t.Errorf("%s: p99 of the others moved from %v to %v", name, before.othersP99, after.othersP99)
+		}
+	}
+}
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -27,6 +27,9 @@
 	serviceAnswerBytes = 2000
 )
 
+// guestSuffix marks a team's requests from other regions in the queue.
+const guestSuffix = " (from another region)"
+
 // run is one request on its way through the handler.
 type run struct {
 	h   *Handler
@@ -155,7 +158,7 @@
 	if !r.mayServe(picker) || len(target.Candidates) == 0 {
 		return routing.Local{}
 	}
-	wait, full := r.h.gate(target.Name).Wait(r.req.Team, r.weight(picker))
+	wait, full := r.h.gate(target.Name).Wait(r.queueTeam(), r.weight(picker))
 	return routing.Local{Allowed: true, Wait: wait, FullWait: full}
 }
 
@@ -193,6 +196,15 @@
 	return weight
 }
 
+// queueTeam returns the team's name in the queue. Requests from another region
+// stand apart from those of the team's callers here.
+func (r *run) queueTeam() string {
+	if r.req.Hop == pipeline.HopRegion {
+		return r.req.Team + guestSuffix
+	}
+	return r.req.Team
+}
+
 // request returns the request as it is sent with the snapshot that decided.
 func (r *run) request(picker *routing.Picker) *pipeline.Request {
 	if r.req.Snapshot.Config == picker.Snapshot.Config {
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -53,7 +53,7 @@
 		return r.noSlot(ctx, err, gate), false, better
 	}
 	granted := r.h.cfg.Now()
-	release := func() { gate.Release(r.req.Team, claim.Cost, r.h.cfg.Now().Sub(granted)) }
+	release := func() { gate.Release(claim.Team, claim.Cost, r.h.cfg.Now().Sub(granted)) }
 	if ctx.Err() != nil || r.req.Deadline.Sub(granted) <= 0 {
 		place.choice.Candidate.Server.Release()
 		release()
@@ -80,7 +80,7 @@
 		patience = min(patience, r.maxQueue(target)-r.waited)
 	}
 	return fairqueue.Claim{
-		Team: r.req.Team, Weight: r.weight(picker), Priority: int(r.req.Priority),
+		Team: r.queueTeam(), Weight: r.weight(picker), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
 		Cost: plan.Estimate.Service, Patience: patience,
 		Place: func() bool { return r.place(place) },
 		Capacity: func() int {
@@ -123,7 +123,7 @@
 		return givenUp()
 	}
 	r.h.metrics.refused.Inc(1)
-	_, wait := gate.Wait(r.req.Team, 1)
+	_, wait := gate.Wait(r.queueTeam(), 1)
 	detail := "no backend server came free in time"
 	if errorx.IsOfType(err, fairqueue.ErrFull) {
 		detail = "too many requests wait"
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -235,7 +235,7 @@
 	}
 	pace := 1 + loadSlope*min(load, 1)
 	service := (prompt + q.AnswerTime.Seconds()) * slowness * pace
-	wait := max(0, load-1) * q.Service().Seconds() * slowness
+	wait := max(0, load+1/slots-1) * q.Service().Seconds() * slowness
 	if stalled := c.Server.Stalled(q.Now); stalled > firstByteGrace+time.Duration(2*slowness*prompt*float64(time.Second)) {
 		wait += stalled.Seconds()
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -27,6 +27,8 @@
 	// ownSmoothing is the weight of a new sample of the own requests in
 	// flight, which are taken out of the server's report.
 	ownSmoothing = 0.5
+	// othersFading is the weight of a report that shows less use by others.
+	othersFading = 0.2
 )
 
 // Server is this process's own record of one backend server. It is kept over
@@ -48,6 +50,8 @@
 	// the report shows beyond it; both as the bits of a float64.
 	own    atomic.Uint64
 	others atomic.Uint64
+	// peak is the others' recent peak, as the bits of a float64.
+	peak atomic.Uint64
 	// extra is how many slots beyond the own share may be used.
 	extra atomic.Int32
 	// heard is when the last report that was counted was heard.
@@ -134,11 +138,16 @@
 	own := math.Float64frombits(s.own.Load())
 	beyond := max(0, float64(status.Running+status.Queued)-own)
 	smooth(&s.others, beyond, ownSmoothing)
+	// For slots, others' use counts at once when it grows and fades slowly, so
+	// that two gateways don't both take what one of them will need again.
+	peak := math.Float64frombits(s.peak.Load())
+	peak = max(beyond, peak+othersFading*(beyond-peak))
+	s.peak.Store(math.Float64bits(peak))
 	if status.Queued > 0 {
 		s.extra.Store(0)
 		return
 	}
-	unused := max(0, slots-share-int(math.Ceil(s.Others())))
+	unused := max(0, slots-share-int(math.Ceil(peak)))
 	extra := int(s.extra.Load())
 	s.extra.Store(int32(min(unused, extra+(unused-extra+1)/2)))
 }
