--- /dev/null
+++ b/test/promises/booking_audit_test.go
@@ -0,0 +1,162 @@
+package promises
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/standin"
+	"github.com/chestnutspring/chestnutspring/internal/standin/service"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// bookingPath is a call that may not be repeated.
+const bookingPath = wire.PathServices + "spot-desk/bookings"
+
+// bookingTeams take turns, so that none meets its limits.
+var bookingTeams = []string{"hamdeok-kite-school", "songjeong-kite-school", "sinsi-kite-school"}
+
+// told is what one attempt with a key was told.
+type told struct {
+	key, team, body, entry string
+	reply                  reply
+}
+
+// bookings sends attempts and remembers what each was told.
+type bookings struct {
+	bed    *testbed.Bed
+	random *rand.Rand
+	client *http.Client
+
+	mu    sync.Mutex
+	tolds []told
+	keys  []told // one without a reply for each key
+}
+
+func newBookings(t *testing.T, bed *testbed.Bed) *bookings {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	t.Cleanup(client.CloseIdleConnections)
+	return &bookings{bed: bed, random: rand.New(rand.NewPCG(seed, 0)), client: client}
+}
+
+// newKeys returns n new keys of the owner, each with its content.
+func (b *bookings) newKeys(t *testing.T, owner *testbed.Gateway, n int) []told {
+	t.Helper()
+	r := send(b.client, owner.CallerAddress(), call{method: http.MethodGet, path: wire.PathEntries})
+	prefix := r.header.Get(wire.HeaderKeyPrefix)
+	if prefix == "" {
+		t.Fatalf("%s gives no key prefix: %v", owner.Name, r)
+	}
+	var keys []told
+	for range n {
+		i := len(b.keys)
+		k := told{key: fmt.Sprintf("%s~%d", prefix, i), team: bookingTeams[i%len(bookingTeams)], body: fmt.Sprintf(`{"slot":%d}`, i)}
+		if i%4 == 0 {
+			k.body = "" // A transport may replay a request without a body.
+		}
+		b.keys = append(b.keys, k)
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// attempt sends one attempt to an entry.
+func (b *bookings) attempt(k told, entry *testbed.Gateway, timeout time.Duration) reply {
+	k.entry = entry.Name
+	k.reply = send(b.client, entry.CallerAddress(), call{
+		method: http.MethodPost, path: bookingPath, team: k.team, key: k.key, body: k.body, timeout: timeout,
+	})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tolds = append(b.tolds, k)
+	return k.reply
+}
+
+// attemptAll sends an attempt with each key to every entry that runs, all at
+// once, and waits for the answers.
+func (b *bookings) attemptAll(keys []told, timeout time.Duration) {
+	var all sync.WaitGroup
+	for _, k := range keys {
+		for _, entry := range b.bed.Gateways {
+			if entry.Alive() {
+				all.Go(func() { b.attempt(k, entry, timeout) })
+			}
+		}
+	}
+	all.Wait()
+}
+
+// executions returns how often each key was carried out, at all replicas.
+func executions(bed *testbed.Bed) map[string]int {
+	sum := map[string]int{}
+	for _, s := range bed.Services {
+		for key, n := range s.Executions() {
+			sum[key] += n
+		}
+	}
+	return sum
+}
+
+// verdictOf returns the verdict that an attempt was told. A connection that
+// broke says nothing.
+func verdictOf(r reply) verdict.Verdict {
+	if r.err != nil {
+		return verdict.MayHaveRun
+	}
+	return verdict.Parse(r.header.Get(wire.HeaderVerdict))
+}
+
+// audit holds what the attempts were told against the stand-ins' records.
+func (b *bookings) audit(t *testing.T) {
+	t.Helper()
+	ran := executions(b.bed)
+	for key, n := range ran {
+		if n > 1 {
+			t.Errorf("%s was carried out %d times", key, n)
+		}
+	}
+	answers := map[string]string{}
+	counts := map[verdict.Verdict]int{}
+	for _, k := range b.tolds {
+		v := verdictOf(k.reply)
+		counts[v]++
+		switch {
+		case v == verdict.NotRun && ran[k.key] > 0:
+			t.Errorf("%s at %s was told not-run, and it ran: %v", k.key, k.entry, k.reply)
+		case v == verdict.Ran && ran[k.key] == 0:
+			t.Errorf("%s at %s was told ran, and it did not run: %v", k.key, k.entry, k.reply)
+		}
+		if k.reply.ok() {
+			checkAnswer(t, k, answers)
+		}
+	}
+	t.Logf("%d keys, %d carried out, %d attempts: %d ran, %d not-run, %d may-have-run",
+		len(b.keys), len(ran), len(b.tolds), counts[verdict.Ran], counts[verdict.NotRun], counts[verdict.MayHaveRun])
+	if counts[verdict.Ran] == 0 {
+		t.Error("no attempt got an answer, so that nothing was shown")
+	}
+}
+
+// checkAnswer checks that an attempt got the whole answer to its own request,
+// and the same one as the other attempts with its key.
+func checkAnswer(t *testing.T, k told, answers map[string]string) {
+	t.Helper()
+	var a service.Answer
+	if err := json.Unmarshal([]byte(k.reply.body), &a); err != nil {
+		t.Errorf("%s at %s: the answer is not whole: %v: %q", k.key, k.entry, err, k.reply.body)
+		return
+	}
+	if a.Key != k.key || a.Echo != standin.Digest([]byte(k.body)) {
+		t.Errorf("%s at %s got the answer to %s", k.key, k.entry, a.Key)
+	}
+	if first, seen := answers[k.key]; seen && first != k.reply.body {
+		t.Errorf("%s at %s got another answer than before: %q and %q", k.key, k.entry, first, k.reply.body)
+	}
+	answers[k.key] = k.reply.body
+}
--- /dev/null
+++ b/test/promises/booking_once_test.go
@@ -0,0 +1,169 @@
+package promises
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/standin/service"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+)
+
+const (
+	// keysPerFault is how many bookings are in flight when a fault comes.
+	keysPerFault = 16
+	// bookingTime is how long a replica works on a booking.
+	bookingTime = 60 * time.Millisecond
+	// attemptTimeout is the deadline of an attempt.
+	attemptTimeout = 700 * time.Millisecond
+	// repairTimeout bounds the restart of a gateway.
+	repairTimeout = 20 * time.Second
+)
+
+// fault is something that happens while bookings are in flight, and its repair.
+type fault struct {
+	name   string
+	strike func(bed *testbed.Bed, owner *testbed.Gateway)
+	repair func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway)
+}
+
+// replicaOf returns the name of the replica in the owner's region.
+func replicaOf(owner *testbed.Gateway) string { return "spot-desk-" + owner.Region + "-1" }
+
+// neighbourOf returns another gateway: of the owner's region, or of the next.
+func neighbourOf(bed *testbed.Bed, owner *testbed.Gateway, sameRegion bool) *testbed.Gateway {
+	for _, region := range bed.Regions() {
+		for _, g := range bed.GatewaysOf(region) {
+			if g != owner && (g.Region == owner.Region) == sameRegion {
+				return g
+			}
+		}
+	}
+	panic("the deployment has no other gateway")
+}
+
+func restart(t *testing.T, g *testbed.Gateway) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), repairTimeout)
+	defer cancel()
+	if err := g.Restart(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// strikeOnce sends bookings to all entries at once while the fault happens,
+// repairs it, and sends the same attempts again: these are the ones that were
+// delayed in the network, and the callers' repeats.
+func (b *bookings) strikeOnce(t *testing.T, owner *testbed.Gateway, f fault) {
+	t.Helper()
+	keys := b.newKeys(t, owner, keysPerFault)
+	wait := time.Duration(b.random.IntN(int(2 * bookingTime)))
+	struck := make(chan struct{})
+	time.AfterFunc(wait, func() {
+		defer close(struck)
+		f.strike(b.bed, owner)
+	})
+	b.attemptAll(keys, attemptTimeout)
+	<-struck
+	f.repair(t, b.bed, owner)
+	b.attemptAll(keys, attemptTimeout)
+	t.Logf("%s: struck %s after %v", f.name, owner.Name, wait)
+}
+
+// strikeAll goes through the faults, with one owner after the other.
+func strikeAll(t *testing.T, faults []fault) {
+	t.Helper()
+	bed := startBed(t, func(c *testbed.Config) {
+		c.Service = func(_ *objects.BackendServer, s *service.Config) {
+			s.Duration = func(string, string) time.Duration { return bookingTime }
+		}
+	})
+	b := newBookings(t, bed)
+	regions := bed.Regions()
+	for i, f := range faults {
+		b.strikeOnce(t, bed.GatewaysOf(regions[i%len(regions)])[i%2], f)
+	}
+	b.audit(t)
+}
+
+// A booking is carried out at most once, and "not run" is true, while gateways
+// are killed, paused past the deadline and cut off from one another, and
+// callers try at all entries at once.
+func TestPromiseAtMostOnceOverFaultsOfGateways(t *testing.T) {
+	strikeAll(t, []fault{
+		{
+			name:   "owner killed",
+			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Kill() },
+			repair: func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) },
+		},
+		{
+			name:   "owner paused past the deadline",
+			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Freeze() },
+			repair: func(_ *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { owner.Wake() },
+		},
+		{
+			name:   "entry killed",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, true).Kill() },
+			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { restart(t, neighbourOf(bed, owner, true)) },
+		},
+		{
+			name:   "owner's region cut off",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Isolate(owner.Region) },
+			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { bed.Rejoin(owner.Region) },
+		},
+		{
+			name: "owner paused, then killed",
+			strike: func(_ *testbed.Bed, owner *testbed.Gateway) {
+				owner.Freeze()
+				time.Sleep(bookingTime)
+				owner.Kill()
+			},
+			repair: func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) },
+		},
+	})
+}
+
+// A booking is carried out at most once, and "not run" is true, while the
+// replica of the owner's region fails in its ways and bookings go over a
+// region hop that breaks.
+func TestPromiseAtMostOnceOverFaultsOfReplicas(t *testing.T) {
+	failing := func(name string, kind service.Fault) fault {
+		return fault{
+			name:   name,
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Services[replicaOf(owner)].Fail(kind, -1) },
+			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
+				bed.Services[replicaOf(owner)].Fail(service.FaultNone, 0)
+			},
+		}
+	}
+	reopen := func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
+		t.Helper()
+		if err := bed.ReopenBackend(replicaOf(owner)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	strikeAll(t, []fault{
+		failing("replica runs and closes", service.FaultRunAndClose),
+		failing("replica closes first", service.FaultCloseFirst),
+		failing("replica refuses", service.FaultRefuse),
+		failing("replica runs and reports an error", service.FaultRunAndError),
+		{
+			name:   "replica gone",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.CloseBackend(replicaOf(owner)) },
+			repair: reopen,
+		},
+		{
+			name: "replica gone, and the link to the other region cut",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) {
+				bed.CloseBackend(replicaOf(owner))
+				time.Sleep(bookingTime)
+				bed.Isolate(owner.Region)
+			},
+			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
+				bed.Rejoin(owner.Region)
+				reopen(t, bed, owner)
+			},
+		},
+	})
+}
