--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -87,6 +87,8 @@
 type Choice struct {
 	Candidate *Candidate
 	Estimate  Estimate
+	// LastResort means that all candidates seem to be broken.
+	LastResort bool
 }
 
 // Best returns the candidate with the least score. With needRoom, only
@@ -210,7 +212,7 @@
 		}
 		e := t.estimate(c, q)
 		if best.Candidate == nil || e.Score < best.Estimate.Score {
-			best = Choice{Candidate: c, Estimate: e}
+			best = Choice{Candidate: c, Estimate: e, LastResort: true}
 		}
 	}
 	return best
@@ -233,7 +235,7 @@
 	}
 	pace := 1 + loadSlope*min(load, 1)
 	service := (prompt + q.AnswerTime.Seconds()) * slowness * pace
-	wait := max(0, load-1) * q.Service().Seconds() * slowness
+	wait := max(0, load+1/slots-1) * q.Service().Seconds() * slowness
 	if stalled := c.Server.Stalled(q.Now); stalled > firstByteGrace+time.Duration(2*slowness*prompt*float64(time.Second)) {
 		wait += stalled.Seconds()
 	}
