--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -55,6 +55,7 @@
 		{"away %", 100 * f.ShareAway},
 		{"first token p50 ms", f.FirstToken.P50},
 		{"first token p99 ms", f.FirstToken.P99},
+		{"leading class of others p99 ms", f.Others.P99},
 		{"whole p50 ms", f.Whole.P50},
 		{"whole p99 ms", f.Whole.P99},
 		{"whole p99.9 ms", f.Whole.P999},
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -50,6 +50,9 @@
 	Classes map[string]Quantiles `json:"classes"`
 	Regions map[string]Quantiles `json:"regions"`
 	Teams   map[string]TeamShare `json:"teams"`
+	// Others holds the figures of the leading class without the teams that
+	// the experiment excepts.
+	Others Quantiles `json:"others"`
 	// Fairness is the least, over all teams, of what a team was served over
 	// what it was entitled to.
 	Fairness float64 `json:"fairness"`
@@ -159,10 +162,24 @@
 	}
 	f := summarize(m.set, part)
 	f.Name, f.Seconds = name, (to - from).Seconds()
+	f.Others = m.others(part)
 	f.Goodput = float64(f.Served-f.Late) / f.Seconds
 	return f
 }
 
+// others returns the figures of the leading class of teams that the experiment
+// doesn't except.
+func (m *figureMaker) others(part []*Outcome) Quantiles {
+	h := newHistogram()
+	for _, o := range part {
+		leading := o.Call.Class == m.spec.Load[0].Class
+		if leading && o.Ending() == EndingServed && !slices.Contains(m.spec.Except, o.Call.Team) {
+			h.record(o.Total)
+		}
+	}
+	return h.quantiles()
+}
+
 // late reports whether a whole answer came after its deadline.
 func (o *Outcome) late() bool {
 	return o.Ending() == EndingServed && o.Total > o.Call.Timeout
--- a/internal/experiment/spec.go
+++ b/internal/experiment/spec.go
@@ -39,6 +39,8 @@
 	// Profile varies the load of each region over time.
 	Profile map[string][]Point `yaml:"profile,omitempty" json:"profile,omitempty"`
 	Faults  []Fault            `yaml:"faults,omitempty" json:"faults,omitempty"`
+	// Except names teams that the figures of other teams leave out.
+	Except []string `yaml:"except,omitempty" json:"except,omitempty"`
 	// Phases get figures of their own.
 	Phases []Phase `yaml:"phases,omitempty" json:"phases,omitempty"`
 }
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -11,7 +11,7 @@
 // against the baselines of the same run.
 func WriteSummary(w io.Writer, results []*Result) {
 	t := newTable(w)
-	_, _ = fmt.Fprintln(t, "experiment\tpart\tp99 own\thome\tleast\town/better\tmissed own\thome\tleast\taway % own\tleast\tcrossing cost own\tleast\tcost own\thome\tleast\tgoodput own\thome\tleast\tfairness own\thome\tleast\tbroken\t")
+	_, _ = fmt.Fprintln(t, "experiment\tpart\tp99 own\thome\tleast\town/better\tothers p99 own\tmissed own\thome\tleast\taway % own\tleast\tcrossing cost own\tleast\tcost own\thome\tleast\tgoodput own\thome\tleast\tfairness own\thome\tleast\tbroken\t")
 	for _, r := range results {
 		own, home, least := r.byAlgorithm(objects.AlgorithmExpectedCompletion),
 			r.byAlgorithm(objects.AlgorithmHomeRoundRobin), r.byAlgorithm(objects.AlgorithmLeastLoad)
@@ -46,8 +46,8 @@
 	}
 	p99 := func(f Figures) float64 { return f.Classes[class].P99 }
 	better := min(p99(home), p99(least))
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t\n",
-		r.Spec.Name, own.Name, p99(own), p99(home), p99(least), ratio(better, p99(own)),
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t\n",
+		r.Spec.Name, own.Name, p99(own), p99(home), p99(least), ratio(better, p99(own)), own.Others.P99,
 		own.Missed, home.Missed, least.Missed, 100*own.ShareAway, 100*least.ShareAway,
 		own.CrossingCost, least.CrossingCost, own.Cost, home.Cost, least.Cost,
 		own.Goodput, home.Goodput, least.Goodput, own.Fairness, home.Fairness, least.Fairness, broken)
