--- a/internal/filter/booking/settle.go
+++ b/internal/filter/booking/settle.go
@@ -21,6 +21,9 @@
 	switch {
 	case req.Hop == pipeline.HopRegion:
 		return f.hops.Close(key, keyWindow(req)) == booking.HopClosed
+	case req.Snapshot.Config.Teams[req.Team] == nil:
+		// Strangers must not fill the table.
+		return false
 	case f.Issuer.Issued(key):
 		return f.closeOwn(key, req.Team)
 	default:
--- a/internal/filter/settle/settle.go
+++ b/internal/filter/settle/settle.go
@@ -23,21 +23,26 @@
 func New(closer Closer) pipeline.Filter {
 	return func(next pipeline.Handler) pipeline.Handler {
 		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
-			refusal := next.Handle(ctx, req, w)
-			if refusal == nil || refusal.Verdict != verdict.NotRun || req.Key == "" || req.KeyChecked {
-				return refusal
-			}
-			settled := *refusal
-			if closer.Close(req) {
-				settled.KeyClosed = true
-			} else {
-				settled.Verdict = verdict.MayHaveRun
-			}
-			return &settled
+			return Refusal(closer, req, next.Handle(ctx, req, w))
 		})
 	}
 }
 
+// Refusal returns the refusal with a verdict that is true for all attempts
+// with the request's key. A refusal of the booking filter is returned as it is.
+func Refusal(closer Closer, req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
+	if refusal == nil || refusal.Verdict != verdict.NotRun || req.Key == "" || req.KeyChecked {
+		return refusal
+	}
+	settled := *refusal
+	if closer.Close(req) {
+		settled.KeyClosed = true
+	} else {
+		settled.Verdict = verdict.MayHaveRun
+	}
+	return &settled
+}
+
 // Mark returns the filter that stands right before the booking filter. From
 // there on the booking filter answers for the verdict.
 func Mark() pipeline.Filter {
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
 
 	"github.com/chestnutspring/chestnutspring/internal/booking"
 	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
@@ -54,6 +55,9 @@
 	return handlers{
 		callers: httpapi.NewCallers(httpapi.CallersConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, KeyPrefix: issuer.Prefix,
+			Settle: func(req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
+				return settle.Refusal(g.booking, req, refusal)
+			},
 		}),
 		forward: forward.NewServer(forward.ServerConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, Heard: g.config.Heard,
--- a/internal/httpapi/callers.go
+++ b/internal/httpapi/callers.go
@@ -28,6 +28,8 @@
 	Handler pipeline.Handler
 	// Lookup takes questions for the outcome of an idempotency key.
 	Lookup pipeline.Handler
+	// Settle gives a refusal that was made before Handler a true verdict.
+	Settle func(*pipeline.Request, *verdict.Refusal) *verdict.Refusal
 	// KeyPrefix returns the current prefix of idempotency keys.
 	KeyPrefix func() string
 }
@@ -68,6 +70,8 @@
 		out := answer.NewWriter(w, req)
 		if refusal == nil {
 			refusal = handler.Handle(r.Context(), req, out)
+		} else {
+			refusal = c.Settle(req, refusal)
 		}
 		if refusal != nil {
 			answer.Refuse(out, refusal)
--- a/test/promises/bed_test.go
+++ b/test/promises/bed_test.go
@@ -72,6 +72,8 @@
 type call struct {
 	method, path, team, key, body string
 	timeout                       time.Duration
+	// rawTimeout replaces the header with the timeout, if set.
+	rawTimeout string
 }
 
 // defaultTimeout bounds a caller's request.
@@ -92,6 +94,9 @@
 	req.GetBody = nil
 	req.Header.Set(wire.HeaderTeam, c.team)
 	req.Header.Set(wire.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
+	if c.rawTimeout != "" {
+		req.Header.Set(wire.HeaderTimeout, c.rawTimeout)
+	}
 	if c.key != "" {
 		req.Header.Set(wire.HeaderIdempotencyKey, c.key)
 	}
@@ -99,6 +104,11 @@
 	if err != nil {
 		return reply{err: err}
 	}
+	return readReply(resp)
+}
+
+// readReply reads an answer to its end.
+func readReply(resp *http.Response) reply {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	r := reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
--- a/test/promises/booking_audit_test.go
+++ b/test/promises/booking_audit_test.go
@@ -123,9 +123,11 @@
 	}
 	answers := map[string]string{}
 	counts := map[verdict.Verdict]int{}
+	codes := map[verdict.Code]int{}
 	for _, k := range b.tolds {
 		v := verdictOf(k.reply)
 		counts[v]++
+		codes[k.reply.problem.Code]++
 		switch {
 		case v == verdict.NotRun && ran[k.key] > 0:
 			t.Errorf("%s at %s was told not-run, and it ran: %v", k.key, k.entry, k.reply)
@@ -138,6 +140,7 @@
 	}
 	t.Logf("%d keys, %d carried out, %d attempts: %d ran, %d not-run, %d may-have-run",
 		len(b.keys), len(ran), len(b.tolds), counts[verdict.Ran], counts[verdict.NotRun], counts[verdict.MayHaveRun])
+	t.Logf("codes of the answers: %v", codes)
 	if counts[verdict.Ran] == 0 {
 		t.Error("no attempt got an answer, so that nothing was shown")
 	}
--- /dev/null
+++ b/test/promises/booking_notrun_test.go
@@ -0,0 +1,180 @@
+package promises
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+const (
+	// overloadKeys is more than the replicas can do before the deadline.
+	overloadKeys = 150
+	// calmKeys is how many are sent before, when there is room.
+	calmKeys = 4
+	// overloadTimeout is the deadline of these bookings.
+	overloadTimeout = 500 * time.Millisecond
+	// delayedAttempts is how many attempts are held back in the network.
+	delayedAttempts = 20
+)
+
+// delayedAttempt is an attempt whose last byte is held back.
+type delayedAttempt struct {
+	told
+	conn net.Conn
+}
+
+// startDelayed sends an attempt but for its last byte.
+func startDelayed(t *testing.T, k told, entry *testbed.Gateway) *delayedAttempt {
+	t.Helper()
+	conn, err := net.Dial("tcp", entry.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		bookingPath, wire.HeaderTeam, k.team, wire.HeaderIdempotencyKey, k.key, len(k.body), k.body)
+	if _, err := conn.Write([]byte(request[:len(request)-1])); err != nil {
+		t.Fatal(err)
+	}
+	k.entry = entry.Name + " (delayed)"
+	return &delayedAttempt{told: k, conn: conn}
+}
+
+// deliver sends the last byte and reads the answer.
+func (d *delayedAttempt) deliver() {
+	if _, err := d.conn.Write([]byte(d.body[len(d.body)-1:])); err != nil {
+		d.reply = reply{err: err}
+		return
+	}
+	_ = d.conn.SetReadDeadline(time.Now().Add(defaultTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(d.conn), nil)
+	if err != nil {
+		d.reply = reply{err: err}
+		return
+	}
+	d.reply = readReply(resp)
+}
+
+// withBodies leaves out the bookings without a body, which has no last byte.
+func withBodies(keys []told) []told {
+	var list []told
+	for _, k := range keys {
+		if k.body != "" {
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
+// useSmallReplicas gives each booking replica two slots, and publishes so.
+func useSmallReplicas(c *testbed.Config) {
+	const slots = 2
+	set, err := objects.Load(c.Deployment)
+	if err != nil {
+		panic(err)
+	}
+	for name, server := range set.BackendServers {
+		if server.Spec.Service != "" {
+			small := *server
+			small.Spec.Concurrency = slots
+			set.BackendServers[name] = &small
+		}
+	}
+	desk := *set.Services["spot-desk"]
+	desk.Spec.Calls = slices.Clone(desk.Spec.Calls)
+	for i := range desk.Spec.Calls {
+		desk.Spec.Calls[i].Seconds = bookingTime.Seconds()
+	}
+	set.Services["spot-desk"] = &desk
+	c.Set = set
+}
+
+// A booking of which any attempt was told "not run" has not run and never
+// will: under overload, when the caller tries again elsewhere, when the owner
+// is killed meanwhile, and when an attempt was delayed in the network until
+// there is room again.
+func TestPromiseNotRunIsTrue(t *testing.T) {
+	bed := startBed(t, useSmallReplicas)
+	b := newBookings(t, bed)
+	owners := bed.GatewaysOf("busan")
+	keys := b.newKeys(t, owners[0], overloadKeys/2)
+	keys = append(keys, b.newKeys(t, owners[1], overloadKeys/2)...)
+	var delayed []*delayedAttempt
+	for i, k := range withBodies(keys)[:delayedAttempts] {
+		entry := bed.GatewaysOf(bed.Regions()[i%len(bed.Regions())])[0]
+		delayed = append(delayed, startDelayed(t, k, entry))
+	}
+
+	b.attemptAll(keys[:calmKeys], defaultTimeout)
+	b.attemptAll(keys, overloadTimeout)
+	if countNotRun(b.tolds) == 0 {
+		t.Fatal("nothing was refused")
+	}
+	// The callers' repeats and the delayed attempts come when there is room.
+	b.attemptAll(keys, defaultTimeout)
+	var all sync.WaitGroup
+	for _, d := range delayed {
+		all.Go(d.deliver)
+	}
+	all.Wait()
+	for _, d := range delayed {
+		b.tolds = append(b.tolds, d.told)
+	}
+	restart(t, owners[0])
+	b.attemptAll(keys, defaultTimeout)
+	b.audit(t)
+}
+
+func countNotRun(tolds []told) int {
+	n := 0
+	for _, k := range tolds {
+		if verdictOf(k.reply) == verdict.NotRun {
+			n++
+		}
+	}
+	return n
+}
+
+// earlyRefusals are attempts that a filter refuses before the booking filter
+// sees them, each for another reason.
+var earlyRefusals = map[string]func(*call){
+	"timeout that is no number": func(c *call) { c.rawTimeout = "soon" },
+	"body too large":            func(c *call) { c.body = strings.Repeat("x", wire.MaxBodyBytes+1) },
+	"unknown team":              func(c *call) { c.team = "nobody" },
+	"unknown call":              func(c *call) { c.path = wire.PathServices + "spot-desk/nothing" },
+	"another region's entry":    func(c *call) {},
+}
+
+// An attempt that is refused before the owner has seen its key is told "not
+// run" only if no attempt with the key can run any more.
+func TestPromiseNotRunIsTrueOfEarlyRefusals(t *testing.T) {
+	bed := startBed(t, nil)
+	b := newBookings(t, bed)
+	owner := bed.GatewaysOf("busan")[0]
+	for name, spoil := range earlyRefusals {
+		for _, entry := range []*testbed.Gateway{owner, bed.GatewaysOf("jeju")[0]} {
+			k := b.newKeys(t, owner, 1)[0]
+			k.team, k.body = "busan-rescue", `{"slot":1}`
+			c := call{method: http.MethodPost, path: bookingPath, team: k.team, key: k.key, body: k.body}
+			spoil(&c)
+			refused := k
+			refused.entry = entry.Name + ", " + name
+			refused.reply = send(b.client, entry.CallerAddress(), c)
+			b.tolds = append(b.tolds, refused)
+			t.Logf("%s: %v", refused.entry, refused.reply)
+			b.attempt(k, owner, defaultTimeout)
+		}
+	}
+	b.audit(t)
+}
