--- a/test/promises/bed_test.go
+++ b/test/promises/bed_test.go
@@ -128,7 +128,10 @@
 const chatTokens = 5
 
 // expected returns the text that the answer to the prompt must hold.
-func expected(prompt string) string { return standin.Answer(prompt, chatTokens) }
+func expected(prompt string) string { return expectedOf(prompt, chatTokens) }
+
+// expectedOf returns the text of an answer of so many tokens.
+func expectedOf(prompt string, tokens int) string { return standin.Answer(prompt, tokens) }
 
 // isWhole reports whether the reply is the whole answer to the prompt.
 func isWhole(r reply, prompt string) bool {
