--- a/test/promises/bed_test.go
+++ b/test/promises/bed_test.go
@@ -72,6 +72,8 @@
 type call struct {
 	method, path, team, key, body string
 	timeout                       time.Duration
+	// rawTimeout replaces the header with the timeout, if set.
+	rawTimeout string
 }
 
 // defaultTimeout bounds a caller's request.
@@ -92,6 +94,9 @@
 	req.GetBody = nil
 	req.Header.Set(wire.HeaderTeam, c.team)
 	req.Header.Set(wire.HeaderTimeout, fmt.Sprint(c.timeout.Milliseconds()))
+	if c.rawTimeout != "" {
+		req.Header.Set(wire.HeaderTimeout, c.rawTimeout)
+	}
 	if c.key != "" {
 		req.Header.Set(wire.HeaderIdempotencyKey, c.key)
 	}
@@ -99,6 +104,11 @@
 	if err != nil {
 		return reply{err: err}
 	}
+	return readReply(resp)
+}
+
+// readReply reads an answer to its end.
+func readReply(resp *http.Response) reply {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	r := reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
@@ -118,7 +128,10 @@
 const chatTokens = 5
 
 // expected returns the text that the answer to the prompt must hold.
-func expected(prompt string) string { return standin.Answer(prompt, chatTokens) }
+func expected(prompt string) string { return expectedOf(prompt, chatTokens) }
+
+// expectedOf returns the text of an answer of so many tokens.
+func expectedOf(prompt string, tokens int) string { return standin.Answer(prompt, tokens) }
 
 // isWhole reports whether the reply is the whole answer to the prompt.
 func isWhole(r reply, prompt string) bool {
