Fleet: demand of teams exchanged for the limiter; load's own age; measurement

Cause: limits.Limiter needs each peer's demand every 10 s, else it divides evenly. SetDemand connects the limiter.

Adds BackendStatus.Reported: when the load was reported, apart from Heard, which a prober's heartbeat also moves.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,7 @@
 	meter   *peer.Meter // control connections
 	probing *peer.Meter // connections to backend servers
 	source  atomic.Pointer[ConfigSource]
+	demand  atomic.Pointer[DemandExchange]
 	watcher atomic.Bool
 	clients clientPool
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/limits"
 )
 
 var threeRegions = []string{"jeju", "busan", "saemangeum"}
@@ -60,3 +63,59 @@
 		return s != nil && s.Healthy == 3 && s.Queued == 4 && s.Free == 16
 	})
 }
+
+func TestDemandReachesTheLimitersOfAllRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 2, 1)
+		heard := &fakeLimiter{reports: map[string]limits.Report{}}
+		for _, n := range b.nodes {
+			n.SetDemand(&fakeLimiter{reports: map[string]limits.Report{}})
+		}
+		b.nodes[vmName("jeju", 0)].SetDemand(heard)
+		b.until("all peers' demand", 10*time.Second, func() bool { return heard.count() == 5 })
+		r := heard.of(vmName("busan", 1))
+		if len(r.Demands) != maxDemands || r.Demands[0].PerSecond < 30 {
+			t.Fatalf("%d teams, first %v", len(r.Demands), r.Demands[0])
+		}
+		heard.forget()
+		b.until("unchanged demand again", 2*demandInterval, func() bool { return heard.count() == 5 })
+	})
+}
+
+// fakeLimiter reports the demand of 200 teams.
+type fakeLimiter struct {
+	mu      sync.Mutex
+	reports map[string]limits.Report
+}
+
+func (l *fakeLimiter) Report(vm string) limits.Report {
+	r := limits.Report{VM: vm}
+	for i := range 200 {
+		r.Demands = append(r.Demands, limits.Demand{Team: fmt.Sprintf("team-%03d", i), PerSecond: 30 / float64(1+i)})
+	}
+	return r
+}
+
+func (l *fakeLimiter) Heard(r limits.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reports[r.VM] = r
+}
+
+func (l *fakeLimiter) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.reports)
+}
+
+func (l *fakeLimiter) of(vm string) limits.Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reports[vm]
+}
+
+func (l *fakeLimiter) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.reports)
+}
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -167,6 +167,9 @@
 		case gossip.KindSummary, gossip.KindRegion:
 			from, _ := splitRegionName(r.Name)
 			return from == own
+		case gossip.KindDemand:
+			from, _ := splitRegionName(r.Name)
+			return from == own && len(f.cfg.Publisher.Load().Members) <= maxDemandMembers
 		default:
 			return false
 		}
--- /dev/null
+++ b/internal/fleet/measure_test.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
+)
+
+var (
+	measure  = flag.Bool("measure", false, "measure the exchange; takes minutes")
+	engines  = flag.Int("engines", 0, "serve as this many engines until standard input ends")
+	settling = flag.Duration("settling", 15*time.Second, "time before a measurement")
+	period   = flag.Duration("period", 20*time.Second, "time of a measurement")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if *engines > 0 {
+		serveEngines(*engines)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveEngines serves engines whose load takes a random step every second, and
+// prints their addresses. They are a process of their own, so that their
+// processor time isn't counted.
+func serveEngines(n int) {
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err)
+		}
+		e := &steppingEngine{random: rand.New(rand.NewPCG(1, uint64(i))), stepped: time.Now()}
+		go func() { _ = http.Serve(l, e) }()
+		fmt.Println(l.Addr())
+	}
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+type steppingEngine struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	report  health.Report
+	stepped time.Time
+}
+
+func (e *steppingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.URL.Path != "/load" {
+		_, _ = io.WriteString(w, `{"events":[]}`)
+		return
+	}
+	for ; time.Since(e.stepped) >= time.Second; e.stepped = e.stepped.Add(time.Second) {
+		e.report.Running = min(max(e.report.Running+e.random.IntN(5)-2, 0), 16)
+		e.report.Queued = max(e.report.Running-12, 0)
+		e.report.TokensPerSecond = 40 - float64(e.report.Running)
+	}
+	e.report.Loaded = []string{"wind-writer@2026-11"}
+	_ = json.NewEncoder(w).Encode(e.report)
+}
+
+// startEngines starts a process of engines and returns their addresses.
+func startEngines(t *testing.T, n int) []string {
+	cmd := exec.Command(os.Args[0], "-engines", fmt.Sprint(n))
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = in.Close(); _ = cmd.Wait() })
+	var addresses []string
+	for lines := bufio.NewScanner(out); len(addresses) < n && lines.Scan(); {
+		addresses = append(addresses, lines.Text())
+	}
+	return addresses
+}
+
+// shape is a fleet to measure.
+type shape struct{ regions, members, backends, models int }
+
+// usage is what a node spends, per second.
+type usage struct {
+	controlSent, controlReceived, probeSent, probeReceived float64
+	writes                                                 float64
+	core                                                   float64 // share of one core
+	heap                                                   float64 // bytes
+}
+
+func TestMeasureExchange(t *testing.T) {
+	if !*measure {
+		t.Skip("only with -args -measure")
+	}
+	shapes := []shape{
+		{1, 2, 139, 10}, {1, 6, 139, 10}, {1, 20, 139, 10}, {1, 60, 139, 10},
+		{3, 2, 5, 2}, {3, 4, 20, 10}, {9, 4, 20, 10}, {18, 4, 20, 10},
+	}
+	fmt.Println("regions members backends models | B/s a node: control sent received, probes sent received | writes/s | core % | heap KB")
+	for _, s := range shapes {
+		t.Run(fmt.Sprintf("%dx%d", s.regions, s.members), func(t *testing.T) {
+			u := measureShape(t, s)
+			fmt.Printf("%7d %7d %8d %6d | %6.0f %6.0f %6.0f %6.0f | %5.1f | %5.2f | %6.0f\n",
+				s.regions, s.members, s.backends, s.models, u.controlSent, u.controlReceived,
+				u.probeSent, u.probeReceived, u.writes, 100*u.core, u.heap/1024)
+		})
+	}
+}
+
+func measureShape(t *testing.T, s shape) usage {
+	var regions []string
+	for i := range s.regions {
+		regions = append(regions, fmt.Sprintf("region-%02d", i))
+	}
+	b := newBed(t, nil, regions, 0)
+	b.log = slog.New(slog.DiscardHandler)
+	b.addBackends(regions, s, startEngines(t, s.regions*s.backends))
+	base := heap()
+	for _, region := range regions {
+		for i := range s.members {
+			b.add(region, i)
+		}
+	}
+	for _, n := range b.nodes {
+		b.start(n)
+	}
+	b.until("all know all", time.Minute, func() bool {
+		for _, n := range b.nodes {
+			if n.reachable() != len(b.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(*settling)
+	before, start := b.total(), time.Now()
+	time.Sleep(*period)
+	after, seconds := b.total(), time.Since(start).Seconds()
+	per := seconds * float64(len(b.nodes))
+	return usage{
+		controlSent:     (after.controlSent - before.controlSent) / per,
+		controlReceived: (after.controlReceived - before.controlReceived) / per,
+		probeSent:       (after.probeSent - before.probeSent) / per,
+		probeReceived:   (after.probeReceived - before.probeReceived) / per,
+		writes:          (after.writes - before.writes) / per,
+		core:            (after.core - before.core) / per,
+		heap:            (heap() - base) / float64(len(b.nodes)),
+	}
+}
+
+func (b *bed) addBackends(regions []string, s shape, addresses []string) {
+	for i := range s.models {
+		name := fmt.Sprintf("model-%d", i)
+		b.set.Models[name] = &objects.Model{Name: name, Spec: objects.ModelSpec{MaxOutputTokens: 100, SecondsPerToken: 0.02}}
+	}
+	for i, address := range addresses {
+		region := regions[i%len(regions)]
+		name := fmt.Sprintf("%s-engine-%03d", region, i/len(regions))
+		b.set.BackendServers[name] = &objects.BackendServer{Name: name, Spec: objects.BackendServerSpec{
+			Address: address, FailureDomain: region + "-a", Concurrency: 16,
+			Model: fmt.Sprintf("model-%d", i/len(regions)%s.models),
+		}}
+	}
+	b.set.Index()
+}
+
+// total adds up what all nodes have spent since the start.
+func (b *bed) total() usage {
+	var u usage
+	for _, n := range b.nodes {
+		u.controlSent += float64(n.meter.Sent.Load())
+		u.controlReceived += float64(n.meter.Received.Load())
+		u.probeSent += float64(n.probing.Sent.Load())
+		u.probeReceived += float64(n.probing.Received.Load())
+		u.writes += float64(n.meter.Writes.Load() + n.probing.Writes.Load())
+	}
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	u.core = time.Duration(r.Utime.Nano() + r.Stime.Nano()).Seconds()
+	return u
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -302,7 +302,7 @@
 // writeLoad keeps the exact load for this process and shares it when it
 // differs by enough from what is shared.
 func (f *Fleet) writeLoad(name string, l health.Load, now clock.Instant) {
-	f.tracker.SetLoad(name, l)
+	f.tracker.SetLoad(name, l, now)
 	var shared health.Load
 	record, ok := f.store.Get(gossip.Key{Kind: gossip.KindLoad, Name: name})
 	if ok && gossip.Decode(record.Value, &shared) == nil &&
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
@@ -139,6 +140,8 @@
 		return &membership.RegionBeat{}, true
 	case gossip.KindPrefixes:
 		return &prefixes{}, true
+	case gossip.KindDemand:
+		return &limits.Report{}, true
 	default:
 		return nil, false
 	}
@@ -179,7 +182,7 @@
 	case *health.State:
 		f.tracker.SetState(r.Name, *v)
 	case *health.Load:
-		f.tracker.SetLoad(r.Name, *v)
+		f.tracker.SetLoad(r.Name, *v, now)
 		f.loadWritten[r.Name] = now
 	case *summary:
 		f.takeSummary(r.Name, *v, now)
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -38,6 +38,7 @@
 	regionBeat clock.Instant
 	summary    clock.Instant
 	prune      clock.Instant
+	demand     clock.Instant
 }
 
 func (f *Fleet) tickLoop(ctx context.Context, group *errgroup.Group) error {
@@ -72,7 +73,9 @@
 	f.writeSummaries(now)
 	f.connect(ctx, group, now)
 	f.prune(now)
+	demands := f.exchangeDemand(now)
 	f.mu.Unlock()
+	f.deliverDemand(demands)
 	f.publish(true)
 	f.clients.tidy(now)
 	f.gauges()
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -28,13 +28,16 @@
 	// KindLoad is the load of a backend server.
 	KindLoad Kind = 5
 	// KindSummary is a region's report of one model or service; the name is
-	// built by SummaryName.
+	// the region, a slash and the target.
 	KindSummary Kind = 6
 	// KindRegion is a region's heartbeat to the others; the name is the
-	// carrying VM.
+	// region, a slash and the carrying VM.
 	KindRegion Kind = 7
 	// KindPrefixes is the cached prefixes of an engine.
 	KindPrefixes Kind = 8
+	// KindDemand is a gateway's demand by team; the name is its region, a
+	// slash and its VM.
+	KindDemand Kind = 9
 )
 
 // Key identifies a record.
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -69,7 +69,8 @@
 	usable   bool
 	since    clock.Instant
 	heard    clock.Instant
-	failures int // consecutive failures of own requests
+	reported clock.Instant // the load
+	failures int           // consecutive failures of own requests
 	ejected  clock.Instant
 	row      int // ejections in a row
 	last     clock.Instant
@@ -130,9 +131,9 @@
 }
 
 // SetLoad takes in a reported load.
-func (t *Tracker) SetLoad(name string, l Load) {
+func (t *Tracker) SetLoad(name string, l Load, now clock.Instant) {
 	if b := t.backends[name]; b != nil {
-		b.load = l
+		b.load, b.reported = l, now
 	}
 }
 
@@ -177,9 +178,9 @@
 		return false
 	}
 	if o.Reported {
-		b.load = Load{
-			Running: clamp(o.Running), Queued: clamp(o.Queued),
-			DecitokensPerSecond: clamp(int(o.TokensPerSecond * 10)),
+		b.load.Running, b.load.Queued, b.reported = clamp(o.Running), clamp(o.Queued), now
+		if o.TokensPerSecond > 0 {
+			b.load.DecitokensPerSecond = clamp(int(o.TokensPerSecond * 10))
 		}
 	}
 	if o.Err == nil {
@@ -240,6 +241,7 @@
 			Fence:           b.state.Fence,
 			Prefixes:        b.prefixes,
 			Heard:           b.heard,
+			Reported:        b.reported,
 		}
 		usable := s.Healthy && !s.Leaving
 		if usable && !b.usable {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -59,6 +59,9 @@
 	Prefixes []uint64 `json:"prefixes,omitempty"`
 	// Heard is when this status was last reported or confirmed by a prober.
 	Heard clock.Instant `json:"heard"`
+	// Reported is when Running and Queued were last reported, by a prober or
+	// by an answer to this process.
+	Reported clock.Instant `json:"reported"`
 }
 
 // Bounds on the age of what is known of backend servers when new work is sent.
