--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,7 +86,12 @@
 	// version of this process's own records; each write adds one.
 	version uint64
 	leaving bool
-	raised  clock.Instant // when version was last raised over another incarnation's
+	// listRead means that the list was read, or that the first try failed.
+	listRead bool
+	// synced means that a peer of the region has told all that it knows, or
+	// that there is none.
+	synced bool
+	raised clock.Instant // when version was last raised over another incarnation's
 	// listRevision is the highest revision of the list that was heard.
 	listRevision uint64
 	loadWritten  map[string]clock.Instant // by backend server
@@ -209,9 +214,11 @@
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) { next.Leaving = true })
 	f.changed(true)
 	f.cfg.Log.Info("leaving", "vm", f.cfg.Self.VM, "neighbours", len(links))
+	var told sync.WaitGroup
 	for _, l := range links {
-		l.flush(ctx)
+		told.Go(func() { l.flush(ctx) }) // a paused neighbour holds up no other
 	}
+	told.Wait()
 }
 
 // changed asks for a new snapshot; urgent changes are published and sent at
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -86,8 +86,12 @@
 		// is restarted and reads nothing else.
 		b.listBackend(100, name, "jeju", platform.StateLive)
 		restarted := b.restart(vmName("jeju", 0))
-		b.until("restarted member has a view", leavingBound, func() bool { return restarted.usable("jeju-engine-1") })
-		b.until("no new work by the restarted one", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
+		b.until("restarted member has a view", leavingBound, func() bool {
+			if restarted.usable(name) {
+				t.Fatal("the restarted member believes the older list")
+			}
+			return restarted.usable("jeju-engine-1")
+		})
 		b.always("no new work under the older list", time.Minute, func() bool { return !b.usableAnywhere("jeju", name) })
 		b.listBackend(102, name, "jeju", platform.StateLive)
 		b.until("back by a newer list", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -17,6 +17,10 @@
 	// exchangeInterval is the time between two messages to a neighbour, unless
 	// a change is urgent.
 	exchangeInterval = time.Second
+	// pingInterval is the time between two checks that a peer still answers. A
+	// connection whose packets are lost is replaced, since TCP would wait
+	// longer and longer.
+	pingInterval = 5 * time.Second
 	// redialMin and redialMax bound the wait after a failed connection.
 	redialMin = 250 * time.Millisecond
 	redialMax = 5 * time.Second
@@ -109,6 +113,10 @@
 func (l *link) exchange(ctx context.Context, client *peer.Client) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
+	var pinging sync.WaitGroup
+	pinging.Go(func() { l.pingLoop(ctx, client) })
+	defer pinging.Wait()
+	defer client.Close()
 	for {
 		l.flush(ctx)
 		select {
@@ -122,6 +130,29 @@
 	}
 }
 
+// pingLoop ends the connection when the peer doesn't answer.
+func (l *link) pingLoop(ctx context.Context, client *peer.Client) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-client.Done():
+			return
+		case <-ticker.C:
+		}
+		revision, err := client.Ping(ctx, l.fleet.revision())
+		if err != nil {
+			if ctx.Err() == nil {
+				l.noteFailure(err)
+			}
+			return
+		}
+		l.fleet.tellSource(client.Remote.VM, revision)
+	}
+}
+
 // flush sends all changes that the peer doesn't have.
 func (l *link) flush(ctx context.Context) {
 	l.sending.Lock()
@@ -133,7 +164,7 @@
 		if client == nil || len(delta.Records) == 0 {
 			return
 		}
-		if err := client.Gossip(ctx, l.fleet.revision(), delta); err != nil {
+		if err := client.Gossip(ctx, l.fleet.revision(), delta, !more); err != nil {
 			client.Close()
 			return
 		}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -30,6 +30,9 @@
 // a watcher.
 func (f *Fleet) listLoop(ctx context.Context) error {
 	f.readList(ctx)
+	f.mu.Lock()
+	f.listRead = true
+	f.mu.Unlock()
 	for ctx.Err() == nil {
 		switch {
 		case f.watcher.Load():
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -96,6 +96,18 @@
 	})
 }
 
+func TestLinkThatLosesItsPacketsIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 2, 1)
+		b.memory.stall()
+		b.until("heard again over new connections", 3*pingInterval, func() bool {
+			now := b.nodes[vmName("busan", 0)].cfg.Now()
+			return now.Sub(b.nodes[vmName("busan", 0)].view().RegionHeard["jeju"]) <= exchangeInterval &&
+				b.memory.replaced()
+		})
+	})
+}
+
 func TestPartitionWithinARegionHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := startBed(t, newMemNet(), 6, 1)
@@ -131,14 +143,18 @@
 		b.nodes[vm].mu.Lock()
 		b.nodes[vm].version += 1_000_000
 		b.nodes[vm].announce()
+		b.nodes[vm].paused.beat = 0 // so is its heartbeat
 		b.nodes[vm].mu.Unlock()
 		time.Sleep(3 * time.Second)
 		restarted := b.restart(vm)
-		b.until("new incarnation known to all", 15*time.Second, func() bool {
+		known := func() bool {
 			return b.everyOther(vm, func(n *testNode) bool {
-				return n.view().Members[vm].Incarnation == restarted.cfg.Self.Incarnation
+				m := n.view().Members[vm]
+				return m.Incarnation == restarted.cfg.Self.Incarnation && m.Reachable
 			})
-		})
+		}
+		b.until("new incarnation known to all", 15*time.Second, known)
+		b.always("and heard by all", time.Minute, known)
 	})
 }
 
--- a/internal/fleet/memnet_test.go
+++ b/internal/fleet/memnet_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 )
 
 // memNet is a network in memory, so that tests run on synctest's time.
@@ -14,6 +15,7 @@
 	next      int
 	listeners map[string]*memListener
 	conns     []memConn
+	stalledAt int
 	cut       func(from, to string) bool
 }
 
@@ -32,6 +34,47 @@
 	once    sync.Once
 }
 
+// stallConn can lose all that is written to it, without an error.
+type stallConn struct {
+	net.Conn
+	stalled atomic.Bool
+	closed  atomic.Bool
+}
+
+func (c *stallConn) Write(p []byte) (int, error) {
+	if c.stalled.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *stallConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// stall makes the present connections lose what is written to them.
+func (n *memNet) stall() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalledAt = len(n.conns)
+	for _, c := range n.conns {
+		c.conn.(*stallConn).stalled.Store(true)
+	}
+}
+
+// replaced reports whether none of the connections that stalled is in use.
+func (n *memNet) replaced() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns[:n.stalledAt] {
+		if !c.conn.(*stallConn).closed.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 type memAddr string
 
 func (memAddr) Network() string  { return "mem" }
@@ -82,6 +125,7 @@
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
+	near = &stallConn{Conn: near}
 	select {
 	case l.accept <- far:
 	case <-l.closed:
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -35,7 +35,14 @@
 }
 
 // Gossip implements peer.Handler.
-func (h handler) Gossip(from peer.Hello, records []gossip.Record) { h.f.take(from, records) }
+func (h handler) Gossip(from peer.Hello, records []gossip.Record, complete bool) {
+	h.f.take(from, records)
+	if complete && from.Region == h.f.cfg.Self.Region {
+		h.f.mu.Lock()
+		h.f.synced = true
+		h.f.mu.Unlock()
+	}
+}
 
 // Manifest implements peer.Handler.
 func (h handler) Manifest() (platform.Value, bool) {
@@ -116,12 +123,25 @@
 	if r.Kind == gossip.KindListed && f.table.Outdated(r.Name, r.Version) {
 		return false
 	}
-	if r.Kind == gossip.KindMember && r.Name == f.cfg.Self.VM {
-		return f.ownRecord(r, *target.(*membership.Announcement))
+	if f.isOwn(r) {
+		f.ownRecord(r)
+		return false
 	}
 	return true
 }
 
+// isOwn reports whether only this process may write the record.
+func (f *Fleet) isOwn(r gossip.Record) bool {
+	switch r.Kind {
+	case gossip.KindMember, gossip.KindBeat:
+		return r.Name == f.cfg.Self.VM
+	case gossip.KindRegion:
+		return r.Name == regionName(f.cfg.Self.Region, f.cfg.Self.VM)
+	default:
+		return false
+	}
+}
+
 func valueOf(kind gossip.Kind) (any, bool) {
 	switch kind {
 	case gossip.KindMember:
@@ -147,21 +167,22 @@
 	}
 }
 
-// ownRecord handles a record that speaks for this VM. One of another
-// incarnation, left over from before a restart, is outvoted by a new record.
-func (f *Fleet) ownRecord(r gossip.Record, a membership.Announcement) bool {
-	if a.Incarnation == f.cfg.Self.Incarnation || r.Version < f.version {
-		return false
-	}
+// ownRecord handles a record that speaks for this VM. One with a higher
+// version than this process's own is of another incarnation, left over from
+// before a restart; it is outvoted by a new one.
+func (f *Fleet) ownRecord(r gossip.Record) {
+	own, _ := f.store.Get(r.Key)
 	now := f.cfg.Now()
+	if r.Version < own.Version || r.Version == own.Version && string(r.Value) == string(own.Value) {
+		return
+	}
+	f.version = max(f.version, r.Version)
 	if f.raised != 0 && now.Sub(f.raised) < raiseInterval {
-		return false
+		return
 	}
 	f.raised = now
-	f.version = r.Version
-	f.cfg.Log.Warn("another incarnation of this VM is announced", "vm", r.Name, "incarnation", a.Incarnation)
+	f.cfg.Log.Warn("another incarnation of this VM is announced", "vm", f.cfg.Self.VM, "kind", int(r.Kind))
 	f.announce()
-	return false
 }
 
 // apply acts on a record that was stored. Decoding was tried by valid.
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -19,6 +19,8 @@
 	// pauseAfter is the gap between two ticks from which on the process counts
 	// as having been paused.
 	pauseAfter = 1500 * time.Millisecond
+	// syncWithin bounds the wait of a starting process for a peer of its region.
+	syncWithin = 3 * time.Second
 	// pruneInterval is the time between two looks for records of what is gone.
 	pruneInterval = time.Minute
 	// publishInterval is the least time between two publications of changes
@@ -73,6 +75,7 @@
 	f.writeSummaries(now)
 	f.connect(ctx, group, now)
 	f.prune(now)
+	f.checkSynced(members, now)
 	demands := f.exchangeDemand(now)
 	f.mu.Unlock()
 	f.deliverDemand(demands)
@@ -142,6 +145,25 @@
 	return vms
 }
 
+// checkSynced ends the wait for a peer of the region when there is none, or
+// none answers. A process that has just started and reads an old list doesn't
+// know who is leaving; its peers do.
+func (f *Fleet) checkSynced(members map[string]*snapshot.Member, now clock.Instant) {
+	if f.synced {
+		return
+	}
+	alone := f.listRevision > 0 || len(f.cfg.Seeds) == 0
+	for vm, m := range members {
+		if vm != f.cfg.Self.VM && m.Region == f.cfg.Self.Region {
+			alone = false
+		}
+	}
+	if f.listRead && alone || now.Sub(f.started) > syncWithin {
+		f.cfg.Log.Info("no peer of the region has told what it knows", "alone", alone)
+		f.synced = true
+	}
+}
+
 // prune forgets VMs that the list dropped long ago, and what is known of
 // backend servers that the configuration no longer holds.
 func (f *Fleet) prune(now clock.Instant) {
@@ -199,7 +221,7 @@
 		next.Summaries = summaries
 		next.RegionHeard = heard
 		next.RegionSince = since
-		if alive && !f.paused.refreshing {
+		if alive && f.synced && !f.paused.refreshing {
 			next.BackendsHeard = now
 		}
 	})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -75,9 +75,10 @@
 	return secure, nil
 }
 
-// Gossip sends changes without waiting for an answer.
-func (c *Client) Gossip(ctx context.Context, revision uint64, delta gossip.Delta) error {
-	b, err := encode(Gossip{Revision: revision, Delta: delta})
+// Gossip sends changes without waiting for an answer. Complete says that there
+// are no more at present.
+func (c *Client) Gossip(ctx context.Context, revision uint64, delta gossip.Delta, complete bool) error {
+	b, err := encode(Gossip{Revision: revision, Delta: delta, Complete: complete})
 	if err != nil {
 		return err
 	}
@@ -87,6 +88,19 @@
 	return nil
 }
 
+// Ping asks for an answer and returns the peer's configuration revision. Its
+// error is ErrUnreachable; the connection is closed then.
+func (c *Client) Ping(ctx context.Context, revision uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var answer Ping
+	if err := c.call(ctx, methodPing, Ping{Revision: revision}, &answer); err != nil {
+		c.Close()
+		return 0, err
+	}
+	return answer.Revision, nil
+}
+
 // Manifest asks for the peer's manifest. ErrAbsent of package platform says
 // that it has none.
 func (c *Client) Manifest(ctx context.Context, revision uint64) (platform.Value, error) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,6 +17,7 @@
 	methodGossip   = "g"
 	methodManifest = "manifest"
 	methodPart     = "part"
+	methodPing     = "p"
 )
 
 // Hello starts a connection; the answer is the other side's Hello.
@@ -30,10 +31,17 @@
 	Revision uint64
 }
 
+// Ping checks that the other side still answers; the answer is a Ping.
+type Ping struct {
+	Revision uint64
+}
+
 // Gossip carries changes of records.
 type Gossip struct {
 	Revision uint64
 	Delta    gossip.Delta
+	// Complete says that the receiver now has all that the sender has.
+	Complete bool
 }
 
 // ValueRequest asks for the manifest or for a part of the configuration.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -38,7 +38,7 @@
 	r.heard = append(r.heard, revision)
 }
 
-func (r *recorder) Gossip(_ Hello, records []gossip.Record) {
+func (r *recorder) Gossip(_ Hello, records []gossip.Record, _ bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.records = append(r.records, records...)
@@ -115,7 +115,7 @@
 	store := gossip.NewStore()
 	store.Write(gossip.Key{Kind: gossip.KindBeat, Name: "a"}, []byte{1})
 	delta, _ := gossip.NewSession(store, nil).Next()
-	is.NoErr(client.Gossip(t.Context(), 6, delta))
+	is.NoErr(client.Gossip(t.Context(), 6, delta, true))
 	value, err := client.Manifest(t.Context(), 7)
 	is.NoErr(err)
 	is.Equal(len(value.Data), 1<<20)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,8 @@
 	handshakeTimeout = 3 * time.Second
 	// idleTimeout closes a connection on which nothing arrives.
 	idleTimeout = 30 * time.Second
+	// pingTimeout bounds the wait for the answer to a ping.
+	pingTimeout = 3 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 3 * time.Second
 )
@@ -36,8 +38,9 @@
 	Self() Hello
 	// Heard is called for each message, before it is handled.
 	Heard(from Hello, revision uint64)
-	// Gossip takes in a neighbour's records.
-	Gossip(from Hello, records []gossip.Record)
+	// Gossip takes in a neighbour's records. Complete says that these were the
+	// last that the neighbour has at present.
+	Gossip(from Hello, records []gossip.Record, complete bool)
 	// Manifest and Part return what this process has of the configuration.
 	Manifest() (platform.Value, bool)
 	Part(digest string) ([]byte, bool)
@@ -184,6 +187,8 @@
 	switch req.Method {
 	case methodGossip:
 		return nil, in.gossip(*from, req)
+	case methodPing:
+		return in.ping(*from, req)
 	case methodManifest, methodPart:
 		return in.value(*from, req)
 	default:
@@ -219,10 +224,19 @@
 		return err
 	}
 	in.server.Handler.Heard(from, message.Revision)
-	in.server.Handler.Gossip(from, records)
+	in.server.Handler.Gossip(from, records, message.Complete)
 	return nil
 }
 
+func (in *inbound) ping(from Hello, req *jsonrpc2.Request) (any, error) {
+	var message Ping
+	if err := decode(req.Params, &message); err != nil {
+		return nil, err
+	}
+	in.server.Handler.Heard(from, message.Revision)
+	return encode(Ping{Revision: in.server.Handler.Self().Revision})
+}
+
 func (in *inbound) value(from Hello, req *jsonrpc2.Request) (any, error) {
 	var request ValueRequest
 	if err := decode(req.Params, &request); err != nil {
