Routing: a region hop avoids the VMs on the request's trail

The owner of a key that had come over an entry of another region chose that same entry for its region hop, and the hop guard refused. Ruled out: a stale member list (the VM was live), a forged trail. After: the entry is no choice; the unit test fails without the filter. Conclusion: the hop guard stays the last line only.

--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -125,6 +125,7 @@
 		Now: now, Team: r.req.Team, Home: picker.Snapshot.Self.Region,
 		RequestBytes: headBytes + len(r.req.Body), AnswerBytes: headBytes + serviceAnswerBytes,
 		Remaining: r.req.Deadline.Sub(now), Tried: r.tried, Random: r.h.cfg.Random(),
+		Trail: r.req.Trail,
 	}
 	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil && team.Spec.Home != "" {
 		q.Home = team.Spec.Home
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -38,7 +38,7 @@
 	for i := range t.Regions {
 		o := &t.Regions[i]
 		s := o.fresh(q.Now)
-		if s == nil || s.Healthy == 0 || !permitted(o.Name) || slices.Contains(q.Tried, o.Name) {
+		if s == nil || s.Healthy == 0 || !permitted(o.Name) || slices.Contains(q.Tried, o.Name) || o.Member(q) == nil {
 			continue
 		}
 		if o.heard != 0 && q.Now.Sub(o.heard) > silentFor {
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -56,6 +56,9 @@
 	Remaining time.Duration
 	// Tried names the servers and regions that are ruled out.
 	Tried []string
+	// Trail names the VMs that handled the request before. No request goes to
+	// one of them again.
+	Trail []string
 	// Random is a random number.
 	Random uint64
 }
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -126,6 +126,9 @@
 // open reports whether work may be sent to the region: it is heard of, has
 // healthy replicas, and a region that came back gets its traffic step by step.
 func (o *RegionOption) open(q *Query, t *Target) bool {
+	if o.Member(q) == nil {
+		return false
+	}
 	if o.heard != 0 && q.Now.Sub(o.heard) > silentFor {
 		return false
 	}
@@ -188,12 +191,22 @@
 // Member returns the region's gateway for the request. Requests with the same
 // prefix tend to the same gateway, which knows where the prefix is cached.
 func (o *RegionOption) Member(q *Query) *snapshot.Member {
-	if len(o.Members) == 0 {
+	members := o.untried(q)
+	if len(members) == 0 {
 		return nil
 	}
 	key := q.Prefix
 	if key == 0 {
 		key = q.Random
 	}
-	return o.Members[mix(key)%uint64(len(o.Members))]
+	return members[mix(key)%uint64(len(members))]
+}
+
+// untried returns the members that aren't on the request's trail.
+func (o *RegionOption) untried(q *Query) []*snapshot.Member {
+	onTrail := func(m *snapshot.Member) bool { return slices.Contains(q.Trail, m.VM) }
+	if !slices.ContainsFunc(o.Members, onTrail) {
+		return o.Members
+	}
+	return slices.DeleteFunc(slices.Clone(o.Members), onTrail)
 }
