--- /dev/null
+++ b/test/compat/doc.go
@@ -0,0 +1,3 @@
+// Package compat shows that stock clients of the usual protocols work against
+// real gateways.
+package compat
