Test bed: Freeze returns when the process stands still

Cause: a process takes SIGSTOP some time after it was sent; under load a frozen gateway still answered once. Conclusion: the test bed waits for the kernel's stopped state.

--- a/internal/testbed/gateway.go
+++ b/internal/testbed/gateway.go
@@ -311,8 +311,34 @@
 	<-done
 }
 
-// Freeze pauses the process.
-func (g *Gateway) Freeze() { g.signal(syscall.SIGSTOP) }
+// Freeze pauses the process and waits until it stands still.
+func (g *Gateway) Freeze() {
+	g.signal(syscall.SIGSTOP)
+	for g.Alive() && !isStopped(g.Pid()) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// isStopped reports whether the kernel shows all threads of the process as
+// stopped. A process takes a signal some time after it was sent.
+func isStopped(pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		// The state follows the program's name in parentheses.
+		_, rest, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Wake lets a paused process go on.
 func (g *Gateway) Wake() { g.signal(syscall.SIGCONT) }
