--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,7 @@
 
 	observations chan health.Observation
 	dropped      atomic.Int64 // observations
+	ready        chan struct{}
 	dirty        chan struct{}
 	urgent       chan struct{}
 
@@ -90,8 +91,9 @@
 	listRead bool
 	// synced means that a peer of the region has told all that it knows, or
 	// that there is none.
-	synced bool
-	raised clock.Instant // when version was last raised over another incarnation's
+	synced  bool
+	isReady bool
+	raised  clock.Instant // when version was last raised over another incarnation's
 	// listRevision is the highest revision of the list that was heard.
 	listRevision uint64
 	loadWritten  map[string]clock.Instant // by backend server
@@ -109,6 +111,7 @@
 		meter:        &peer.Meter{},
 		probing:      &peer.Meter{},
 		observations: make(chan health.Observation, 1024),
+		ready:        make(chan struct{}),
 		dirty:        make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
 		set:          cfg.Publisher.Load().Config,
@@ -167,6 +170,11 @@
 	return err
 }
 
+// Ready returns a channel that is closed when the region's backend servers have
+// been looked at and, where there are peers in the region, one of them has told
+// what it knows.
+func (f *Fleet) Ready() <-chan struct{} { return f.ready }
+
 // Observe takes in the outcome of an own request. It doesn't block; when it is
 // called faster than outcomes are handled, some are dropped and counted.
 func (f *Fleet) Observe(o health.Observation) {
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -160,25 +160,28 @@
 	for more := true; more && ctx.Err() == nil; {
 		var delta gossip.Delta
 		var client *peer.Client
-		delta, client, more = l.next()
+		var complete bool
+		delta, client, more, complete = l.next()
 		if client == nil || len(delta.Records) == 0 {
 			return
 		}
-		if err := client.Gossip(ctx, l.fleet.revision(), delta, !more); err != nil {
+		if err := client.Gossip(ctx, l.fleet.revision(), delta, complete); err != nil {
 			client.Close()
 			return
 		}
 	}
 }
 
-func (l *link) next() (gossip.Delta, *peer.Client, bool) {
+// next returns the next changes and the connection for them; whether there are
+// more; and whether the peer then knows all that a member of the region should.
+func (l *link) next() (delta gossip.Delta, client *peer.Client, more, complete bool) {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
 	if l.session == nil {
-		return gossip.Delta{}, nil, false
+		return gossip.Delta{}, nil, false, false
 	}
-	delta, more := l.session.Next()
-	return delta, l.client, more
+	delta, more = l.session.Next()
+	return delta, l.client, more, !more && l.fleet.synced
 }
 
 // wants returns which records a peer of the region gets: a peer of this region
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
@@ -24,11 +25,16 @@
 	// unlistedRetry is the time between two reads by a member that neither
 	// watches nor knows any list.
 	unlistedRetry = 10 * time.Second
+	// listBytesPerSecond and listBurst bound what a watcher reads: a long list
+	// that changes often is read less often.
+	listBytesPerSecond = 1500
+	listBurst          = 256 << 10
 )
 
 // listLoop reads the list of VMs once and then watches it while this member is
 // a watcher.
 func (f *Fleet) listLoop(ctx context.Context) error {
+	budget := rate.NewLimiter(listBytesPerSecond, listBurst)
 	f.readList(ctx)
 	f.mu.Lock()
 	f.listRead = true
@@ -36,7 +42,8 @@
 	for ctx.Err() == nil {
 		switch {
 		case f.watcher.Load():
-			f.watchList(ctx)
+			read := f.watchList(ctx)
+			_ = budget.WaitN(ctx, min(read, listBurst)) // ends early only with ctx
 		case f.knownList() == 0:
 			pause(ctx, unlistedRetry/2+rand.N(unlistedRetry))
 			f.readList(ctx)
@@ -64,7 +71,8 @@
 	f.takeList(value)
 }
 
-func (f *Fleet) watchList(ctx context.Context) {
+// watchList waits for a newer list and returns the bytes that were read.
+func (f *Fleet) watchList(ctx context.Context) int {
 	watch, cancel := context.WithTimeout(ctx, listWait+listRetry)
 	defer cancel()
 	value, err := f.cfg.Reader.Watch(watch, platform.ValueVMs, f.knownList(), listWait)
@@ -79,6 +87,7 @@
 		f.cfg.Log.Warn("list of VMs not watched", "error", err)
 		pause(ctx, listRetry/2+rand.N(listRetry))
 	}
+	return len(value.Data)
 }
 
 // takeList takes in a list. An older list than one that was heard is ignored.
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -20,7 +20,7 @@
 	// as having been paused.
 	pauseAfter = 1500 * time.Millisecond
 	// syncWithin bounds the wait of a starting process for a peer of its region.
-	syncWithin = 3 * time.Second
+	syncWithin = 2 * time.Second
 	// pruneInterval is the time between two looks for records of what is gone.
 	pruneInterval = time.Minute
 	// publishInterval is the least time between two publications of changes
@@ -80,6 +80,7 @@
 	f.mu.Unlock()
 	f.deliverDemand(demands)
 	f.publish(true)
+	f.checkReady()
 	f.clients.tidy(now)
 	f.gauges()
 }
@@ -164,6 +165,23 @@
 	}
 }
 
+// checkReady closes the channel of Ready once the view can be used. A region
+// whose backend servers don't answer is as ready as it can be in time.
+func (f *Fleet) checkReady() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isReady || !f.synced || f.set.Revision == 0 {
+		return
+	}
+	for _, name := range f.tracker.Names() {
+		if f.tracker.Heard(name) == 0 && f.tracker.State(name).Healthy {
+			return // not probed yet
+		}
+	}
+	f.isReady = true
+	close(f.ready)
+}
+
 // prune forgets VMs that the list dropped long ago, and what is known of
 // backend servers that the configuration no longer holds.
 func (f *Fleet) prune(now clock.Instant) {
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -69,10 +69,12 @@
 }
 
 func (g *gateway) ready() bool {
-	select {
-	case <-g.config.Ready():
-		return true
-	default:
-		return false
+	for _, ready := range []<-chan struct{}{g.config.Ready(), g.fleet.Ready()} {
+		select {
+		case <-ready:
+		default:
+			return false
+		}
 	}
+	return true
 }
