--- a/test/promises/booking_hop_test.go
+++ b/test/promises/booking_hop_test.go
@@ -4,25 +4,34 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
+// warmID is the id of a request that leaves a connection to be used again.
+const warmID = "warm"
+
 // breakingPeer runs each request and breaks its connection unanswered.
 func breakingPeer(t *testing.T) (*snapshot.Member, *atomic.Int64) {
 	t.Helper()
 	runs := new(atomic.Int64)
 	peer := startPeer(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/warm" {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/warm" || r.Header.Get(wire.HeaderRequestID) == warmID {
+			w.Header().Set(wire.HeaderRequestID, warmID)
+			w.Header().Set(wire.HeaderVerdict, verdict.Ran.String())
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
 		runs.Add(1)
 		if r.Header.Get(wire.HeaderTarget) == "" || runs.Load()%2 == 0 {
 			breakConn(r)
@@ -59,6 +68,9 @@
 	const hops = 8
 	for i := range int64(hops) {
 		runs.Store(i)
+		if refusal := client.SendPeer(context.Background(), newHop(warmID, nil), pipeline.HopRegion, peer, &answerBuffer{}); refusal != nil {
+			t.Fatal(refusal)
+		}
 		var body []byte
 		if i%4 > 1 {
 			body = []byte("slot 7")
@@ -69,3 +81,46 @@
 		}
 	}
 }
+
+// A region hop that is delivered several times, also at once, runs once at the
+// receiving gateway, and only the owner of the key may send it.
+func TestPromiseDuplicatedHopRunsOnce(t *testing.T) {
+	bed := startBed(t, nil)
+	b := newBookings(t, bed)
+	owner, receiver := bed.GatewaysOf("busan")[0], bed.GatewaysOf("jeju")[0]
+	to := &snapshot.Member{Identity: snapshot.Identity{VM: receiver.Name}, ForwardAddress: receiver.ForwardAddress()}
+	deliver := func(sender string, k told) *verdict.Refusal {
+		client := forward.NewClient(forward.Config{Self: snapshot.Identity{VM: sender}, Now: clock.Boot, Log: slog.New(slog.DiscardHandler)})
+		hop := newHop(k.key, []byte(k.body))
+		hop.Team, hop.Key = k.team, k.key
+		return client.SendPeer(context.Background(), hop, pipeline.HopRegion, to, &answerBuffer{})
+	}
+	// A receiver that has just started takes little work from other regions.
+	within(t, repairTimeout, "a hop is taken", func() bool { return deliver(owner.Name, b.newKeys(t, owner, 1)[0]) == nil })
+	const copies = 4
+	keys := b.newKeys(t, owner, 12)
+	var all sync.WaitGroup
+	for _, k := range keys {
+		for range copies {
+			all.Go(func() { _ = deliver(owner.Name, k) })
+		}
+	}
+	all.Wait()
+	ran, total := executions(bed), 0
+	for _, k := range keys {
+		if refusal := deliver(owner.Name, k); refusal == nil || refusal.Code != verdict.CodeDuplicateHop {
+			t.Errorf("%s was taken again: %v", k.key, refusal)
+		}
+		if ran[k.key] > 1 {
+			t.Errorf("%s was carried out %d times", k.key, ran[k.key])
+		}
+		total += ran[k.key]
+	}
+	if total == 0 {
+		t.Error("no hop was taken, so that nothing was shown")
+	}
+	forged := b.newKeys(t, owner, 1)[0]
+	if refusal := deliver(bed.GatewaysOf("saemangeum")[0].Name, forged); refusal == nil || executions(bed)[forged.key] != 0 {
+		t.Errorf("another gateway than the owner sent the key on: %v", refusal)
+	}
+}
