--- a/test/promises/bed_test.go
+++ b/test/promises/bed_test.go
@@ -165,3 +165,16 @@
 	}
 	return addrs
 }
+
+// orderEngine sends an order to an engine, as a gateway that woke with an old
+// view would, and returns the status of the answer.
+func orderEngine(t *testing.T, bed *testbed.Bed, server, order string) int {
+	t.Helper()
+	url := "http://" + bed.Set().BackendServers[server].Spec.Address + "/orders"
+	resp, err := http.Post(url, "application/json", strings.NewReader(order))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
