--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
 	"github.com/chestnutspring/chestnutspring/internal/fleet"
+	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/placement"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -53,6 +54,7 @@
 	booking *bookingfilter.Filter
 	route   *route.Handler
 	orderer *placement.Orderer
+	limiter *limits.Limiter
 }
 
 // Run runs a gateway until ctx ends and then shuts it down gracefully.
@@ -113,6 +115,8 @@
 		Now: g.now, Log: g.log, Scope: g.metrics.scope, IsWatcher: g.fleet.IsWatcher,
 	})
 	g.fleet.SetConfigSource(g.config)
+	g.limiter = limits.NewLimiter(g.now)
+	g.fleet.SetDemand(g.limiter)
 	g.orderer = g.newOrderer(reader)
 }
 
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -46,7 +46,7 @@
 		body.New(),
 		settle.Mark(),
 		g.booking.Filter(),
-		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
 		deadline.New(g.now),
