Known red: requests between regions pass the links

For the lead and the owner of internal/membership: announcedMember takes a member's own listening addresses before those of the published list. The list that each region reads leads over that region's links, so forwarding and control between regions go past the stand-ins of the links: no delay, no bandwidth, no byte counted, and a cut cuts nothing. A VM that listens on 0.0.0.0 would announce an unusable address too.

Proposed: while the list names the member and its addresses aren't empty, use them; announced ones are for members that the list doesn't have yet:

if n.listed && !n.listing.Gone && n.listing.VM.ForwardAddress != "" { m.CallerAddress, m.ForwardAddress, m.ControlAddress = list's }

--- /dev/null
+++ b/internal/testbed/crossing_test.go
@@ -0,0 +1,74 @@
+package testbed
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// A request that another region serves passes the link between the regions, so
+// that delays, cuts and costs of links act on it.
+func TestRequestsToOtherRegionsPassTheLinks(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b, err := Start(ctx, Config{
+		Deployment: "../../examples/kite-consortium", GatewayBinary: BuildGateway(t), GatewaysPerRegion: 1,
+	})
+	is.NoErr(err)
+	defer b.Close()
+	for name := range b.Engines {
+		if strings.HasPrefix(name, "wind-writer-jeju") {
+			b.CloseBackend(name)
+		}
+	}
+	before := crossed(b, "jeju")
+	body := `{"model":"wind-writer","max_tokens":4,"messages":[{"role":"user","content":"` + strings.Repeat("wind ", 8000) + `"}]}`
+	region := ""
+	for region == "" || region == "jeju" {
+		is.NoErr(ctx.Err()) // served by another region in time
+		region = chat(t, ctx, b.GatewaysOf("jeju")[0], body)
+	}
+	is.True(crossed(b, "jeju")-before >= int64(len(body))) // bytes over the links from jeju
+}
+
+// crossed returns the bytes that were sent over the links from a region.
+func crossed(b *Bed, region string) int64 {
+	var sum int64
+	for _, c := range b.Crossings() {
+		if c.From == region {
+			sum += c.Bytes
+		}
+	}
+	return sum
+}
+
+// chat sends a chat completion and returns the region that served it, or "".
+func chat(t *testing.T, ctx context.Context, g *Gateway, body string) string {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.CallerAddress()+wire.PathChatCompletions, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(wire.HeaderTeam, "hamdeok-kite-school")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return ""
+	}
+	return resp.Header.Get(wire.HeaderRegion)
+}
