--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,6 +96,7 @@
 	raised  clock.Instant // when version was last raised over another incarnation's
 	// listRevision is the highest revision of the list that was heard.
 	listRevision uint64
+	stale        staleParts
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
@@ -200,6 +201,7 @@
 	now := f.cfg.Now()
 	f.mu.Lock()
 	ejected := f.tracker.Observe(o, f.cfg.Publisher.Load().Config, now)
+	f.stale.backends = true
 	if o.Err != nil {
 		f.probeSoon(o.Backend, now)
 	}
@@ -217,6 +219,7 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.announce()
+	f.stale.members = true
 	links := f.connected()
 	f.mu.Unlock()
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) { next.Leaving = true })
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -115,6 +115,7 @@
 		f.list(membership.Listing{VM: vm}, value.Revision)
 	}
 	f.dropAbsent(present, value.Revision)
+	f.stale.mark(gossip.KindListed)
 	f.mu.Unlock()
 	f.changed(true)
 	return true
--- a/internal/fleet/measure_test.go
+++ b/internal/fleet/measure_test.go
@@ -24,6 +24,7 @@
 
 var (
 	measure  = flag.Bool("measure", false, "measure the exchange; takes minutes")
+	only     = flag.String("shape", "", "measure only this: regions,members,backends,models")
 	engines  = flag.Int("engines", 0, "serve as this many engines until standard input ends")
 	settling = flag.Duration("settling", 15*time.Second, "time before a measurement")
 	period   = flag.Duration("period", 20*time.Second, "time of a measurement")
@@ -99,7 +100,8 @@
 	return addresses
 }
 
-// shape is a fleet to measure.
+// shape is a fleet to measure: regions, and in each of them members, backend
+// servers and models.
 type shape struct{ regions, members, backends, models int }
 
 // usage is what a node spends, per second.
@@ -116,7 +118,15 @@
 	}
 	shapes := []shape{
 		{1, 2, 139, 10}, {1, 6, 139, 10}, {1, 20, 139, 10}, {1, 60, 139, 10},
-		{3, 2, 5, 2}, {3, 4, 20, 10}, {9, 4, 20, 10}, {18, 4, 20, 10},
+		{1, 20, 20, 10}, {1, 20, 70, 10},
+		{3, 2, 5, 2}, {3, 4, 20, 10}, {9, 4, 20, 10}, {18, 4, 20, 10}, {9, 10, 15, 10},
+	}
+	if *only != "" {
+		var s shape
+		if _, err := fmt.Sscanf(*only, "%d,%d,%d,%d", &s.regions, &s.members, &s.backends, &s.models); err != nil {
+			t.Fatal(err)
+		}
+		shapes = []shape{s}
 	}
 	fmt.Println("regions members backends models | B/s a node: control sent received, probes sent received | writes/s | core % | heap KB")
 	for _, s := range shapes {
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -83,16 +83,16 @@
 		fresh := func(within time.Duration) func() bool {
 			return func() bool { return busan.cfg.Now().Sub(busan.view().RegionHeard["jeju"]) <= within }
 		}
-		b.until("region heard", 10*time.Second, fresh(regionBeatInterval))
+		b.until("region heard", 10*time.Second, fresh(minRegionBeat))
 		carry := membership.Choose(b.nodes[vmName("jeju", 0)].live(), "carrier/busan", carriers)
 		b.nodes[carry[0]].halt()
-		b.always("one path is left", 30*time.Second, fresh(2*regionBeatInterval+exchangeInterval))
+		b.always("one path is left", 30*time.Second, fresh(2*minRegionBeat+exchangeInterval))
 		carry = membership.Choose(b.region("jeju")[0].live(), "carrier/busan", carriers)
 		for _, vm := range carry {
 			b.nodes[vm].halt()
 		}
 		time.Sleep(regionSilence) // all of the old carriers' messages are old now
-		b.until("others carry", 2*regionSilence, fresh(regionBeatInterval))
+		b.until("others carry", 2*regionSilence, fresh(minRegionBeat))
 	})
 }
 
--- a/internal/fleet/prefixes.go
+++ b/internal/fleet/prefixes.go
@@ -105,6 +105,7 @@
 	f.mu.Lock()
 	changed := f.write(gossip.KindPrefixes, name, prefixes{Sorted: sorted})
 	f.tracker.SetPrefixes(name, sorted)
+	f.stale.backends = true
 	f.mu.Unlock()
 	if changed {
 		f.changed(false)
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -213,6 +213,7 @@
 	}
 	f.mu.Lock()
 	urgent := f.probed(name, started, report, err)
+	f.stale.backends = true
 	f.mu.Unlock()
 	f.changed(urgent)
 }
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -92,6 +92,7 @@
 			continue
 		}
 		f.apply(r, now, revisions)
+		f.stale.mark(r.Kind)
 		news = true
 		urgent = urgent || isUrgent(r.Kind)
 	}
--- a/internal/fleet/summaries.go
+++ b/internal/fleet/summaries.go
@@ -14,8 +14,13 @@
 )
 
 const (
-	// regionBeatInterval is the time between two heartbeats to other regions.
-	regionBeatInterval = 3 * time.Second
+	// minRegionBeat and maxRegionBeat bound the time between two heartbeats to
+	// other regions. At least two fit into regionSilence.
+	minRegionBeat = 3 * time.Second
+	maxRegionBeat = 5 * time.Second
+	// regionBeatBudget is the interval for each other region, between these
+	// bounds.
+	regionBeatBudget = 300 * time.Millisecond
 	// regionSilence is the silence after which a region that is heard again
 	// counts as having come back.
 	regionSilence = 10 * time.Second
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -77,6 +77,7 @@
 	f.prune(now)
 	f.checkSynced(members, now)
 	demands := f.exchangeDemand(now)
+	f.stale = staleParts{members: true, backends: true, regions: true}
 	f.mu.Unlock()
 	f.deliverDemand(demands)
 	f.publish(true)
@@ -98,6 +99,7 @@
 		f.mu.Lock()
 		if f.paused.woke == now {
 			f.paused.refreshing = false
+			f.stale.backends = true
 		}
 		f.mu.Unlock()
 		f.publish(true)
@@ -113,7 +115,8 @@
 		f.writeOwn(gossip.KindBeat, f.cfg.Self.VM, beat)
 		f.table.Beat(f.cfg.Self.VM, beat, now)
 	}
-	if now.Sub(f.paused.regionBeat) >= regionBeatInterval {
+	interval := time.Duration(len(f.region)) * regionBeatBudget
+	if now.Sub(f.paused.regionBeat) >= min(max(interval, minRegionBeat), maxRegionBeat) {
 		f.paused.regionBeat = now
 		name := regionName(f.cfg.Self.Region, f.cfg.Self.VM)
 		f.writeOwn(gossip.KindRegion, name, membership.RegionBeat{Unreachable: f.unreachable(members)})
@@ -223,28 +226,64 @@
 	}
 }
 
-// publish replaces the fleet's part of the snapshot. alive says that the tick
-// ran, which vouches for the view unless a refresh is under way.
+// publish replaces the stale parts of the fleet's view in the snapshot. alive
+// says that the tick ran, which vouches for the view unless a refresh is under
+// way.
 func (f *Fleet) publish(alive bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Now()
-	members := f.table.Members(now)
-	backends := f.tracker.Status(f.table.BackendLeaving, now)
-	heard, since := f.regionTimes()
-	summaries := f.summarySnapshot(heard)
+	stale := f.stale
+	f.stale = staleParts{}
+	var members map[string]*snapshot.Member
+	var backends map[string]*snapshot.BackendStatus
+	var summaries map[string]map[string]*snapshot.RegionSummary
+	var heard, since map[string]clock.Instant
+	if stale.members {
+		members = f.table.Members(now)
+	}
+	if stale.backends {
+		backends = f.tracker.Status(f.table.BackendLeaving, now)
+	}
+	if stale.regions {
+		heard, since = f.regionTimes()
+		summaries = f.summarySnapshot(heard)
+	}
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) {
-		next.Members = members
-		next.Backends = backends
-		next.Summaries = summaries
-		next.RegionHeard = heard
-		next.RegionSince = since
+		if stale.members {
+			next.Members = members
+		}
+		if stale.backends {
+			next.Backends = backends
+		}
+		if stale.regions {
+			next.Summaries, next.RegionHeard, next.RegionSince = summaries, heard, since
+		}
 		if alive && f.synced && !f.paused.refreshing {
 			next.BackendsHeard = now
 		}
 	})
 }
 
+// staleParts says which parts of the published view are out of date.
+type staleParts struct{ members, backends, regions bool }
+
+// mark marks the parts that a record of the kind is shown in.
+func (s *staleParts) mark(kind gossip.Kind) {
+	switch kind {
+	case gossip.KindMember, gossip.KindBeat:
+		s.members = true
+	case gossip.KindListed:
+		s.members, s.backends = true, true
+	case gossip.KindState, gossip.KindLoad, gossip.KindPrefixes:
+		s.backends = true
+	case gossip.KindSummary:
+		s.regions = true
+	case gossip.KindRegion:
+		s.members, s.regions = true, true
+	}
+}
+
 func (f *Fleet) gauges() {
 	scope := f.cfg.Scope
 	scope.Gauge("control_bytes_sent").Update(float64(f.meter.Sent.Load()))
