--- /dev/null
+++ b/test/promises/booking_woken_test.go
@@ -0,0 +1,89 @@
+package promises
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+)
+
+// bookingRecords returns how many keys a gateway remembers, from its dump.
+func bookingRecords(t *testing.T, g *testbed.Gateway) int {
+	t.Helper()
+	resp, err := http.Get(g.OperatorURL() + "/debug/state")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var dump struct {
+		Bookings struct{ Records int }
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
+		t.Fatal(err)
+	}
+	return dump.Bookings.Records
+}
+
+// arrivals returns when each key arrived at a replica.
+func arrivals(bed *testbed.Bed) map[string]time.Time {
+	at := map[string]time.Time{}
+	for _, s := range bed.Services {
+		for _, seen := range s.Seen() {
+			at[seen.Key] = seen.At
+		}
+	}
+	return at
+}
+
+// warmUp books until the owner's replica takes bookings at once: a replica
+// that was just found is given little work.
+func warmUp(t *testing.T, b *bookings, owner *testbed.Gateway) {
+	t.Helper()
+	within(t, repairTimeout, "bookings are taken", func() bool {
+		return b.attempt(b.newKeys(t, owner, 1)[0], owner, attemptTimeout).ok()
+	})
+}
+
+// An owner that is paused while bookings wait for a replica, and that wakes
+// past their deadline, sends none of them.
+func TestPromiseWokenOwnerSendsNothingLate(t *testing.T) {
+	bed := startBed(t, useSmallReplicas)
+	b := newBookings(t, bed)
+	owner := bed.GatewaysOf("busan")[0]
+	// With the other regions out of reach, all bookings wait here.
+	bed.Isolate(owner.Region)
+	defer bed.Rejoin(owner.Region)
+	warmUp(t, b, owner)
+	before := bookingRecords(t, owner)
+	keys := b.newKeys(t, owner, 24)
+	var all sync.WaitGroup
+	for _, k := range keys {
+		all.Go(func() { b.attempt(k, owner, attemptTimeout) })
+	}
+	within(t, defaultTimeout, "all bookings are taken in", func() bool { return bookingRecords(t, owner) == before+len(keys) })
+	owner.Freeze()
+	time.Sleep(attemptTimeout)
+	woken := time.Now()
+	owner.Wake()
+	all.Wait()
+
+	sent, arrived := 0, arrivals(bed)
+	for _, k := range keys {
+		at, seen := arrived[k.key]
+		if seen {
+			sent++
+		}
+		if seen && at.After(woken) {
+			t.Errorf("%s was sent %v after the owner woke", k.key, at.Sub(woken))
+		}
+	}
+	t.Logf("%d of %d bookings were sent before the pause", sent, len(keys))
+	if sent == len(keys) {
+		t.Error("no booking waited, so that nothing was shown")
+	}
+	b.attemptAll(keys, attemptTimeout)
+	b.audit(t)
+}
