--- /dev/null
+++ b/client/example_test.go
@@ -0,0 +1,33 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/chestnutspring/chestnutspring/client"
+)
+
+// A booking is sent at most once. The error says whether it may have run.
+func ExampleClient_Book() {
+	caller := client.New(client.Config{
+		Directory: "http://directory.example/v1/values/directory",
+		Region:    "jeju",
+		Team:      "hamdeok-kite-school",
+	})
+	answer, err := caller.Book(context.Background(), client.Request{
+		Service: "spot-desk", Method: http.MethodPost, Path: "/bookings", Body: []byte(`{"slot":7}`),
+	})
+	var refusal *client.Error
+	switch {
+	case err == nil:
+		fmt.Println("booked", answer.Key)
+	case errors.As(err, &refusal) && refusal.Verdict == client.NotRun:
+		fmt.Println("not booked, try again after", refusal.RetryAfter)
+	case errors.As(err, &refusal):
+		fmt.Println("ask the desk, the outcome is unknown", refusal.Key)
+	default:
+		fmt.Println("no entry VM answered")
+	}
+}
