Membership: other regions are reached at the listed addresses

Cause: a member's announced addresses came before those of the list that the region reads, so requests between regions went past the links and cuts cut nothing; a VM that listens on all its numbers announced an unusable address. Ruled out: preferring the list everywhere, which loses a VM that was replaced in a region cut off from the list (TestIsolatedRegionKeepsItsMembersOverARestart).

--- /dev/null
+++ b/internal/membership/address_test.go
@@ -0,0 +1,28 @@
+package membership
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+// Another region is reached at the addresses of the list that this region
+// reads; the own region at those that its members announce.
+func TestAddressesOfOtherRegionsAreTheListedOnes(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(snapshot.Identity{VM: "jeju-1", Region: "jeju"})
+	add := func(vm, region, announced string) {
+		table.List(vm, Listing{VM: platform.VM{Name: vm, Region: region, Role: platform.RoleEntry, ForwardAddress: "10.9.9.9:9"}}, 1)
+		table.Announce(vm, Announcement{Incarnation: "1", Region: region, ForwardAddress: announced}, 1)
+	}
+	add("jeju-2", "jeju", "10.0.0.1:1")
+	add("jeju-3", "jeju", "0.0.0.0:1")
+	add("busan-1", "busan", "10.0.0.1:1")
+	members := table.Members(1)
+	is.Equal(members["jeju-2"].ForwardAddress, "10.0.0.1:1")
+	is.Equal(members["jeju-3"].ForwardAddress, "10.9.9.9:9")
+	is.Equal(members["busan-1"].ForwardAddress, "10.9.9.9:9")
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -6,6 +6,7 @@
 package membership
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
@@ -256,10 +257,36 @@
 		Leaving:        n.own.Leaving || current && n.listing.VM.State == platform.StateLeaving,
 		Revision:       n.config,
 	}
+	if n.listed && !n.listing.Gone && (m.Region != t.self.Region || !isReachableAddress(m.ForwardAddress)) {
+		preferListedAddresses(m, n.listing.VM)
+	}
 	m.Reachable = t.reachable(vm, n, now)
 	return m
 }
 
+// isReachableAddress reports whether a VM that listens on the address can be
+// reached at it. An unspecified IP number says only that it listens on all.
+func isReachableAddress(address string) bool {
+	ap, err := netip.ParseAddrPort(address)
+	return err == nil && !ap.Addr().IsUnspecified()
+}
+
+// preferListedAddresses takes the addresses of the platform's list, where it
+// has them. The list says how a VM of another region is reached from this one;
+// the VM itself knows only where it listens. Within the region the VM's own
+// word is newer than the list, which lags.
+func preferListedAddresses(m *snapshot.Member, vm platform.VM) {
+	if vm.CallerAddress != "" {
+		m.CallerAddress = vm.CallerAddress
+	}
+	if vm.ForwardAddress != "" {
+		m.ForwardAddress = vm.ForwardAddress
+	}
+	if vm.ControlAddress != "" {
+		m.ControlAddress = vm.ControlAddress
+	}
+}
+
 func (t *Table) reachable(vm string, n *node, now clock.Instant) bool {
 	if vm == t.self.VM {
 		return true
