--- a/internal/testbed/network.go
+++ b/internal/testbed/network.go
@@ -11,7 +11,8 @@
 )
 
 // regionPair names the link between two regions, in alphabetical order. Both
-// are the same for the network within a region.
+// are the same for the network within a region, over which gateways reach each
+// other only until they have told each other their own addresses.
 type regionPair struct{ a, b string }
 
 func pairOf(a, b string) regionPair {
@@ -122,8 +123,7 @@
 	}
 }
 
-// Link returns the link between two regions, or the network within a region
-// if both are the same. It is nil if there is none.
+// Link returns the link between two regions. It is nil if there is none.
 func (b *Bed) Link(a, c string) *link.Link { return b.links[pairOf(a, c)] }
 
 // Cut makes the link between two regions a black hole.
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -2,8 +2,8 @@
 // demonstrations and experiments: gateways as processes, and stand-ins of
 // everything else in this process.
 //
-// All traffic between gateways goes over stand-ins of the links between and
-// within regions. Everything that a Bed starts is ended by Close, by its
+// All traffic between gateways of different regions goes over stand-ins of the
+// links. Everything that a Bed starts is ended by Close, by its
 // process ID.
 package testbed
 
