--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -24,7 +24,7 @@
 	Demo     demoCommand      `cmd:"" help:"Start a deployment, send it requests and check every answer."`
 	Run      runCommand       `cmd:"" help:"Run experiments and write their figures."`
 	Compare  compareCommand   `cmd:"" help:"Compare the figures of two results."`
-	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, one line for each result."`
+	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, and the targets."`
 	Overhead overheadCommand  `cmd:"" help:"Measure what a gateway adds to a direct call."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -118,5 +118,6 @@
 		results = append(results, result)
 	}
 	experiment.WriteSummary(os.Stdout, results)
+	experiment.WriteTargets(os.Stdout, results)
 	return nil
 }
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -53,6 +53,9 @@
 	// Others holds the figures of the leading class without the teams that
 	// the experiment excepts.
 	Others Quantiles `json:"others"`
+	// RecoverySeconds is how long after the start of a phase the leading
+	// class's p99 of some second was still well above the first phase's.
+	RecoverySeconds float64 `json:"recoverySeconds,omitempty"`
 	// Fairness is the least, over all teams, of what a team was served over
 	// what it was entitled to.
 	Fairness float64 `json:"fairness"`
@@ -146,7 +149,12 @@
 func (m *figureMaker) phases() []Figures {
 	var found []Figures
 	for _, p := range m.spec.Phases {
-		found = append(found, m.between(p.Name, p.From.D(), p.To.D()))
+		f := m.between(p.Name, p.From.D(), p.To.D())
+		if len(found) > 0 {
+			bound := recoveryFactor * found[0].Classes[m.spec.Load[0].Class].P99
+			f.RecoverySeconds = m.recovery(p.From.D(), p.To.D(), bound)
+		}
+		found = append(found, f)
 	}
 	return found
 }
