--- a/internal/configwatch/fakes_test.go
+++ b/internal/configwatch/fakes_test.go
@@ -34,6 +34,7 @@
 	lag      func() int // revisions that the next answer lags behind
 	answerIn func() time.Duration
 	calls    int
+	reads    int // manifests given out
 }
 
 func newFakeService() *fakeService {
@@ -77,6 +78,12 @@
 	return s.calls
 }
 
+func (s *fakeService) manifestCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // newest returns what a reader sees now.
 func (s *fakeService) newest() (platform.Value, <-chan struct{}, error) {
 	s.mu.Lock()
@@ -142,6 +149,9 @@
 			return platform.Value{}, err
 		}
 		if value.Revision > after {
+			r.service.mu.Lock()
+			r.service.reads++
+			r.service.mu.Unlock()
 			return value, nil
 		}
 		select {
--- a/internal/configwatch/never_back_test.go
+++ b/internal/configwatch/never_back_test.go
@@ -15,7 +15,9 @@
 )
 
 // TestStaleReplicasNeverBringAnOldRevisionBack lets each answer of the service
-// lag behind by a random number of revisions, and overtake others.
+// lag behind by a random number of revisions, and overtake others. It fails when
+// lower revisions are accepted, and when an offer is compared with the revision
+// in force before the fetch only.
 func TestStaleReplicasNeverBringAnOldRevisionBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3, 3, 1)
@@ -36,7 +38,7 @@
 
 // TestRestartDuringStalenessTakesThePeersRevision restarts each member while
 // the service shows an old revision. An old one must not come into force even
-// for a moment.
+// for a moment. It fails when peers are not asked at the start.
 func TestRestartDuringStalenessTakesThePeersRevision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -56,7 +58,8 @@
 }
 
 // TestPeerThatOffersAnOlderRevisionIsIgnored gives a member a peer that claims
-// a high revision and hands out an old one.
+// a high revision and hands out an old one. It fails when a member counts as
+// confirmed below a revision that is known to exist.
 func TestPeerThatOffersAnOlderRevisionIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -76,13 +79,16 @@
 	})
 }
 
-// TestTornSetWaits publishes a manifest whose parts come later.
+// TestTornSetWaits publishes a manifest whose parts come later. It fails when
+// missing parts are left out of the set, and when the manifest is read again
+// while it waits.
 func TestTornSetWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := startFleet(t, 3, 3, 1)
 		torn := testBundle(t, 1)
 		before := f.service.callCount()
+		reads := f.service.manifestCount()
 		revision := f.service.publishManifest(torn.Manifest)
 		time.Sleep(time.Minute)
 		is.True(f.inForce(1)) // the set in force stays
@@ -91,7 +97,8 @@
 		is.Equal(waiting.Revision, revision)
 		calls := f.service.callCount() - before
 		t.Logf("%d calls of 9 members in a minute with a torn set", calls)
-		is.True(float64(calls) < serviceLimit/plannedNodes*9*60) // the missing part isn't asked for in bulk
+		is.True(float64(calls) < serviceLimit/plannedNodes*9*60)   // the missing part isn't asked for in bulk
+		is.True(f.service.manifestCount()-reads <= len(f.members)) // each reads it once
 		f.service.addParts(torn)
 		f.await(revision, accepted)
 
@@ -103,7 +110,8 @@
 	})
 }
 
-// TestDamagedPartWaits serves a part that doesn't match its digest.
+// TestDamagedPartWaits serves a part that doesn't match its digest. It fails
+// when digests aren't verified.
 func TestDamagedPartWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -122,7 +130,7 @@
 }
 
 // TestInvalidSetIsReportedAndNotApplied publishes a set that fails the check,
-// and then a valid one.
+// and then a valid one. It fails when the faults of the set are overlooked.
 func TestInvalidSetIsReportedAndNotApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -144,7 +152,7 @@
 }
 
 // TestRacingOperators publishes valid, invalid and torn sets at close range
-// while answers overtake each other.
+// while answers overtake each other. It fails when lower revisions are accepted.
 func TestRacingOperators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 3, 3, 1)
@@ -170,7 +178,7 @@
 }
 
 // TestLowerRevisionIsIgnoredEvenWhenItIsWhole applies an old whole set below
-// the one in force at the last step.
+// the one in force at the last step. It fails when the last step doesn't compare.
 func TestLowerRevisionIsIgnoredEvenWhenItIsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/configwatch/outage_test.go
+++ b/internal/configwatch/outage_test.go
@@ -17,7 +17,8 @@
 const plannedNodes = 360
 
 // TestFallbackReadsTheService takes the service from all watching members of a
-// region and silences them, so that nobody tells the others.
+// region and silences them, so that nobody tells the others. It fails when a
+// member that hears no confirmation doesn't read for itself.
 func TestFallbackReadsTheService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 2, 4, 1)
@@ -44,7 +45,8 @@
 }
 
 // TestFrozenConfirmationIsNotRenewed has watching members that answer peers
-// but have lost the service: their age grows, so the others read.
+// but have lost the service: their age grows, so the others read. It fails when
+// a peer's confirmation counts as fresh whatever its age.
 func TestFrozenConfirmationIsNotRenewed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(t, 2, 4, 1)
@@ -59,7 +61,8 @@
 }
 
 // TestOutageOfAnHour keeps the set in force, bounds the calls, lets the
-// confirmation age, and applies the next change in time.
+// confirmation age, and applies the next change in time. It fails when failed
+// calls are repeated at once, and when confirmations don't age.
 func TestOutageOfAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -89,7 +92,8 @@
 }
 
 // TestRegionCutFromAllKeepsItsConfiguration cuts a region from service and
-// peers, restarts one of its members, and heals it.
+// peers, restarts one of its members, and heals it. It fails when nothing is
+// fetched from peers.
 func TestRegionCutFromAllKeepsItsConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -142,7 +146,8 @@
 	})
 }
 
-// TestUnconfirmedUntilAPeerAnswers starts a member that hears nobody.
+// TestUnconfirmedUntilAPeerAnswers starts a member that hears nobody. It fails
+// when the service alone confirms after a start.
 func TestUnconfirmedUntilAPeerAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -163,7 +168,7 @@
 }
 
 // TestFenceOfAnEngineIsAFloor keeps a member unconfirmed below a fencing
-// number that an engine has accepted.
+// number that an engine has accepted. It fails when the fence isn't a floor.
 func TestFenceOfAnEngineIsAFloor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/configwatch/watcher_test.go
+++ b/internal/configwatch/watcher_test.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// The tests run in synctest bubbles: time is fake, and a bubble ends only when
+// all goroutines that were started in it have ended.
+
 // startFleet starts a fleet with revision 1 in force on all.
 func startFleet(t *testing.T, regions, perRegion, watchers int) *fakeFleet {
 	f := newFakeFleet(t, regions, perRegion, watchers)
