--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"regexp"
 	"slices"
 	"time"
 
@@ -49,10 +50,16 @@
 	Classes map[string]Quantiles `json:"classes"`
 	Regions map[string]Quantiles `json:"regions"`
 	Teams   map[string]TeamShare `json:"teams"`
+	// Others holds the figures of the leading class without the teams that
+	// the experiment excepts.
+	Others Quantiles `json:"others"`
 	// Fairness is the least, over all teams, of what a team was served over
 	// what it was entitled to.
-	Fairness float64        `json:"fairness"`
-	Codes    map[string]int `json:"codes,omitempty"`
+	Fairness float64 `json:"fairness"`
+	// Codes counts refusals and errors by their code, and Errors the other
+	// reasons why there was no whole answer.
+	Codes  map[string]int `json:"codes,omitempty"`
+	Errors map[string]int `json:"errors,omitempty"`
 
 	CrossingMegabits float64 `json:"crossingMegabits,omitempty"`
 	CrossingCost     float64 `json:"crossingCost,omitempty"`
@@ -155,10 +162,24 @@
 	}
 	f := summarize(m.set, part)
 	f.Name, f.Seconds = name, (to - from).Seconds()
+	f.Others = m.others(part)
 	f.Goodput = float64(f.Served-f.Late) / f.Seconds
 	return f
 }
 
+// others returns the figures of the leading class of teams that the experiment
+// doesn't except.
+func (m *figureMaker) others(part []*Outcome) Quantiles {
+	h := newHistogram()
+	for _, o := range part {
+		leading := o.Call.Class == m.spec.Load[0].Class
+		if leading && o.Ending() == EndingServed && !slices.Contains(m.spec.Except, o.Call.Team) {
+			h.record(o.Total)
+		}
+	}
+	return h.quantiles()
+}
+
 // late reports whether a whole answer came after its deadline.
 func (o *Outcome) late() bool {
 	return o.Ending() == EndingServed && o.Total > o.Call.Timeout
@@ -187,8 +208,11 @@
 	return found
 }
 
+// addressPattern matches what differs between errors of one kind.
+var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+
 func summarize(set *objects.Set, outcomes []*Outcome) Figures {
-	f := Figures{Teams: map[string]TeamShare{}, Codes: map[string]int{}}
+	f := Figures{Teams: map[string]TeamShare{}, Codes: map[string]int{}, Errors: map[string]int{}}
 	first, whole, refusal := newHistogram(), newHistogram(), newHistogram()
 	classes, regions, teams := group{}, group{}, group{}
 	away := 0
@@ -223,8 +247,11 @@
 		case EndingWrong:
 			f.Wrong++
 		}
-		if o.Code != "" {
+		switch {
+		case o.Code != "":
 			f.Codes[o.Code]++
+		case o.Err != "":
+			f.Errors[addressPattern.ReplaceAllString(o.Err, "ADDRESS")]++
 		}
 		f.Teams[o.Call.Team] = share
 	}
--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -17,17 +18,27 @@
 	ErrTooLate = Errors.NewType("too_late", errorx.Timeout())
 	// ErrFull says that the queue holds as many requests as it may.
 	ErrFull = Errors.NewType("full", errorx.Temporary())
+	// ErrElsewhere says that Claim.Leave ended the wait.
+	ErrElsewhere = Errors.NewType("elsewhere")
 )
 
 const (
 	// pollInterval is how often slots are looked for while requests wait,
 	// as capacity also changes without a release.
 	pollInterval = 5 * time.Millisecond
+	// leaveInterval is how often a waiting request asks whether to leave.
+	leaveInterval = 50 * time.Millisecond
 	// activeFor is how long a team counts as active after its last request.
 	activeFor = 5 * time.Second
-	// reserveDivisor is the part of the slots, one in so many, that teams
-	// above their share leave free while other teams are active.
-	reserveDivisor = 8
+	// reservePart is the part of the slots that a team above its share leaves
+	// free at most while other teams are active.
+	reservePart = 0.4
+	// guestExcess is how far above their share guests count as being.
+	guestExcess = 0.3
+	// minShared is the number of slots below which nothing is left free.
+	minShared = 3
+	// demandWindow is the time over which a team's demand is smoothed.
+	demandWindow = 2 * time.Second
 	// maxQueued bounds the requests that wait at one gate.
 	maxQueued = 10_000
 	// holdSmoothing is the weight of a new measurement of the holding time.
@@ -38,12 +49,18 @@
 type Claim struct {
 	Team   string
 	Weight float64
+	// Guest means that the request's own region is another one. Guests have no
+	// share of the slots and take what the others leave.
+	Guest bool
 	// Priority is the class within the team; 0 is served first.
 	Priority int
 	// Cost is the expected work.
 	Cost time.Duration
 	// Patience is how long the request may wait.
 	Patience time.Duration
+	// Leave, unless nil, is asked while the request waits, with the time that
+	// it has waited. True ends the wait with ErrElsewhere.
+	Leave func(waited time.Duration) bool
 	// Place takes a slot and reports whether there was one. It runs with the
 	// gate locked and must not block.
 	Place func() bool
@@ -70,10 +87,21 @@
 }
 
 type usage struct {
-	weight   float64
+	weight   float64 // zero for guests
 	inFlight int
 	queued   int
 	seen     clock.Instant
+	// demand is the smoothed number of requests in flight and queued, as of
+	// weighed.
+	demand  float64
+	weighed clock.Instant
+}
+
+// weigh brings the smoothed demand up to now.
+func (u *usage) weigh(now clock.Instant) {
+	part := 1 - math.Exp(-now.Sub(u.weighed).Seconds()/demandWindow.Seconds())
+	u.demand += part * (float64(u.inFlight+u.queued) - u.demand)
+	u.weighed = now
 }
 
 type waiter struct {
@@ -86,22 +114,37 @@
 	return &Gate{now: now, queue: NewQueue(), teams: map[string]*usage{}, stretch: 1}
 }
 
-// Acquire waits for a slot. It returns ErrTooLate or ErrFull, or the error of
-// ctx when the caller goes away. After a nil error, Release must follow.
+// Acquire waits for a slot. It returns ErrTooLate, ErrFull or ErrElsewhere, or
+// the error of ctx when the caller goes away. After a nil error, Release must
+// follow.
 func (g *Gate) Acquire(ctx context.Context, c Claim) error {
 	it, err := g.enter(c)
 	if it == nil || err != nil {
 		return err
 	}
+	return g.wait(ctx, c, it)
+}
+
+// wait waits until the item is granted, or gives it up.
+func (g *Gate) wait(ctx context.Context, c Claim, it *Item) error {
 	timer := time.NewTimer(c.Patience)
 	defer timer.Stop()
-	select {
-	case <-it.waiter.ready:
-		return nil
-	case <-timer.C:
-		return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
-	case <-ctx.Done():
-		return g.leave(it, ctx.Err())
+	ticker := time.NewTicker(leaveInterval)
+	defer ticker.Stop()
+	entered := g.now()
+	for {
+		select {
+		case <-it.waiter.ready:
+			return nil
+		case <-timer.C:
+			return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
+		case <-ctx.Done():
+			return g.leave(it, ctx.Err())
+		case <-ticker.C:
+			if c.Leave != nil && c.Leave(g.now().Sub(entered)) {
+				return g.leave(it, ErrElsewhere.New("another place is better"))
+			}
+		}
 	}
 }
 
@@ -111,16 +154,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.capacity = c.Capacity()
-	u := g.touch(c.Team, c.Weight)
+	u := g.touch(c)
 	cost := c.Cost.Seconds()
 	g.meanCost += holdSmoothing * (cost - g.meanCost)
 	if g.queue.Len() == 0 && g.mayTake(u) && c.Place() {
 		g.grant(u)
 		return nil, nil
 	}
-	if c.Patience <= 0 {
-		return nil, ErrTooLate.New("no slot is free")
-	}
 	if g.queue.Len() >= maxQueued {
 		return nil, ErrFull.New("%d requests wait", maxQueued)
 	}
@@ -129,6 +169,10 @@
 	g.queue.Push(it)
 	u.queued++
 	g.pump()
+	if c.Patience <= 0 && g.queue.Remove(it) {
+		u.queued--
+		return nil, ErrTooLate.New("no slot is free")
+	}
 	g.poll()
 	return it, nil
 }
@@ -151,6 +195,7 @@
 	defer g.mu.Unlock()
 	g.inFlight--
 	if u := g.teams[team]; u != nil {
+		u.weigh(g.now())
 		u.inFlight--
 		u.seen = g.now()
 	}
@@ -160,14 +205,20 @@
 	g.pump()
 }
 
-// Wait returns the expected wait for a slot of a new request of the team,
-// when no slot is free now.
-func (g *Gate) Wait(team string, weight float64) time.Duration {
+// Wait returns the expected wait of a new request of the team. now is zero
+// where the team may take a free slot at once; full is the wait where none is
+// free.
+func (g *Gate) Wait(team string, weight float64) (now, full time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	slots := float64(max(g.capacity, g.inFlight, 1))
 	work := (g.queue.Ahead(team, weight) + g.meanCost) * g.stretch
-	return time.Duration(work / slots * float64(time.Second))
+	full = time.Duration(work / slots * float64(time.Second))
+	u := g.teams[team]
+	if u == nil || u.queued == 0 && g.mayTake(u) {
+		return 0, full
+	}
+	return full, full
 }
 
 // Queued returns the number of requests that wait.
@@ -204,29 +255,70 @@
 	g.inFlight++
 }
 
-// mayTake reports whether the team may have another slot. A team above its
-// share leaves a reserve for the other active teams.
+// mayTake reports whether the team may have another slot. A team whose demand
+// is above its share leaves free what the other active teams have not used of
+// theirs, up to a part of all slots, so that they neither wait nor find full
+// servers. How much it leaves free grows with its demand, which is smoothed:
+// a short burst isn't held up like a team that asks for too much all the time.
 func (g *Gate) mayTake(u *usage) bool {
-	if len(g.teams) < 2 || g.capacity < reserveDivisor/2 {
+	if len(g.teams) < 2 || g.capacity < minShared {
 		return true
 	}
-	share := float64(g.capacity) * u.weight / g.weight
-	if float64(u.inFlight) < share {
+	u.weigh(g.now())
+	share, excess := g.share(u), guestExcess
+	if share == 0 && g.ownWait() {
+		return false
+	}
+	if share > 0 {
+		excess = min(u.demand, float64(u.inFlight+u.queued))/share - 1
+	}
+	if excess <= 0 {
 		return true
 	}
-	reserve := max(1, g.capacity/reserveDivisor)
-	return g.inFlight < g.capacity-reserve
+	reserve := min(float64(g.capacity)*reservePart, g.unused()) * min(1, excess)
+	return float64(g.inFlight) < float64(g.capacity)-reserve
 }
 
-func (g *Gate) touch(team string, weight float64) *usage {
+// ownWait reports whether requests of the own region's callers wait.
+func (g *Gate) ownWait() bool {
+	for _, u := range g.teams {
+		if u.weight > 0 && u.queued > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// share returns the slots that are the team's own.
+func (g *Gate) share(u *usage) float64 {
+	if u.weight == 0 {
+		return 0
+	}
+	return float64(g.capacity) * u.weight / g.weight
+}
+
+// unused returns the slots that active teams have not used of their shares.
+func (g *Gate) unused() float64 {
+	total := 0.0
+	for _, u := range g.teams {
+		total += max(0, g.share(u)-float64(u.inFlight))
+	}
+	return total
+}
+
+func (g *Gate) touch(c Claim) *usage {
 	now := g.now()
 	g.sweep(now)
-	u := g.teams[team]
+	u := g.teams[c.Team]
 	if u == nil {
-		u = &usage{weight: weightOf(weight)}
-		g.teams[team] = u
+		u = &usage{weight: weightOf(c.Weight), weighed: now}
+		if c.Guest {
+			u.weight = 0
+		}
+		g.teams[c.Team] = u
 		g.weight += u.weight
 	}
+	u.weigh(now)
 	u.seen = now
 	return u
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
+	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -63,15 +64,19 @@
 	meter   *peer.Meter // control connections
 	probing *peer.Meter // connections to backend servers
 	source  atomic.Pointer[ConfigSource]
+	demand  atomic.Pointer[DemandExchange]
 	watcher atomic.Bool
 	clients clientPool
 
 	observations chan health.Observation
 	dropped      atomic.Int64 // observations
+	ready        chan struct{}
 	dirty        chan struct{}
 	urgent       chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// set is the configuration that the last tick saw.
+	set     *objects.Set
 	store   *gossip.Store
 	table   *membership.Table
 	tracker *health.Tracker
@@ -82,9 +87,16 @@
 	// version of this process's own records; each write adds one.
 	version uint64
 	leaving bool
+	// listRead means that the list was read, or that the first try failed.
+	listRead bool
+	// synced means that a peer of the region has told all that it knows, or
+	// that there is none.
+	synced  bool
+	isReady bool
 	raised  clock.Instant // when version was last raised over another incarnation's
 	// listRevision is the highest revision of the list that was heard.
 	listRevision uint64
+	stale        staleParts
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
@@ -100,8 +112,10 @@
 		meter:        &peer.Meter{},
 		probing:      &peer.Meter{},
 		observations: make(chan health.Observation, 1024),
+		ready:        make(chan struct{}),
 		dirty:        make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
+		set:          cfg.Publisher.Load().Config,
 		store:        gossip.NewStore(),
 		table:        membership.NewTable(cfg.Self),
 		tracker:      health.NewTracker(cfg.Self.Region),
@@ -148,6 +162,7 @@
 	group.Go(func() error { return f.tickLoop(ctx, group) })
 	group.Go(func() error { return f.listLoop(ctx) })
 	group.Go(func() error { return f.probeLoop(ctx, group) })
+	group.Go(func() error { return f.eventLoop(ctx) })
 	group.Go(func() error { return f.observeLoop(ctx) })
 	group.Go(func() error { return f.publishLoop(ctx) })
 	err := group.Wait()
@@ -156,6 +171,11 @@
 	return err
 }
 
+// Ready returns a channel that is closed when the region's backend servers have
+// been looked at and, where there are peers in the region, one of them has told
+// what it knows.
+func (f *Fleet) Ready() <-chan struct{} { return f.ready }
+
 // Observe takes in the outcome of an own request. It doesn't block; when it is
 // called faster than outcomes are handled, some are dropped and counted.
 func (f *Fleet) Observe(o health.Observation) {
@@ -181,6 +201,7 @@
 	now := f.cfg.Now()
 	f.mu.Lock()
 	ejected := f.tracker.Observe(o, f.cfg.Publisher.Load().Config, now)
+	f.stale.backends = true
 	if o.Err != nil {
 		f.probeSoon(o.Backend, now)
 	}
@@ -198,14 +219,17 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.announce()
+	f.stale.members = true
 	links := f.connected()
 	f.mu.Unlock()
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) { next.Leaving = true })
 	f.changed(true)
 	f.cfg.Log.Info("leaving", "vm", f.cfg.Self.VM, "neighbours", len(links))
+	var told sync.WaitGroup
 	for _, l := range links {
-		l.flush(ctx)
+		told.Go(func() { l.flush(ctx) }) // a paused neighbour holds up no other
 	}
+	told.Wait()
 }
 
 // changed asks for a new snapshot; urgent changes are published and sent at
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// probersPerBackend is how many members probe a backend server, so that
-	// the loss of one delays nothing.
-	probersPerBackend = 2
 	// minProbeInterval and maxProbeInterval bound the time between two probes
 	// of a backend server by the same member.
 	minProbeInterval = time.Second
@@ -75,8 +72,9 @@
 	return &http.Client{Transport: transport}
 }
 
-// divideProbes chooses the members that probe each backend server, in
-// different failure domains where there are several.
+// divideProbes chooses the two members that probe each backend server, so that
+// the loss of one delays nothing; in different failure domains where there are
+// several.
 func (f *Fleet) divideProbes(live []string, members map[string]*snapshot.Member) map[string][]string {
 	probers := map[string][]string{}
 	for _, name := range f.tracker.Names() {
@@ -215,6 +213,7 @@
 	}
 	f.mu.Lock()
 	urgent := f.probed(name, started, report, err)
+	f.stale.backends = true
 	f.mu.Unlock()
 	f.changed(urgent)
 }
@@ -270,8 +269,9 @@
 		return f.probeFailed(name, p, err, now)
 	}
 	p.count.Succeeded()
+	f.tracker.Confirm(name, started)
 	state := r.State()
-	changed := f.writeState(name, state, now)
+	changed := f.writeState(name, state)
 	f.writeLoad(name, r.Load(), now)
 	return changed
 }
@@ -282,18 +282,18 @@
 		return false
 	}
 	p.due = now.Add(minProbeInterval)
-	state, _ := f.tracker.State(name)
+	state := f.tracker.State(name)
 	state.Healthy = false
-	if f.writeState(name, state, now) {
+	if f.writeState(name, state) {
 		f.cfg.Log.Warn("backend server unhealthy", "backend", name, "error", err)
 		return true
 	}
 	return false
 }
 
-func (f *Fleet) writeState(name string, s health.State, now clock.Instant) bool {
+func (f *Fleet) writeState(name string, s health.State) bool {
 	changed := f.write(gossip.KindState, name, s)
-	f.tracker.SetState(name, s, now)
+	f.tracker.SetState(name, s)
 	if changed {
 		f.cfg.Log.Info("backend server state", "backend", name, "healthy", s.Healthy, "leaving", s.Leaving)
 	}
--- a/internal/fleet/summaries.go
+++ b/internal/fleet/summaries.go
@@ -14,8 +14,13 @@
 )
 
 const (
-	// regionBeatInterval is the time between two heartbeats to other regions.
-	regionBeatInterval = 3 * time.Second
+	// minRegionBeat and maxRegionBeat bound the time between two heartbeats to
+	// other regions. At least two fit into regionSilence.
+	minRegionBeat = 3 * time.Second
+	maxRegionBeat = 5 * time.Second
+	// regionBeatBudget is the interval for each other region, between these
+	// bounds.
+	regionBeatBudget = 300 * time.Millisecond
 	// regionSilence is the silence after which a region that is heard again
 	// counts as having come back.
 	regionSilence = 10 * time.Second
@@ -128,7 +133,7 @@
 // writeSummaries writes the summaries of the own region that this member is
 // chosen to write and that have changed by enough.
 func (f *Fleet) writeSummaries(now clock.Instant) {
-	set := f.cfg.Publisher.Load().Config
+	set := f.set
 	targets := slices.Sorted(maps.Keys(set.Models))
 	targets = append(targets, slices.Sorted(maps.Keys(set.Services))...)
 	interval := time.Duration(len(targets)*(len(f.region)+1)) * summaryBudget
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +19,10 @@
 	// pauseAfter is the gap between two ticks from which on the process counts
 	// as having been paused.
 	pauseAfter = 1500 * time.Millisecond
+	// syncWithin bounds the wait of a starting process for a peer of its region.
+	syncWithin = 2 * time.Second
+	// pruneInterval is the time between two looks for records of what is gone.
+	pruneInterval = time.Minute
 	// publishInterval is the least time between two publications of changes
 	// that aren't urgent.
 	publishInterval = 100 * time.Millisecond
@@ -34,6 +39,8 @@
 	beat       clock.Instant
 	regionBeat clock.Instant
 	summary    clock.Instant
+	prune      clock.Instant
+	demand     clock.Instant
 }
 
 func (f *Fleet) tickLoop(ctx context.Context, group *errgroup.Group) error {
@@ -59,15 +66,22 @@
 	if gap > pauseAfter {
 		f.woke(ctx, group, gap, now)
 	}
-	f.tracker.Sync(f.cfg.Publisher.Load().Config, now)
+	f.set = f.cfg.Publisher.Load().Config
+	f.tracker.Sync(f.set, now)
 	members := f.table.Members(now)
 	f.assign(members, now)
 	f.confirmByBeats(now)
 	f.beats(members, now)
 	f.writeSummaries(now)
 	f.connect(ctx, group, now)
+	f.prune(now)
+	f.checkSynced(members, now)
+	demands := f.exchangeDemand(now)
+	f.stale = staleParts{members: true, backends: true, regions: true}
 	f.mu.Unlock()
+	f.deliverDemand(demands)
 	f.publish(true)
+	f.checkReady()
 	f.clients.tidy(now)
 	f.gauges()
 }
@@ -85,6 +99,7 @@
 		f.mu.Lock()
 		if f.paused.woke == now {
 			f.paused.refreshing = false
+			f.stale.backends = true
 		}
 		f.mu.Unlock()
 		f.publish(true)
@@ -96,17 +111,32 @@
 func (f *Fleet) beats(members map[string]*snapshot.Member, now clock.Instant) {
 	if now.Sub(f.paused.beat) >= membership.BeatInterval {
 		f.paused.beat = now
-		beat := membership.Beat{Revision: f.revision(), View: f.roles.view}
+		beat := membership.Beat{Revision: f.revision(), View: f.vouchedView(now)}
 		f.writeOwn(gossip.KindBeat, f.cfg.Self.VM, beat)
 		f.table.Beat(f.cfg.Self.VM, beat, now)
 	}
-	if now.Sub(f.paused.regionBeat) >= regionBeatInterval {
+	interval := time.Duration(len(f.region)) * regionBeatBudget
+	if now.Sub(f.paused.regionBeat) >= min(max(interval, minRegionBeat), maxRegionBeat) {
 		f.paused.regionBeat = now
 		name := regionName(f.cfg.Self.Region, f.cfg.Self.VM)
 		f.writeOwn(gossip.KindRegion, name, membership.RegionBeat{Unreachable: f.unreachable(members)})
 	}
 }
 
+// vouchedView is the view that the heartbeat bears, or zero when this member
+// is behind with its probes and can't vouch for their results.
+func (f *Fleet) vouchedView(now clock.Instant) uint32 {
+	if f.paused.refreshing {
+		return 0
+	}
+	for name, vms := range f.roles.probers {
+		if slices.Contains(vms, f.cfg.Self.VM) && now.Sub(f.tracker.Heard(name)) > confirmWithin && f.tracker.State(name).Healthy {
+			return 0
+		}
+	}
+	return f.roles.view
+}
+
 // unreachable returns the announced members of the own region that can't be
 // heard.
 func (f *Fleet) unreachable(members map[string]*snapshot.Member) []string {
@@ -119,6 +149,68 @@
 	return vms
 }
 
+// checkSynced ends the wait for a peer of the region when there is none, or
+// none answers. A process that has just started and reads an old list doesn't
+// know who is leaving; its peers do.
+func (f *Fleet) checkSynced(members map[string]*snapshot.Member, now clock.Instant) {
+	if f.synced {
+		return
+	}
+	alone := f.listRevision > 0 || len(f.cfg.Seeds) == 0
+	for vm, m := range members {
+		if vm != f.cfg.Self.VM && m.Region == f.cfg.Self.Region {
+			alone = false
+		}
+	}
+	if f.listRead && alone || now.Sub(f.started) > syncWithin {
+		f.cfg.Log.Info("no peer of the region has told what it knows", "alone", alone)
+		f.synced = true
+	}
+}
+
+// checkReady closes the channel of Ready once the view can be used. A region
+// whose backend servers don't answer is as ready as it can be in time.
+func (f *Fleet) checkReady() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isReady || !f.synced || f.set.Revision == 0 {
+		return
+	}
+	for _, name := range f.tracker.Names() {
+		if f.tracker.Heard(name) == 0 && f.tracker.State(name).Healthy {
+			return // not probed yet
+		}
+	}
+	f.isReady = true
+	close(f.ready)
+}
+
+// prune forgets VMs that the list dropped long ago, and what is known of
+// backend servers that the configuration no longer holds.
+func (f *Fleet) prune(now clock.Instant) {
+	if now.Sub(f.paused.prune) < pruneInterval {
+		return
+	}
+	f.paused.prune = now
+	for _, vm := range f.table.Prune(now) {
+		for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindBeat, gossip.KindListed} {
+			f.store.Delete(gossip.Key{Kind: kind, Name: vm})
+		}
+	}
+	if f.set.Revision == 0 {
+		return
+	}
+	for _, kind := range []gossip.Kind{gossip.KindState, gossip.KindLoad, gossip.KindPrefixes} {
+		f.store.Each(kind, func(r gossip.Record) {
+			if f.set.BackendServers[r.Name] == nil {
+				f.store.Delete(r.Key)
+				delete(f.probe, r.Name)
+				delete(f.loadWritten, r.Name)
+			}
+		})
+	}
+}
+
 func (f *Fleet) publishLoop(ctx context.Context) error {
 	for {
 		select {
@@ -134,28 +226,64 @@
 	}
 }
 
-// publish replaces the fleet's part of the snapshot. alive says that the tick
-// ran, which vouches for the view unless a refresh is under way.
+// publish replaces the stale parts of the fleet's view in the snapshot. alive
+// says that the tick ran, which vouches for the view unless a refresh is under
+// way.
 func (f *Fleet) publish(alive bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Now()
-	members := f.table.Members(now)
-	backends := f.tracker.Status(f.table.BackendLeaving, now)
-	heard, since := f.regionTimes()
-	summaries := f.summarySnapshot(heard)
+	stale := f.stale
+	f.stale = staleParts{}
+	var members map[string]*snapshot.Member
+	var backends map[string]*snapshot.BackendStatus
+	var summaries map[string]map[string]*snapshot.RegionSummary
+	var heard, since map[string]clock.Instant
+	if stale.members {
+		members = f.table.Members(now)
+	}
+	if stale.backends {
+		backends = f.tracker.Status(f.table.BackendLeaving, now)
+	}
+	if stale.regions {
+		heard, since = f.regionTimes()
+		summaries = f.summarySnapshot(heard)
+	}
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) {
-		next.Members = members
-		next.Backends = backends
-		next.Summaries = summaries
-		next.RegionHeard = heard
-		next.RegionSince = since
-		if alive && !f.paused.refreshing {
+		if stale.members {
+			next.Members = members
+		}
+		if stale.backends {
+			next.Backends = backends
+		}
+		if stale.regions {
+			next.Summaries, next.RegionHeard, next.RegionSince = summaries, heard, since
+		}
+		if alive && f.synced && !f.paused.refreshing {
 			next.BackendsHeard = now
 		}
 	})
 }
 
+// staleParts says which parts of the published view are out of date.
+type staleParts struct{ members, backends, regions bool }
+
+// mark marks the parts that a record of the kind is shown in.
+func (s *staleParts) mark(kind gossip.Kind) {
+	switch kind {
+	case gossip.KindMember, gossip.KindBeat:
+		s.members = true
+	case gossip.KindListed:
+		s.members, s.backends = true, true
+	case gossip.KindState, gossip.KindLoad, gossip.KindPrefixes:
+		s.backends = true
+	case gossip.KindSummary:
+		s.regions = true
+	case gossip.KindRegion:
+		s.members, s.regions = true, true
+	}
+}
+
 func (f *Fleet) gauges() {
 	scope := f.cfg.Scope
 	scope.Gauge("control_bytes_sent").Update(float64(f.meter.Sent.Load()))
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
 
 	"github.com/chestnutspring/chestnutspring/internal/booking"
 	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
@@ -45,7 +46,7 @@
 		body.New(),
 		settle.Mark(),
 		g.booking.Filter(),
-		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
 		deadline.New(g.now),
@@ -54,6 +55,9 @@
 	return handlers{
 		callers: httpapi.NewCallers(httpapi.CallersConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, KeyPrefix: issuer.Prefix,
+			Settle: func(req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
+				return settle.Refusal(g.booking, req, refusal)
+			},
 		}),
 		forward: forward.NewServer(forward.ServerConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, Heard: g.config.Heard,
@@ -65,10 +69,12 @@
 }
 
 func (g *gateway) ready() bool {
-	select {
-	case <-g.config.Ready():
-		return true
-	default:
-		return false
+	for _, ready := range []<-chan struct{}{g.config.Ready(), g.fleet.Ready()} {
+		select {
+		case <-ready:
+		default:
+			return false
+		}
 	}
+	return true
 }
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -17,9 +17,15 @@
 	// unknownWait is the wait assumed for a region without a summary.
 	unknownWait    = time.Second
 	bitsPerMegabit = 1e6
+	// spareDivisor is the part of a region's slots, one in so many, that must be
+	// free for a crossing to be of use.
+	spareDivisor = 8
+	// lastResortSeconds is added to the score of backend servers that seem to
+	// be broken.
+	lastResortSeconds = 5
 	// surePart is the part of an estimated service time that a request is
 	// sure to take. Only a deadline below it is a ground for a refusal.
-	surePart = 0.6
+	surePart = 0.8
 )
 
 // Plan says where a request goes: to the own region's backend servers, to
@@ -36,8 +42,9 @@
 type Local struct {
 	// Allowed is false where the own region may not or can't serve.
 	Allowed bool
-	// Wait is the expected wait for a slot.
-	Wait time.Duration
+	// Wait is the expected wait for a slot; zero means that the request may
+	// take a free one now. FullWait is the wait where none is free.
+	Wait, FullWait time.Duration
 }
 
 // Decide weighs the own region against the regions that permitted accepts.
@@ -52,16 +59,23 @@
 			plan = p
 		}
 	}
+	sound := false
 	if local.Allowed {
-		if e, ok := t.localEstimate(q, own, local.Wait); ok {
+		e, found, usable := t.localEstimate(q, own, local)
+		if found {
 			consider(Plan{Local: true, Estimate: e})
 		}
+		sound = usable
 	}
 	for i := range t.Regions {
 		o := &t.Regions[i]
 		if !permitted(o.Name) || slices.Contains(q.Tried, o.Name) || !o.open(q, t) {
 			continue
 		}
+		if sound && o.full(q.Now, t.gateways) {
+			// A crossing moves work to spare capacity, not from queue to queue.
+			continue
+		}
 		consider(Plan{Region: o, Estimate: t.regionEstimate(o, q)})
 	}
 	if !plan.found() && late.found() {
@@ -84,15 +98,21 @@
 	return a
 }
 
-func (t *Target) localEstimate(q *Query, own string, wait time.Duration) (Estimate, bool) {
+// localEstimate weighs the own region. usable is false where its candidates
+// are a last resort.
+func (t *Target) localEstimate(q *Query, own string, local Local) (e Estimate, found, usable bool) {
+	wait := local.Wait
 	best := t.Best(q, wait == 0)
 	if best.Candidate == nil {
-		best = t.Best(q, false)
+		best, wait = t.Best(q, false), max(wait, local.FullWait)
 	}
 	if best.Candidate == nil {
-		return Estimate{}, false
+		return Estimate{}, false, false
+	}
+	e = best.Estimate
+	if best.LastResort {
+		e.Score += lastResortSeconds
 	}
-	e := best.Estimate
 	if wait > 0 {
 		e.Score += wait.Seconds() - e.Wait.Seconds()
 		e.Wait = wait
@@ -100,12 +120,15 @@
 	if own != q.Home {
 		e.Score += t.Policy.ShareAwayWeight
 	}
-	return e, true
+	return e, true, !best.LastResort
 }
 
 // open reports whether work may be sent to the region: it is heard of, has
 // healthy replicas, and a region that came back gets its traffic step by step.
 func (o *RegionOption) open(q *Query, t *Target) bool {
+	if o.Member(q) == nil {
+		return false
+	}
 	if o.heard != 0 && q.Now.Sub(o.heard) > silentFor {
 		return false
 	}
@@ -116,6 +139,13 @@
 	return part >= 1 || fraction(mix(q.Random)) < part
 }
 
+// full reports whether the region is known to have no slots to spare, less what
+// its summary can't show yet.
+func (o *RegionOption) full(now clock.Instant, gateways int) bool {
+	s := o.fresh(now)
+	return s != nil && s.Free-o.Crossing.Unreported()*gateways <= o.capacity/spareDivisor
+}
+
 // fresh returns the region's summary if it is fresh, else nil.
 func (o *RegionOption) fresh(now clock.Instant) *snapshot.RegionSummary {
 	if o.summary == nil || now.Sub(o.summary.Heard) > summaryAge {
@@ -140,7 +170,9 @@
 			wait = s.WaitSeconds + (1-free)/float64(o.capacity)*service
 		}
 	}
-	service *= 1 + loadSlope*min(max(load, 0), 1)
+	wait = max(wait, o.Crossing.Wait(q.Now))
+	pace := 1 + loadSlope*min(max(load, 0), 1)
+	service *= pace
 	megabits := float64(q.RequestBytes+q.AnswerBytes) * 8 / bitsPerMegabit
 	link := 2 * o.Link.Delay.D().Seconds()
 	if o.Link.MegabitsPerSecond > 0 {
@@ -150,18 +182,31 @@
 	if o.Name != q.Home {
 		score += t.Policy.ShareAwayWeight
 	}
-	return Estimate{Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score}
+	return Estimate{
+		Wait: toDuration(wait), Service: toDuration(service), Link: toDuration(link), Score: score,
+		Prompt: q.PromptTime, Pace: pace,
+	}
 }
 
 // Member returns the region's gateway for the request. Requests with the same
 // prefix tend to the same gateway, which knows where the prefix is cached.
 func (o *RegionOption) Member(q *Query) *snapshot.Member {
-	if len(o.Members) == 0 {
+	members := o.untried(q)
+	if len(members) == 0 {
 		return nil
 	}
 	key := q.Prefix
 	if key == 0 {
 		key = q.Random
 	}
-	return o.Members[mix(key)%uint64(len(o.Members))]
+	return members[mix(key)%uint64(len(members))]
+}
+
+// untried returns the members that aren't on the request's trail.
+func (o *RegionOption) untried(q *Query) []*snapshot.Member {
+	onTrail := func(m *snapshot.Member) bool { return slices.Contains(q.Trail, m.VM) }
+	if !slices.ContainsFunc(o.Members, onTrail) {
+		return o.Members
+	}
+	return slices.DeleteFunc(slices.Clone(o.Members), onTrail)
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -92,6 +93,8 @@
 	links     map[regionPair]*link.Link
 	ports     map[portKey]*link.Port
 
+	closing sync.Once
+
 	mu     sync.Mutex
 	set    *objects.Set
 	states map[string]string // VM name -> state in the list of VMs
@@ -126,6 +129,11 @@
 	if err != nil {
 		return err
 	}
+	if b.config.LogDir != "" {
+		if err := os.MkdirAll(b.config.LogDir, 0o755); err != nil {
+			return ErrStart.Wrap(err, "directory for logs")
+		}
+	}
 	steps := []func(*objects.Set) error{
 		b.startBackends, b.startPlatform, b.nameGateways, b.startLinks, b.Publish,
 	}
@@ -167,8 +175,10 @@
 	return found
 }
 
-// Close ends everything that Start started.
-func (b *Bed) Close() {
+// Close ends everything that Start started. Further calls do nothing.
+func (b *Bed) Close() { b.closing.Do(b.close) }
+
+func (b *Bed) close() {
 	var all sync.WaitGroup
 	for _, g := range b.Gateways {
 		all.Go(g.Kill)
