--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,9 +100,11 @@
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
-	avoid   map[string]clock.Instant
-	paused  pauseState
-	started clock.Instant
+	avoid map[string]clock.Instant
+	// reported holds when the log last said that an address is unreachable.
+	reported map[string]clock.Instant
+	paused   pauseState
+	started  clock.Instant
 }
 
 // New returns a fleet that isn't running yet.
@@ -125,6 +127,7 @@
 		loadWritten:  map[string]clock.Instant{},
 		summaries:    map[string]summaryWritten{},
 		avoid:        map[string]clock.Instant{},
+		reported:     map[string]clock.Instant{},
 		version:      firstVersion(time.Now()),
 	}
 	f.dialer = &peer.Dialer{TLS: cfg.ClientTLS, Log: cfg.Log, Meter: f.meter, Dial: cfg.Dial}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/limits"
+	"github.com/chestnutspring/chestnutspring/internal/peer"
 )
 
 var threeRegions = []string{"jeju", "busan", "saemangeum"}
@@ -64,6 +67,49 @@
 	})
 }
 
+func TestCachedPrefixesReachTheRegionAndAGapDropsThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBed(t, newMemNet(), 5, 1)
+		shared := func(want []uint64) func() bool {
+			return func() bool {
+				for _, n := range b.region("jeju") {
+					if !slices.Equal(n.view().Backends["jeju-engine-0"].Prefixes, want) {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		stored := `{"events":[{"seq":1,"kind":"stored","prefix":"a1"},{"seq":2,"kind":"stored","prefix":"9"}]}`
+		b.engines["jeju-engine-0"].events.Store(&stored)
+		b.until("cached prefixes known", 10*time.Second, shared([]uint64{0x9, 0xa1}))
+		gap := `{"events":[{"seq":9,"kind":"stored","prefix":"7"}]}`
+		b.engines["jeju-engine-0"].events.Store(&gap)
+		b.until("dropped after a gap", 10*time.Second, shared([]uint64{0x7}))
+	})
+}
+
+// A record of any bytes from a peer is refused or used, never a panic.
+func FuzzRecord(f *testing.F) {
+	memory := newMemNet()
+	bed := newBed(f, memory, []string{"jeju"}, 1)
+	n := bed.add("jeju", 0)
+	for kind := gossip.KindMember; kind <= gossip.KindDemand; kind++ {
+		value, _ := valueOf(kind)
+		f.Add(uint8(kind), "jeju/jeju-entry-1", uint64(3), n.encode(value))
+		f.Add(uint8(kind), "jeju-engine-0", uint64(1), []byte{0xc1})
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, name string, version uint64, value []byte) {
+		r := gossip.Record{Key: gossip.Key{Kind: gossip.Kind(kind), Name: name}, Version: version, Value: value}
+		n.take(peer.Hello{VM: "jeju-entry-1"}, []gossip.Record{r})
+		n.stale = staleParts{members: true, backends: true, regions: true}
+		n.publish(true)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.assign(n.table.Members(n.cfg.Now()), n.cfg.Now())
+	})
+}
+
 func TestDemandReachesTheLimitersOfAllRegions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := startBed(t, newMemNet(), 2, 1)
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -24,6 +24,9 @@
 	// redialMin and redialMax bound the wait after a failed connection.
 	redialMin = 250 * time.Millisecond
 	redialMax = 5 * time.Second
+	// failureLogInterval is the least time between two events of the log that
+	// say that the same peer can't be connected to.
+	failureLogInterval = time.Minute
 	// avoidAfterFailure is how long another peer is preferred to one that
 	// couldn't be connected to.
 	avoidAfterFailure = 10 * time.Second
@@ -83,12 +86,15 @@
 }
 
 func (l *link) noteFailure(err error) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	if l.failed == 0 {
-		l.fleet.cfg.Log.Info("peer unreachable", "vm", l.vm, "address", l.address, "error", err)
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	if at, ok := f.reported[l.address]; !ok || now.Sub(at) > failureLogInterval {
+		f.reported[l.address] = now
+		f.cfg.Log.Info("peer unreachable", "vm", l.vm, "address", l.address, "error", err)
 	}
-	l.failed = l.fleet.cfg.Now()
+	l.failed = now
 }
 
 func (l *link) connected(client *peer.Client) {
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -192,6 +193,7 @@
 		return
 	}
 	f.paused.prune = now
+	maps.DeleteFunc(f.reported, func(_ string, at clock.Instant) bool { return now.Sub(at) > failureLogInterval })
 	for _, vm := range f.table.Prune(now) {
 		for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindBeat, gossip.KindListed} {
 			f.store.Delete(gossip.Key{Kind: kind, Name: vm})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -111,3 +111,18 @@
 	}
 	return all
 }
+
+func TestStoreIsBounded(t *testing.T) {
+	s := NewStore()
+	value := make([]byte, MaxValueBytes)
+	for i := range 2 * MaxRecords {
+		s.Merge(Record{Key: Key{Kind: KindState, Name: fmt.Sprint(i)}, Version: 1, Value: value})
+	}
+	if s.bytes > MaxStoreBytes || s.Len() == 0 {
+		t.Fatalf("%d records with %d bytes", s.Len(), s.bytes)
+	}
+	s.Each(KindState, func(r Record) { s.Delete(r.Key) })
+	if s.bytes != 0 {
+		t.Fatalf("%d bytes left", s.bytes)
+	}
+}
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -53,8 +53,13 @@
 	Value   []byte
 }
 
-// MaxRecords bounds the records of a store, against a faulty peer.
-const MaxRecords = 20_000
+func (r *Record) size() int { return len(r.Name) + len(r.Value) }
+
+// Bounds on a store, against a faulty peer.
+const (
+	MaxRecords    = 20_000
+	MaxStoreBytes = 8 << 20 // names and values
+)
 
 // Limits on one record.
 const (
@@ -72,6 +77,7 @@
 	entries map[Key]*entry
 	log     []*entry // entries in the order of their last change, with stale slots
 	changes uint64
+	bytes   int // of names and values
 }
 
 // NewStore returns an empty store.
@@ -96,9 +102,16 @@
 	if old != nil && !newer(r, old.Record) {
 		return false
 	}
-	if old == nil && len(s.entries) >= MaxRecords {
+	grown := r.size()
+	if old != nil {
+		grown -= old.size()
+	} else if len(s.entries) >= MaxRecords {
 		return false
 	}
+	if grown > 0 && s.bytes+grown > MaxStoreBytes {
+		return false
+	}
+	s.bytes += grown
 	s.changes++
 	e := &entry{Record: r, change: s.changes}
 	s.entries[r.Key] = e
@@ -121,7 +134,12 @@
 }
 
 // Delete forgets a record. It isn't told to others.
-func (s *Store) Delete(key Key) { delete(s.entries, key) }
+func (s *Store) Delete(key Key) {
+	if e := s.entries[key]; e != nil {
+		s.bytes -= e.size()
+		delete(s.entries, key)
+	}
+}
 
 func newer(a, b Record) bool {
 	return cmp.Or(cmp.Compare(a.Version, b.Version), bytes.Compare(a.Value, b.Value)) > 0
