--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -33,6 +33,10 @@
 	// reservePart is the part of the slots that a team above its share leaves
 	// free at most while other teams are active.
 	reservePart = 0.4
+	// usualWindow is the longer time, for what a team usually needs.
+	usualWindow = 15 * time.Second
+	// demandMargin is how many times its usual demand a team may soon need.
+	demandMargin = 3
 	// guestExcess is how far above their share guests count as being.
 	guestExcess = 0.3
 	// minShared is the number of slots below which nothing is left free.
@@ -95,15 +99,23 @@
 	// weighed.
 	demand  float64
 	weighed clock.Instant
+	// usual is the demand smoothed over a longer time.
+	usual float64
 }
 
 // weigh brings the smoothed demand up to now.
 func (u *usage) weigh(now clock.Instant) {
-	part := 1 - math.Exp(-now.Sub(u.weighed).Seconds()/demandWindow.Seconds())
-	u.demand += part * (float64(u.inFlight+u.queued) - u.demand)
+	passed, demand := now.Sub(u.weighed), float64(u.inFlight+u.queued)
+	u.demand += fading(passed, demandWindow) * (demand - u.demand)
+	u.usual += fading(passed, usualWindow) * (demand - u.usual)
 	u.weighed = now
 }
 
+// fading returns the weight of what came in the time passed.
+func fading(passed, window time.Duration) float64 {
+	return 1 - math.Exp(-passed.Seconds()/window.Seconds())
+}
+
 type waiter struct {
 	place func() bool
 	ready chan struct{}
@@ -297,11 +309,13 @@
 	return float64(g.capacity) * u.weight / g.weight
 }
 
-// unused returns the slots that active teams have not used of their shares.
+// unused returns the slots that active teams have not used of their shares and
+// may soon use, by their demand.
 func (g *Gate) unused() float64 {
 	total := 0.0
 	for _, u := range g.teams {
-		total += max(0, g.share(u)-float64(u.inFlight))
+		soon := min(g.share(u), demandMargin*u.usual)
+		total += max(0, soon-float64(u.inFlight))
 	}
 	return total
 }
@@ -310,13 +324,20 @@
 	now := g.now()
 	g.sweep(now)
 	u := g.teams[c.Team]
-	if u == nil {
-		u = &usage{weight: weightOf(c.Weight), weighed: now}
-		if c.Guest {
-			u.weight = 0
-		}
+	isNew := u == nil
+	if isNew {
+		u = &usage{weighed: now}
 		g.teams[c.Team] = u
-		g.weight += u.weight
+	}
+	weight := weightOf(c.Weight)
+	if c.Guest {
+		weight = 0
+	}
+	g.weight += weight - u.weight
+	u.weight = weight
+	if isNew {
+		// Until it is known, a team is taken to need its share.
+		u.usual = g.share(u)
 	}
 	u.weigh(now)
 	u.seen = now
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -18,6 +18,9 @@
 	// in a stream.
 	tokenBytes = 5
 	eventBytes = 200
+	// boundWeight multiplies the weight of a team that can't use the slots that
+	// other regions have to spare.
+	boundWeight = 4
 	// atOnce is the longest wait that still counts as none.
 	atOnce = 100 * time.Millisecond
 	// serviceAnswerBytes is the size of a plain service's answer.
@@ -179,12 +182,22 @@
 	}
 }
 
-// weight returns the team's share in the queue.
+// weight returns the team's share in the queue. While other regions have slots
+// to spare, a team that may not use them has a larger share at home.
 func (r *run) weight(picker *routing.Picker) float64 {
-	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil {
-		return team.Spec.Weight
+	weight := 1.0
+	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil && team.Spec.Weight > 0 {
+		weight = team.Spec.Weight
 	}
-	return 1
+	target := picker.Target(r.req.Target)
+	if target == nil || r.req.Hop == pipeline.HopRegion {
+		return weight
+	}
+	permitted := func(region string) bool { return picker.Snapshot.Config.Permits(r.req.Team, region) }
+	if target.Spare(r.h.cfg.Now(), nil) && !target.Spare(r.h.cfg.Now(), permitted) {
+		weight *= boundWeight
+	}
+	return weight
 }
 
 // queueTeam returns the team's name in the queue. Requests from another region
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -19,6 +19,13 @@
 // must have waited before it is hedged.
 const hedgeFactor = 2
 
+// A stream is far behind when it has taken behindFactor times as long as was
+// expected, and behindGrace beyond that.
+const (
+	behindFactor = 2
+	behindGrace  = 100 * time.Millisecond
+)
+
 // hopQueueDivisor is the part of the longest wait, one in so many, that a
 // request from another region may wait.
 const hopQueueDivisor = 4
@@ -144,6 +151,9 @@
 	defer server.Release()
 	m := &meter{Response: w, now: now, onFirst: server.Progressed}
 	started := now()
+	if r.req.Model != nil {
+		m.onEvents = func(events int) { r.notePace(p, events, m.firstAt) }
+	}
 	server.Sent(started)
 	refusal := r.h.cfg.Backend.SendBackend(ctx, r.request(p.picker), p.choice.Candidate.Config, m)
 	m.end()
@@ -151,6 +161,17 @@
 	return refusal
 }
 
+// notePace counts a stream that is far behind the usual pace of the target's
+// streams against its server, before it ends.
+func (r *run) notePace(p *placement, events int, first clock.Instant) {
+	now := r.h.cfg.Now()
+	usual := time.Duration(events) * p.target.EventTime()
+	actual := now.Sub(first)
+	if usual > 0 && actual > behindFactor*usual+behindGrace {
+		p.target.Behind(p.choice.Candidate, now, actual.Seconds()/usual.Seconds())
+	}
+}
+
 // learn records how an exchange with a backend server went.
 func (r *run) learn(p *placement, m *meter, refusal *verdict.Refusal, started clock.Instant) {
 	now := r.h.cfg.Now()
@@ -161,6 +182,9 @@
 	case refusal == nil:
 		server.Breaker.Success()
 		server.Measure(now, p.choice.Estimate.Expected(r.answerTime(p, m)), actual)
+		if m.events > 1 {
+			p.target.MeasureEvents(m.events, actual)
+		}
 		p.target.Used(p.choice.Candidate, p.query.Prefix, now)
 	case m.failed:
 		// The caller went away, or another attempt has answered.
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
+	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 
@@ -37,6 +38,8 @@
 	g.route = route.New(route.Config{
 		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
 	})
+	limiter := limits.NewLimiter(g.now)
+	g.fleet.SetDemand(limiter)
 	handler := pipeline.Chain(g.route,
 		settle.New(g.booking),
 		identify.New(),
@@ -46,7 +49,7 @@
 		body.New(),
 		settle.Mark(),
 		g.booking.Filter(),
-		admission.New(admission.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+		admission.New(admission.Config{Limiter: limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
 		deadline.New(g.now),
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -33,6 +33,9 @@
 	typical   atomic.Uint64
 	typicalAt atomic.Int64
 	turn      *atomic.Uint64
+	// pace is the usual time per event of a stream in seconds, as the bits of a
+	// float64.
+	pace *atomic.Uint64
 }
 
 // Candidate is a backend server of the own region.
@@ -79,7 +82,7 @@
 			continue
 		}
 		t := &Target{
-			Name: name, Policy: &policy.Spec, turn: r.turn(name), snapshot: s,
+			Name: name, Policy: &policy.Spec, turn: counterOf(r.turns, name), pace: counterOf(r.paces, name), snapshot: s,
 			gateways: max(1, len(members[s.Self.Region])),
 		}
 		if s.Config.Models[name] != nil {
--- a/internal/routing/records.go
+++ b/internal/routing/records.go
@@ -16,6 +16,7 @@
 	crossings map[crossingKey]*Crossing
 	prefixes  map[string]*PrefixTable
 	turns     map[string]*atomic.Uint64
+	paces     map[string]*atomic.Uint64
 	nextID    uint16
 
 	// topology is the part of a Picker that only the configuration decides.
@@ -44,6 +45,7 @@
 		crossings: map[crossingKey]*Crossing{},
 		prefixes:  map[string]*PrefixTable{},
 		turns:     map[string]*atomic.Uint64{},
+		paces:     map[string]*atomic.Uint64{},
 	}
 }
 
@@ -88,12 +90,12 @@
 	return t
 }
 
-// turn returns the round-robin counter of a target.
-func (r *Records) turn(target string) *atomic.Uint64 {
-	n := r.turns[target]
+// counterOf returns a target's counter, and makes it if needed.
+func counterOf(counters map[string]*atomic.Uint64, target string) *atomic.Uint64 {
+	n := counters[target]
 	if n == nil {
 		n = new(atomic.Uint64)
-		r.turns[target] = n
+		counters[target] = n
 	}
 	return n
 }
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -136,6 +136,20 @@
 	return part >= 1 || fraction(mix(q.Random)) < part
 }
 
+// Spare reports whether a permitted region has slots to spare; nil permits all.
+func (t *Target) Spare(now clock.Instant, permitted func(region string) bool) bool {
+	for i := range t.Regions {
+		o := &t.Regions[i]
+		if permitted != nil && !permitted(o.Name) {
+			continue
+		}
+		if s := o.fresh(now); s != nil && s.Healthy > 0 && !o.full(now, t.gateways) {
+			return true
+		}
+	}
+	return false
+}
+
 // full reports whether the region is known to have no slots to spare, less what
 // its summary can't show yet.
 func (o *RegionOption) full(now clock.Instant, gateways int) bool {
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -24,6 +24,9 @@
 	// minSlowness and maxSlowness bound a single measurement.
 	minSlowness = 0.02
 	maxSlowness = 50
+	// measureFloor is added to both sides of a measurement, so that the round
+	// trip of a short call isn't taken for slowness.
+	measureFloor = 20 * time.Millisecond
 	// ownSmoothing is the weight of a new sample of the own requests in
 	// flight, which are taken out of the server's report.
 	ownSmoothing = 0.5
@@ -118,7 +121,8 @@
 	if expected <= 0 {
 		return
 	}
-	sample := min(max(actual.Seconds()/expected.Seconds(), minSlowness), maxSlowness)
+	sample := (actual + measureFloor).Seconds() / (expected + measureFloor).Seconds()
+	sample = min(max(sample, minSlowness), maxSlowness)
 	s.measured.Store(int64(now))
 	if s.slowness.CompareAndSwap(0, math.Float64bits(sample)) {
 		return
