Lookups: not-run only from the owner, no answer through a region that may not have it

Two faults found while reading the chain of lookups: a refusal of the question itself (deadline passed while the process was paused, bad timeout, loop) said not-run of the key, on which a caller would take a new key; and the answer of a team bound to one region was passed on by an entry of another. Both failed TestPromiseNotRunIsTrueOfEarlyRefusals before.

--- a/internal/filter/booking/lookup.go
+++ b/internal/filter/booking/lookup.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/booking"
+	"github.com/chestnutspring/chestnutspring/internal/filter/residency"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
@@ -14,6 +15,9 @@
 // Lookup answers GET /v1/bookings/{key} with the outcome of the key. It waits,
 // up to the request's deadline, for a request that is running.
 func (f *Filter) Lookup(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+	if !req.Snapshot.Config.Permits(req.Team, f.Self.Region) {
+		return refuseRegion(req)
+	}
 	key, err := booking.ParseKey(strings.TrimPrefix(req.Path, wire.PathBookings))
 	if err != nil {
 		f.metrics.malformed.Inc(1)
@@ -30,6 +34,29 @@
 	return f.ask(ctx, req, owner, w)
 }
 
+// IsLookup reports whether the request asks for the outcome of a key.
+func IsLookup(req *pipeline.Request) bool { return strings.HasPrefix(req.Path, wire.PathBookings) }
+
+// SettleLookup gives a refusal of a question for the outcome of a key a true
+// verdict: that the question was not answered says nothing of the outcome.
+func SettleLookup(refusal *verdict.Refusal) *verdict.Refusal {
+	if refusal == nil || refusal.Verdict != verdict.NotRun || isForGood(refusal) {
+		return refusal
+	}
+	settled := *refusal
+	settled.Verdict = verdict.MayHaveRun
+	return &settled
+}
+
+// LookupFilter returns the filter that goes before all filters of lookups.
+func LookupFilter() pipeline.Filter {
+	return func(next pipeline.Handler) pipeline.Handler {
+		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
+			return SettleLookup(next.Handle(ctx, req, w))
+		})
+	}
+}
+
 func (f *Filter) lookupOwn(ctx context.Context, req *pipeline.Request, key booking.Key, w pipeline.Response) *verdict.Refusal {
 	record, decision := f.table.Find(key)
 	switch {
@@ -54,3 +81,11 @@
 	refusal.Status = http.StatusNotFound
 	return refusal
 }
+
+// refuseRegion refuses to pass an answer through this region.
+func refuseRegion(req *pipeline.Request) *verdict.Refusal {
+	refusal := verdict.Ambiguous(verdict.CodeWrongRegion, "the team's residency rule does not permit this region; ask one of the entries", 0)
+	refusal.Status = http.StatusMisdirectedRequest
+	refusal.Entries = residency.PermittedEntries(req.Snapshot, req.Team)
+	return refusal
+}
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -49,6 +49,7 @@
 		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
+		bookingfilter.LookupFilter(),
 		deadline.New(g.now),
 		hopguard.New(),
 	)
@@ -56,6 +57,9 @@
 		callers: httpapi.NewCallers(httpapi.CallersConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, KeyPrefix: issuer.Prefix,
 			Settle: func(req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
+				if bookingfilter.IsLookup(req) {
+					return bookingfilter.SettleLookup(refusal)
+				}
 				return settle.Refusal(g.booking, req, refusal)
 			},
 		}),
--- a/test/promises/booking_notrun_test.go
+++ b/test/promises/booking_notrun_test.go
@@ -146,6 +146,17 @@
 	return n
 }
 
+// ask asks an entry for the outcome of a key, with a timeout in the raw form
+// of the header if it isn't empty.
+func (b *bookings) ask(k told, entry *testbed.Gateway, rawTimeout string) reply {
+	k.entry = entry.Name + " (asked)"
+	k.reply = send(b.client, entry.CallerAddress(), call{
+		method: http.MethodGet, path: wire.PathBookings + k.key, team: k.team, rawTimeout: rawTimeout,
+	})
+	b.tolds = append(b.tolds, k)
+	return k.reply
+}
+
 // earlyRefusals are attempts that a filter refuses before the booking filter
 // sees them, each for another reason.
 var earlyRefusals = map[string]func(*call){
@@ -157,7 +168,9 @@
 }
 
 // An attempt that is refused before the owner has seen its key is told "not
-// run" only if no attempt with the key can run any more.
+// run" only if no attempt with the key can run any more. So is a question for
+// the key's outcome, which also passes no answer through a region where the
+// team's data may not be.
 func TestPromiseNotRunIsTrueOfEarlyRefusals(t *testing.T) {
 	bed := startBed(t, nil)
 	b := newBookings(t, bed)
@@ -174,6 +187,10 @@
 			b.tolds = append(b.tolds, refused)
 			t.Logf("%s: %v", refused.entry, refused.reply)
 			b.attempt(k, owner, defaultTimeout)
+			b.ask(k, owner, "soon")
+			if r := b.ask(k, entry, ""); r.ok() && entry.Region != owner.Region {
+				t.Errorf("%s passed on the answer to a team bound to %s", entry.Name, owner.Region)
+			}
 		}
 	}
 	b.audit(t)
