Bookings: one team may hold a quarter of the records

A team that sends many keys could fill the table and close it for all others. Each team now has its own bound, and its own mark of closed epochs.

--- a/internal/booking/table.go
+++ b/internal/booking/table.go
@@ -20,6 +20,9 @@
 	DefaultMaxRecords = 30_000
 	// DefaultMaxHeldBytes bounds the answers that are held for repeats.
 	DefaultMaxHeldBytes = 8 << 20
+	// teamShareDivisor is the part of the records, one in so many, that one
+	// team may hold by default.
+	teamShareDivisor = 4
 	// answerOverheadBytes is counted for each held answer beside its body.
 	answerOverheadBytes = 512
 )
@@ -41,33 +44,37 @@
 	// Forgotten means that the key's window has passed and that the table no
 	// longer knows whether the request ran.
 	Forgotten
-	// Full means that the table takes no new keys of this epoch; the key is
-	// closed for good.
+	// Full means that the table takes no new keys of this epoch, or none of
+	// this team; the key is closed for good.
 	Full
 )
 
 // TableConfig holds the bounds of a table. Zero values mean the defaults.
 type TableConfig struct {
-	Issuer       *Issuer
-	Now          clock.Clock
-	MaxRecords   int
-	MaxHeldBytes int
+	Issuer     *Issuer
+	Now        clock.Clock
+	MaxRecords int
+	// MaxTeamRecords bounds the records of one team; zero means a quarter of
+	// MaxRecords.
+	MaxTeamRecords int
+	MaxHeldBytes   int
 }
 
 // Table holds the records of the keys that this incarnation owns.
 type Table struct {
-	issuer     *Issuer
-	now        clock.Clock
-	maxRecords int64
-	count      atomic.Int64
+	issuer         *Issuer
+	now            clock.Clock
+	maxRecords     int64
+	maxTeamRecords int64
+	// all and teams count the records, of all teams and by team.
+	all   quota
+	teams sync.Map // team -> *quota
 	// retention is the longest key window seen plus the longest deadline.
 	retention atomic.Int64
 	// forgotten is one above the newest epoch whose records were dropped.
 	forgotten atomic.Uint64
-	// closed is one above the newest epoch that takes no new keys.
-	closed  atomic.Uint64
-	answers answerStore
-	shards  [shardCount]shard
+	answers   answerStore
+	shards    [shardCount]shard
 }
 
 type shard struct {
@@ -80,10 +87,16 @@
 	if config.MaxRecords == 0 {
 		config.MaxRecords = DefaultMaxRecords
 	}
+	if config.MaxTeamRecords == 0 {
+		config.MaxTeamRecords = max(1, config.MaxRecords/teamShareDivisor)
+	}
 	if config.MaxHeldBytes == 0 {
 		config.MaxHeldBytes = DefaultMaxHeldBytes
 	}
-	t := &Table{issuer: config.Issuer, now: config.Now, maxRecords: int64(config.MaxRecords)}
+	t := &Table{
+		issuer: config.Issuer, now: config.Now,
+		maxRecords: int64(config.MaxRecords), maxTeamRecords: int64(config.MaxTeamRecords),
+	}
 	t.answers.max = config.MaxHeldBytes
 	t.retention.Store(int64(wire.MaxTimeout))
 	for i := range t.shards {
@@ -108,10 +121,7 @@
 	if key.Epoch < t.forgotten.Load() {
 		return nil, Forgotten
 	}
-	if key.Epoch < t.closed.Load() {
-		return nil, Full
-	}
-	if t.isFull() {
+	if t.isClosed(key, team) || t.isFull(team) {
 		return nil, Full
 	}
 	record := newRecord(team, fingerprint)
@@ -137,10 +147,7 @@
 	if key.Epoch < t.forgotten.Load() {
 		return nil, Forgotten
 	}
-	if key.Epoch < t.closed.Load() {
-		return nil, Full
-	}
-	if t.isFull() {
+	if t.isClosed(key, team) || t.isFull(team) {
 		return nil, Full
 	}
 	record := newRecord(team, Fingerprint{})
@@ -164,7 +171,7 @@
 	switch {
 	case key.Epoch < t.forgotten.Load():
 		return nil, Forgotten
-	case key.Epoch < t.closed.Load():
+	case key.Epoch < t.all.closed.Load():
 		return nil, Full
 	default:
 		return nil, Run
@@ -178,7 +185,7 @@
 
 // Size returns the number of records and the bytes of held answers.
 func (t *Table) Size() (records int, heldBytes int) {
-	return int(t.count.Load()), t.answers.size()
+	return int(t.all.count.Load()), t.answers.size()
 }
 
 // Finish records the outcome of the run. It must be called once, by the
@@ -207,17 +214,8 @@
 		s.epochs[key.Epoch] = records
 	}
 	records[text] = record
-	t.count.Add(1)
-}
-
-// isFull reports whether there is no room for a record. If so, all epochs up
-// to now take no new keys, which closes the keys that have no record.
-func (t *Table) isFull() bool {
-	if t.count.Load() < t.maxRecords {
-		return false
-	}
-	raise(&t.closed, t.issuer.epoch()+1)
-	return true
+	t.all.count.Add(1)
+	t.quotaOf(record.team).count.Add(1)
 }
 
 // sweep drops the records of epochs that are older than the retention. An
@@ -241,23 +239,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for epoch, records := range s.epochs {
-		if epoch < before {
-			t.count.Add(-int64(len(records)))
-			delete(s.epochs, epoch)
-		}
-	}
-}
-
-// raise sets the value unless it is as high already. It reports whether it did.
-func raise(value *atomic.Uint64, to uint64) bool {
-	for {
-		old := value.Load()
-		if old >= to {
-			return false
+		if epoch >= before {
+			continue
 		}
-		if value.CompareAndSwap(old, to) {
-			return true
+		t.all.count.Add(-int64(len(records)))
+		for _, record := range records {
+			t.quotaOf(record.team).count.Add(-1)
 		}
+		delete(s.epochs, epoch)
 	}
 }
 
--- a/internal/booking/table_test.go
+++ b/internal/booking/table_test.go
@@ -61,7 +61,7 @@
 	now := func() clock.Instant { return m.now }
 	m.issuer = booking.NewIssuer(self, now)
 	m.table = booking.NewTable(booking.TableConfig{
-		Issuer: m.issuer, Now: now, MaxRecords: testRecords, MaxHeldBytes: testHeldBytes,
+		Issuer: m.issuer, Now: now, MaxRecords: testRecords, MaxTeamRecords: testRecords, MaxHeldBytes: testHeldBytes,
 	})
 	m.prefixes = []string{m.issuer.Prefix()}
 	return m
@@ -218,6 +218,26 @@
 	is.Equal(begin(refused, "late"), booking.Full)
 }
 
+// TestOneTeamLeavesRoomForOthers checks that a team that uses up its part of
+// the records stops no other, and gets room again when its records are dropped.
+func TestOneTeamLeavesRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	m := newTableMachine()
+	table := booking.NewTable(booking.TableConfig{Issuer: m.issuer, Now: func() clock.Instant { return m.now }, MaxRecords: 8})
+	begin := func(team, unique string) booking.Decision {
+		key, err := booking.ParseKey(m.issuer.Prefix() + "~" + unique)
+		is.NoErr(err)
+		_, decision := table.Begin(key, team, booking.Fingerprint{}, time.Minute)
+		return decision
+	}
+	is.Equal(begin("greedy", "1"), booking.Run)
+	is.Equal(begin("greedy", "2"), booking.Run)
+	is.Equal(begin("greedy", "3"), booking.Full)
+	is.Equal(begin("modest", "4"), booking.Run)
+	m.now = m.now.Add(time.Hour)
+	is.Equal(begin("greedy", "5"), booking.Run)
+}
+
 // TestHopsRememberDuplicates checks that a key received again never runs, that
 // a refused one is told as such, and that memory is bounded.
 func TestHopsRememberDuplicates(t *testing.T) {
