--- a/internal/filter/booking/lookup.go
+++ b/internal/filter/booking/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/booking"
@@ -18,7 +19,7 @@
 	if !req.Snapshot.Config.Permits(req.Team, f.Self.Region) {
 		return refuseRegion(req)
 	}
-	key, err := booking.ParseKey(strings.TrimPrefix(req.Path, wire.PathBookings))
+	key, err := keyOf(req.Path)
 	if err != nil {
 		f.metrics.malformed.Inc(1)
 		return refuseMalformed()
@@ -34,6 +35,16 @@
 	return f.ask(ctx, req, owner, w)
 }
 
+// keyOf reads the key of a lookup's path, which may be escaped.
+func keyOf(path string) (booking.Key, error) {
+	escaped, _, _ := strings.Cut(strings.TrimPrefix(path, wire.PathBookings), "?")
+	text, err := url.PathUnescape(escaped)
+	if err != nil {
+		return booking.Key{}, booking.ErrMalformed
+	}
+	return booking.ParseKey(text)
+}
+
 // IsLookup reports whether the request asks for the outcome of a key.
 func IsLookup(req *pipeline.Request) bool { return strings.HasPrefix(req.Path, wire.PathBookings) }
 
--- a/internal/filter/booking/owner_test.go
+++ b/internal/filter/booking/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -286,9 +287,11 @@
 		t.Fatal(refusal) // Asking for a key must not close it.
 	}
 	for _, g := range list {
-		sink, refusal := lookup(g, key, team)
-		is.Equal(refusal, nil)
-		is.Equal(string(sink.body), "booked slot 7")
+		for _, form := range []string{key, strings.Replace(key, "~", "%7E", 1), key + "?pretty=1"} {
+			sink, refusal := lookup(g, form, team)
+			is.Equal(refusal, nil)
+			is.Equal(string(sink.body), "booked slot 7")
+		}
 		_, refusal = lookup(g, key, "rivals")
 		check(t, refusal, verdict.CodeKeyMismatch, verdict.NotRun)
 	}
