--- a/test/promises/tls_test.go
+++ b/test/promises/tls_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
 // authority signs certificates for a test.
@@ -134,3 +135,40 @@
 	_, err = conn.Read(make([]byte, 1))
 	return err
 }
+
+// Callers reach an entry over TLS, and a new certificate is shown once its
+// files have changed.
+func TestCallersUseTLSAndCertificatesAreRenewed(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	cert, key, _ := first.issue(t, dir)
+	bed := startBed(t, func(c *testbed.Config) {
+		c.GatewaysPerRegion = 1
+		c.GatewayArgs = []string{"--caller-tls-cert=" + cert, "--caller-tls-key=" + key}
+	})
+	entry := bed.GatewaysOf("jeju")[0].CallerAddress()
+	if err := askEntries(entry, first); err != nil {
+		t.Errorf("over TLS: %v", err)
+	}
+	if err := askEntries(entry, second); err == nil {
+		t.Error("the certificate is of the wrong authority")
+	}
+	second.issue(t, dir)
+	within(t, renewalBound, "the new certificate is shown", func() bool { return askEntries(entry, second) == nil })
+}
+
+// renewalBound is the time within which changed files are read.
+const renewalBound = 10 * time.Second
+
+// askEntries asks for the entries over TLS, on a connection of its own.
+func askEntries(entry string, trusted *authority) error {
+	roots := x509.NewCertPool()
+	roots.AddCert(trusted.cert)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("https://" + entry + wire.PathEntries)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
