--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 EXPERIMENTS ?= $(wildcard experiments/kite-*.yaml experiments/co-operative-*.yaml)
 DEPLOYMENT ?= kite-consortium
 
-.PHONY: all build demo test check clean soak experiments
+.PHONY: all build demo test check clean soak experiments slopes
 
 all: build
 
@@ -37,3 +37,9 @@
 SOAK_TIME ?= 60s
 soak:
 	CHESTNUT_SOAK_SEEDS="$(SOAK_SEEDS)" CHESTNUT_SOAK_TIME=$(SOAK_TIME) go test -count=1 -v -timeout 30m -run TestPromiseAllUnderDrawnFaults ./test/promises
+
+# Measures the slopes of docs/CAPACITY.md; about five minutes on an idle machine.
+slopes: build
+	go test -run XXX -bench 'Slope|FullSize|TakeLoad|Record|Pick|Admit|ServeAmong' -benchtime 500ms -count 3 ./internal/... | grep -v "no test files" | go run ./internal/citool/slopes
+	go test ./internal/fleet -run TestMeasureExchange -v -args -measure | grep -v level=
+	$(BIN)/chestnut-load overhead
