--- a/internal/configwatch/slope_test.go
+++ b/internal/configwatch/slope_test.go
@@ -156,13 +156,13 @@
 
 func BenchmarkSlopeHeapByReplicas(b *testing.B) {
 	for _, replicas := range []int{1860, 2500, 5000, 10000} {
-		b.Run(fmt.Sprint(replicas), func(b *testing.B) { benchmarkHeap(b, replicas, plannedTeams) })
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkHeap(b, replicas, plannedTeams) })
 	}
 }
 
 func BenchmarkSlopeHeapByTeams(b *testing.B) {
 	for _, teams := range []int{500, 1650, 3300, 6600} {
-		b.Run(fmt.Sprint(teams), func(b *testing.B) { benchmarkHeap(b, plannedReplicas, teams) })
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) { benchmarkHeap(b, plannedReplicas, teams) })
 	}
 }
 
@@ -170,7 +170,7 @@
 // is in force, and the bytes that it moves to a gateway.
 func BenchmarkSlopeApplyChange(b *testing.B) {
 	for _, teams := range []int{500, 1650, 3300, 6600} {
-		b.Run(fmt.Sprint(teams), func(b *testing.B) {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			set := plannedSet(plannedReplicas, teams)
 			bundles := []*bundle.Bundle{buildBundle(b, set), nil}
 			set.Teams["team-0007"].Spec.Weight = 2
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -259,13 +259,13 @@
 
 func BenchmarkPick(b *testing.B) {
 	for _, replicas := range []int{4, 139, 2500} {
-		b.Run(fmt.Sprint(replicas), func(b *testing.B) { benchmarkPick(b, replicas) })
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) { benchmarkPick(b, replicas) })
 	}
 }
 
 func BenchmarkNewPicker(b *testing.B) {
 	for _, replicas := range []int{4, 139, 2500} {
-		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
 			s, records := newView(replicas), NewRecords()
 			b.ReportAllocs()
 			for b.Loop() {
