Fleet: a restarted member is connected to at once

A new incarnation is no longer avoided, and the roles are worked out at once when one is heard, when the list was first read and when a peer has told all it knows.

Two restarted members that take each other for synchronised: the test doesn't catch that mutation.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,7 @@
 	ready        chan struct{}
 	dirty        chan struct{}
 	urgent       chan struct{}
+	soon         chan struct{} // asks for a tick
 
 	mu sync.Mutex
 	// set is the configuration that the last tick saw.
@@ -117,6 +118,7 @@
 		ready:        make(chan struct{}),
 		dirty:        make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
+		soon:         make(chan struct{}, 1),
 		set:          cfg.Publisher.Load().Config,
 		store:        gossip.NewStore(),
 		table:        membership.NewTable(cfg.Self),
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -82,15 +82,15 @@
 		b.until("usable", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
 		b.listBackend(101, name, "jeju", platform.StateLeaving)
 		b.until("no new work", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
-		// A stale replica of the service shows the older list, and one member
-		// is restarted and reads nothing else.
+		// A stale replica of the service shows the older list, and two members
+		// are restarted and read nothing else.
 		b.listBackend(100, name, "jeju", platform.StateLive)
-		restarted := b.restart(vmName("jeju", 0))
-		b.until("restarted member has a view", leavingBound, func() bool {
-			if restarted.usable(name) {
-				t.Fatal("the restarted member believes the older list")
+		restarted := b.restart(vmName("jeju", 0), vmName("jeju", 1))[0]
+		b.until("restarted members have a view", leavingBound, func() bool {
+			if b.usableAnywhere("jeju", name) {
+				t.Fatal("a restarted member believes the older list")
 			}
-			return restarted.usable("jeju-engine-1")
+			return b.usableEverywhere("jeju", "jeju-engine-1")
 		})
 		b.always("no new work under the older list", time.Minute, func() bool { return !b.usableAnywhere("jeju", name) })
 		b.listBackend(102, name, "jeju", platform.StateLive)
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -39,6 +39,7 @@
 	f.mu.Lock()
 	f.listRead = true
 	f.mu.Unlock()
+	f.tickSoon()
 	for ctx.Err() == nil {
 		switch {
 		case f.watcher.Load():
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -137,16 +137,15 @@
 
 func TestRestartWithAnEarlierWallClockIsTheNewIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBed(t, newMemNet(), 2, 1)
+		b := startBed(t, newMemNet(), 6, 1)
 		vm := vmName("jeju", 0)
 		// The first incarnation began in the restarted one's future.
 		b.nodes[vm].mu.Lock()
 		b.nodes[vm].version += 1_000_000
 		b.nodes[vm].announce()
-		b.nodes[vm].paused.beat = 0 // so is its heartbeat
 		b.nodes[vm].mu.Unlock()
-		time.Sleep(3 * time.Second)
-		restarted := b.restart(vm)
+		time.Sleep(2 * time.Minute) // its heartbeats are far ahead of its first word
+		restarted := b.restart(vm)[0]
 		known := func() bool {
 			return b.everyOther(vm, func(n *testNode) bool {
 				m := n.view().Members[vm]
@@ -183,11 +182,19 @@
 	}
 }
 
-// restart replaces a node by a new incarnation on the same address.
-func (b *bed) restart(vm string) *testNode {
-	return b.restartAt(vm, b.nodes[vm].listener.Addr().String())
+// restart replaces nodes by new incarnations on the same addresses.
+func (b *bed) restart(vms ...string) []*testNode {
+	for _, vm := range vms {
+		b.nodes[vm].halt()
+	}
+	var nodes []*testNode
+	for _, vm := range vms {
+		nodes = append(nodes, b.restartAt(vm, b.nodes[vm].listener.Addr().String()))
+	}
+	return nodes
 }
 
+// restartAt replaces a node by a new incarnation on the given address.
 func (b *bed) restartAt(vm, address string, seeds ...string) *testNode {
 	old := b.nodes[vm]
 	old.halt()
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -39,8 +39,12 @@
 	h.f.take(from, records)
 	if complete && from.Region == h.f.cfg.Self.Region {
 		h.f.mu.Lock()
+		first := !h.f.synced
 		h.f.synced = true
 		h.f.mu.Unlock()
+		if first {
+			h.f.tickSoon()
+		}
 	}
 }
 
@@ -194,7 +198,10 @@
 	}
 	switch v := target.(type) {
 	case *membership.Announcement:
-		f.table.Announce(r.Name, *v, now)
+		if f.table.Announce(r.Name, *v, now) {
+			delete(f.avoid, r.Name)
+			f.tickSoon()
+		}
 	case *membership.Beat:
 		f.table.Beat(r.Name, *v, now)
 		revisions[r.Name] = v.Revision
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -51,9 +51,19 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-f.soon:
 		case <-ticker.C:
-			f.tick(ctx, group)
 		}
+		f.tick(ctx, group)
+	}
+}
+
+// tickSoon makes the next tick come at once, after something that changes
+// whom this member should be connected to.
+func (f *Fleet) tickSoon() {
+	select {
+	case f.soon <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -98,17 +98,20 @@
 	return n
 }
 
-// Announce takes in a gateway's word about itself.
-func (t *Table) Announce(vm string, a Announcement, now clock.Instant) {
+// Announce takes in a gateway's word about itself and reports whether it is of
+// an incarnation that wasn't known.
+func (t *Table) Announce(vm string, a Announcement, now clock.Instant) bool {
 	n := t.node(vm)
-	if n.announced && n.own.Incarnation != a.Incarnation {
+	fresh := !n.announced || n.own.Incarnation != a.Incarnation
+	if n.announced && fresh {
 		n.listedBefore = n.revision
 		n.config = 0
 	}
-	if !n.announced || n.own.Incarnation != a.Incarnation {
+	if fresh {
 		n.heard = now
 	}
 	n.announced, n.own = true, a
+	return fresh
 }
 
 // Beat notes that a gateway was heard, and its configuration revision. The
