--- a/internal/filter/booking/owner_test.go
+++ b/internal/filter/booking/owner_test.go
@@ -238,6 +238,21 @@
 	check(t, refusal, verdict.CodeAnswerNotHeld, verdict.Ran)
 }
 
+// TestPanicOfARunLeavesNoAttemptWaiting checks that a run that panics has an
+// outcome, and that it isn't "not run".
+func TestPanicOfARunLeavesNoAttemptWaiting(t *testing.T) {
+	_, list := newGateways("a")
+	owner := list[0]
+	owner.backend = func(context.Context, *pipeline.Request, pipeline.Response) *verdict.Refusal { panic("fault") }
+	key := owner.issuer.Prefix() + "~one"
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = owner.book(key, "slot 7")
+	}()
+	_, refusal := owner.book(key, "slot 7")
+	check(t, refusal, verdict.CodeInternal, verdict.MayHaveRun)
+}
+
 // TestDuplicatedRegionHopNeverRuns delivers a hop three times.
 func TestDuplicatedRegionHopNeverRuns(t *testing.T) {
 	_, list := newGateways("a", "b")
