--- a/client/client_test.go
+++ b/client/client_test.go
@@ -151,6 +151,18 @@
 	})
 }
 
+// TestOutcomeIsAskedElsewhere checks that any entry VM can be asked for the
+// outcome of a key.
+func TestOutcomeIsAskedElsewhere(t *testing.T) {
+	is := is.New(t)
+	caller, s := newClient(t, step{method: http.MethodGet, fail: true}, booked(http.MethodGet))
+	got, err := caller.Outcome(context.Background(), "p~1")
+	is.NoErr(err)
+	is.Equal(got.Key, "p~1")
+	is.Equal(s.keys, []string{"p~1", "p~1"})
+	is.Equal(s.addresses, []string{"a:1", "b:1"})
+}
+
 // TestBookStopsAtItsDeadline checks that Retry-After isn't waited for beyond
 // the deadline.
 func TestBookStopsAtItsDeadline(t *testing.T) {
--- a/test/promises/booking_once_test.go
+++ b/test/promises/booking_once_test.go
@@ -88,31 +88,19 @@
 }
 
 // A booking is carried out at most once, and "not run" is true, while gateways
-// are killed, paused past the deadline and cut off from one another, and
-// callers try at all entries at once.
-func TestPromiseAtMostOnceOverFaultsOfGateways(t *testing.T) {
+// are killed and callers try at all entries at once.
+func TestPromiseAtMostOnceOverKilledGateways(t *testing.T) {
+	restartOwner := func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) }
 	strikeAll(t, []fault{
 		{
 			name:   "owner killed",
 			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Kill() },
-			repair: func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) },
-		},
-		{
-			name:   "owner paused past the deadline",
-			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Freeze() },
-			repair: func(_ *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { owner.Wake() },
+			repair: restartOwner,
 		},
 		{
 			name:   "entry killed",
 			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, true).Kill() },
-			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
-				restart(t, neighbourOf(bed, owner, true))
-			},
-		},
-		{
-			name:   "owner's region cut off",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Isolate(owner.Region) },
-			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { bed.Rejoin(owner.Region) },
+			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { restart(t, neighbourOf(bed, owner, true)) },
 		},
 		{
 			name: "owner paused, then killed",
@@ -121,7 +109,30 @@
 				time.Sleep(bookingTime)
 				owner.Kill()
 			},
-			repair: func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) },
+			repair: restartOwner,
+		},
+	})
+}
+
+// A booking is carried out at most once, and "not run" is true, while gateways
+// are paused past the deadline or cut off from one another, and callers try at
+// all entries at once.
+func TestPromiseAtMostOnceOverPausedGateways(t *testing.T) {
+	strikeAll(t, []fault{
+		{
+			name:   "owner paused past the deadline",
+			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Freeze() },
+			repair: func(_ *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { owner.Wake() },
+		},
+		{
+			name:   "entry paused past the deadline",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, false).Freeze() },
+			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, false).Wake() },
+		},
+		{
+			name:   "owner's region cut off",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Isolate(owner.Region) },
+			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { bed.Rejoin(owner.Region) },
 		},
 	})
 }
@@ -155,6 +166,22 @@
 			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.CloseBackend(replicaOf(owner)) },
 			repair: reopen,
 		},
+		{
+			name: "replica gone, and gateways of another region paused",
+			strike: func(bed *testbed.Bed, owner *testbed.Gateway) {
+				bed.CloseBackend(replicaOf(owner))
+				time.Sleep(bookingTime)
+				for _, g := range bed.GatewaysOf(neighbourOf(bed, owner, false).Region) {
+					g.Freeze()
+				}
+			},
+			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
+				for _, g := range bed.GatewaysOf(neighbourOf(bed, owner, false).Region) {
+					g.Wake()
+				}
+				reopen(t, bed, owner)
+			},
+		},
 		{
 			name: "replica gone, and the link to the other region cut",
 			strike: func(bed *testbed.Bed, owner *testbed.Gateway) {
