--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,7 +29,7 @@
 const (
 	// headerTimeout bounds how long a caller may take to send the headers.
 	headerTimeout = 10 * time.Second
-	// bodyTimeout bounds how long a caller may take to send a body.
+	// bodyTimeout bounds how long a caller may take to send a whole request.
 	bodyTimeout = 60 * time.Second
 	// incarnationBytes is the size of the random part of an identity.
 	incarnationBytes = 8
@@ -150,7 +150,7 @@
 func (g *gateway) run(ctx context.Context) error {
 	handlers := g.handlers()
 	callers := drain.New(&http.Server{
-		Handler: handlers.callers, ReadHeaderTimeout: headerTimeout,
+		Handler: handlers.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 		MaxHeaderBytes: maxHeaderBytes, TLSConfig: g.tls.callers, ErrorLog: g.httpLog(),
 	})
 	forward := &http.Server{
--- a/internal/httpapi/callers.go
+++ b/internal/httpapi/callers.go
@@ -30,8 +30,6 @@
 	Lookup pipeline.Handler
 	// Settle gives a refusal that was made before Handler a true verdict.
 	Settle func(*pipeline.Request, *verdict.Refusal) *verdict.Refusal
-	// BodyTimeout bounds how long a caller may take to send a body.
-	BodyTimeout time.Duration
 	// KeyPrefix returns the current prefix of idempotency keys.
 	KeyPrefix func() string
 }
@@ -91,7 +89,7 @@
 		Method:   r.Method,
 		Path:     r.URL.RequestURI(),
 		Header:   r.Header,
-		RawBody:  newTimedBody(w, r, c.BodyTimeout),
+		RawBody:  http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
 		Priority: pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
 		Key:      r.Header.Get(wire.HeaderIdempotencyKey),
 	}
