--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -26,7 +26,7 @@
 
 type flags struct {
 	gateway.Settings
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -26,7 +26,7 @@
 	Compare  compareCommand   `cmd:"" help:"Compare the figures of two results."`
 	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, and the targets."`
 	Overhead overheadCommand  `cmd:"" help:"Measure what a gateway adds to a direct call."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
--- a/cmd/chestnut-standin/main.go
+++ b/cmd/chestnut-standin/main.go
@@ -17,7 +17,7 @@
 
 type flags struct {
 	Serve   serveCommand     `cmd:"" help:"Run the stand-ins of a file until the program is ended."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 type serveCommand struct {
--- a/cmd/chestnutctl/main.go
+++ b/cmd/chestnutctl/main.go
@@ -17,7 +17,7 @@
 
 type flags struct {
 	ctl.Commands
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
