--- a/cmd/chestnutctl/main.go
+++ b/cmd/chestnutctl/main.go
@@ -24,7 +24,8 @@
 	var f flags
 	command := kong.Parse(&f,
 		kong.Name("chestnutctl"),
-		kong.Description("Checks, bundles and compares objects, and shows what a gateway does and why."),
+		kong.Description("Checks, bundles and compares objects, and shows what a gateway does and why.\n\n"+
+			"Exit codes: 0 success; 1 found faults, a difference or nowhere to run; 2 wrong command line; 3 something can't be read, written or reached."),
 		kong.Vars{"version": version.String()},
 		kong.DefaultEnvars("CHESTNUT"),
 		kong.Exit(func(code int) {
--- a/internal/configwatch/apply.go
+++ b/internal/configwatch/apply.go
@@ -217,12 +217,12 @@
 		w.metrics.waiting.Update(0)
 	}
 	w.metrics.rejected.Inc(1)
-	w.Log.Error("configuration rejected", "revision", value.Revision, "error", firstLines(cause))
+	w.Log.Error("configuration rejected", "revision", value.Revision, "error", clip(cause))
 	return ErrRejected.Wrap(cause, "revision %d", value.Revision)
 }
 
-// firstLines bounds the text of an error for a log line.
-func firstLines(err error) string {
+// clip bounds the text of an error for a log line.
+func clip(err error) string {
 	const limit = 1000
 	text := err.Error()
 	if len(text) > limit {
--- a/internal/objects/check.go
+++ b/internal/objects/check.go
@@ -129,6 +129,9 @@
 }
 
 func (c *checker) regions() {
+	if len(c.set.Regions) == 0 {
+		c.faults = append(c.faults, Fault{Message: "there is no Region, so that nothing could be served", Suggestion: "add one"})
+	}
 	for _, name := range sortedNames(c.set.Regions) {
 		seen := map[string]bool{}
 		for i, link := range c.set.Regions[name].Spec.Links {
--- a/internal/objects/load_test.go
+++ b/internal/objects/load_test.go
@@ -154,6 +154,15 @@
 	})
 }
 
+// TestEmptySetIsAFault keeps a publication that lost its objects out of force.
+func TestEmptySetIsAFault(t *testing.T) {
+	is := is.New(t)
+	set := NewSet()
+	set.Index()
+	is.Equal(len(set.Check()), 1)
+	is.Equal(len(faultsOf(t, map[string]string{"a.yaml": "# nothing\n"})), 1)
+}
+
 // TestFaultInOneFileHidesNoOther has a fault of syntax, one of a document and
 // one of the whole set.
 func TestFaultInOneFileHidesNoOther(t *testing.T) {
