--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -22,22 +21,11 @@
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline/pipelinetest"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
-// recorder is a pipeline.Response in memory.
-type recorder struct {
-	head    pipeline.Head
-	body    bytes.Buffer
-	started bool
-}
-
-func (r *recorder) Start(head pipeline.Head)    { r.head, r.started = head, true }
-func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
-func (r *recorder) Flush()                      {}
-func (r *recorder) Started() bool               { return r.started }
-
 func newSender() *Sender {
 	return New(Config{
 		Now: clock.Boot, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
@@ -106,7 +94,7 @@
 
 	for _, body := range [][]byte{nil, []byte(`{"slot":1}`)} {
 		server.runs.Store(0)
-		refusal := newSender().SendBackend(context.Background(), bookingRequest(body), serverAt(server.Addr().String()), &recorder{})
+		refusal := newSender().SendBackend(context.Background(), bookingRequest(body), serverAt(server.Addr().String()), &pipelinetest.Recorder{})
 		is.Equal(refusal.Verdict, verdict.MayHaveRun)
 		is.Equal(server.runs.Load(), int32(1)) // carried out once
 	}
@@ -118,7 +106,7 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	is.NoErr(l.Close())
-	refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(address), &recorder{})
+	refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(address), &pipelinetest.Recorder{})
 	is.Equal(refusal.Verdict, verdict.NotRun)
 	is.True(refusal.RetryAfter > 0)
 }
@@ -130,7 +118,7 @@
 			w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 			w.WriteHeader(status)
 		}))
-		refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(server.Listener.Addr().String()), &recorder{})
+		refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(server.Listener.Addr().String()), &pipelinetest.Recorder{})
 		is.Equal(refusal.Verdict, want)
 		server.Close()
 	}
@@ -143,10 +131,10 @@
 		_, _ = io.WriteString(w, "somebody else's answer")
 	}))
 	defer server.Close()
-	out := &recorder{}
+	out := &pipelinetest.Recorder{}
 	refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(server.Listener.Addr().String()), out)
 	is.Equal(refusal.Code, verdict.CodeBackendFailed)
-	is.True(!out.started)
+	is.True(!out.Started())
 }
 
 func TestTruncatedWholeAnswerIsRefused(t *testing.T) {
@@ -159,10 +147,10 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	out := &recorder{}
+	out := &pipelinetest.Recorder{}
 	refusal := newSender().SendBackend(context.Background(), bookingRequest(nil), serverAt(server.Listener.Addr().String()), out)
 	is.Equal(refusal.Code, verdict.CodeAnswerCut)
-	is.True(!out.started)
+	is.True(!out.Started())
 }
 
 // streamServer serves a stream of numbered events and breaks it once after
@@ -220,10 +208,10 @@
 	for cutAt := 0; cutAt < events; cutAt++ {
 		is := is.New(t)
 		server := httptest.NewServer(&streamServer{events: events, cutAt: cutAt, canResume: true})
-		out := &recorder{}
+		out := &pipelinetest.Recorder{}
 		refusal := newSender().SendBackend(context.Background(), streamRequest(), serverAt(server.Listener.Addr().String()), out)
 		is.True(refusal == nil)
-		is.Equal(out.body.String(), wholeStream(events))
+		is.Equal(out.Body.String(), wholeStream(events))
 		server.Close()
 	}
 }
@@ -233,7 +221,7 @@
 	handler := &streamServer{events: 6, cutAt: 3}
 	server := httptest.NewServer(handler)
 	defer server.Close()
-	refusal := newSender().SendBackend(context.Background(), streamRequest(), serverAt(server.Listener.Addr().String()), &recorder{})
+	refusal := newSender().SendBackend(context.Background(), streamRequest(), serverAt(server.Listener.Addr().String()), &pipelinetest.Recorder{})
 	is.Equal(refusal.Code, verdict.CodeAnswerCut)
 	for !handler.cancelled.Load() {
 		time.Sleep(time.Millisecond)
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strings"
 	"testing"
+
+	"github.com/chestnutspring/chestnutspring/internal/pipeline/pipelinetest"
 )
 
 // Whatever an engine sends, numbered events are passed on once, in turn and
@@ -20,18 +22,18 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		out := &recorder{}
+		out := &pipelinetest.Recorder{}
 		var p progress
 		copyEvents(bytes.NewReader(stream), &p, out)
-		passed := out.body.String()
+		passed := out.Body.String()
 		if passed != "" && !strings.HasSuffix(passed, "\n") {
 			t.Errorf("an event was passed on in part: %q", passed)
 		}
 		if p.done && !strings.Contains(passed, "[DONE]") {
 			t.Errorf("the stream counts as whole without its final event: %q", passed)
 		}
-		if out.body.Len() > 2*len(stream)+2 {
-			t.Errorf("%d bytes became %d", len(stream), out.body.Len())
+		if out.Body.Len() > 2*len(stream)+2 {
+			t.Errorf("%d bytes became %d", len(stream), out.Body.Len())
 		}
 	})
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -14,22 +13,11 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline/pipelinetest"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
-// recorder is a pipeline.Response in memory.
-type recorder struct {
-	head    pipeline.Head
-	body    bytes.Buffer
-	started bool
-}
-
-func (r *recorder) Start(head pipeline.Head)    { r.head, r.started = head, true }
-func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
-func (r *recorder) Flush()                      {}
-func (r *recorder) Started() bool               { return r.started }
-
 // startPeer starts a receiving gateway with the handler and returns its member.
 func startPeer(t *testing.T, handler pipeline.HandlerFunc) *snapshot.Member {
 	t.Helper()
@@ -73,17 +61,17 @@
 		is.NoErr(err)
 		return nil
 	})
-	out := &recorder{}
+	out := &pipelinetest.Recorder{}
 	refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopRegion, member, out)
 	is.True(refusal == nil)
-	is.Equal(out.body.String(), "answer to question")
+	is.Equal(out.Body.String(), "answer to question")
 }
 
 func TestRefusalKeepsItsVerdictOverAHop(t *testing.T) {
 	is := is.New(t)
 	want := verdict.Busy(verdict.CodeOverloaded, "full", 3*time.Second)
 	member := startPeer(t, func(context.Context, *pipeline.Request, pipeline.Response) *verdict.Refusal { return want })
-	refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopOwner, member, &recorder{})
+	refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopOwner, member, &pipelinetest.Recorder{})
 	is.Equal(refusal, want)
 }
 
@@ -106,7 +94,7 @@
 	for name, handler := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopRegion, startPeer(t, handler), &recorder{})
+			refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopRegion, startPeer(t, handler), &pipelinetest.Recorder{})
 			is.True(refusal != nil)
 			is.Equal(refusal.Code, verdict.CodeAnswerCut)
 			is.Equal(refusal.Verdict, verdict.MayHaveRun)
@@ -120,7 +108,7 @@
 	is.NoErr(err)
 	member := &snapshot.Member{Identity: snapshot.Identity{VM: "gone"}, ForwardAddress: l.Addr().String()}
 	is.NoErr(l.Close())
-	refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopRegion, member, &recorder{})
+	refusal := newClient().SendPeer(context.Background(), newRequest(), pipeline.HopRegion, member, &pipelinetest.Recorder{})
 	is.Equal(refusal.Verdict, verdict.NotRun)
 	is.True(refusal.RetryAfter > 0)
 }
@@ -140,7 +128,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	refusal := newClient().SendPeer(ctx, newRequest(), pipeline.HopOwner, member, &recorder{})
+	refusal := newClient().SendPeer(ctx, newRequest(), pipeline.HopOwner, member, &pipelinetest.Recorder{})
 	is.Equal(refusal.Verdict, verdict.MayHaveRun)
 	is.Equal(refusal.Code, verdict.CodeDeadline)
 }
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -3,15 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"log/slog"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -25,61 +18,9 @@
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/tlsconfig/tlstest"
 )
 
-// authority signs the certificates of a test.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T, name string) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, _ := x509.ParseCertificate(der)
-	return &authority{cert: cert, key: key}
-}
-
-// write puts a key pair of the authority, and the authority, into dir.
-func (a *authority) write(t *testing.T, dir string) (cert, key, ca string) {
-	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "gateway"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &own.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, _ := x509.MarshalECPrivateKey(own)
-	put := func(name, kind string, data []byte) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		// A later time than that of the files that were replaced.
-		later := time.Now().Add(time.Duration(template.SerialNumber.Int64() % 1e9))
-		_ = os.Chtimes(path, later, later)
-		return path
-	}
-	return put("cert.pem", "CERTIFICATE", der), put("key.pem", "EC PRIVATE KEY", keyDER),
-		put("ca.pem", "CERTIFICATE", a.cert.Raw)
-}
-
 type quiet struct{}
 
 func (quiet) Self() peer.Hello {
@@ -141,10 +82,10 @@
 
 func TestWrongCertificatesAreRefusedAndLogged(t *testing.T) {
 	is := is.New(t)
-	ours, theirs := newAuthority(t, "ours"), newAuthority(t, "theirs")
-	server, client, err := Load(ours.write(t, t.TempDir()))
+	ours, theirs := tlstest.NewAuthority(t), tlstest.NewAuthority(t)
+	server, client, err := Load(ours.Issue(t, t.TempDir()))
 	is.NoErr(err)
-	otherServer, otherClient, err := Load(theirs.write(t, t.TempDir()))
+	otherServer, otherClient, err := Load(theirs.Issue(t, t.TempDir()))
 	is.NoErr(err)
 
 	b := newBench(t, server)
@@ -163,18 +104,18 @@
 func TestChangedFilesAreUsedAndBrokenOnesAreNot(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	old, next := newAuthority(t, "old"), newAuthority(t, "next")
-	cert, key, ca := old.write(t, dir)
+	old, next := tlstest.NewAuthority(t), tlstest.NewAuthority(t)
+	cert, key, ca := old.Issue(t, dir)
 	server, oldClient, err := Load(cert, key, ca)
 	is.NoErr(err)
-	_, client, err := Load(next.write(t, t.TempDir()))
+	_, client, err := Load(next.Issue(t, t.TempDir()))
 	is.NoErr(err)
 	b := newBench(t, server)
 	is.True(b.open(t, client) != nil)
 
 	is.NoErr(os.WriteFile(cert, []byte("torn"), 0o600))
 	is.NoErr(b.open(t, oldClient)) // the old files stay in force
-	next.write(t, dir)
+	next.Issue(t, dir)
 	for start := time.Now(); b.open(t, client) != nil; time.Sleep(10 * time.Millisecond) {
 		if time.Since(start) > 10*time.Second {
 			t.Fatal("the new files aren't used")
