--- a/cmd/chestnut-load/overhead.go
+++ b/cmd/chestnut-load/overhead.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return err
 	}
+	fmt.Printf("idle     %.2f %% of a core, %.1f MB resident\n", 100*result.IdleCPU, float64(result.IdleBytes)/1e6)
 	print := func(name string, l overhead.Latency) {
 		fmt.Printf("%-8s %d requests, p50 %.3f ms, p99 %.3f ms, max %.3f ms\n", name, l.Count, l.P50, l.P99, l.Max)
 	}
--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -38,6 +38,10 @@
 // Result holds the figures of a measurement.
 type Result struct {
 	Direct, Gateway Latency
+	// IdleCPU is the share of a core, and IdleBytes the resident memory, of a
+	// gateway that carries no requests.
+	IdleCPU   float64
+	IdleBytes int64
 	// CPUPerRequest is the gateway's processor time for a plain request.
 	CPUPerRequest time.Duration
 	// RequestsPerCore is the inverse of CPUPerRequest.
@@ -138,6 +142,7 @@
 
 func (m *meter) measure(ctx context.Context, config Config) (*Result, error) {
 	result := &Result{}
+	result.IdleCPU, result.IdleBytes = m.idle(ctx, config.Duration)
 	// Connections, estimates and caches of both paths are warm first.
 	if _, _, _, err := m.plain(ctx, config.Rate, warmUp); err != nil {
 		return nil, err
--- a/internal/overhead/streams.go
+++ b/internal/overhead/streams.go
@@ -6,8 +6,6 @@
 	"io"
 	"math"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -97,36 +95,3 @@
 	r.CPUPerToken, r.CPUPerStream = time.Duration(slope), time.Duration(offset)
 	r.Error = time.Duration(math.Sqrt(sum / float64(len(x))))
 }
-
-// clockTick is the unit in which the kernel counts processor time.
-const clockTick = 10 * time.Millisecond
-
-// The fields of /proc/PID/stat after the program's name, counted from 0.
-const (
-	fieldUserTime   = 11
-	fieldSystemTime = 12
-)
-
-// cpuTime returns the processor time that a process has used, or 0 if it has
-// ended.
-func cpuTime(pid int) time.Duration {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	// The name may hold spaces; it ends with the last parenthesis.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) <= fieldSystemTime {
-		return 0
-	}
-	ticks := 0
-	for _, i := range []int{fieldUserTime, fieldSystemTime} {
-		n, err := strconv.Atoi(fields[i])
-		if err != nil {
-			return 0
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * clockTick
-}
