--- a/cmd/chestnut-load/run.go
+++ b/cmd/chestnut-load/run.go
@@ -17,6 +17,7 @@
 	Out      string   `help:"Directory for results." default:"out"`
 	Policies []string `help:"Names of the policies to run; all if empty."`
 	Seed     uint64   `help:"Seed in place of the experiment's; zero keeps it."`
+	Classes  bool     `help:"Print the figures of each class too."`
 	Parallel int      `help:"Policies that run at once, each with a deployment of its own." default:"3"`
 	LogDir   string   `help:"Directory for the gateways' logs; none are kept without it."`
 }
@@ -62,6 +63,9 @@
 		return nil, err
 	}
 	result.WriteTable(os.Stdout)
+	if c.Classes {
+		result.WriteClassTable(os.Stdout)
+	}
 	for _, run := range result.Runs {
 		run.WriteViolations(os.Stdout)
 	}
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -50,6 +50,8 @@
 	Classes map[string]Quantiles `json:"classes"`
 	Regions map[string]Quantiles `json:"regions"`
 	Teams   map[string]TeamShare `json:"teams"`
+	// Endings counts how the requests of each class ended.
+	Endings map[string]map[Ending]int `json:"endings"`
 	// Others holds the figures of the leading class without the teams that
 	// the experiment excepts.
 	Others Quantiles `json:"others"`
@@ -220,12 +222,16 @@
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
 func summarize(set *objects.Set, outcomes []*Outcome) Figures {
-	f := Figures{Teams: map[string]TeamShare{}, Codes: map[string]int{}, Errors: map[string]int{}}
+	f := Figures{Teams: map[string]TeamShare{}, Endings: map[string]map[Ending]int{}, Codes: map[string]int{}, Errors: map[string]int{}}
 	first, whole, refusal := newHistogram(), newHistogram(), newHistogram()
 	classes, regions, teams := group{}, group{}, group{}
 	away := 0
 	for _, o := range outcomes {
 		f.Sent++
+		if f.Endings[o.Call.Class] == nil {
+			f.Endings[o.Call.Class] = map[Ending]int{}
+		}
+		f.Endings[o.Call.Class][o.Ending()]++
 		share := f.Teams[o.Call.Team]
 		share.Sent++
 		switch o.Ending() {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -36,6 +36,23 @@
 	_ = t.Flush()
 }
 
+// WriteClassTable prints how the requests of each class ended.
+func (r *Result) WriteClassTable(w io.Writer) {
+	t := newTable(w)
+	_, _ = fmt.Fprintln(t, "policy\tpart\tclass\tserved\trefused\tfailed\tunanswered\twrong\tp50\tp99\t")
+	for _, run := range r.Runs {
+		for _, f := range run.parts() {
+			for _, class := range slices.Sorted(maps.Keys(f.Endings)) {
+				n, q := f.Endings[class], f.Classes[class]
+				_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t\n",
+					run.Policy.Name, f.Name, class, n[EndingServed], n[EndingRefused],
+					n[EndingFailed], n[EndingUnanswered], n[EndingWrong], q.P50, q.P99)
+			}
+		}
+	}
+	_ = t.Flush()
+}
+
 // maxListed bounds the violations that are printed.
 const maxListed = 20
 
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -3,6 +3,7 @@
 import (
 	"html/template"
 	"io"
+	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/experiment"
 )
@@ -34,6 +35,8 @@
 <td>{{printf "%.1f" .Away}}</td><td>{{printf "%.0f" .F.FirstToken.P50}}</td><td>{{printf "%.0f" .F.FirstToken.P99}}</td><td>{{printf "%.0f" .F.FirstToken.P999}}</td><td>{{printf "%.0f" .F.Whole.P50}}</td><td>{{printf "%.0f" .F.Whole.P99}}</td><td>{{printf "%.0f" .F.Whole.P999}}</td>
 <td>{{printf "%.0f" .F.Refusal.P99}}</td><td>{{printf "%.2f" .F.Fairness}}</td><td>{{printf "%.2f" .F.CrossingMegabits}}</td><td>{{printf "%.1f" .F.EngineSeconds}}</td><td>{{printf "%.2f" .F.Cost}}</td><td>{{printf "%.2f" .F.CostPerThousand}}</td></tr>
 {{end}}</table>
+<h2>Classes</h2>
+<pre>{{.Classes}}</pre>
 <h2>Promises</h2>
 {{range .Result.Runs}}<p>{{.Policy.Name}}: {{if .Violations}}<span class="broken">{{len .Violations}} broken</span>{{else}}none broken{{end}}</p>
 <ul>{{range .Violations}}<li>{{.Promise}}: {{.Detail}}</li>{{end}}</ul>
@@ -63,9 +66,12 @@
 			rows = append(rows, row{run.Policy.Name, f, 100 * f.ShareAway})
 		}
 	}
+	var classes strings.Builder
+	r.WriteClassTable(&classes)
 	return page.Execute(w, struct {
-		Result *experiment.Result
-		Rows   []row
-		Plots  []template.HTML
-	}{r, rows, drawn})
+		Result  *experiment.Result
+		Rows    []row
+		Classes string
+		Plots   []template.HTML
+	}{r, rows, classes.String(), drawn})
 }
