--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -3,11 +3,14 @@
 package ctl
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -53,7 +56,7 @@
 type Commands struct {
 	Check   CheckCommand   `cmd:"" help:"Check the objects below a directory as a whole and list every fault. Exits with 1 where there are faults."`
 	Bundle  BundleCommand  `cmd:"" help:"Write the manifest and parts to publish."`
-	Diff    DiffCommand    `cmd:"" help:"List what differs between two directories of objects or bundles. Exits with 1 where they differ."`
+	Diff    DiffCommand    `cmd:"" help:"List what differs between two sets: directories of objects or bundles, or what is published. Exits with 1 where they differ."`
 	Dump    DumpCommand    `cmd:"" help:"Print the state of a gateway."`
 	Explain ExplainCommand `cmd:"" help:"Say which regions and backend servers may serve a team's requests, and why. Exits with 1 where none may."`
 }
@@ -160,16 +163,42 @@
 	return nil
 }
 
-// loadAny reads a directory of YAML files or of a bundle.
-func loadAny(dir string) (*objects.Set, error) {
-	manifest, err := os.ReadFile(filepath.Join(dir, manifestFile))
+// serviceTimeout bounds the reading of a published configuration.
+const serviceTimeout = 30 * time.Second
+
+// loadAny reads a directory of YAML files or of a bundle, or what is published
+// at the URL of a configuration service.
+func loadAny(source string) (*objects.Set, error) {
+	if strings.HasPrefix(source, "http://") || strings.HasPrefix(source, "https://") {
+		return loadPublished(source)
+	}
+	manifest, err := os.ReadFile(filepath.Join(source, manifestFile))
 	if errors.Is(err, os.ErrNotExist) {
-		return objects.Load(dir)
+		return objects.Load(source)
 	}
 	if err != nil {
-		return nil, ErrFile.Wrap(err, "manifest of %s", dir)
+		return nil, ErrFile.Wrap(err, "manifest of %s", source)
 	}
 	return bundle.Open(manifest, func(digest string) ([]byte, error) {
-		return os.ReadFile(filepath.Join(dir, partsDir, digest))
+		return os.ReadFile(filepath.Join(source, partsDir, digest))
 	})
 }
+
+func loadPublished(url string) (*objects.Set, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
+	defer cancel()
+	client := platform.NewClient(strings.TrimSuffix(url, "/"))
+	manifest, err := client.Read(ctx, platform.ValueManifest)
+	if err != nil {
+		return nil, err
+	}
+	set, err := bundle.Open(manifest.Data, func(digest string) ([]byte, error) {
+		part, err := client.Read(ctx, platform.ValuePartPrefix+digest)
+		return part.Data, err
+	})
+	if err != nil {
+		return nil, err
+	}
+	set.Revision = manifest.Revision
+	return set, nil
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
 )
 
 const kite = "../../examples/kite-consortium"
@@ -95,6 +96,32 @@
 	is.True(strings.Contains(text, "1 new parts"))
 }
 
+// TestPublishedSetCanBeCompared serves a bundle as the configuration service.
+func TestPublishedSetCanBeCompared(t *testing.T) {
+	is := is.New(t)
+	out := t.TempDir()
+	_, _, code := run(&BundleCommand{Dir: kite, Out: out})
+	is.Equal(code, ExitOK)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := os.ReadFile(filepath.Join(out, filepath.Clean("/"+strings.TrimPrefix(r.URL.Path, "/v1/values/"))))
+		if err != nil {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set(platform.HeaderRevision, "7")
+		_, _ = w.Write(data)
+	}))
+	defer service.Close()
+	_, _, code = run(&DiffCommand{Old: service.URL, New: kite})
+	is.Equal(code, ExitOK)
+	text, _, code := run(&DiffCommand{Old: service.URL, New: edited(t, "weight: 2", "weight: 5")})
+	is.Equal(code, ExitFound)
+	is.True(strings.Contains(text, "spec.weight: 2 -> 5"))
+	is.NoErr(os.Remove(filepath.Join(out, manifestFile)))
+	_, _, code = run(&ExplainCommand{Dir: service.URL, Team: "jeju-rescue", Target: "wind-writer"})
+	is.Equal(code, ExitFailure) // nothing is published
+}
+
 func TestExplainFollowsTheRules(t *testing.T) {
 	is := is.New(t)
 	set, err := objects.Load(kite)
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -12,8 +12,8 @@
 
 // DiffCommand compares two sets.
 type DiffCommand struct {
-	Old string `arg:"" help:"Directory of YAML files or of a bundle."`
-	New string `arg:"" help:"Directory of YAML files or of a bundle."`
+	Old string `arg:"" help:"Directory of YAML files or of a bundle, or URL of the configuration service."`
+	New string `arg:"" help:"Directory of YAML files or of a bundle, or URL of the configuration service."`
 }
 
 // Run implements the command.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -11,7 +11,7 @@
 
 // ExplainCommand says where a team's requests may run.
 type ExplainCommand struct {
-	Dir     string        `arg:"" help:"Directory of YAML files or of a bundle."`
+	Dir     string        `arg:"" help:"Directory of YAML files or of a bundle, or URL of the configuration service."`
 	Team    string        `required:"" help:"The caller's team."`
 	Target  string        `required:"" help:"The model or service."`
 	Region  string        `help:"Region of the gateway that gets the request; the team's home where it isn't given."`
