--- a/cmd/chestnutctl/main.go
+++ b/cmd/chestnutctl/main.go
@@ -17,14 +17,15 @@
 
 type flags struct {
 	ctl.Commands
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
 	var f flags
 	command := kong.Parse(&f,
 		kong.Name("chestnutctl"),
-		kong.Description("Checks, bundles and compares objects, and shows what a gateway does and why."),
+		kong.Description("Checks, bundles and compares objects, and shows what a gateway does and why.\n\n"+
+			"Exit codes: 0 success; 1 found faults, a difference or nowhere to run; 2 wrong command line; 3 something can't be read, written or reached."),
 		kong.Vars{"version": version.String()},
 		kong.DefaultEnvars("CHESTNUT"),
 		kong.Exit(func(code int) {
