Hops: a receiver without room closes the key instead of leaving it open

Before, the owner got may-have-run, which ended the booking with an unknown outcome. Now the receiver closes the key's epoch for that owner and says not-run, truly; the owner may go on elsewhere. The test failed without the closed epochs.

--- a/internal/booking/hops.go
+++ b/internal/booking/hops.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,12 +23,13 @@
 	HopSeen
 	// HopClosed means that the key did not run here and never will.
 	HopClosed
-	// HopFull means that there is no room for new keys.
-	HopFull
 )
 
 // Hops remembers the keys of bookings that came over a region hop, so that a
 // duplicated message never runs. The key names the owner's incarnation.
+//
+// When there is no room, the refused key's epoch and those before it take no
+// new keys of that owner. So the key is closed without being remembered.
 type Hops struct {
 	now clock.Clock
 	max int
@@ -36,6 +38,15 @@
 	keys map[string]*receivedHop
 	// queue holds the keys in order of arrival.
 	queue []*receivedHop
+	// closed holds the closed epochs by the owner's incarnation.
+	closed map[string]closedEpochs
+}
+
+// closedEpochs are the epochs of an owner that take no new keys.
+type closedEpochs struct {
+	// before is one above the newest closed epoch.
+	before  uint64
+	expires clock.Instant
 }
 
 type receivedHop struct {
@@ -50,7 +61,7 @@
 	if limit == 0 {
 		limit = DefaultMaxHops
 	}
-	return &Hops{now: now, max: limit, keys: map[string]*receivedHop{}}
+	return &Hops{now: now, max: limit, keys: map[string]*receivedHop{}, closed: map[string]closedEpochs{}}
 }
 
 // Begin registers a received hop. Only after HopNew may the request run. The
@@ -98,22 +109,29 @@
 		}
 		return HopSeen
 	}
+	expires := now.Add(hopRetention(window))
+	if key.Epoch < h.closed[key.Incarnation].before {
+		return HopClosed
+	}
 	if len(h.keys) >= h.max {
-		return HopFull
+		h.closed[key.Incarnation] = closedEpochs{before: key.Epoch + 1, expires: expires}
+		return HopClosed
 	}
-	hop := &receivedHop{key: text, expires: now.Add(hopRetention(window)), closed: closed}
+	hop := &receivedHop{key: text, expires: expires, closed: closed}
 	h.keys[text] = hop
 	h.queue = append(h.queue, hop)
 	return HopNew
 }
 
-// dropExpired forgets the oldest keys that no live message can carry any more.
+// dropExpired forgets the keys and epochs that no live message can carry any
+// more.
 func (h *Hops) dropExpired(now clock.Instant) {
 	for len(h.queue) > 0 && now.Sub(h.queue[0].expires) > 0 {
 		delete(h.keys, h.queue[0].key)
 		h.queue[0] = nil
 		h.queue = h.queue[1:]
 	}
+	maps.DeleteFunc(h.closed, func(_ string, c closedEpochs) bool { return now.Sub(c.expires) > 0 })
 }
 
 // hopRetention is the time after which the owner has given the key up: it was
--- a/internal/booking/table_test.go
+++ b/internal/booking/table_test.go
@@ -253,8 +253,16 @@
 	hops.Refuse(key("1"))
 	is.Equal(hops.Begin(key("1"), time.Minute), booking.HopClosed)
 	is.Equal(hops.Close(key("2"), time.Minute), booking.HopClosed)
-	is.Equal(hops.Begin(key("3"), time.Minute), booking.HopFull)
-	now = now.Add(time.Hour)
-	is.Equal(hops.Begin(key("3"), time.Minute), booking.HopNew)
+	is.Equal(hops.Begin(key("3"), time.Minute), booking.HopClosed) // no room
+	hops = booking.NewHops(func() clock.Instant { return now }, 1)
+	early, late := key("4"), key("5")
+	late.Epoch = 7
+	is.Equal(hops.Begin(early, time.Minute), booking.HopNew)
+	now = now.Add(10 * time.Minute)
+	is.Equal(hops.Begin(late, time.Minute), booking.HopClosed)
+	now = now.Add(12 * time.Minute) // There is room again, but the refused key stays closed.
+	is.Equal(hops.Begin(key("6"), time.Minute), booking.HopClosed)
+	late.Epoch = 8
+	is.Equal(hops.Begin(late, time.Minute), booking.HopNew)
 	is.Equal(hops.Size(), 1)
 }
--- a/internal/filter/booking/refusals.go
+++ b/internal/filter/booking/refusals.go
@@ -76,7 +76,7 @@
 
 func refuseDuplicateHop(closed bool) *verdict.Refusal {
 	if closed {
-		return verdict.Refuse(http.StatusConflict, verdict.CodeDuplicateHop, "the request was refused here before and did not run")
+		return verdict.Refuse(http.StatusConflict, verdict.CodeDuplicateHop, "the key is closed here: the request did not run")
 	}
 	refusal := verdict.Ambiguous(verdict.CodeDuplicateHop, "the request has been received here before", 0)
 	refusal.Status = http.StatusConflict
--- a/internal/filter/booking/region.go
+++ b/internal/filter/booking/region.go
@@ -21,9 +21,6 @@
 	case booking.HopClosed:
 		f.metrics.duplicates.Inc(1)
 		return refuseDuplicateHop(true)
-	case booking.HopFull:
-		// Nothing is remembered, so that a duplicate may still run.
-		return verdict.Ambiguous(verdict.CodeOverloaded, "this gateway takes no more idempotency keys for now", retryAfterUnknown)
 	}
 	if req.Deadline.Sub(f.Now()) <= 0 {
 		f.hops.Refuse(key)
--- a/test/promises/booking_once_test.go
+++ b/test/promises/booking_once_test.go
@@ -100,7 +100,9 @@
 		{
 			name:   "entry killed",
 			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, true).Kill() },
-			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { restart(t, neighbourOf(bed, owner, true)) },
+			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
+				restart(t, neighbourOf(bed, owner, true))
+			},
 		},
 		{
 			name: "owner paused, then killed",
