--- a/internal/booking/table_test.go
+++ b/internal/booking/table_test.go
@@ -183,9 +183,9 @@
 	}
 }
 
-// TestTableKeepsItsWord holds the table against its promises over windows that
+// TestTableProperties holds the table against its promises over windows that
 // change, full tables and times beyond the retention.
-func TestTableKeepsItsWord(t *testing.T) {
+func TestTableProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTableMachine()
 		t.Repeat(map[string]func(*rapid.T){
--- a/test/promises/answers_whole_test.go
+++ b/test/promises/answers_whole_test.go
@@ -207,13 +207,13 @@
 	others := append(bed.GatewaysOf("busan"), bed.GatewaysOf("saemangeum")...)
 	for i := range rounds {
 		g := others[random.IntN(len(others))]
-		strikeHop(t, bed, g, i, time.Duration(100+random.IntN(200))*time.Millisecond)
+		injectHopFault(t, bed, g, i, time.Duration(100+random.IntN(200))*time.Millisecond)
 	}
 	l.end(t)
 }
 
-// strikeHop disturbs the answers that come through another region's gateway.
-func strikeHop(t *testing.T, bed *testbed.Bed, g *testbed.Gateway, kind int, lasting time.Duration) {
+// injectHopFault disturbs the answers that come through another region's gateway.
+func injectHopFault(t *testing.T, bed *testbed.Bed, g *testbed.Gateway, kind int, lasting time.Duration) {
 	t.Helper()
 	switch kind % 4 {
 	case 0:
--- a/test/promises/booking_once_test.go
+++ b/test/promises/booking_once_test.go
@@ -24,7 +24,7 @@
 // fault is something that happens while bookings are in flight, and its repair.
 type fault struct {
 	name   string
-	strike func(bed *testbed.Bed, owner *testbed.Gateway)
+	inject func(bed *testbed.Bed, owner *testbed.Gateway)
 	repair func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway)
 }
 
@@ -52,27 +52,27 @@
 	}
 }
 
-// strikeOnce sends bookings to all entries at once while the fault happens,
+// injectOnce sends bookings to all entries at once while the fault happens,
 // repairs it, and sends the same attempts again: these are the ones that were
 // delayed in the network, and the callers' repeats.
-func (b *bookings) strikeOnce(t *testing.T, owner *testbed.Gateway, f fault) {
+func (b *bookings) injectOnce(t *testing.T, owner *testbed.Gateway, f fault) {
 	t.Helper()
 	keys := b.newKeys(t, owner, keysPerFault)
 	wait := time.Duration(b.random.IntN(int(2 * bookingTime)))
-	struck := make(chan struct{})
+	injected := make(chan struct{})
 	time.AfterFunc(wait, func() {
-		defer close(struck)
-		f.strike(b.bed, owner)
+		defer close(injected)
+		f.inject(b.bed, owner)
 	})
 	b.attemptAll(keys, attemptTimeout)
-	<-struck
+	<-injected
 	f.repair(t, b.bed, owner)
 	b.attemptAll(keys, attemptTimeout)
-	t.Logf("%s: struck %s after %v", f.name, owner.Name, wait)
+	t.Logf("%s: injected at %s after %v", f.name, owner.Name, wait)
 }
 
-// strikeAll goes through the faults, with one owner after the other.
-func strikeAll(t *testing.T, faults []fault) {
+// injectAll goes through the faults, with one owner after the other.
+func injectAll(t *testing.T, faults []fault) {
 	t.Helper()
 	bed := startBed(t, func(c *testbed.Config) {
 		c.Service = func(_ *objects.BackendServer, s *service.Config) {
@@ -82,7 +82,7 @@
 	b := newBookings(t, bed)
 	regions := bed.Regions()
 	for i, f := range faults {
-		b.strikeOnce(t, bed.GatewaysOf(regions[i%len(regions)])[i%2], f)
+		b.injectOnce(t, bed.GatewaysOf(regions[i%len(regions)])[i%2], f)
 	}
 	b.audit(t)
 }
@@ -91,22 +91,22 @@
 // are killed and callers try at all entries at once.
 func TestPromiseAtMostOnceOverKilledGateways(t *testing.T) {
 	restartOwner := func(t *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { restart(t, owner) }
-	strikeAll(t, []fault{
+	injectAll(t, []fault{
 		{
 			name:   "owner killed",
-			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Kill() },
+			inject: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Kill() },
 			repair: restartOwner,
 		},
 		{
 			name:   "entry killed",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, true).Kill() },
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, true).Kill() },
 			repair: func(t *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
 				restart(t, neighbourOf(bed, owner, true))
 			},
 		},
 		{
 			name: "owner paused, then killed",
-			strike: func(_ *testbed.Bed, owner *testbed.Gateway) {
+			inject: func(_ *testbed.Bed, owner *testbed.Gateway) {
 				owner.Freeze()
 				time.Sleep(bookingTime)
 				owner.Kill()
@@ -120,20 +120,20 @@
 // are paused past the deadline or cut off from one another, and callers try at
 // all entries at once.
 func TestPromiseAtMostOnceOverPausedGateways(t *testing.T) {
-	strikeAll(t, []fault{
+	injectAll(t, []fault{
 		{
 			name:   "owner paused past the deadline",
-			strike: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Freeze() },
+			inject: func(_ *testbed.Bed, owner *testbed.Gateway) { owner.Freeze() },
 			repair: func(_ *testing.T, _ *testbed.Bed, owner *testbed.Gateway) { owner.Wake() },
 		},
 		{
 			name:   "entry paused past the deadline",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, false).Freeze() },
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, false).Freeze() },
 			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { neighbourOf(bed, owner, false).Wake() },
 		},
 		{
 			name:   "owner's region cut off",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Isolate(owner.Region) },
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Isolate(owner.Region) },
 			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) { bed.Rejoin(owner.Region) },
 		},
 	})
@@ -146,7 +146,7 @@
 	failing := func(name string, kind service.Fault) fault {
 		return fault{
 			name:   name,
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Services[replicaOf(owner)].Fail(kind, -1) },
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.Services[replicaOf(owner)].Fail(kind, -1) },
 			repair: func(_ *testing.T, bed *testbed.Bed, owner *testbed.Gateway) {
 				bed.Services[replicaOf(owner)].Fail(service.FaultNone, 0)
 			},
@@ -158,19 +158,19 @@
 			t.Fatal(err)
 		}
 	}
-	strikeAll(t, []fault{
+	injectAll(t, []fault{
 		failing("replica runs and closes", service.FaultRunAndClose),
 		failing("replica closes first", service.FaultCloseFirst),
 		failing("replica refuses", service.FaultRefuse),
 		failing("replica runs and reports an error", service.FaultRunAndError),
 		{
 			name:   "replica gone",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.CloseBackend(replicaOf(owner)) },
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) { bed.CloseBackend(replicaOf(owner)) },
 			repair: reopen,
 		},
 		{
 			name: "replica gone, and gateways of another region paused",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) {
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) {
 				bed.CloseBackend(replicaOf(owner))
 				time.Sleep(bookingTime)
 				for _, g := range bed.GatewaysOf(neighbourOf(bed, owner, false).Region) {
@@ -186,7 +186,7 @@
 		},
 		{
 			name: "replica gone, and the link to the other region cut",
-			strike: func(bed *testbed.Bed, owner *testbed.Gateway) {
+			inject: func(bed *testbed.Bed, owner *testbed.Gateway) {
 				bed.CloseBackend(replicaOf(owner))
 				time.Sleep(bookingTime)
 				bed.Isolate(owner.Region)
