Fair queue: priority goes across teams that keep within twice their shares

Ruled out: priority across all teams alone, by which a greedy team would gain by calling everything urgent; a team that holds more than twice its share counts as the lowest class.

--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -39,6 +39,9 @@
 	demandMargin = 3
 	// guestExcess is how far above their share guests count as being.
 	guestExcess = 0.3
+	// urgentShares is how many times its share of the slots a team may hold and
+	// still be served by priority before other teams.
+	urgentShares = 2
 	// minShared is the number of slots below which nothing is left free.
 	minShared = 3
 	// demandWindow is the time over which a team's demand is smoothed.
@@ -56,7 +59,7 @@
 	// Guest means that the request's own region is another one. Guests have no
 	// share of the slots and take what the others leave.
 	Guest bool
-	// Priority is the class within the team; 0 is served first.
+	// Priority is the class; 0 is served first.
 	Priority int
 	// Cost is the expected work.
 	Cost time.Duration
@@ -217,14 +220,15 @@
 	g.pump()
 }
 
-// Wait returns the expected wait of a new request of the team. now is zero
+// Wait returns the expected wait of a new request of the team with the
+// priority. now is zero
 // where the team may take a free slot at once; full is the wait where none is
 // free.
-func (g *Gate) Wait(team string, weight float64) (now, full time.Duration) {
+func (g *Gate) Wait(team string, weight float64, priority int) (now, full time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	slots := float64(max(g.capacity, g.inFlight, 1))
-	work := (g.queue.Ahead(team, weight) + g.meanCost) * g.stretch
+	work := (g.queue.Ahead(team, weight, priority) + g.meanCost) * g.stretch
 	full = time.Duration(work / slots * float64(time.Second))
 	u := g.teams[team]
 	if u == nil || u.queued == 0 && g.mayTake(u) {
@@ -250,7 +254,7 @@
 // pump grants slots in fair order until one can't be placed.
 func (g *Gate) pump() {
 	for g.queue.Len() > 0 {
-		it := g.queue.Peek(func(team string) bool { return g.mayTake(g.teams[team]) })
+		it := g.queue.Peek(g.standing)
 		if it == nil || !it.waiter.place() {
 			return
 		}
@@ -267,6 +271,19 @@
 	g.inFlight++
 }
 
+// standing returns what the team may have of the slots.
+func (g *Gate) standing(team string) Standing {
+	u := g.teams[team]
+	switch {
+	case !g.mayTake(u):
+		return Barred
+	case len(g.teams) > 1 && float64(u.inFlight) >= urgentShares*g.share(u):
+		return AboveShare
+	default:
+		return WithinShare
+	}
+}
+
 // mayTake reports whether the team may have another slot. A team whose demand
 // is above its share leaves free what the other active teams have not used of
 // theirs, up to a part of all slots, so that they neither wait nor find full
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -1,7 +1,9 @@
 // Package fairqueue shares slots among teams by weight.
 //
 // Queue is the order: weighted fair queueing over teams by the virtual time at
-// which an item would be finished, by priority within a team. Gate adds slots, waiting callers and the expected wait.
+// which an item would be finished, by priority within a team and among the
+// teams that keep within their shares. Gate adds slots, waiting callers and the
+// expected wait.
 package fairqueue
 
 import "slices"
@@ -31,7 +33,7 @@
 	// virtual is the start tag of the item that was served last.
 	virtual float64
 	length  int
-	cost    float64
+	cost    classCosts
 	weight  float64 // of the teams in backlog
 }
 
@@ -42,7 +44,19 @@
 	start float64
 	items [Priorities][]*Item
 	count int
-	cost  float64
+	cost  classCosts
+}
+
+// classCosts is the cost of queued items by class.
+type classCosts [Priorities]float64
+
+// upTo returns the cost of the items that a new one of the class waits for.
+func (c *classCosts) upTo(class int) float64 {
+	sum := 0.0
+	for _, cost := range c[:class+1] {
+		sum += cost
+	}
+	return sum
 }
 
 // NewQueue returns an empty queue.
@@ -67,24 +81,48 @@
 	class := classOf(it.Priority)
 	t.items[class] = append(t.items[class], it)
 	t.count++
-	t.cost += it.Cost
+	t.cost[class] += it.Cost
 	q.length++
-	q.cost += it.Cost
+	q.cost[class] += it.Cost
 }
 
-// Peek returns the next item of the first team, in fair order, that eligible
-// accepts, or nil.
-func (q *Queue) Peek(eligible func(team string) bool) *Item {
+// Standing is what a team may have of the slots at present.
+type Standing int
+
+const (
+	// Barred teams get no slot.
+	Barred Standing = iota
+	// AboveShare teams are served in fair order, whatever their priorities.
+	AboveShare
+	// WithinShare teams are served by priority first.
+	WithinShare
+)
+
+// Peek returns the next item, or nil if there is none that may be served.
+// Items of teams within their shares come by priority, and in fair order
+// within a class. Items of teams above their shares count as the lowest class,
+// so that no team gains slots by calling all its requests urgent.
+func (q *Queue) Peek(standing func(team string) Standing) *Item {
 	var best *Item
-	least := 0.0
+	leastClass, leastFinish := 0, 0.0
 	for _, t := range q.backlog {
 		head := t.head()
-		finish := t.start + head.Cost/t.weight
-		if best != nil && finish >= least {
+		class, finish := classOf(head.Priority), t.start+head.Cost/t.weight
+		isFirst := func() bool {
+			return best == nil || class < leastClass || class == leastClass && finish < leastFinish
+		}
+		if !isFirst() {
+			continue
+		}
+		switch standing(t.name) {
+		case Barred:
 			continue
+		case AboveShare:
+			class = Priorities - 1
+		case WithinShare:
 		}
-		if eligible(t.name) {
-			best, least = head, finish
+		if isFirst() {
+			best, leastClass, leastFinish = head, class, finish
 		}
 	}
 	return best
@@ -112,9 +150,9 @@
 	}
 	t.items[class] = slices.Delete(t.items[class], i, i+1)
 	t.count--
-	t.cost -= it.Cost
+	t.cost[class] -= it.Cost
 	q.length--
-	q.cost -= it.Cost
+	q.cost[class] -= it.Cost
 	if t.count == 0 {
 		q.rest(t)
 	}
@@ -122,23 +160,24 @@
 }
 
 // Ahead returns the work in seconds that is served before a new item of the
-// team.
-func (q *Queue) Ahead(team string, weight float64) float64 {
+// team with the priority.
+func (q *Queue) Ahead(team string, weight float64, priority int) float64 {
 	if q.length == 0 {
 		return 0
 	}
+	class := classOf(priority)
 	own, start := 0.0, q.virtual
 	total := q.weight
 	weight = weightOf(weight)
 	if t := q.teams[team]; t != nil {
-		own, start = t.cost, max(t.start, q.virtual)
+		own, start = t.cost.upTo(class), max(t.start, q.virtual)
 	}
 	if own == 0 {
 		total += weight
 	}
 	// Others are served until their tags reach the new item's start tag.
 	tag := start + own/weight - q.virtual
-	return min(q.cost, tag*total)
+	return min(q.cost.upTo(class), tag*total)
 }
 
 // rest takes a team out of the backlog. What it was charged is kept until the
@@ -148,10 +187,10 @@
 	q.backlog = slices.Delete(q.backlog, i, i+1)
 	q.weight -= t.weight
 	t.items = [Priorities][]*Item{}
-	t.cost = 0
+	t.cost = classCosts{}
 	if q.length == 0 {
 		clear(q.teams)
-		q.virtual, q.cost, q.weight = 0, 0, 0
+		q.virtual, q.cost, q.weight = 0, classCosts{}, 0
 	}
 }
 
--- a/internal/fairqueue/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -8,7 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-func anyTeam(string) bool { return true }
+// anyTeam serves teams in fair order, whatever their priorities.
+func anyTeam(string) Standing { return AboveShare }
 
 // While all teams have work, each gets its weighted share of the work served,
 // to within one item of each team, whatever the items cost.
@@ -72,7 +73,7 @@
 			if q.Len() != len(live) {
 				t.Fatalf("length %d, want %d", q.Len(), len(live))
 			}
-			if len(live) == 0 && (len(q.teams) != 0 || q.cost != 0 || q.weight != 0) {
+			if len(live) == 0 && (len(q.teams) != 0 || q.cost != (classCosts{}) || q.weight != 0) {
 				t.Fatalf("an empty queue remembers %d teams, cost %v, weight %v", len(q.teams), q.cost, q.weight)
 			}
 		}
@@ -93,6 +94,41 @@
 	is.Equal(q.Peek(anyTeam), other) // high priority of one team doesn't hold back another
 }
 
+// Priority orders the teams that keep within their shares. One above its share
+// gains nothing by calling its requests urgent.
+func TestPriorityOrdersTeamsWithinTheirShares(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	low := &Item{Team: "early", Priority: 2, Cost: 1}
+	greedy := &Item{Team: "greedy", Priority: 0, Cost: 1}
+	urgent := &Item{Team: "urgent", Priority: 0, Cost: 10}
+	for _, it := range []*Item{low, greedy, urgent} {
+		q.Push(it)
+	}
+	standing := func(team string) Standing {
+		if team == "greedy" {
+			return AboveShare
+		}
+		return WithinShare
+	}
+	is.Equal(q.Peek(standing), urgent) // before lower classes, at whatever cost
+	q.Serve(urgent)
+	is.Equal(q.Peek(standing), low) // the greedy team's item counts as the lowest class
+}
+
+// A new item waits for the items of its class and of those before it only.
+func TestExpectedWorkAheadIsThatOfTheClass(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue()
+	for class := range Priorities {
+		q.Push(&Item{Team: "a", Priority: class, Cost: 1})
+	}
+	for class := range Priorities {
+		is.Equal(q.cost.upTo(class), float64(class+1))
+		is.True(q.Ahead("b", 1, class) <= float64(class+1))
+	}
+}
+
 func without(list []*Item, it *Item) []*Item {
 	var out []*Item
 	for _, other := range list {
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -159,7 +159,7 @@
 	if !r.mayServe(picker) || len(target.Candidates) == 0 {
 		return routing.Local{}
 	}
-	wait, full := r.h.gate(target.Name).Wait(r.queueTeam(), r.weight(picker))
+	wait, full := r.h.gate(target.Name).Wait(r.queueTeam(), r.weight(picker), int(r.req.Priority))
 	return routing.Local{Allowed: true, Wait: wait, FullWait: full}
 }
 
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -130,7 +130,7 @@
 		return givenUp()
 	}
 	r.h.metrics.refused.Inc(1)
-	_, wait := gate.Wait(r.queueTeam(), 1)
+	_, wait := gate.Wait(r.queueTeam(), 1, int(r.req.Priority))
 	detail := "no backend server came free in time"
 	if errorx.IsOfType(err, fairqueue.ErrFull) {
 		detail = "too many requests wait"
--- a/internal/filter/route/state.go
+++ b/internal/filter/route/state.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/routing"
 )
 
@@ -49,7 +50,7 @@
 	state := State{RetriesLeft: h.budget.Left(), Queues: map[string]QueueState{}}
 	h.gates.Range(func(name, value any) bool {
 		g := value.(*fairqueue.Gate)
-		_, full := g.Wait("", 1)
+		_, full := g.Wait("", 1, int(pipeline.PriorityNormal))
 		state.Queues[name.(string)] = QueueState{
 			Queued: g.Queued(), InFlight: g.InFlight(), WaitSeconds: full.Seconds(),
 		}
@@ -71,6 +72,6 @@
 // LoadOf returns the load of a target.
 func (h *Handler) LoadOf(target string) Load {
 	g := h.gate(target)
-	wait, _ := g.Wait("", 1)
+	wait, _ := g.Wait("", 1, int(pipeline.PriorityNormal))
 	return Load{Queued: g.Queued(), InFlight: g.InFlight(), Wait: wait}
 }
