--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: 3 regions and their gateways as processes, everything else as stand-ins\n", filepath.Base(deployment))
+	fmt.Printf("%s: gateways as processes, everything else as stand-ins\n", filepath.Base(deployment))
 	experiment.WriteHomeTable(os.Stdout, outcomes)
 	experiment.WriteFailures(os.Stdout, outcomes)
 	run.WriteViolations(os.Stdout)
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -221,59 +221,90 @@
 // addressPattern matches what differs between errors of one kind.
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
+// summarize returns the figures of some outcomes.
 func summarize(set *objects.Set, outcomes []*Outcome) Figures {
-	f := Figures{Teams: map[string]TeamShare{}, Endings: map[string]map[Ending]int{}, Codes: map[string]int{}, Errors: map[string]int{}}
-	first, whole, refusal := newHistogram(), newHistogram(), newHistogram()
-	classes, regions, teams := group{}, group{}, group{}
-	away := 0
+	t := newTally()
 	for _, o := range outcomes {
-		f.Sent++
-		if f.Endings[o.Call.Class] == nil {
-			f.Endings[o.Call.Class] = map[Ending]int{}
-		}
-		f.Endings[o.Call.Class][o.Ending()]++
-		share := f.Teams[o.Call.Team]
-		share.Sent++
-		switch o.Ending() {
-		case EndingServed:
-			f.Served++
-			share.Served++
-			whole.record(o.Total)
-			classes.record(o.Call.Class, o.Total)
-			regions.record(o.Call.Home, o.Total)
-			teams.record(o.Call.Team, o.Total)
-			if o.Call.Stream {
-				first.record(o.FirstToken)
-			}
-			if o.away() {
-				away++
-			}
-			if o.late() {
-				f.Late++
-			}
-		case EndingRefused:
-			f.Refused++
-			refusal.record(o.Total)
-		case EndingFailed:
-			f.Failed++
-		case EndingUnanswered:
-			f.Unanswered++
-		case EndingWrong:
-			f.Wrong++
-		}
-		switch {
-		case o.Code != "":
-			f.Codes[o.Code]++
-		case o.Err != "":
-			f.Errors[addressPattern.ReplaceAllString(o.Err, "ADDRESS")]++
-		}
-		f.Teams[o.Call.Team] = share
+		t.add(o)
 	}
+	return t.figures(set)
+}
+
+// tally collects outcomes.
+type tally struct {
+	f                       Figures
+	first, whole, refusal   histogram
+	classes, regions, teams group
+	away                    int
+}
+
+func newTally() *tally {
+	return &tally{
+		f: Figures{
+			Teams: map[string]TeamShare{}, Endings: map[string]map[Ending]int{},
+			Codes: map[string]int{}, Errors: map[string]int{},
+		},
+		first: newHistogram(), whole: newHistogram(), refusal: newHistogram(),
+		classes: group{}, regions: group{}, teams: group{},
+	}
+}
+
+func (t *tally) add(o *Outcome) {
+	f := &t.f
+	f.Sent++
+	if f.Endings[o.Call.Class] == nil {
+		f.Endings[o.Call.Class] = map[Ending]int{}
+	}
+	f.Endings[o.Call.Class][o.Ending()]++
+	share := f.Teams[o.Call.Team]
+	share.Sent++
+	switch o.Ending() {
+	case EndingServed:
+		f.Served++
+		share.Served++
+		t.addServed(o)
+	case EndingRefused:
+		f.Refused++
+		t.refusal.record(o.Total)
+	case EndingFailed:
+		f.Failed++
+	case EndingUnanswered:
+		f.Unanswered++
+	case EndingWrong:
+		f.Wrong++
+	}
+	f.Teams[o.Call.Team] = share
+	switch {
+	case o.Code != "":
+		f.Codes[o.Code]++
+	case o.Err != "":
+		f.Errors[addressPattern.ReplaceAllString(o.Err, "ADDRESS")]++
+	}
+}
+
+func (t *tally) addServed(o *Outcome) {
+	t.whole.record(o.Total)
+	t.classes.record(o.Call.Class, o.Total)
+	t.regions.record(o.Call.Home, o.Total)
+	t.teams.record(o.Call.Team, o.Total)
+	if o.Call.Stream {
+		t.first.record(o.FirstToken)
+	}
+	if o.away() {
+		t.away++
+	}
+	if o.late() {
+		t.f.Late++
+	}
+}
+
+func (t *tally) figures(set *objects.Set) Figures {
+	f := t.f
 	f.Missed = f.Late + f.Failed + f.Unanswered
-	f.ShareAway = float64(away) / float64(max(1, f.Served))
-	f.FirstToken, f.Whole, f.Refusal = first.quantiles(), whole.quantiles(), refusal.quantiles()
-	f.Classes, f.Regions = classes.quantiles(), regions.quantiles()
-	f.entitle(set, teams.quantiles())
+	f.ShareAway = float64(t.away) / float64(max(1, f.Served))
+	f.FirstToken, f.Whole, f.Refusal = t.first.quantiles(), t.whole.quantiles(), t.refusal.quantiles()
+	f.Classes, f.Regions = t.classes.quantiles(), t.regions.quantiles()
+	f.entitle(set, t.teams.quantiles())
 	return f
 }
 
--- a/internal/testbed/backends.go
+++ b/internal/testbed/backends.go
@@ -39,21 +39,25 @@
 const loopback = "127.0.0.1:0"
 
 func (b *Bed) startBackend(set *objects.Set, server *objects.BackendServer, weights string) error {
-	handler := b.newService
+	var handler http.Handler
 	if server.Spec.Model != "" {
-		handler = func(set *objects.Set, server *objects.BackendServer) *standin.Server {
-			return b.newEngine(set, server, weights)
-		}
+		e := b.newEngine(set, server, weights)
+		b.Engines[server.Name] = e
+		handler = e.Handler()
+	} else {
+		svc := b.newService(set, server)
+		b.Services[server.Name] = svc
+		handler = svc.Handler()
 	}
-	s := handler(set, server)
-	if s == nil {
-		return ErrStart.New("backend server %s can't listen", server.Name)
+	s, err := standin.Serve(loopback, handler)
+	if err != nil {
+		return err
 	}
 	b.setServer(server.Name, s)
 	return nil
 }
 
-func (b *Bed) newEngine(set *objects.Set, server *objects.BackendServer, weights string) *standin.Server {
+func (b *Bed) newEngine(set *objects.Set, server *objects.BackendServer, weights string) *engine.Engine {
 	config := engine.Config{
 		Name:          server.Name,
 		Concurrency:   server.Spec.Concurrency,
@@ -73,16 +77,10 @@
 	if b.config.Engine != nil {
 		b.config.Engine(server, &config)
 	}
-	e := engine.New(config)
-	b.Engines[server.Name] = e
-	s, err := standin.Serve(loopback, e.Handler())
-	if err != nil {
-		return nil
-	}
-	return s
+	return engine.New(config)
 }
 
-func (b *Bed) newService(set *objects.Set, server *objects.BackendServer) *standin.Server {
+func (b *Bed) newService(set *objects.Set, server *objects.BackendServer) *service.Service {
 	config := service.Config{
 		Name:        server.Name,
 		Concurrency: server.Spec.Concurrency,
@@ -97,13 +95,7 @@
 	if b.config.Service != nil {
 		b.config.Service(server, &config)
 	}
-	svc := service.New(config)
-	b.Services[server.Name] = svc
-	s, err := standin.Serve(loopback, svc.Handler())
-	if err != nil {
-		return nil
-	}
-	return s
+	return service.New(config)
 }
 
 // CloseBackend ends a backend server's stand-in, as a crash would.
