configwatch: neighbours that started together don't confirm each other

A process trusts the service after a start only once a peer of another region has answered, or a peer that is itself confirmed. Before, both members of a region that was cut off and restarted while the service was stale confirmed each other's old revision. Mutations: own region is enough, any answer of a peer is relied on: TestWholeRegionRestartsWhileTheServiceIsStale fails.

--- a/internal/configwatch/fakes_test.go
+++ b/internal/configwatch/fakes_test.go
@@ -227,6 +227,7 @@
 	ctx, cancel := context.WithCancel(f.ctx)
 	self := snapshot.Identity{VM: m.vm, Region: m.region}
 	publisher := snapshot.NewPublisher(self)
+	publisher.Update(func(next *snapshot.Snapshot) { next.Members = f.memberList() })
 	w := New(Config{
 		Self: self, Reader: &reader{f.service, &m.noService, f}, Peers: &peersOf{f, m},
 		Publisher: publisher, Now: clock.Synthetic(), IsWatcher: func() bool { return m.watches },
@@ -240,6 +241,14 @@
 	f.wg.Go(func() { f.observe(ctx, m) })
 }
 
+func (f *fakeFleet) memberList() map[string]*snapshot.Member {
+	list := map[string]*snapshot.Member{}
+	for vm, m := range f.members {
+		list[vm] = &snapshot.Member{Identity: snapshot.Identity{VM: vm, Region: m.region}}
+	}
+	return list
+}
+
 // heartbeats tells all reachable members the revision in force.
 func (f *fakeFleet) heartbeats(ctx context.Context, m *member) {
 	f.mu.Lock()
@@ -434,8 +443,10 @@
 func testBundle(t testing.TB, n int) *bundle.Bundle {
 	t.Helper()
 	set := objects.NewSet()
-	set.Add(&objects.Region{Name: "r"})
-	set.Add(&objects.FailureDomain{Name: "r-a", Spec: objects.FailureDomainSpec{Region: "r"}})
+	for _, region := range []string{"r", "region-0", "region-1", "region-2"} {
+		set.Add(&objects.Region{Name: region})
+		set.Add(&objects.FailureDomain{Name: region + "-a", Spec: objects.FailureDomainSpec{Region: region}})
+	}
 	for i := range 20 {
 		team := &objects.Team{Name: fmt.Sprintf("team-%d", i), Spec: objects.TeamSpec{Home: "r", Weight: 1}}
 		if i == n%20 {
--- a/internal/configwatch/outage_test.go
+++ b/internal/configwatch/outage_test.go
@@ -175,12 +175,48 @@
 	})
 }
 
+// TestWholeRegionRestartsWhileTheServiceIsStale cuts a region off and restarts
+// both its members, so that nobody there remembers. They serve what the service
+// shows and don't confirm each other. It fails when a peer of the own region is
+// enough to trust the service after a start.
+func TestWholeRegionRestartsWhileTheServiceIsStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t, 2, 2, 1)
+		revision := f.service.publish(testBundle(t, 1))
+		f.await(revision, accepted)
+		f.service.set(func() { f.service.lag = func() int { return 1 } })
+		restarted := []*member{f.members["vm-0-0"], f.members["vm-0-1"]}
+		f.change(func() { f.cut[[2]string{"region-0", "region-1"}] = true })
+		for _, m := range restarted {
+			m.stop()
+		}
+		time.Sleep(5 * time.Second)
+		f.change(func() { restarted[0].history, restarted[1].history = nil, nil })
+		for _, m := range restarted {
+			f.start(m)
+		}
+		time.Sleep(time.Minute)
+		for _, m := range restarted {
+			is.Equal(m.watcher.revision(), revision-1)
+			is.True(m.publisher.Load().Unconfirmed)
+		}
+		f.change(func() { clear(f.cut) })
+		f.await(revision, accepted)
+		f.service.set(func() { f.service.lag = func() int { return 0 } })
+		time.Sleep(accepted)
+		for _, m := range restarted {
+			is.True(!m.publisher.Load().Unconfirmed)
+		}
+	})
+}
+
 // TestFenceOfAnEngineIsAFloor keeps a member unconfirmed below a fencing
 // number that an engine has accepted. It fails when the fence isn't a floor.
 func TestFenceOfAnEngineIsAFloor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := startFleet(t, 1, 2, 1)
+		f := startFleet(t, 2, 2, 1)
 		m := f.members["vm-0-0"]
 		m.publisher.Update(func(next *snapshot.Snapshot) {
 			next.Backends = map[string]*snapshot.BackendStatus{"e": {Name: "e", Fence: 5}}
--- a/internal/configwatch/peers.go
+++ b/internal/configwatch/peers.go
@@ -67,7 +67,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for vm, revision := range revisions {
-		w.view.hear(vm, revision)
+		w.hear(vm, revision)
 	}
 }
 
@@ -185,6 +185,7 @@
 		}
 		w.Heard(vm, answer.Revision)
 		if answer.Confirmed {
+			w.relyOn(answer.Revision)
 			w.confirm(answer.Revision, asked.Add(-answer.Age))
 		}
 		if w.confirmationAge() < askAfter {
@@ -193,6 +194,14 @@
 	}
 }
 
+// relyOn records that a peer which is itself confirmed answered: it remembers,
+// or relies on one that does.
+func (w *Watcher) relyOn(revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.view.backed = w.view.backed || revision > 0
+}
+
 // peersAt returns up to limit peers that have at least the revision in force,
 // those of the own region first.
 func (w *Watcher) peersAt(revision uint64, limit int) []string {
--- a/internal/configwatch/slope_test.go
+++ b/internal/configwatch/slope_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,7 +108,7 @@
 type slopeWatcher struct {
 	*Watcher
 	revision uint64
-	moved    int // bytes of manifests and fetched parts
+	moved    atomic.Int64 // bytes of manifests and fetched parts
 }
 
 func newSlopeWatcher() *slopeWatcher {
@@ -117,9 +118,9 @@
 
 func (s *slopeWatcher) put(tb testing.TB, next *bundle.Bundle) {
 	s.revision++
-	s.moved += len(next.Manifest)
+	s.moved.Add(int64(len(next.Manifest)))
 	source := func(_ context.Context, digest string) ([]byte, error) {
-		s.moved += len(next.Parts[digest])
+		s.moved.Add(int64(len(next.Parts[digest])))
 		return append([]byte(nil), next.Parts[digest]...), nil
 	}
 	value := platform.Value{Revision: s.revision, Data: append([]byte(nil), next.Manifest...)}
@@ -177,12 +178,12 @@
 			bundles[1] = buildBundle(b, set)
 			w := newSlopeWatcher()
 			w.put(b, bundles[0])
-			w.moved = 0
+			w.moved.Store(0)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				w.put(b, bundles[(i+1)%2])
 			}
-			b.ReportMetric(float64(w.moved)/float64(b.N), "B-moved/op")
+			b.ReportMetric(float64(w.moved.Load())/float64(b.N), "B-moved/op")
 			b.ReportMetric(float64(set.Len()), "objects")
 		})
 	}
@@ -196,11 +197,11 @@
 	for _, data := range next.Parts {
 		largest = max(largest, len(data))
 	}
-	moved := 0
+	moved := int64(0)
 	for b.Loop() {
 		w := newSlopeWatcher()
 		w.put(b, next)
-		moved = w.moved
+		moved = w.moved.Load()
 	}
 	b.ReportMetric(float64(moved), "B-moved/op")
 	b.ReportMetric(float64(largest), "B-largest-part")
@@ -234,11 +235,11 @@
 	start := heapBytes()
 	w := newSlopeWatcher()
 	w.put(t, before)
-	w.moved = 0
+	w.moved.Store(0)
 	w.put(t, after)
-	rate := float64(w.moved) * 14000 / (24 * time.Hour).Seconds()
+	rate := float64(w.moved.Load()) * 14000 / (24 * time.Hour).Seconds()
 	heap := heapBytes() - start
-	t.Logf("%d objects: %d bytes a change, %.0f bytes a second, %.0f KB of heap", set.Len(), w.moved, rate, heap/1e3)
+	t.Logf("%d objects: %d bytes a change, %.0f bytes a second, %.0f KB of heap", set.Len(), w.moved.Load(), rate, heap/1e3)
 	is.True(rate < rateLimit)
 	is.True(heap < heapLimit)
 	runtime.KeepAlive(w)
--- a/internal/configwatch/view.go
+++ b/internal/configwatch/view.go
@@ -16,8 +16,9 @@
 	knownFrom string
 	// served is the highest revision that the service has shown.
 	served uint64
-	// peerAnswered says that a peer with a configuration has been heard.
-	peerAnswered bool
+	// backed says that a peer has been heard that this process may rely on to
+	// remember what was in force before it started.
+	backed bool
 	// confirmed is when the revision in force was last known to be the
 	// newest. It means nothing while unconfirmed is set.
 	confirmed   clock.Instant
@@ -33,17 +34,30 @@
 	ignored      uint64
 }
 
-// hear records that vm has the revision in force.
-func (v *view) hear(vm string, revision uint64) {
+// hear records that vm has the revision in force. The caller holds w.mu.
+func (w *Watcher) hear(vm string, revision uint64) {
 	if revision == 0 {
 		return
 	}
-	v.peerAnswered = true
-	if revision > v.known {
-		v.known, v.knownFrom = revision, vm
+	w.view.backed = w.view.backed || w.remembers(vm)
+	if revision > w.view.known {
+		w.view.known, w.view.knownFrom = revision, vm
 	}
 }
 
+// remembers reports whether a peer that has a configuration is enough to trust
+// the service after a start. Peers of the own region may have started at the
+// same time, while the region was cut off; so it must be one of another
+// region, where there are others.
+func (w *Watcher) remembers(vm string) bool {
+	s := w.Publisher.Load()
+	if len(s.Config.Regions) == 1 {
+		return true
+	}
+	m := s.Members[vm]
+	return m != nil && m.Region != w.Self.Region
+}
+
 // pending is a configuration whose parts aren't all there yet.
 type pending struct {
 	value   platform.Value
@@ -70,8 +84,8 @@
 	if revision == 0 || revision != w.revision() || w.floor() > revision {
 		return
 	}
-	if w.Peers != nil && !w.view.peerAnswered {
-		return // Nobody remembers: the service alone may be stale.
+	if w.Peers != nil && !w.view.backed {
+		return // Nobody may remember: the service alone may be stale.
 	}
 	if !w.view.unconfirmed && at <= w.view.confirmed {
 		return
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -211,7 +211,7 @@
 // block.
 func (w *Watcher) Heard(vm string, revision uint64) {
 	w.mu.Lock()
-	w.view.hear(vm, revision)
+	w.hear(vm, revision)
 	w.mu.Unlock()
 	if revision > w.revision() {
 		select {
