Peers answer how fresh their configuration is

Fleet implements configwatch.Confirmer by a call of its own, so that members that don't watch the configuration service are confirmed by those that do, rather than by reads of their own.

--- /dev/null
+++ b/internal/fleet/confirm.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/chestnutspring/chestnutspring/internal/configwatch"
+	"github.com/chestnutspring/chestnutspring/internal/peer"
+)
+
+var (
+	_ configwatch.Peers     = (*Fleet)(nil)
+	_ configwatch.Confirmer = (*Fleet)(nil)
+	_ peer.Confirmer        = handler{}
+)
+
+// ConfirmationSource is a ConfigSource that says how fresh its configuration
+// is.
+type ConfirmationSource interface {
+	Confirmation() configwatch.Confirmation
+}
+
+// Confirmation implements peer.Confirmer.
+func (h handler) Confirmation() peer.Confirmation {
+	src := h.f.source.Load()
+	if src == nil {
+		return peer.Confirmation{}
+	}
+	source, ok := (*src).(ConfirmationSource)
+	if !ok {
+		return peer.Confirmation{}
+	}
+	return peer.Confirmation(source.Confirmation())
+}
+
+// Confirmation asks a member how fresh its configuration is.
+func (f *Fleet) Confirmation(ctx context.Context, vm string) (configwatch.Confirmation, error) {
+	client, err := f.clients.get(ctx, vm)
+	if err != nil {
+		return configwatch.Confirmation{}, err
+	}
+	answer, err := client.Confirmation(ctx, f.revision())
+	if err != nil {
+		f.clients.drop(vm, client)
+	}
+	return configwatch.Confirmation(answer), err
+}
--- /dev/null
+++ b/internal/fleet/confirm_test.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/configwatch"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+)
+
+// confirmedSource has a configuration that was confirmed a while ago.
+type confirmedSource struct{ answer configwatch.Confirmation }
+
+var _ ConfirmationSource = confirmedSource{}
+
+func (confirmedSource) Manifest() (platform.Value, bool)         { return platform.Value{}, false }
+func (confirmedSource) Part(string) ([]byte, bool)               { return nil, false }
+func (confirmedSource) Heard(string, uint64)                     {}
+func (s confirmedSource) Confirmation() configwatch.Confirmation { return s.answer }
+
+func TestConfirmationIsAskedOfAPeer(t *testing.T) {
+	is := is.New(t)
+	b := startBed(t, nil, 1, 0)
+	asker, other := b.nodes[vmName("jeju", 0)], vmName("busan", 0)
+	got, err := asker.Confirmation(t.Context(), other)
+	is.NoErr(err)
+	is.Equal(got, configwatch.Confirmation{}) // nothing is known yet
+	want := configwatch.Confirmation{Revision: 9, Confirmed: true, Age: 1500 * time.Millisecond}
+	b.nodes[other].SetConfigSource(confirmedSource{want})
+	got, err = asker.Confirmation(t.Context(), other)
+	is.NoErr(err)
+	is.Equal(got, want)
+	_, err = asker.Confirmation(t.Context(), "nobody")
+	is.True(err != nil)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -126,6 +126,13 @@
 	return answer.Data, nil
 }
 
+// Confirmation asks how fresh the peer's configuration is.
+func (c *Client) Confirmation(ctx context.Context, revision uint64) (Confirmation, error) {
+	var answer Confirmation
+	err := c.call(ctx, methodConfirm, Ping{Revision: revision}, &answer)
+	return answer, err
+}
+
 func (c *Client) call(ctx context.Context, method string, params, result any) error {
 	b, err := encode(params)
 	if err != nil {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -18,6 +19,7 @@
 	methodManifest = "manifest"
 	methodPart     = "part"
 	methodPing     = "p"
+	methodConfirm  = "c"
 )
 
 // Hello starts a connection; the answer is the other side's Hello.
@@ -36,6 +38,15 @@
 	Revision uint64
 }
 
+// Confirmation answers the question how fresh the configuration in force is.
+type Confirmation struct {
+	Revision uint64
+	// Confirmed says whether Age is known.
+	Confirmed bool
+	// Age is the time since the revision was last known to be the newest.
+	Age time.Duration
+}
+
 // Gossip carries changes of records.
 type Gossip struct {
 	Revision uint64
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,6 +46,11 @@
 	Part(digest string) ([]byte, bool)
 }
 
+// Confirmer is a Handler that says how fresh the configuration in force is.
+type Confirmer interface {
+	Confirmation() Confirmation
+}
+
 // Server accepts the connections of peers.
 type Server struct {
 	Handler Handler
@@ -189,6 +194,8 @@
 		return nil, in.gossip(*from, req)
 	case methodPing:
 		return in.ping(*from, req)
+	case methodConfirm:
+		return in.confirm(*from, req)
 	case methodManifest, methodPart:
 		return in.value(*from, req)
 	default:
@@ -237,6 +244,19 @@
 	return encode(Ping{Revision: in.server.Handler.Self().Revision})
 }
 
+func (in *inbound) confirm(from Hello, req *jsonrpc2.Request) (any, error) {
+	var message Ping
+	if err := decode(req.Params, &message); err != nil {
+		return nil, err
+	}
+	in.server.Handler.Heard(from, message.Revision)
+	var answer Confirmation
+	if confirmer, ok := in.server.Handler.(Confirmer); ok {
+		answer = confirmer.Confirmation()
+	}
+	return encode(answer)
+}
+
 func (in *inbound) value(from Hello, req *jsonrpc2.Request) (any, error) {
 	var request ValueRequest
 	if err := decode(req.Params, &request); err != nil {
