--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -48,6 +48,9 @@
 		case <-req.Context().Done():
 			return
 		case <-expiry(timer, s.outage):
+			if s.exists {
+				w.Header().Set(wire.HeaderRevision, strconv.FormatUint(s.version.revision, 10))
+			}
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
