Identify: paths that a backend server may take for another call are refused

Cause: calls are matched by prefix on the path as sent, so POST /search/../bookings passed as an idempotent call and could have been sent more than once. Ruled out: cleaning the path, as the backend server's own rules for it are unknown. Before: passed on. After: 400, not run.

--- a/internal/filter/identify/identify.go
+++ b/internal/filter/identify/identify.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -46,6 +47,9 @@
 }
 
 func identifyService(req *pipeline.Request) *verdict.Refusal {
+	if !isPlainPath(req.Path) {
+		return verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the path has empty, . or .. parts, or can't be decoded")
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(req.Path, wire.PathServices), "/")
 	service := req.Snapshot.Config.Services[name]
 	if service == nil {
@@ -68,3 +72,22 @@
 	}
 	return nil
 }
+
+// isPlainPath reports whether the path means the same to whoever reads it. A
+// backend server may resolve a part such as ".." and take the request for
+// another call than the one that the configuration describes.
+func isPlainPath(target string) bool {
+	escaped, _, _ := strings.Cut(target, "?")
+	path, err := url.PathUnescape(escaped)
+	if err != nil || strings.ContainsRune(path, '\\') {
+		return false
+	}
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	for i, part := range parts {
+		isLast := i == len(parts)-1
+		if part == "." || part == ".." || part == "" && !isLast {
+			return false
+		}
+	}
+	return true
+}
