--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -32,7 +32,7 @@
 	activeFor = 5 * time.Second
 	// reservePart is the part of the slots that a team above its share leaves
 	// free at most while other teams are active.
-	reservePart = 0.4
+	reservePart = 0.45
 	// usualWindow is the longer time, for what a team usually needs.
 	usualWindow = 15 * time.Second
 	// demandMargin is how many times its usual demand a team may soon need.
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -64,6 +64,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Handler{
 		cfg: cfg, records: routing.NewRecords(), budget: retry.NewBudget(),
 		metrics: newMetrics(cfg.Scope),
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -42,6 +42,8 @@
 	crossed bool
 	// waited is the time spent waiting for slots, over all attempts.
 	waited time.Duration
+	// slotWait is the wait for another slot as it was expected at first.
+	slotWait time.Duration
 	// mayHaveRun means that some attempt may have run.
 	mayHaveRun bool
 }
@@ -80,6 +82,7 @@
 		return r.cross(ctx, picker, plan, q), true
 	}
 	r.h.metrics.refused.Inc(1)
+	r.logRefusal("not in time", q, target)
 	return r.refuse(plan), false
 }
 
@@ -127,7 +130,7 @@
 	q := &routing.Query{
 		Now: now, Team: r.req.Team, Home: picker.Snapshot.Self.Region,
 		RequestBytes: headBytes + len(r.req.Body), AnswerBytes: headBytes + serviceAnswerBytes,
-		Remaining: r.req.Deadline.Sub(now), Tried: r.tried, Random: r.h.cfg.Random(),
+		Remaining: r.req.Deadline.Sub(now), Tried: r.tried, SlotWait: r.slotWait, Random: r.h.cfg.Random(),
 	}
 	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil && team.Spec.Home != "" {
 		q.Home = team.Spec.Home
@@ -159,6 +162,7 @@
 		return routing.Local{}
 	}
 	wait, full := r.h.gate(target.Name).Wait(r.queueTeam(), r.weight(picker))
+	r.slotWait = full
 	return routing.Local{Allowed: true, Wait: wait, FullWait: full}
 }
 
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -131,6 +131,10 @@
 	}
 	r.h.metrics.refused.Inc(1)
 	_, wait := gate.Wait(r.queueTeam(), 1)
+	picker := r.h.current()
+	if t := picker.Target(r.req.Target); t != nil {
+		r.logRefusal(err.Error(), r.query(picker), t)
+	}
 	detail := "no backend server came free in time"
 	if errorx.IsOfType(err, fairqueue.ErrFull) {
 		detail = "too many requests wait"
@@ -225,7 +229,7 @@
 // waited there.
 func (r *run) sendAcross(ctx context.Context, picker *routing.Picker, plan routing.Plan, member *snapshot.Member, w pipeline.Response) *verdict.Refusal {
 	now, crossing := r.h.cfg.Now, plan.Region.Crossing
-	crossing.Start()
+	crossing.Start(now())
 	defer crossing.End()
 	expected := plan.Estimate.Link + plan.Estimate.Service
 	if r.req.Chat.Stream {
--- a/internal/filter/route/state.go
+++ b/internal/filter/route/state.go
@@ -74,3 +74,13 @@
 	wait, _ := g.Wait("", 1)
 	return Load{Queued: g.Queued(), InFlight: g.InFlight(), Wait: wait}
 }
+
+// logRefusal explains a refusal.
+func (r *run) logRefusal(reason string, q *routing.Query, target *routing.Target) {
+	best := target.Best(q, false)
+	now, full := r.h.gate(target.Name).Wait(r.queueTeam(), 1)
+	r.h.cfg.Log.Info("refused", "reason", reason, "target", target.Name, "team", r.req.Team, "hop", r.req.Hop,
+		"remaining", q.Remaining, "service", best.Estimate.Service, "engineWait", best.Estimate.Wait,
+		"waitNow", now, "waitFull", full, "waited", r.waited, "capacity", target.Capacity(q),
+		"queued", r.h.gate(target.Name).Queued(), "inFlight", r.h.gate(target.Name).InFlight(), "tried", len(r.tried))
+}
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -44,7 +44,7 @@
 		if o.heard != 0 && q.Now.Sub(o.heard) > silentFor {
 			continue
 		}
-		busy := float64(o.capacity-s.Free+s.Queued) + float64(o.Crossing.Unreported())
+		busy := float64(o.capacity-s.Free+s.Queued) + float64(o.Crossing.Unreported(q.Now))
 		take(busy/float64(o.capacity), uint64(i)+1, nil, o)
 	}
 	return server, region
--- a/internal/routing/crossing.go
+++ b/internal/routing/crossing.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
 const (
 	// waitSmoothing is the weight of a new measurement of the wait in a region.
 	waitSmoothing = 0.4
+	// summaryLag is the time after which summaries show most of what was sent.
+	summaryLag = 2 * time.Second
 	// waitAge is how long such a measurement counts.
 	waitAge = 4 * time.Second
 )
@@ -20,9 +21,10 @@
 // one target.
 type Crossing struct {
 	inFlight atomic.Int32
-	// sent counts the requests that the region's last summary can't show yet.
-	sent  atomic.Int32
-	heard atomic.Int64
+	// sent is the number of requests sent lately, which fades as the region's
+	// summaries come to show them; as the bits of a float64, as of faded.
+	sent  atomic.Uint64
+	faded atomic.Int64
 	// wait is the measured wait in the region in seconds, as the bits of a
 	// float64; measured is when it was last updated.
 	wait     atomic.Uint64
@@ -32,29 +34,29 @@
 // InFlight returns the number of own requests in the region.
 func (c *Crossing) InFlight() int { return int(c.inFlight.Load()) }
 
-// Start records a request to the region.
-func (c *Crossing) Start() {
+// Start records a request to the region. A lost race loses one request.
+func (c *Crossing) Start(now clock.Instant) {
 	c.inFlight.Add(1)
-	c.sent.Add(1)
+	old := c.sent.Load()
+	next := c.recent(now) + 1
+	if c.sent.CompareAndSwap(old, math.Float64bits(next)) {
+		c.faded.Store(int64(now))
+	}
 }
 
 // End records that a request to the region has ended.
 func (c *Crossing) End() { c.inFlight.Add(-1) }
 
-// Reported starts a new count when a newer summary has come in. The requests
-// of the last period count half, as they were on their way meanwhile.
-func (c *Crossing) Reported(summary *snapshot.RegionSummary) {
-	if summary == nil {
-		return
-	}
-	old := c.heard.Swap(int64(summary.Heard))
-	if clock.Instant(old) != summary.Heard {
-		c.sent.Store(c.sent.Load() / 2)
-	}
+// Unreported returns the own requests in the region that its summary can't
+// show yet.
+func (c *Crossing) Unreported(now clock.Instant) int {
+	return min(c.InFlight(), int(math.Round(c.recent(now))))
 }
 
-// Unreported returns the requests that the last summary can't show yet.
-func (c *Crossing) Unreported() int { return int(c.sent.Load()) }
+func (c *Crossing) recent(now clock.Instant) float64 {
+	passed := now.Sub(clock.Instant(c.faded.Load()))
+	return math.Float64frombits(c.sent.Load()) * math.Exp(-passed.Seconds()/summaryLag.Seconds())
+}
 
 // Waited records how long a request waited in the region beyond its link and
 // service times. What is measured here outranks the region's summary, which
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -163,7 +163,6 @@
 			Crossing: r.crossing(region, t.Name), summary: s.Summaries[t.Name][region],
 			since: s.RegionSince[region], heard: s.RegionHeard[region],
 		}
-		o.Crossing.Reported(o.summary)
 		if o.summary != nil {
 			o.reported = slownessOf(model, o.summary.TokensPerSecond)
 		}
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -32,6 +32,9 @@
 	outlierFactor = 3
 	// outlierSeconds is the least difference to the median of an outlier.
 	outlierSeconds = 0.05
+	// worthWaiting is the least gain, in seconds, for which a free slot is
+	// passed over.
+	worthWaiting = 0.1
 	// typicalAge is how long the median is used.
 	typicalAge = 200 * time.Millisecond
 	// fullScan is the number of candidates up to which all are weighed. Of
@@ -54,6 +57,8 @@
 	Prefix uint64
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// SlotWait is the expected wait for another slot.
+	SlotWait time.Duration
 	// Tried names the servers and regions that are ruled out.
 	Tried []string
 	// Random is a random number.
@@ -318,8 +323,9 @@
 	return total
 }
 
-// Place takes a slot at the best candidate with a free one. Release at the
-// candidate's Server must follow.
+// Place takes a slot at the best candidate with a free one, unless it is worth
+// waiting for a slot at a better one. Release at the candidate's Server must
+// follow.
 func (t *Target) Place(q *Query) (Choice, bool) {
 	const races = 4
 	for range races {
@@ -327,6 +333,9 @@
 		if choice.Candidate == nil {
 			return Choice{}, false
 		}
+		if choice.Estimate.Score > t.Best(q, false).Estimate.Score+q.SlotWait.Seconds()+worthWaiting {
+			return Choice{}, false
+		}
 		server := choice.Candidate.Server
 		if !server.Reserve(t.limit(choice.Candidate, q.Now)) {
 			continue
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -67,16 +67,22 @@
 		}
 		sound = usable
 	}
-	for i := range t.Regions {
-		o := &t.Regions[i]
-		if !permitted(o.Name) || slices.Contains(q.Tried, o.Name) || !o.open(q, t) {
-			continue
-		}
-		if sound && o.full(q.Now, t.gateways) {
+	across := func(spare int) {
+		for i := range t.Regions {
+			o := &t.Regions[i]
+			if !permitted(o.Name) || slices.Contains(q.Tried, o.Name) || !o.open(q, t) {
+				continue
+			}
 			// A crossing moves work to spare capacity, not from queue to queue.
-			continue
+			if sound && o.free(q.Now, t.gateways) <= o.capacity*spare/spareDivisor {
+				continue
+			}
+			consider(Plan{Region: o, Estimate: t.regionEstimate(o, q)})
 		}
-		consider(Plan{Region: o, Estimate: t.regionEstimate(o, q)})
+	}
+	across(1)
+	if !plan.found() {
+		across(0)
 	}
 	if !plan.found() && late.found() {
 		return Plan{RetryAfter: max(late.Estimate.Wait, time.Second)}
@@ -101,10 +107,12 @@
 // localEstimate weighs the own region. usable is false where its candidates
 // are a last resort.
 func (t *Target) localEstimate(q *Query, own string, local Local) (e Estimate, found, usable bool) {
-	wait := local.Wait
-	best := t.Best(q, wait == 0)
-	if best.Candidate == nil {
-		best, wait = t.Best(q, false), max(wait, local.FullWait)
+	best, wait := t.Best(q, false), max(local.Wait, local.FullWait)
+	if local.Wait == 0 {
+		free := t.Best(q, true)
+		if free.Candidate != nil && free.Estimate.Score <= best.Estimate.Score+wait.Seconds() {
+			best, wait = free, 0
+		}
 	}
 	if best.Candidate == nil {
 		return Estimate{}, false, false
@@ -143,18 +151,21 @@
 		if permitted != nil && !permitted(o.Name) {
 			continue
 		}
-		if s := o.fresh(now); s != nil && s.Healthy > 0 && !o.full(now, t.gateways) {
+		if s := o.fresh(now); s != nil && s.Healthy > 0 && o.free(now, t.gateways) > o.capacity/spareDivisor {
 			return true
 		}
 	}
 	return false
 }
 
-// full reports whether the region is known to have no slots to spare, less what
-// its summary can't show yet.
-func (o *RegionOption) full(now clock.Instant, gateways int) bool {
+// free returns the region's free slots, less what its summary can't show yet.
+// Without a fresh summary they are unknown and taken as all.
+func (o *RegionOption) free(now clock.Instant, gateways int) int {
 	s := o.fresh(now)
-	return s != nil && s.Free-o.Crossing.Unreported()*gateways <= o.capacity/spareDivisor
+	if s == nil {
+		return o.capacity
+	}
+	return s.Free - o.Crossing.Unreported(now)*gateways
 }
 
 // fresh returns the region's summary if it is fresh, else nil.
@@ -174,7 +185,7 @@
 	}
 	wait, load := unknownWait.Seconds(), 1.0
 	if s := o.fresh(q.Now); s != nil {
-		free := float64(s.Free) - float64(o.Crossing.Unreported()*t.gateways)
+		free := float64(s.Free) - float64(o.Crossing.Unreported(q.Now)*t.gateways)
 		load = 1 - max(0, free)/float64(o.capacity)
 		wait = 0
 		if free < 1 {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -235,7 +235,7 @@
 	for i := range 40 {
 		plan := target.Decide(query(uint64(i)), "a", Local{Allowed: true, Wait: 400 * time.Millisecond}, anywhere)
 		if plan.Region != nil {
-			plan.Region.Crossing.Start()
+			plan.Region.Crossing.Start(start)
 			crossed++
 		}
 	}
--- a/internal/routing/state.go
+++ b/internal/routing/state.go
@@ -52,7 +52,7 @@
 			o := &t.Regions[i]
 			region := RegionState{
 				Name: o.Name, Members: len(o.Members),
-				InFlight: o.Crossing.InFlight(), Unreported: o.Crossing.Unreported(),
+				InFlight: o.Crossing.InFlight(), Unreported: o.Crossing.Unreported(now),
 			}
 			if o.summary != nil {
 				region.Free = o.summary.Free
