--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -38,7 +38,11 @@
 	// demandMargin is how many times its usual demand a team may soon need.
 	demandMargin = 3
 	// guestExcess is how far above their share guests count as being.
-	guestExcess = 0.3
+	guestExcess = 1.6
+	// Up to noExcess above its share, as a multiple of it, a team leaves nothing
+	// free; from fullExcess on it leaves the whole reserve free.
+	noExcess   = 1
+	fullExcess = 3
 	// minShared is the number of slots below which nothing is left free.
 	minShared = 3
 	// demandWindow is the time over which a team's demand is smoothed.
@@ -53,6 +57,9 @@
 type Claim struct {
 	Team   string
 	Weight float64
+	// Boost multiplies the weight in the queue, but not the share of the slots;
+	// zero means 1.
+	Boost float64
 	// Guest means that the request's own region is another one. Guests have no
 	// share of the slots and take what the others leave.
 	Guest bool
@@ -177,7 +184,7 @@
 		return nil, ErrFull.New("%d requests wait", maxQueued)
 	}
 	w := &waiter{place: c.Place, ready: make(chan struct{})}
-	it := &Item{Team: c.Team, Weight: c.Weight, Priority: c.Priority, Cost: cost, waiter: w}
+	it := &Item{Team: c.Team, Weight: weightOf(c.Weight) * weightOf(c.Boost), Priority: c.Priority, Cost: cost, waiter: w}
 	g.queue.Push(it)
 	u.queued++
 	g.pump()
@@ -284,10 +291,10 @@
 	if share > 0 {
 		excess = min(u.demand, float64(u.inFlight+u.queued))/share - 1
 	}
-	if excess <= 0 {
+	if excess <= noExcess {
 		return true
 	}
-	reserve := min(float64(g.capacity)*reservePart, g.unused()) * min(1, excess)
+	reserve := min(float64(g.capacity)*reservePart, g.unused()) * min(1, (excess-noExcess)/(fullExcess-noExcess))
 	return float64(g.inFlight) < float64(g.capacity)-reserve
 }
 
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -18,9 +18,9 @@
 	// in a stream.
 	tokenBytes = 5
 	eventBytes = 200
-	// boundWeight multiplies the weight of a team that can't use the slots that
-	// other regions have to spare.
-	boundWeight = 4
+	// boundBoost is the boost of a team that can't use the slots that other
+	// regions have to spare.
+	boundBoost = 4
 	// atOnce is the longest wait that still counts as none.
 	atOnce = 100 * time.Millisecond
 	// serviceAnswerBytes is the size of a plain service's answer.
@@ -186,22 +186,26 @@
 	}
 }
 
-// weight returns the team's share in the queue. While other regions have slots
-// to spare, a team that may not use them has a larger share at home.
+// weight returns the team's share of the slots.
 func (r *run) weight(picker *routing.Picker) float64 {
-	weight := 1.0
-	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil && team.Spec.Weight > 0 {
-		weight = team.Spec.Weight
+	if team := picker.Snapshot.Config.Teams[r.req.Team]; team != nil {
+		return team.Spec.Weight
 	}
-	target := picker.Target(r.req.Target)
+	return 1
+}
+
+// boost returns by how much the team goes before its share in the queue: while
+// other regions have slots to spare, a team that may not use them waits less.
+func (r *run) boost(picker *routing.Picker, target *routing.Target) float64 {
 	if target == nil || r.req.Hop == pipeline.HopRegion {
-		return weight
+		return 1
 	}
+	now := r.h.cfg.Now()
 	permitted := func(region string) bool { return picker.Snapshot.Config.Permits(r.req.Team, region) }
-	if target.Spare(r.h.cfg.Now(), nil) && !target.Spare(r.h.cfg.Now(), permitted) {
-		weight *= boundWeight
+	if target.Spare(now, nil) && !target.Spare(now, permitted) {
+		return boundBoost
 	}
-	return weight
+	return 1
 }
 
 // queueTeam returns the team's name in the queue. Requests from another region
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -87,7 +87,7 @@
 		patience = min(patience, r.maxQueue(target)-r.waited)
 	}
 	return fairqueue.Claim{
-		Team: r.queueTeam(), Weight: r.weight(picker), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
+		Team: r.queueTeam(), Weight: r.weight(picker), Boost: r.boost(picker, target), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
 		Cost: plan.Estimate.Service, Patience: patience,
 		Place: func() bool { return r.place(place) },
 		Capacity: func() int {
