--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -23,6 +23,9 @@
 	// lastResortSeconds is added to the score of backend servers that seem to
 	// be broken.
 	lastResortSeconds = 5
+	// waitRisk is how much more an expected wait in the queue weighs than a time
+	// that is known, as requests that come later may go first.
+	waitRisk = 2
 	// surePart is the part of an estimated service time that a request is
 	// sure to take. Only a deadline below it is a ground for a refusal.
 	surePart = 0.8
@@ -122,7 +125,7 @@
 		e.Score += lastResortSeconds
 	}
 	if wait > 0 {
-		e.Score += wait.Seconds() - e.Wait.Seconds()
+		e.Score += waitRisk*wait.Seconds() - e.Wait.Seconds()
 		e.Wait = wait
 	}
 	if own != q.Home {
