--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -38,11 +38,11 @@
 	// demandMargin is how many times its usual demand a team may soon need.
 	demandMargin = 3
 	// guestExcess is how far above their share guests count as being.
-	guestExcess = 1.6
+	guestExcess = 1.1
 	// Up to noExcess above its share, as a multiple of it, a team leaves nothing
 	// free; from fullExcess on it leaves the whole reserve free.
-	noExcess   = 1
-	fullExcess = 3
+	noExcess   = 0.7
+	fullExcess = 2
 	// minShared is the number of slots below which nothing is left free.
 	minShared = 3
 	// demandWindow is the time over which a team's demand is smoothed.
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -213,15 +213,11 @@
 	}
 }
 
-// Member returns the region's gateway for the request. Requests with the same
-// prefix tend to the same gateway, which knows where the prefix is cached.
+// Member returns the region's gateway for the request, at random, so that the
+// gateways' parts of the slots are used alike.
 func (o *RegionOption) Member(q *Query) *snapshot.Member {
 	if len(o.Members) == 0 {
 		return nil
 	}
-	key := q.Prefix
-	if key == 0 {
-		key = q.Random
-	}
-	return o.Members[mix(key)%uint64(len(o.Members))]
+	return o.Members[mix(q.Random^1)%uint64(len(o.Members))]
 }
