--- a/cmd/chestnut-load/main.go
+++ b/cmd/chestnut-load/main.go
@@ -24,9 +24,9 @@
 	Demo     demoCommand      `cmd:"" help:"Start a deployment, send it requests and check every answer."`
 	Run      runCommand       `cmd:"" help:"Run experiments and write their figures."`
 	Compare  compareCommand   `cmd:"" help:"Compare the figures of two results."`
-	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, one line for each result."`
+	Summary  summaryCommand   `cmd:"" help:"Print the project's own policy against the baselines, and the targets."`
 	Overhead overheadCommand  `cmd:"" help:"Measure what a gateway adds to a direct call."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: 3 regions and their gateways as processes, everything else as stand-ins\n", filepath.Base(deployment))
+	fmt.Printf("%s: gateways as processes, everything else as stand-ins\n", filepath.Base(deployment))
 	experiment.WriteHomeTable(os.Stdout, outcomes)
 	experiment.WriteFailures(os.Stdout, outcomes)
 	run.WriteViolations(os.Stdout)
--- a/internal/experiment/figures.go
+++ b/internal/experiment/figures.go
@@ -50,6 +50,14 @@
 	Classes map[string]Quantiles `json:"classes"`
 	Regions map[string]Quantiles `json:"regions"`
 	Teams   map[string]TeamShare `json:"teams"`
+	// Endings counts how the requests of each class ended.
+	Endings map[string]map[Ending]int `json:"endings"`
+	// Others holds the figures of the leading class without the teams that
+	// the experiment excepts.
+	Others Quantiles `json:"others"`
+	// RecoverySeconds is how long after the start of a phase the leading
+	// class's p99 of some second was still well above the first phase's.
+	RecoverySeconds float64 `json:"recoverySeconds,omitempty"`
 	// Fairness is the least, over all teams, of what a team was served over
 	// what it was entitled to.
 	Fairness float64 `json:"fairness"`
@@ -143,7 +151,12 @@
 func (m *figureMaker) phases() []Figures {
 	var found []Figures
 	for _, p := range m.spec.Phases {
-		found = append(found, m.between(p.Name, p.From.D(), p.To.D()))
+		f := m.between(p.Name, p.From.D(), p.To.D())
+		if len(found) > 0 {
+			bound := recoveryFactor * found[0].Classes[m.spec.Load[0].Class].P99
+			f.RecoverySeconds = m.recovery(p.From.D(), p.To.D(), bound)
+		}
+		found = append(found, f)
 	}
 	return found
 }
@@ -159,10 +172,24 @@
 	}
 	f := summarize(m.set, part)
 	f.Name, f.Seconds = name, (to - from).Seconds()
+	f.Others = m.others(part)
 	f.Goodput = float64(f.Served-f.Late) / f.Seconds
 	return f
 }
 
+// others returns the figures of the leading class of teams that the experiment
+// doesn't except.
+func (m *figureMaker) others(part []*Outcome) Quantiles {
+	h := newHistogram()
+	for _, o := range part {
+		leading := o.Call.Class == m.spec.Load[0].Class
+		if leading && o.Ending() == EndingServed && !slices.Contains(m.spec.Except, o.Call.Team) {
+			h.record(o.Total)
+		}
+	}
+	return h.quantiles()
+}
+
 // late reports whether a whole answer came after its deadline.
 func (o *Outcome) late() bool {
 	return o.Ending() == EndingServed && o.Total > o.Call.Timeout
@@ -194,55 +221,90 @@
 // addressPattern matches what differs between errors of one kind.
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
+// summarize returns the figures of some outcomes.
 func summarize(set *objects.Set, outcomes []*Outcome) Figures {
-	f := Figures{Teams: map[string]TeamShare{}, Codes: map[string]int{}, Errors: map[string]int{}}
-	first, whole, refusal := newHistogram(), newHistogram(), newHistogram()
-	classes, regions, teams := group{}, group{}, group{}
-	away := 0
+	t := newTally()
 	for _, o := range outcomes {
-		f.Sent++
-		share := f.Teams[o.Call.Team]
-		share.Sent++
-		switch o.Ending() {
-		case EndingServed:
-			f.Served++
-			share.Served++
-			whole.record(o.Total)
-			classes.record(o.Call.Class, o.Total)
-			regions.record(o.Call.Home, o.Total)
-			teams.record(o.Call.Team, o.Total)
-			if o.Call.Stream {
-				first.record(o.FirstToken)
-			}
-			if o.away() {
-				away++
-			}
-			if o.late() {
-				f.Late++
-			}
-		case EndingRefused:
-			f.Refused++
-			refusal.record(o.Total)
-		case EndingFailed:
-			f.Failed++
-		case EndingUnanswered:
-			f.Unanswered++
-		case EndingWrong:
-			f.Wrong++
-		}
-		switch {
-		case o.Code != "":
-			f.Codes[o.Code]++
-		case o.Err != "":
-			f.Errors[addressPattern.ReplaceAllString(o.Err, "ADDRESS")]++
-		}
-		f.Teams[o.Call.Team] = share
+		t.add(o)
 	}
+	return t.figures(set)
+}
+
+// tally collects outcomes.
+type tally struct {
+	f                       Figures
+	first, whole, refusal   histogram
+	classes, regions, teams group
+	away                    int
+}
+
+func newTally() *tally {
+	return &tally{
+		f: Figures{
+			Teams: map[string]TeamShare{}, Endings: map[string]map[Ending]int{},
+			Codes: map[string]int{}, Errors: map[string]int{},
+		},
+		first: newHistogram(), whole: newHistogram(), refusal: newHistogram(),
+		classes: group{}, regions: group{}, teams: group{},
+	}
+}
+
+func (t *tally) add(o *Outcome) {
+	f := &t.f
+	f.Sent++
+	if f.Endings[o.Call.Class] == nil {
+		f.Endings[o.Call.Class] = map[Ending]int{}
+	}
+	f.Endings[o.Call.Class][o.Ending()]++
+	share := f.Teams[o.Call.Team]
+	share.Sent++
+	switch o.Ending() {
+	case EndingServed:
+		f.Served++
+		share.Served++
+		t.addServed(o)
+	case EndingRefused:
+		f.Refused++
+		t.refusal.record(o.Total)
+	case EndingFailed:
+		f.Failed++
+	case EndingUnanswered:
+		f.Unanswered++
+	case EndingWrong:
+		f.Wrong++
+	}
+	f.Teams[o.Call.Team] = share
+	switch {
+	case o.Code != "":
+		f.Codes[o.Code]++
+	case o.Err != "":
+		f.Errors[addressPattern.ReplaceAllString(o.Err, "ADDRESS")]++
+	}
+}
+
+func (t *tally) addServed(o *Outcome) {
+	t.whole.record(o.Total)
+	t.classes.record(o.Call.Class, o.Total)
+	t.regions.record(o.Call.Home, o.Total)
+	t.teams.record(o.Call.Team, o.Total)
+	if o.Call.Stream {
+		t.first.record(o.FirstToken)
+	}
+	if o.away() {
+		t.away++
+	}
+	if o.late() {
+		t.f.Late++
+	}
+}
+
+func (t *tally) figures(set *objects.Set) Figures {
+	f := t.f
 	f.Missed = f.Late + f.Failed + f.Unanswered
-	f.ShareAway = float64(away) / float64(max(1, f.Served))
-	f.FirstToken, f.Whole, f.Refusal = first.quantiles(), whole.quantiles(), refusal.quantiles()
-	f.Classes, f.Regions = classes.quantiles(), regions.quantiles()
-	f.entitle(set, teams.quantiles())
+	f.ShareAway = float64(t.away) / float64(max(1, f.Served))
+	f.FirstToken, f.Whole, f.Refusal = t.first.quantiles(), t.whole.quantiles(), t.refusal.quantiles()
+	f.Classes, f.Regions = t.classes.quantiles(), t.regions.quantiles()
+	f.entitle(set, t.teams.quantiles())
 	return f
 }
 
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -130,7 +130,7 @@
 		return givenUp()
 	}
 	r.h.metrics.refused.Inc(1)
-	_, wait := gate.Wait(r.queueTeam(), 1)
+	_, wait := gate.Wait(r.queueTeam(), 1, int(r.req.Priority))
 	picker := r.h.current()
 	if t := picker.Target(r.req.Target); t != nil {
 		r.logRefusal(err.Error(), r.query(picker), t)
--- a/internal/filter/route/state.go
+++ b/internal/filter/route/state.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/routing"
 )
 
@@ -49,7 +50,7 @@
 	state := State{RetriesLeft: h.budget.Left(), Queues: map[string]QueueState{}}
 	h.gates.Range(func(name, value any) bool {
 		g := value.(*fairqueue.Gate)
-		_, full := g.Wait("", 1)
+		_, full := g.Wait("", 1, int(pipeline.PriorityNormal))
 		state.Queues[name.(string)] = QueueState{
 			Queued: g.Queued(), InFlight: g.InFlight(), WaitSeconds: full.Seconds(),
 		}
@@ -71,15 +72,15 @@
 // LoadOf returns the load of a target.
 func (h *Handler) LoadOf(target string) Load {
 	g := h.gate(target)
-	wait, _ := g.Wait("", 1)
+	wait, _ := g.Wait("", 1, int(pipeline.PriorityNormal))
 	return Load{Queued: g.Queued(), InFlight: g.InFlight(), Wait: wait}
 }
 
 // logRefusal explains a refusal.
 func (r *run) logRefusal(reason string, q *routing.Query, target *routing.Target) {
 	best := target.Best(q, false)
-	now, full := r.h.gate(target.Name).Wait(r.queueTeam(), 1)
-	r.h.cfg.Log.Info("refused", "reason", reason, "target", target.Name, "team", r.req.Team, "hop", r.req.Hop,
+	now, full := r.h.gate(target.Name).Wait(r.queueTeam(), 1, int(r.req.Priority))
+	r.h.cfg.Log.Debug("refused", "reason", reason, "target", target.Name, "team", r.req.Team, "hop", r.req.Hop,
 		"remaining", q.Remaining, "service", best.Estimate.Service, "engineWait", best.Estimate.Wait,
 		"waitNow", now, "waitFull", full, "waited", r.waited, "capacity", target.Capacity(q),
 		"queued", r.h.gate(target.Name).Queued(), "inFlight", r.h.gate(target.Name).InFlight(), "tried", len(r.tried))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,8 +70,10 @@
 
 	observations chan health.Observation
 	dropped      atomic.Int64 // observations
+	ready        chan struct{}
 	dirty        chan struct{}
 	urgent       chan struct{}
+	soon         chan struct{} // asks for a tick
 
 	mu sync.Mutex
 	// set is the configuration that the last tick saw.
@@ -90,16 +92,20 @@
 	listRead bool
 	// synced means that a peer of the region has told all that it knows, or
 	// that there is none.
-	synced bool
-	raised clock.Instant // when version was last raised over another incarnation's
+	synced  bool
+	isReady bool
+	raised  clock.Instant // when version was last raised over another incarnation's
 	// listRevision is the highest revision of the list that was heard.
 	listRevision uint64
+	stale        staleParts
 	loadWritten  map[string]clock.Instant // by backend server
 	summaries    map[string]summaryWritten
 	// avoid holds until when another peer is preferred to one that failed.
-	avoid   map[string]clock.Instant
-	paused  pauseState
-	started clock.Instant
+	avoid map[string]clock.Instant
+	// reported holds when the log last said that an address is unreachable.
+	reported map[string]clock.Instant
+	paused   pauseState
+	started  clock.Instant
 }
 
 // New returns a fleet that isn't running yet.
@@ -109,8 +115,10 @@
 		meter:        &peer.Meter{},
 		probing:      &peer.Meter{},
 		observations: make(chan health.Observation, 1024),
+		ready:        make(chan struct{}),
 		dirty:        make(chan struct{}, 1),
 		urgent:       make(chan struct{}, 1),
+		soon:         make(chan struct{}, 1),
 		set:          cfg.Publisher.Load().Config,
 		store:        gossip.NewStore(),
 		table:        membership.NewTable(cfg.Self),
@@ -121,6 +129,7 @@
 		loadWritten:  map[string]clock.Instant{},
 		summaries:    map[string]summaryWritten{},
 		avoid:        map[string]clock.Instant{},
+		reported:     map[string]clock.Instant{},
 		version:      firstVersion(time.Now()),
 	}
 	f.dialer = &peer.Dialer{TLS: cfg.ClientTLS, Log: cfg.Log, Meter: f.meter, Dial: cfg.Dial}
@@ -167,6 +176,11 @@
 	return err
 }
 
+// Ready returns a channel that is closed when the region's backend servers have
+// been looked at and, where there are peers in the region, one of them has told
+// what it knows.
+func (f *Fleet) Ready() <-chan struct{} { return f.ready }
+
 // Observe takes in the outcome of an own request. It doesn't block; when it is
 // called faster than outcomes are handled, some are dropped and counted.
 func (f *Fleet) Observe(o health.Observation) {
@@ -192,6 +206,7 @@
 	now := f.cfg.Now()
 	f.mu.Lock()
 	ejected := f.tracker.Observe(o, f.cfg.Publisher.Load().Config, now)
+	f.stale.backends = true
 	if o.Err != nil {
 		f.probeSoon(o.Backend, now)
 	}
@@ -209,6 +224,7 @@
 	f.mu.Lock()
 	f.leaving = true
 	f.announce()
+	f.stale.members = true
 	links := f.connected()
 	f.mu.Unlock()
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) { next.Leaving = true })
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,7 +21,7 @@
 	// as having been paused.
 	pauseAfter = 1500 * time.Millisecond
 	// syncWithin bounds the wait of a starting process for a peer of its region.
-	syncWithin = 3 * time.Second
+	syncWithin = 2 * time.Second
 	// pruneInterval is the time between two looks for records of what is gone.
 	pruneInterval = time.Minute
 	// publishInterval is the least time between two publications of changes
@@ -50,9 +51,19 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-f.soon:
 		case <-ticker.C:
-			f.tick(ctx, group)
 		}
+		f.tick(ctx, group)
+	}
+}
+
+// tickSoon makes the next tick come at once, after something that changes
+// whom this member should be connected to.
+func (f *Fleet) tickSoon() {
+	select {
+	case f.soon <- struct{}{}:
+	default:
 	}
 }
 
@@ -77,9 +88,11 @@
 	f.prune(now)
 	f.checkSynced(members, now)
 	demands := f.exchangeDemand(now)
+	f.stale = staleParts{members: true, backends: true, regions: true}
 	f.mu.Unlock()
 	f.deliverDemand(demands)
 	f.publish(true)
+	f.checkReady()
 	f.clients.tidy(now)
 	f.gauges()
 }
@@ -97,6 +110,7 @@
 		f.mu.Lock()
 		if f.paused.woke == now {
 			f.paused.refreshing = false
+			f.stale.backends = true
 		}
 		f.mu.Unlock()
 		f.publish(true)
@@ -112,7 +126,8 @@
 		f.writeOwn(gossip.KindBeat, f.cfg.Self.VM, beat)
 		f.table.Beat(f.cfg.Self.VM, beat, now)
 	}
-	if now.Sub(f.paused.regionBeat) >= regionBeatInterval {
+	interval := time.Duration(len(f.region)) * regionBeatBudget
+	if now.Sub(f.paused.regionBeat) >= min(max(interval, minRegionBeat), maxRegionBeat) {
 		f.paused.regionBeat = now
 		name := regionName(f.cfg.Self.Region, f.cfg.Self.VM)
 		f.writeOwn(gossip.KindRegion, name, membership.RegionBeat{Unreachable: f.unreachable(members)})
@@ -164,6 +179,23 @@
 	}
 }
 
+// checkReady closes the channel of Ready once the view can be used. A region
+// whose backend servers don't answer is as ready as it can be in time.
+func (f *Fleet) checkReady() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isReady || !f.synced || f.set.Revision == 0 {
+		return
+	}
+	for _, name := range f.tracker.Names() {
+		if f.tracker.Heard(name) == 0 && f.tracker.State(name).Healthy {
+			return // not probed yet
+		}
+	}
+	f.isReady = true
+	close(f.ready)
+}
+
 // prune forgets VMs that the list dropped long ago, and what is known of
 // backend servers that the configuration no longer holds.
 func (f *Fleet) prune(now clock.Instant) {
@@ -171,6 +203,7 @@
 		return
 	}
 	f.paused.prune = now
+	maps.DeleteFunc(f.reported, func(_ string, at clock.Instant) bool { return now.Sub(at) > failureLogInterval })
 	for _, vm := range f.table.Prune(now) {
 		for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindBeat, gossip.KindListed} {
 			f.store.Delete(gossip.Key{Kind: kind, Name: vm})
@@ -205,28 +238,64 @@
 	}
 }
 
-// publish replaces the fleet's part of the snapshot. alive says that the tick
-// ran, which vouches for the view unless a refresh is under way.
+// publish replaces the stale parts of the fleet's view in the snapshot. alive
+// says that the tick ran, which vouches for the view unless a refresh is under
+// way.
 func (f *Fleet) publish(alive bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Now()
-	members := f.table.Members(now)
-	backends := f.tracker.Status(f.table.BackendLeaving, now)
-	heard, since := f.regionTimes()
-	summaries := f.summarySnapshot(heard)
+	stale := f.stale
+	f.stale = staleParts{}
+	var members map[string]*snapshot.Member
+	var backends map[string]*snapshot.BackendStatus
+	var summaries map[string]map[string]*snapshot.RegionSummary
+	var heard, since map[string]clock.Instant
+	if stale.members {
+		members = f.table.Members(now)
+	}
+	if stale.backends {
+		backends = f.tracker.Status(f.table.BackendLeaving, now)
+	}
+	if stale.regions {
+		heard, since = f.regionTimes()
+		summaries = f.summarySnapshot(heard)
+	}
 	f.cfg.Publisher.Update(func(next *snapshot.Snapshot) {
-		next.Members = members
-		next.Backends = backends
-		next.Summaries = summaries
-		next.RegionHeard = heard
-		next.RegionSince = since
+		if stale.members {
+			next.Members = members
+		}
+		if stale.backends {
+			next.Backends = backends
+		}
+		if stale.regions {
+			next.Summaries, next.RegionHeard, next.RegionSince = summaries, heard, since
+		}
 		if alive && f.synced && !f.paused.refreshing {
 			next.BackendsHeard = now
 		}
 	})
 }
 
+// staleParts says which parts of the published view are out of date.
+type staleParts struct{ members, backends, regions bool }
+
+// mark marks the parts that a record of the kind is shown in.
+func (s *staleParts) mark(kind gossip.Kind) {
+	switch kind {
+	case gossip.KindMember, gossip.KindBeat:
+		s.members = true
+	case gossip.KindListed:
+		s.members, s.backends = true, true
+	case gossip.KindState, gossip.KindLoad, gossip.KindPrefixes:
+		s.backends = true
+	case gossip.KindSummary:
+		s.regions = true
+	case gossip.KindRegion:
+		s.members, s.regions = true, true
+	}
+}
+
 func (f *Fleet) gauges() {
 	scope := f.cfg.Scope
 	scope.Gauge("control_bytes_sent").Update(float64(f.meter.Sent.Load()))
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -14,7 +14,6 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/settle"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/httpapi"
-	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 
@@ -38,8 +37,6 @@
 	g.route = route.New(route.Config{
 		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
 	})
-	limiter := limits.NewLimiter(g.now)
-	g.fleet.SetDemand(limiter)
 	handler := pipeline.Chain(g.route,
 		settle.New(g.booking),
 		identify.New(),
@@ -49,9 +46,10 @@
 		body.New(),
 		settle.Mark(),
 		g.booking.Filter(),
-		admission.New(admission.Config{Limiter: limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
+		bookingfilter.LookupFilter(),
 		deadline.New(g.now),
 		hopguard.New(),
 	)
@@ -59,6 +57,9 @@
 		callers: httpapi.NewCallers(httpapi.CallersConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, KeyPrefix: issuer.Prefix,
 			Settle: func(req *pipeline.Request, refusal *verdict.Refusal) *verdict.Refusal {
+				if bookingfilter.IsLookup(req) {
+					return bookingfilter.SettleLookup(refusal)
+				}
 				return settle.Refusal(g.booking, req, refusal)
 			},
 		}),
@@ -72,10 +73,12 @@
 }
 
 func (g *gateway) ready() bool {
-	select {
-	case <-g.config.Ready():
-		return true
-	default:
-		return false
+	for _, ready := range []<-chan struct{}{g.config.Ready(), g.fleet.Ready()} {
+		select {
+		case <-ready:
+		default:
+			return false
+		}
 	}
+	return true
 }
