--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -32,9 +32,9 @@
 	outlierFactor = 3
 	// outlierSeconds is the least difference to the median of an outlier.
 	outlierSeconds = 0.05
-	// worthWaiting is the least gain, in seconds, for which a free slot is
-	// passed over.
-	worthWaiting = 0.1
+	// minGain is the least gain, in seconds, for which a free slot is passed
+	// over.
+	minGain = 0.1
 	// typicalAge is how long the median is used.
 	typicalAge = 200 * time.Millisecond
 	// fullScan is the number of candidates up to which all are weighed. Of
@@ -336,7 +336,7 @@
 		if choice.Candidate == nil {
 			return Choice{}, false
 		}
-		if choice.Estimate.Score > t.Best(q, false).Estimate.Score+q.SlotWait.Seconds()+worthWaiting {
+		if t.worthWaiting(choice.Estimate, t.Best(q, false).Estimate, q.SlotWait) {
 			return Choice{}, false
 		}
 		server := choice.Candidate.Server
@@ -351,6 +351,14 @@
 	return Choice{}, false
 }
 
+// worthWaiting reports whether a free slot is to be passed over for the best
+// candidate's next one. A slot at one of n candidates is waited for n times as
+// long as any slot.
+func (t *Target) worthWaiting(free, best Estimate, slotWait time.Duration) bool {
+	wait := slotWait.Seconds() * float64(len(t.Candidates))
+	return free.Score > best.Score+wait+minGain
+}
+
 // Used records that the candidate served a request with the prefix.
 func (t *Target) Used(c *Candidate, prefix uint64, now clock.Instant) {
 	if t.Prefixes != nil && prefix != 0 {
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -113,7 +113,7 @@
 	best, wait := t.Best(q, false), max(local.Wait, local.FullWait)
 	if local.Wait == 0 {
 		free := t.Best(q, true)
-		if free.Candidate != nil && free.Estimate.Score <= best.Estimate.Score+wait.Seconds() {
+		if free.Candidate != nil && !t.worthWaiting(free.Estimate, best.Estimate, wait) {
 			best, wait = free, 0
 		}
 	}
