--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -32,9 +32,9 @@
 	outlierFactor = 3
 	// outlierSeconds is the least difference to the median of an outlier.
 	outlierSeconds = 0.05
-	// minGain is the least gain, in seconds, for which a free slot is passed
-	// over.
-	minGain = 0.1
+	// slowerFactor is how many times longer a request must take at a free slot
+	// for the slot to be passed over. A cached prefix alone is no ground.
+	slowerFactor = 2
 	// typicalAge is how long the median is used.
 	typicalAge = 200 * time.Millisecond
 	// fullScan is the number of candidates up to which all are weighed. Of
@@ -355,8 +355,11 @@
 // candidate's next one. A slot at one of n candidates is waited for n times as
 // long as any slot.
 func (t *Target) worthWaiting(free, best Estimate, slotWait time.Duration) bool {
+	if free.Service < slowerFactor*best.Service {
+		return false
+	}
 	wait := slotWait.Seconds() * float64(len(t.Candidates))
-	return free.Score > best.Score+wait+minGain
+	return free.Score > best.Score+wait
 }
 
 // Used records that the candidate served a request with the prefix.
