Route: a whole answer in progress is no sign of a stalled server

Cause: the log of waits showed servers counted as stalled for 2 to 2.5 s that worked on answers which aren't streamed and so have no first byte until their end. Requests waited beside free slots, crossed, or were refused as too late.

--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -331,3 +331,22 @@
 		is.Equal(len(f.sends()), 0)
 	})
 }
+
+// A whole answer has its first byte at its end; a server that works on one is
+// not stalled.
+func TestAWholeAnswerIsNoStall(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		is := is.New(t)
+		f := newFixture(func(set *objects.Set) { set.Models["desk"] = &objects.Model{Name: "desk"} })
+		var stalled time.Duration
+		f.backend = func(_ context.Context, server string, w pipeline.Response) *verdict.Refusal {
+			stalled = f.records.Server(server).Stalled(f.now().Add(3 * time.Second))
+			return answer(w)
+		}
+		req := f.request(true)
+		req.Model, req.Chat.Stream = f.publisher.Load().Config.Models["desk"], stream
+		refusal, _ := f.handle(req)
+		is.True(refusal == nil)
+		is.Equal(stalled > 0, stream)
+	}
+}
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -154,11 +154,18 @@
 	now, server := r.h.cfg.Now, p.choice.Candidate.Server
 	defer server.Release()
 	m := &meter{Response: w, now: now, onFirst: server.Progressed}
+	whole := r.req.Model != nil && !r.req.Chat.Stream
+	if whole {
+		// Its first byte comes with its end, which is no sign of a stall.
+		m.onFirst = func(clock.Instant) {}
+	}
 	started := now()
 	if r.req.Model != nil {
 		m.onEvents = func(events int) { r.notePace(p, events, m.firstAt) }
 	}
-	server.Sent(started)
+	if !whole {
+		server.Sent(started)
+	}
 	refusal := r.h.cfg.Backend.SendBackend(ctx, r.request(p.picker), p.choice.Candidate.Config, m)
 	m.end()
 	r.learn(p, m, refusal, started)
