--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -32,13 +32,17 @@
 	activeFor = 5 * time.Second
 	// reservePart is the part of the slots that a team above its share leaves
 	// free at most while other teams are active.
-	reservePart = 0.4
+	reservePart = 0.45
 	// usualWindow is the longer time, for what a team usually needs.
 	usualWindow = 15 * time.Second
 	// demandMargin is how many times its usual demand a team may soon need.
 	demandMargin = 3
 	// guestExcess is how far above their share guests count as being.
-	guestExcess = 0.3
+	guestExcess = 1.1
+	// Up to noExcess above its share, as a multiple of it, a team leaves nothing
+	// free; from fullExcess on it leaves the whole reserve free.
+	noExcess   = 0.7
+	fullExcess = 2
 	// urgentShares is how many times its share of the slots a team may hold and
 	// still be served by priority before other teams.
 	urgentShares = 2
@@ -56,6 +60,9 @@
 type Claim struct {
 	Team   string
 	Weight float64
+	// Boost multiplies the weight in the queue, but not the share of the slots;
+	// zero means 1.
+	Boost float64
 	// Guest means that the request's own region is another one. Guests have no
 	// share of the slots and take what the others leave.
 	Guest bool
@@ -180,7 +187,7 @@
 		return nil, ErrFull.New("%d requests wait", maxQueued)
 	}
 	w := &waiter{place: c.Place, ready: make(chan struct{})}
-	it := &Item{Team: c.Team, Weight: c.Weight, Priority: c.Priority, Cost: cost, waiter: w}
+	it := &Item{Team: c.Team, Weight: weightOf(c.Weight) * weightOf(c.Boost), Priority: c.Priority, Cost: cost, waiter: w}
 	g.queue.Push(it)
 	u.queued++
 	g.pump()
@@ -221,9 +228,8 @@
 }
 
 // Wait returns the expected wait of a new request of the team with the
-// priority. now is zero
-// where the team may take a free slot at once; full is the wait where none is
-// free.
+// priority. now is zero where the team may take a free slot at once; full is
+// the wait where none is free.
 func (g *Gate) Wait(team string, weight float64, priority int) (now, full time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -301,10 +307,10 @@
 	if share > 0 {
 		excess = min(u.demand, float64(u.inFlight+u.queued))/share - 1
 	}
-	if excess <= 0 {
+	if excess <= noExcess {
 		return true
 	}
-	reserve := min(float64(g.capacity)*reservePart, g.unused()) * min(1, excess)
+	reserve := min(float64(g.capacity)*reservePart, g.unused()) * min(1, (excess-noExcess)/(fullExcess-noExcess))
 	return float64(g.inFlight) < float64(g.capacity)-reserve
 }
 
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -87,7 +87,7 @@
 		patience = min(patience, r.maxQueue(target)-r.waited)
 	}
 	return fairqueue.Claim{
-		Team: r.queueTeam(), Weight: r.weight(picker), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
+		Team: r.queueTeam(), Weight: r.weight(picker), Boost: r.boost(picker, target), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
 		Cost: plan.Estimate.Service, Patience: patience,
 		Place: func() bool { return r.place(place) },
 		Capacity: func() int {
@@ -131,6 +131,10 @@
 	}
 	r.h.metrics.refused.Inc(1)
 	_, wait := gate.Wait(r.queueTeam(), 1, int(r.req.Priority))
+	picker := r.h.current()
+	if t := picker.Target(r.req.Target); t != nil {
+		r.logRefusal(err.Error(), r.query(picker), t)
+	}
 	detail := "no backend server came free in time"
 	if errorx.IsOfType(err, fairqueue.ErrFull) {
 		detail = "too many requests wait"
@@ -150,11 +154,18 @@
 	now, server := r.h.cfg.Now, p.choice.Candidate.Server
 	defer server.Release()
 	m := &meter{Response: w, now: now, onFirst: server.Progressed}
+	whole := r.req.Model != nil && !r.req.Chat.Stream
+	if whole {
+		// Its first byte comes with its end, which is no sign of a stall.
+		m.onFirst = func(clock.Instant) {}
+	}
 	started := now()
 	if r.req.Model != nil {
 		m.onEvents = func(events int) { r.notePace(p, events, m.firstAt) }
 	}
-	server.Sent(started)
+	if !whole {
+		server.Sent(started)
+	}
 	refusal := r.h.cfg.Backend.SendBackend(ctx, r.request(p.picker), p.choice.Candidate.Config, m)
 	m.end()
 	r.learn(p, m, refusal, started)
@@ -225,7 +236,7 @@
 // waited there.
 func (r *run) sendAcross(ctx context.Context, picker *routing.Picker, plan routing.Plan, member *snapshot.Member, w pipeline.Response) *verdict.Refusal {
 	now, crossing := r.h.cfg.Now, plan.Region.Crossing
-	crossing.Start()
+	crossing.Start(now())
 	defer crossing.End()
 	expected := plan.Estimate.Link + plan.Estimate.Service
 	if r.req.Chat.Stream {
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -32,6 +32,9 @@
 	outlierFactor = 3
 	// outlierSeconds is the least difference to the median of an outlier.
 	outlierSeconds = 0.05
+	// slowerFactor is how many times longer a request must take at a free slot
+	// for the slot to be passed over. A cached prefix alone is no ground.
+	slowerFactor = 2
 	// typicalAge is how long the median is used.
 	typicalAge = 200 * time.Millisecond
 	// fullScan is the number of candidates up to which all are weighed. Of
@@ -54,6 +57,8 @@
 	Prefix uint64
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
+	// SlotWait is the expected wait for another slot.
+	SlotWait time.Duration
 	// Tried names the servers and regions that are ruled out.
 	Tried []string
 	// Trail names the VMs that handled the request before. No request goes to
@@ -321,8 +326,9 @@
 	return total
 }
 
-// Place takes a slot at the best candidate with a free one. Release at the
-// candidate's Server must follow.
+// Place takes a slot at the best candidate with a free one, unless it is worth
+// waiting for a slot at a better one. Release at the candidate's Server must
+// follow.
 func (t *Target) Place(q *Query) (Choice, bool) {
 	const races = 4
 	for range races {
@@ -330,6 +336,9 @@
 		if choice.Candidate == nil {
 			return Choice{}, false
 		}
+		if t.worthWaiting(choice.Estimate, t.Best(q, false).Estimate, q.SlotWait) {
+			return Choice{}, false
+		}
 		server := choice.Candidate.Server
 		if !server.Reserve(t.limit(choice.Candidate, q.Now)) {
 			continue
@@ -342,6 +351,17 @@
 	return Choice{}, false
 }
 
+// worthWaiting reports whether a free slot is to be passed over for the best
+// candidate's next one. A slot at one of n candidates is waited for n times as
+// long as any slot.
+func (t *Target) worthWaiting(free, best Estimate, slotWait time.Duration) bool {
+	if free.Service < slowerFactor*best.Service {
+		return false
+	}
+	wait := slotWait.Seconds() * float64(len(t.Candidates))
+	return free.Score > best.Score+wait
+}
+
 // Used records that the candidate served a request with the prefix.
 func (t *Target) Used(c *Candidate, prefix uint64, now clock.Instant) {
 	if t.Prefixes != nil && prefix != 0 {
