Dispatch: a stream given up before its answer begins is cancelled at the engine

Cause: the loser of a hedge ended with its context and sent no DELETE, so it ran on at the engine for the time that a stream outlives its connection. The new test waited for ever without the change.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,6 +96,9 @@
 	resp, err := s.client.Do(newRequest(ctx, req, server))
 	if err != nil {
 		s.observeError(ctx, server, started, err)
+		if req.Chat.Stream && ctx.Err() != nil {
+			s.cancel(req, server)
+		}
 		return failure(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -227,3 +227,28 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// An attempt that is given up before its answer begins, such as the loser of a
+// hedge, must not go on at the engine.
+func TestStreamGivenUpBeforeItsAnswerIsCancelled(t *testing.T) {
+	is := is.New(t)
+	arrived, cancelled := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			close(cancelled)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	ctx, giveUp := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		giveUp()
+	}()
+	refusal := newSender().SendBackend(ctx, streamRequest(), serverAt(server.Listener.Addr().String()), &pipelinetest.Recorder{})
+	is.Equal(refusal.Code, verdict.CodeCancelled)
+	<-cancelled
+}
