--- a/internal/fairqueue/gate.go
+++ b/internal/fairqueue/gate.go
@@ -37,8 +37,8 @@
 	usualWindow = 15 * time.Second
 	// demandMargin is how many times its usual demand a team may soon need.
 	demandMargin = 3
-	// guestExcess is how far above their share guests count as being.
-	guestExcess = 1.1
+	// remoteExcess is how far above their share remote requests count as being.
+	remoteExcess = 1.1
 	// Up to noExcess above its share, as a multiple of it, a team leaves nothing
 	// free; from fullExcess on it leaves the whole reserve free.
 	noExcess   = 0.7
@@ -66,15 +66,15 @@
 	// Boost multiplies the weight in the queue, but not the share of the slots;
 	// zero means 1.
 	Boost float64
-	// Guest means that the request's own region is another one. Guests have no
+	// Remote means that the request's own region is another one. Remote requests have no
 	// share of the slots and take what the others leave.
-	Guest bool
+	Remote bool
 	// Priority is the class; 0 is served first.
 	Priority int
 	// Cost is the expected work.
 	Cost time.Duration
-	// Patience is how long the request may wait.
-	Patience time.Duration
+	// MaxWait is how long the request may wait.
+	MaxWait time.Duration
 	// Leave, unless nil, is asked while the request waits, with the time that
 	// it has waited. True ends the wait with ErrElsewhere.
 	Leave func(waited time.Duration) bool
@@ -104,7 +104,7 @@
 }
 
 type usage struct {
-	weight   float64 // zero for guests
+	weight   float64 // zero for remote requests
 	inFlight int
 	queued   int
 	seen     clock.Instant
@@ -152,7 +152,7 @@
 
 // wait waits until the item is granted, or gives it up.
 func (g *Gate) wait(ctx context.Context, c Claim, it *Item) error {
-	timer := time.NewTimer(c.Patience)
+	timer := time.NewTimer(c.MaxWait)
 	defer timer.Stop()
 	ticker := time.NewTicker(leaveInterval)
 	defer ticker.Stop()
@@ -162,7 +162,7 @@
 		case <-it.waiter.ready:
 			return nil
 		case <-timer.C:
-			return g.leave(it, ErrTooLate.New("no slot within %s", c.Patience))
+			return g.leave(it, ErrTooLate.New("no slot within %s", c.MaxWait))
 		case <-ctx.Done():
 			return g.leave(it, ctx.Err())
 		case <-ticker.C:
@@ -194,7 +194,7 @@
 	g.queue.Push(it)
 	u.queued++
 	g.pump()
-	if c.Patience <= 0 && g.queue.Remove(it) {
+	if c.MaxWait <= 0 && g.queue.Remove(it) {
 		u.queued--
 		return nil, ErrTooLate.New("no slot is free")
 	}
@@ -303,7 +303,7 @@
 		return true
 	}
 	u.weigh(g.now())
-	share, excess := g.share(u), guestExcess
+	share, excess := g.share(u), remoteExcess
 	if share == 0 && g.ownWait() {
 		return false
 	}
@@ -371,7 +371,7 @@
 		g.teams[c.Team] = u
 	}
 	weight := weightOf(c.Weight)
-	if c.Guest {
+	if c.Remote {
 		weight = 0
 	}
 	g.weight += weight - u.weight
--- a/internal/fairqueue/gate_test.go
+++ b/internal/fairqueue/gate_test.go
@@ -18,9 +18,9 @@
 // pool is a number of slots for Place. The gate's lock guards it.
 type pool struct{ free, size int }
 
-func (p *pool) claim(team string, cost, patience time.Duration) Claim {
+func (p *pool) claim(team string, cost, maxWait time.Duration) Claim {
 	return Claim{
-		Team: team, Cost: cost, Patience: patience,
+		Team: team, Cost: cost, MaxWait: maxWait,
 		Place: func() bool {
 			if p.free == 0 {
 				return false
@@ -57,7 +57,7 @@
 	})
 }
 
-func TestPatienceBoundsTheWait(t *testing.T) {
+func TestMaxWaitBoundsTheWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g, p := NewGate(clock.Synthetic()), &pool{free: 0, size: 1}
--- a/internal/filter/route/run.go
+++ b/internal/filter/route/run.go
@@ -27,8 +27,8 @@
 	serviceAnswerBytes = 2000
 )
 
-// guestSuffix marks a team's requests from other regions in the queue.
-const guestSuffix = " (from another region)"
+// remoteSuffix marks a team's requests from other regions in the queue.
+const remoteSuffix = " (from another region)"
 
 // run is one request on its way through the handler.
 type run struct {
@@ -213,7 +213,7 @@
 // stand apart from those of the team's callers here.
 func (r *run) queueTeam() string {
 	if r.req.Hop == pipeline.HopRegion {
-		return r.req.Team + guestSuffix
+		return r.req.Team + remoteSuffix
 	}
 	return r.req.Team
 }
--- a/internal/filter/route/serve.go
+++ b/internal/filter/route/serve.go
@@ -82,13 +82,13 @@
 	picker := r.h.current()
 	target := picker.Target(r.req.Target)
 	remaining := r.req.Deadline.Sub(r.h.cfg.Now())
-	patience := remaining - plan.Estimate.Service
+	maxWait := remaining - plan.Estimate.Service
 	if target != nil {
-		patience = min(patience, r.maxQueue(target)-r.waited)
+		maxWait = min(maxWait, r.maxQueue(target)-r.waited)
 	}
 	return fairqueue.Claim{
-		Team: r.queueTeam(), Weight: r.weight(picker), Boost: r.boost(picker, target), Guest: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
-		Cost: plan.Estimate.Service, Patience: patience,
+		Team: r.queueTeam(), Weight: r.weight(picker), Boost: r.boost(picker, target), Remote: r.req.Hop == pipeline.HopRegion, Priority: int(r.req.Priority),
+		Cost: plan.Estimate.Service, MaxWait: maxWait,
 		Place: func() bool { return r.place(place) },
 		Capacity: func() int {
 			if target == nil {
--- a/internal/filter/route/state.go
+++ b/internal/filter/route/state.go
@@ -1,8 +1,6 @@
 package route
 
 import (
-	"time"
-
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/fairqueue"
@@ -60,22 +58,6 @@
 	return state
 }
 
-// Load is what this gateway knows of one target's load in its region, for the
-// summary that it gives to other regions.
-type Load struct {
-	// Queued and InFlight count the requests of this gateway.
-	Queued, InFlight int
-	// Wait is the expected wait of a request that comes now.
-	Wait time.Duration
-}
-
-// LoadOf returns the load of a target.
-func (h *Handler) LoadOf(target string) Load {
-	g := h.gate(target)
-	wait, _ := g.Wait("", 1, int(pipeline.PriorityNormal))
-	return Load{Queued: g.Queued(), InFlight: g.InFlight(), Wait: wait}
-}
-
 // logRefusal explains a refusal.
 func (r *run) logRefusal(reason string, q *routing.Query, target *routing.Target) {
 	best := target.Best(q, false)
