--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 )
@@ -13,8 +14,9 @@
 	Version     string            `json:"version"`
 	Revision    uint64            `json:"revision"`
 	Unconfirmed bool              `json:"unconfirmed"`
-	// ConfirmedAgeSeconds is the time since the configuration was confirmed.
-	ConfirmedAgeSeconds float64                                       `json:"confirmedAgeSeconds"`
+	// ConfirmedAgeSeconds is the time since the configuration was confirmed. It
+	// is absent as long as no source has confirmed it.
+	ConfirmedAgeSeconds *float64                                      `json:"confirmedAgeSeconds,omitempty"`
 	Leaving             bool                                          `json:"leaving"`
 	Members             map[string]*snapshot.Member                   `json:"members"`
 	Backends            map[string]*snapshot.BackendStatus            `json:"backends"`
@@ -35,10 +37,18 @@
 	return state{
 		Self: g.self, Version: version.String(),
 		Revision: s.Config.Revision, Unconfirmed: s.Unconfirmed,
-		ConfirmedAgeSeconds: g.now().Sub(s.Confirmed).Seconds(),
+		ConfirmedAgeSeconds: confirmedAge(s, g.now()),
 		Leaving:             s.Leaving, Members: s.Members, Backends: s.Backends, Summaries: s.Summaries,
 		Config: g.config.State(), Fleet: g.fleet.State(),
 		Bookings: g.booking.State(), Routing: g.route.State(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
 }
+
+func confirmedAge(s *snapshot.Snapshot, now clock.Instant) *float64 {
+	if s.Unconfirmed {
+		return nil
+	}
+	age := now.Sub(s.Confirmed).Seconds()
+	return &age
+}
