--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -180,10 +180,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return verdict.Busy(verdict.CodeBackendFailed, "the backend server could not be reached", retryAfterFailure)
 	}
-	if refusal := contextRefusal(ctx); refusal != nil {
-		return refusal
-	}
-	return verdict.Ambiguous(verdict.CodeBackendFailed, "the connection to the backend server broke", retryAfterFailure)
+	return contextRefusalOrBroken(ctx)
 }
 
 // contextRefusal explains why a request's context ended, or returns nil.
