--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,393 @@
+package balance
+
+import (
+	"hash/maphash"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// Bounds are the operators' bounds on what the fleet may do to backend servers.
+type Bounds struct {
+	// ColdOverage and ColdSlack bound the requests of one second to a cold
+	// server: its stated rate times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+}
+
+// Tuning holds the weights of the choice.
+type Tuning struct {
+	// PromptTokensPerMs is how many prompt tokens an engine reads in a
+	// millisecond.
+	PromptTokensPerMs float64
+	// StepMs is the time of one step of an idle engine, and StepMsPerKToken
+	// what each thousand tokens in memory add to it.
+	StepMs          float64
+	StepMsPerKToken float64
+	// CrossingMargin is the least gain for which a request leaves its region.
+	CrossingMargin time.Duration
+}
+
+// DefaultTuning is for engines of about eight billion parameters on one
+// accelerator each, as in both example deployments.
+var DefaultTuning = Tuning{
+	PromptTokensPerMs: 110,
+	StepMs:            2.6,
+	StepMsPerKToken:   0.0175,
+	CrossingMargin:    150 * time.Millisecond,
+}
+
+const (
+	// decodeWeight is the weight of the time after the first event: only
+	// requests near their deadline lose by it.
+	decodeWeight = 0.3
+	// burdenWeight is the weight of what reading a prompt takes from the other
+	// requests of the engine.
+	burdenWeight = 1.0
+	// spreadWeight is the part of the shared parts' reading time by which
+	// servers differ for a prefix that none is known to hold, so that all
+	// gateways tend to the same one.
+	spreadWeight = 0.5
+	// firstMs is an engine's fixed time to the first event.
+	firstMs = 30
+	// silentAfter is the silence after which a server that owes first bytes
+	// gets no new work: several times the longest usual wait.
+	silentAfter = 1200 * time.Millisecond
+	// defaultPlainMs and defaultEngineMs are assumed service times until some
+	// are measured.
+	defaultPlainMs  = 40
+	defaultEngineMs = 1500
+	// durationSmoothing is the weight of a new service time.
+	durationSmoothing = 0.05
+	// coldMs is added to the score of a cold server.
+	coldMs = 100
+	// fullMs is added to the score of a server that has just refused a request
+	// for want of room, and errorMs to that of one that fails all requests.
+	fullMs  = 300
+	errorMs = 1500
+	// noise breaks ties, as a part of the score.
+	noise = 0.02
+	// sendsFade is the time in which a region's summary comes to show what was
+	// sent there.
+	sendsFade = 400 * time.Millisecond
+	// returnMargin is how much longer than its stated cold start a server
+	// counts as cold after its failure domain was given back.
+	returnMargin = time.Second
+)
+
+// Query is one request, as far as the choice depends on it.
+type Query struct {
+	Now     clock.Instant
+	Route   *ingress.Route
+	Service *ingress.Service
+	Demand  *Demand
+	// Remaining is the time until the answer must be there.
+	Remaining time.Duration
+	// Tried are servers and TriedRegions regions that are ruled out.
+	Tried        []roster.ServerKey
+	TriedRegions []string
+	// LocalOnly rules out other regions.
+	LocalOnly bool
+	// Random is a random number.
+	Random uint64
+}
+
+// Plan says where a request goes: to Server, to Region or, with neither,
+// nowhere now.
+type Plan struct {
+	Server   *roster.Server
+	Load     *Load
+	Region   string
+	Estimate Estimate
+	// Reason says in one word why the request goes nowhere.
+	Reason string
+	// RetryAfter is when room is expected, for a request that goes nowhere.
+	RetryAfter time.Duration
+	// Allowance is the part of a cold server's rate that this VM may use; it
+	// binds where Cold is true.
+	Cold      bool
+	Allowance int
+}
+
+// Fleet is what the choice needs of the other VMs.
+type Fleet interface {
+	// Peers returns the VMs of the own region that share its backend servers,
+	// this one included, and this one's rank among them for a server.
+	Peers(server string) (vms, rank int)
+	// Regions returns what is known of the regions that can be reached.
+	Regions(service string) []RegionSummary
+}
+
+// Balancer holds the state behind the choices.
+type Balancer struct {
+	Region   string
+	Domain   string
+	Bounds   Bounds
+	Tuning   Tuning
+	Fleet    Fleet
+	Prefixes *Prefixes
+
+	loads     sync.Map // roster.ServerKey to *Load
+	durations sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
+	crossings sync.Map // region and service to *crossing
+	seed      maphash.Seed
+}
+
+// New returns a balancer for one VM.
+func New(region, domain string, bounds Bounds, tuning Tuning, fleet Fleet) *Balancer {
+	return &Balancer{
+		Region: region, Domain: domain, Bounds: bounds, Tuning: tuning, Fleet: fleet,
+		Prefixes: NewPrefixes(), seed: maphash.MakeSeed(),
+	}
+}
+
+// Load returns the record of a server's incarnation.
+func (b *Balancer) Load(key roster.ServerKey) *Load {
+	if l, ok := b.loads.Load(key); ok {
+		return l.(*Load)
+	}
+	l, _ := b.loads.LoadOrStore(key, &Load{})
+	return l.(*Load)
+}
+
+// Forget drops the records of servers that are not in the view.
+func (b *Balancer) Forget(v *roster.View) {
+	b.loads.Range(func(key, _ any) bool {
+		k := key.(roster.ServerKey)
+		if s := v.Lookup(k.ID); s == nil || s.Started != k.Started {
+			b.loads.Delete(key)
+		}
+		return true
+	})
+}
+
+// Choose weighs the backend servers of the own region and the other regions.
+func (b *Balancer) Choose(q *Query, view *roster.View) Plan {
+	local := b.chooseLocal(q, view)
+	if q.LocalOnly {
+		return local
+	}
+	remote := b.chooseRegion(q)
+	switch {
+	case remote.Region == "":
+		return local
+	case local.Server == nil:
+		return remote
+	case remote.Estimate.Score+toMs(b.Tuning.CrossingMargin) < local.Estimate.Score:
+		return remote
+	default:
+		return local
+	}
+}
+
+// chooseLocal returns the best backend server of the own region.
+func (b *Balancer) chooseLocal(q *Query, view *roster.View) Plan {
+	best := Plan{Reason: "no-server", RetryAfter: time.Second}
+	if !q.Route.Permits(b.Region) {
+		best.Reason = "residency"
+		return best
+	}
+	held := b.Prefixes.holdings(q.Demand.Parts, q.Now)
+	found := false
+	for _, s := range view.Usable(q.Service.Name, b.Region) {
+		if slices.Contains(q.Tried, s.Key()) {
+			continue
+		}
+		load := b.Load(s.Key())
+		if load.Lost() || !load.Breaker.Ready(q.Now) || load.silence(q.Now) > silentAfter {
+			best.Reason = pick(found, best.Reason, "servers-failing")
+			continue
+		}
+		cold, allowance := b.cold(q, s, load, view)
+		if cold && !load.Pace.Room(q.Now, allowance) {
+			best.Reason = pick(found, best.Reason, "servers-cold")
+			continue
+		}
+		e := b.estimate(q, s, load, held[s.Key()])
+		if cold {
+			e.Score += coldMs
+		}
+		if !found || e.Score < best.Estimate.Score {
+			found = true
+			best = Plan{Server: s, Load: load, Estimate: e, Cold: cold, Allowance: allowance}
+		}
+	}
+	return best
+}
+
+func pick(found bool, old, other string) string {
+	if found {
+		return old
+	}
+	return other
+}
+
+// cold reports whether the server counts as cold, and this VM's part of what
+// it tolerates.
+func (b *Balancer) cold(q *Query, s *roster.Server, load *Load, view *roster.View) (bool, int) {
+	if q.Service.ColdPerSecond <= 0 {
+		return false, 0
+	}
+	returned := view.ReturnedAt(s.FailureDomain)
+	cold := q.Now < s.ColdUntil || q.Now < clock.Instant(load.doubt.Load()) ||
+		returned != 0 && q.Now.Sub(returned) < q.Service.ColdStart+returnMargin
+	if !cold {
+		return false, 0
+	}
+	vms, rank := b.Fleet.Peers(s.ID)
+	rate := q.Service.ColdPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
+	return true, Allowance(rate, vms, rank)
+}
+
+// estimate weighs one backend server.
+func (b *Balancer) estimate(q *Query, s *roster.Server, load *Load, held int) Estimate {
+	active, unread, memory := load.total(q.Now)
+	var e Estimate
+	if q.Service.Engine == nil {
+		e = b.plainEstimate(q, max(1, s.Slots), active, load.paceOf(q.Now))
+	} else {
+		e = b.engineEstimate(q, engineState{
+			slots: float64(max(1, s.Slots)), active: active, unread: unread, memory: memory,
+			memoryTotal: load.memoryTotal(q.Service.Engine.MemoryTokens), pace: load.paceOf(q.Now),
+		}, held)
+		e.Score += b.spread(q, s.Key(), held)
+	}
+	if load.full(q.Now) {
+		e.Score += fullMs
+	}
+	e.Score += errorMs * load.errors.value()
+	if quiet := load.silence(q.Now); quiet > e.First {
+		e.Score += toMs(quiet)
+	}
+	e.Score *= 1 + noise*fraction(q.Random^hash(b.seed, s.ID))
+	return e
+}
+
+// spread makes all gateways tend to the same server for a prefix that none is
+// known to hold.
+func (b *Balancer) spread(q *Query, key roster.ServerKey, held int) float64 {
+	shared := q.Demand.shared()
+	if len(shared) == 0 {
+		return 0
+	}
+	tokens := 0
+	for _, p := range shared {
+		tokens += p.Tokens
+	}
+	if held >= tokens {
+		return 0
+	}
+	last := shared[len(shared)-1]
+	return spreadWeight * float64(last.Tokens) / b.Tuning.PromptTokensPerMs * fraction(mix(last.ID)^stableHash(key.ID))
+}
+
+// engineState is the load of a model engine, or of a region's average one.
+type engineState struct {
+	slots, active, unread, memory, memoryTotal, pace float64
+}
+
+func (b *Balancer) engineEstimate(q *Query, s engineState, held int) Estimate {
+	missing := max(0, q.Demand.Prompt-held)
+	read := float64(missing) / b.Tuning.PromptTokensPerMs * s.pace
+	backlog := s.unread / b.Tuning.PromptTokensPerMs * s.pace
+	step := (b.Tuning.StepMs + b.Tuning.StepMsPerKToken*s.memory/1000) * s.pace
+	wait := 0.0
+	duration := b.durationMs(q.Service)
+	if over := s.active + 1 - s.slots; over > 0 {
+		wait = over / s.slots * duration
+	}
+	if s.memoryTotal > 0 {
+		if over := s.memory + q.Demand.memory() - s.memoryTotal; over > 0 {
+			wait = max(wait, over/s.memoryTotal*duration)
+		}
+	}
+	first := wait + backlog + read + firstMs
+	rest := q.Demand.output() * step
+	return Estimate{
+		First: toDuration(first), Whole: toDuration(first + rest), Missing: missing,
+		Score: first + decodeWeight*rest + burdenWeight*read,
+	}
+}
+
+func (b *Balancer) plainEstimate(q *Query, slots int, active, pace float64) Estimate {
+	service := b.durationMs(q.Service) * pace
+	wait := max(0, active+1-float64(slots)) / float64(slots) * service
+	// A server that has free slots is the better the more of them are free.
+	crowd := active / float64(slots) * service * 0.5
+	whole := wait + service
+	return Estimate{First: toDuration(whole), Whole: toDuration(whole), Score: whole + crowd}
+}
+
+// durationMs returns the service's usual time from the send to the end.
+func (b *Balancer) durationMs(s *ingress.Service) float64 {
+	if v, ok := b.durations.Load(s.Name); ok {
+		if bits := v.(*atomic.Uint64).Load(); bits != 0 {
+			return math.Float64frombits(bits)
+		}
+	}
+	if s.Engine == nil {
+		return defaultPlainMs
+	}
+	return defaultEngineMs
+}
+
+// Finished takes in the time that a complete answer took at a server.
+func (b *Balancer) Finished(service string, took time.Duration) {
+	v, ok := b.durations.Load(service)
+	if !ok {
+		v, _ = b.durations.LoadOrStore(service, &atomic.Uint64{})
+	}
+	value := v.(*atomic.Uint64)
+	old := value.Load()
+	if old == 0 {
+		value.CompareAndSwap(0, math.Float64bits(toMs(took)))
+		return
+	}
+	mean := math.Float64frombits(old)
+	value.CompareAndSwap(old, math.Float64bits(mean+durationSmoothing*(toMs(took)-mean)))
+}
+
+// MeasureGap takes in the time between two events of a stream, which hold the
+// given number of tokens.
+func (b *Balancer) MeasureGap(load *Load, gap time.Duration, tokens int, now clock.Instant) {
+	if tokens <= 0 {
+		return
+	}
+	_, _, memory := load.total(now)
+	expected := (b.Tuning.StepMs + b.Tuning.StepMsPerKToken*memory/1000) * float64(tokens)
+	load.measure(toMs(gap)/expected, now)
+}
+
+// MeasurePlain takes in the time of a plain service's answer.
+func (b *Balancer) MeasurePlain(load *Load, s *ingress.Service, took time.Duration, now clock.Instant) {
+	const floorMs = 20 // keeps short answers from looking slow
+	load.measure((toMs(took)+floorMs)/(b.durationMs(s)+floorMs), now)
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// fraction returns a number in [0, 1) that depends on x alone.
+func fraction(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
+
+func hash(seed maphash.Seed, s string) uint64 { return maphash.String(seed, s) }
+
+// stableHash is the same in all processes.
+func stableHash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return mix(h)
+}
--- /dev/null
+++ b/internal/balance/demand.go
@@ -0,0 +1,64 @@
+// Package balance decides where a request goes: which backend server of the
+// own region, which other region, or nowhere now.
+//
+// It opens no sockets and reads no clock. The counters that change with each
+// request are atomics; all else that it reads is immutable.
+package balance
+
+import (
+	"time"
+)
+
+// Part is a leading part of a prompt. Requests that share a part share its ID.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Demand is what a request asks of a model engine. It is zero for requests to
+// plain services.
+type Demand struct {
+	// Prompt and Output are numbers of tokens; Output is the most that the
+	// caller accepts.
+	Prompt, Output int
+	// Expected is the caller's estimate of the output; zero means none.
+	Expected int
+	// Parts are the prompt's parts in order.
+	Parts []Part
+	// Model names the model.
+	Model string
+}
+
+// output returns the expected number of tokens of the answer.
+func (d *Demand) output() float64 {
+	if d.Expected > 0 && (d.Output == 0 || d.Expected < d.Output) {
+		return float64(d.Expected)
+	}
+	return float64(d.Output)
+}
+
+// memory returns the tokens of memory that the request takes at its end.
+func (d *Demand) memory() float64 { return float64(d.Prompt) + d.output() }
+
+// shared returns the parts that other requests may share: all but the last,
+// which belongs to the request or its session.
+func (d *Demand) shared() []Part {
+	if len(d.Parts) == 0 {
+		return nil
+	}
+	return d.Parts[:len(d.Parts)-1]
+}
+
+// Estimate is what a request is expected to meet.
+type Estimate struct {
+	// First is the time until the answer begins, and Whole until its end.
+	First, Whole time.Duration
+	// Score orders choices, in milliseconds; the least is best.
+	Score float64
+	// Missing is the number of prompt tokens that must be read.
+	Missing int
+}
+
+func toDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/balance/load.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/breaker"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+const (
+	// reportAge is how long a server's report of its load counts: several
+	// intervals of polling.
+	reportAge = 1500 * time.Millisecond
+	// peerAge is how long what a neighbour says of its own load counts:
+	// several intervals of the exchange.
+	peerAge = 1500 * time.Millisecond
+	// paceSmoothing is the weight of a new measurement of a server's pace.
+	paceSmoothing = 0.15
+	// paceAge is how long a measurement of the pace counts.
+	paceAge = 5 * time.Second
+	// minPace and maxPace bound one measurement.
+	minPace, maxPace = 0.3, 30
+)
+
+// Report is a backend server's own word of its load.
+type Report struct {
+	Running, Queued int
+	// MemoryUsed is the memory that can't be freed, of MemoryTotal, in tokens.
+	MemoryUsed, MemoryTotal int
+	Heard                   clock.Instant
+}
+
+// Usage is what one gateway has at a backend server.
+type Usage struct {
+	Active int
+	// Unread is the number of prompt tokens sent and not known to be read.
+	Unread int
+	// Memory is the number of tokens of the requests in progress.
+	Memory int
+}
+
+// heardUsage is the sum of the neighbours' usage of a server.
+type heardUsage struct {
+	Usage
+	at clock.Instant
+}
+
+// Load is this process's record of one incarnation of a backend server.
+type Load struct {
+	Breaker breaker.Breaker
+	Pace    Pacer
+
+	active, unread, memory atomic.Int64
+	others                 atomic.Pointer[heardUsage]
+	report                 atomic.Pointer[Report]
+	// beyond is what the report showed beyond the own requests, as the bits
+	// of a float64.
+	beyond atomic.Uint64
+	// pace is the measured time of a step over the expected one, as the bits
+	// of a float64; paceAt is when it was last measured.
+	pace   atomic.Uint64
+	paceAt atomic.Int64
+	// unstarted counts requests without a first byte; progress is the instant
+	// of the last sign of life.
+	unstarted atomic.Int32
+	progress  atomic.Int64
+	// missed counts polls without an answer since the last one.
+	missed atomic.Int32
+	// fullUntil is the instant until which the server counts as full.
+	fullUntil atomic.Int64
+	errors    rate
+	// doubt is the instant until which the server counts as cold because it
+	// failed lately.
+	doubt atomic.Int64
+}
+
+// Own returns what this process has at the server.
+func (l *Load) Own() Usage {
+	return Usage{Active: int(l.active.Load()), Unread: int(l.unread.Load()), Memory: int(l.memory.Load())}
+}
+
+// SetOthers takes in the sum of what the neighbours say of their own use.
+func (l *Load) SetOthers(u Usage, now clock.Instant) { l.others.Store(&heardUsage{Usage: u, at: now}) }
+
+// SetReport takes in the server's report of its load.
+func (l *Load) SetReport(r Report) {
+	l.missed.Store(0)
+	l.report.Store(&r)
+	own := float64(l.active.Load())
+	l.beyond.Store(math.Float64bits(max(0, float64(r.Running+r.Queued)-own)))
+}
+
+// Missed records that the server did not answer a poll.
+func (l *Load) Missed() int32 { return l.missed.Add(1) }
+
+// Lost reports whether several polls in a row got no answer.
+func (l *Load) Lost() bool { return l.missed.Load() >= pollsToLose }
+
+// pollsToLose is the number of unanswered polls after which a server gets no
+// new work.
+const pollsToLose = 2
+
+// Doubt makes the server count as cold until the given instant.
+func (l *Load) Doubt(until clock.Instant) { l.doubt.Store(int64(until)) }
+
+// total returns the use by all gateways.
+func (l *Load) total(now clock.Instant) (active, unread, memory float64) {
+	own := l.Own()
+	active, unread, memory = float64(own.Active), float64(own.Unread), float64(own.Memory)
+	var others Usage
+	if o := l.others.Load(); o != nil && now.Sub(o.at) < peerAge {
+		others = o.Usage
+	}
+	beyond := float64(others.Active)
+	r := l.report.Load()
+	if r != nil && now.Sub(r.Heard) < reportAge {
+		beyond = max(beyond, math.Float64frombits(l.beyond.Load()))
+		memory = max(memory+float64(others.Memory), float64(r.MemoryUsed))
+	} else {
+		memory += float64(others.Memory)
+	}
+	return active + beyond, unread + float64(others.Unread), memory
+}
+
+// memoryTotal returns the server's memory as it reported it, or the given one.
+func (l *Load) memoryTotal(configured int) float64 {
+	if r := l.report.Load(); r != nil && r.MemoryTotal > 0 {
+		return float64(r.MemoryTotal)
+	}
+	return float64(configured)
+}
+
+// paceOf returns the measured time of a step over the expected one.
+func (l *Load) paceOf(now clock.Instant) float64 {
+	bits := l.pace.Load()
+	if bits == 0 || now.Sub(clock.Instant(l.paceAt.Load())) > paceAge {
+		return 1
+	}
+	return math.Float64frombits(bits)
+}
+
+// measure takes in a measured time over the expected one.
+func (l *Load) measure(ratio float64, now clock.Instant) {
+	ratio = min(max(ratio, minPace), maxPace)
+	old := l.pace.Load()
+	next := ratio
+	if old != 0 && now.Sub(clock.Instant(l.paceAt.Load())) <= paceAge {
+		value := math.Float64frombits(old)
+		next = value + paceSmoothing*(ratio-value)
+	}
+	// A lost race loses one measurement.
+	l.pace.CompareAndSwap(old, math.Float64bits(next))
+	l.paceAt.Store(int64(now))
+}
+
+// silence returns for how long requests have waited for a first byte since the
+// server last gave a sign of life.
+func (l *Load) silence(now clock.Instant) time.Duration {
+	if l.unstarted.Load() <= 0 {
+		return 0
+	}
+	return max(0, now.Sub(clock.Instant(l.progress.Load())))
+}
+
+// Work is one request's place at a backend server.
+type Work struct {
+	load    *Load
+	unread  int64
+	memory  int64
+	begun   clock.Instant
+	started bool
+	ended   bool
+}
+
+// Begin records that a request is sent to the server.
+func (l *Load) Begin(d *Demand, missing int, now clock.Instant) *Work {
+	w := &Work{load: l, begun: now, unread: int64(missing), memory: int64(d.memory())}
+	l.active.Add(1)
+	l.unread.Add(w.unread)
+	l.memory.Add(w.memory)
+	if l.unstarted.Add(1) == 1 {
+		l.progress.Store(int64(now))
+	}
+	return w
+}
+
+// Started records the first byte of the answer.
+func (w *Work) Started(now clock.Instant) {
+	w.load.progress.Store(int64(now))
+	if w.started {
+		return
+	}
+	w.started = true
+	w.load.unread.Add(-w.unread)
+	w.load.unstarted.Add(-1)
+}
+
+// End gives the place back.
+func (w *Work) End(now clock.Instant) {
+	if w.ended {
+		return
+	}
+	w.ended = true
+	if !w.started {
+		w.load.unread.Add(-w.unread)
+		w.load.unstarted.Add(-1)
+	}
+	w.load.active.Add(-1)
+	w.load.memory.Add(-w.memory)
+}
+
+// Begun returns when the request was sent.
+func (w *Work) Begun() clock.Instant { return w.begun }
+
+// Refused records that the server refused a request for want of room: it gets
+// no new work until the given instant, unless there is no other server.
+func (l *Load) Refused(until clock.Instant) { l.fullUntil.Store(int64(until)) }
+
+// full reports whether the server refused a request a moment ago.
+func (l *Load) full(now clock.Instant) bool { return now < clock.Instant(l.fullUntil.Load()) }
+
+// Failed records a request that broke at the server.
+func (l *Load) Failed(now clock.Instant) {
+	l.Breaker.Failure(now)
+	l.errors.add(1)
+}
+
+// Erred records a request that the server answered with a failure.
+func (l *Load) Erred(clock.Instant) { l.errors.add(1) }
+
+// Succeeded records a request that the server answered.
+func (l *Load) Succeeded() {
+	l.Breaker.Success()
+	l.errors.add(0)
+}
+
+// rate is a smoothed share of events, as the bits of a float64.
+type rate struct{ bits atomic.Uint64 }
+
+// errorSmoothing is the weight of the newest request in the share of errors.
+const errorSmoothing = 0.08
+
+// add takes in one event, 0 or 1. A lost race loses it.
+func (r *rate) add(sample float64) {
+	old := r.bits.Load()
+	mean := math.Float64frombits(old)
+	r.bits.CompareAndSwap(old, math.Float64bits(mean+errorSmoothing*(sample-mean)))
+}
+
+func (r *rate) value() float64 { return math.Float64frombits(r.bits.Load()) }
--- /dev/null
+++ b/internal/balance/prefix.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+const (
+	// heldFor is how long a part is expected to stay cached after its last
+	// use, without further word.
+	heldFor = 30 * time.Second
+	// maxParts bounds the parts that are remembered.
+	maxParts = 20_000
+)
+
+// Prefixes remembers which backend servers have read which parts of prompts.
+type Prefixes struct {
+	mu    sync.RWMutex
+	parts map[uint64]map[roster.ServerKey]clock.Instant
+}
+
+// NewPrefixes returns a memory that knows nothing.
+func NewPrefixes() *Prefixes {
+	return &Prefixes{parts: map[uint64]map[roster.ServerKey]clock.Instant{}}
+}
+
+// Read records that a server reads the parts.
+func (p *Prefixes) Read(parts []Part, server roster.ServerKey, now clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		holders := p.parts[part.ID]
+		if holders == nil {
+			if len(p.parts) >= maxParts {
+				p.prune(now)
+			}
+			holders = map[roster.ServerKey]clock.Instant{}
+			p.parts[part.ID] = holders
+		}
+		holders[server] = now
+	}
+}
+
+// Dropped records that a server no longer holds a part.
+func (p *Prefixes) Dropped(id uint64, server roster.ServerKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.parts[id], server)
+}
+
+// prune forgets what is old, or everything where nothing is.
+func (p *Prefixes) prune(now clock.Instant) {
+	for id, holders := range p.parts {
+		for server, at := range holders {
+			if now.Sub(at) > heldFor {
+				delete(holders, server)
+			}
+		}
+		if len(holders) == 0 {
+			delete(p.parts, id)
+		}
+	}
+	if len(p.parts) >= maxParts {
+		clear(p.parts)
+	}
+}
+
+// holdings returns for each server how many leading tokens of the parts it is
+// expected to have cached.
+func (p *Prefixes) holdings(parts []Part, now clock.Instant) map[roster.ServerKey]int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if len(parts) == 0 {
+		return nil
+	}
+	held := map[roster.ServerKey]int{}
+	sum := 0
+	for i, part := range parts {
+		found := false
+		for server, at := range p.parts[part.ID] {
+			if now.Sub(at) > heldFor || held[server] != sum {
+				continue
+			}
+			held[server] = sum + part.Tokens
+			found = true
+		}
+		sum += part.Tokens
+		if !found && i > 0 {
+			break
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/balance/region.go
@@ -0,0 +1,141 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// Summary is what a region's VMs report of one service.
+type Summary struct {
+	Service string
+	// Servers counts the warm servers that take work; the sums are over them.
+	Servers int
+	Slots   int
+	Active  float64
+	// Unread, Memory and MemoryTotal are in tokens.
+	Unread, Memory, MemoryTotal float64
+	// Pace is the mean of the measured times of a step over the expected ones.
+	Pace float64
+}
+
+// RegionSummary is a Summary as it was heard here.
+type RegionSummary struct {
+	Region string
+	// Members is the number of the region's VMs that can be reached.
+	Members int
+	// RoundTrip is the time to the region and back.
+	RoundTrip time.Duration
+	Summary   Summary
+	// Known is false where nothing was heard of the service.
+	Known bool
+}
+
+// crossing records what this VM sent to a region lately.
+type crossing struct {
+	mu     sync.Mutex
+	active float64
+	unread float64
+	at     clock.Instant
+}
+
+func (c *crossing) fade(now clock.Instant) {
+	f := math.Exp(-now.Sub(c.at).Seconds() / sendsFade.Seconds())
+	c.active, c.unread, c.at = c.active*f, c.unread*f, now
+}
+
+func (b *Balancer) crossing(region, service string) *crossing {
+	c, ok := b.crossings.Load(region + "\x00" + service)
+	if !ok {
+		c, _ = b.crossings.LoadOrStore(region+"\x00"+service, &crossing{})
+	}
+	return c.(*crossing)
+}
+
+// Crossed records that a request was sent to a region.
+func (b *Balancer) Crossed(region, service string, d *Demand, now clock.Instant) {
+	c := b.crossing(region, service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fade(now)
+	c.active++
+	c.unread += float64(d.Prompt)
+}
+
+// chooseRegion returns the best of the other regions.
+func (b *Balancer) chooseRegion(q *Query) Plan {
+	best := Plan{Reason: "no-region"}
+	vms, _ := b.Fleet.Peers("")
+	for _, r := range b.Fleet.Regions(q.Service.Name) {
+		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
+			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) {
+			continue
+		}
+		e := b.regionEstimate(q, r, float64(vms))
+		if best.Region == "" || e.Score < best.Estimate.Score {
+			best = Plan{Region: r.Region, Estimate: e}
+		}
+	}
+	return best
+}
+
+// regionEstimate weighs a region by its average server. The other VMs of the
+// own region are taken to send as much as this one.
+func (b *Balancer) regionEstimate(q *Query, r RegionSummary, vms float64) Estimate {
+	c := b.crossing(r.Region, q.Service.Name)
+	c.mu.Lock()
+	c.fade(q.Now)
+	active, unread := r.Summary.Active+c.active*vms, r.Summary.Unread+c.unread*vms
+	c.mu.Unlock()
+	n := float64(r.Summary.Servers)
+	var e Estimate
+	if q.Service.Engine == nil {
+		e = b.plainEstimate(q, max(1, r.Summary.Slots), active, r.Summary.Pace)
+	} else {
+		e = b.engineEstimate(q, engineState{
+			slots: float64(r.Summary.Slots) / n, active: active / n, unread: unread / n,
+			memory: r.Summary.Memory / n, memoryTotal: r.Summary.MemoryTotal / n, pace: r.Summary.Pace,
+		}, 0)
+	}
+	link := toMs(r.RoundTrip)
+	e.First += r.RoundTrip
+	e.Whole += r.RoundTrip
+	e.Score += link
+	return e
+}
+
+// Summarize returns this VM's view of a service in its own region.
+func (b *Balancer) Summarize(service *ingress.Service, view *roster.View, now clock.Instant) Summary {
+	s := Summary{Service: service.Name}
+	q := &Query{Now: now, Service: service}
+	pace := 0.0
+	for _, server := range view.Usable(service.Name, b.Region) {
+		load := b.Load(server.Key())
+		if load.Lost() || !load.Breaker.Ready(now) || load.silence(now) > silentAfter {
+			continue
+		}
+		if cold, _ := b.cold(q, server, load, view); cold {
+			continue
+		}
+		active, unread, memory := load.total(now)
+		s.Servers++
+		s.Slots += max(1, server.Slots)
+		s.Active += active
+		s.Unread += unread
+		s.Memory += memory
+		if service.Engine != nil {
+			s.MemoryTotal += load.memoryTotal(service.Engine.MemoryTokens)
+		}
+		pace += load.paceOf(now)
+	}
+	s.Pace = 1
+	if s.Servers > 0 {
+		s.Pace = pace / float64(s.Servers)
+	}
+	return s
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -29,7 +29,9 @@
 
 // Server is an HTTP server that can be drained.
 type Server struct {
-	http  *http.Server
+	http *http.Server
+	// idle is how long a connection may be idle before it is closed.
+	idle  time.Duration
 	mu    sync.Mutex
 	conns map[net.Conn]connState
 }
@@ -41,17 +43,24 @@
 
 // New returns a server around the given one. It sets the server's hooks and
 // idle timeout.
-func New(server *http.Server) *Server {
-	s := &Server{http: server, conns: map[net.Conn]connState{}}
+func New(server *http.Server) *Server { return NewWith(server, KeepAlive, keepAliveMargin) }
+
+// NewWith is New for a server whose callers may use an idle connection for
+// keepAlive, and that closes it margin later.
+func NewWith(server *http.Server, keepAlive, margin time.Duration) *Server {
+	s := &Server{http: server, idle: keepAlive + margin, conns: map[net.Conn]connState{}}
 	server.ConnState = s.track
-	server.IdleTimeout = KeepAlive + keepAliveMargin
-	server.Handler = announceKeepAlive(server.Handler)
+	server.IdleTimeout = s.idle
+	server.Handler = announceKeepAlive(server.Handler, keepAlive)
 	return s
 }
 
+// Close closes all connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
 // announceKeepAlive tells callers how long they may use an idle connection.
-func announceKeepAlive(next http.Handler) http.Handler {
-	value := "timeout=" + strconv.Itoa(int(KeepAlive/time.Second))
+func announceKeepAlive(next http.Handler, keepAlive time.Duration) http.Handler {
+	value := "timeout=" + strconv.Itoa(int(keepAlive/time.Second))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ProtoMajor == 1 {
 			w.Header().Set("Keep-Alive", value)
@@ -91,7 +100,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for s.closeIdle(KeepAlive+keepAliveMargin) > 0 {
+	for s.closeIdle(s.idle) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,368 @@
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/discovery"
+	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/metrics"
+	"github.com/chestnutspring/chestnutspring/internal/relay"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
+	"github.com/chestnutspring/chestnutspring/internal/version"
+)
+
+const (
+	// serverDialTimeout bounds the set-up of a connection to a backend server
+	// of the region: many round trips.
+	serverDialTimeout = 400 * time.Millisecond
+	// hopDialTimeout bounds the set-up of a connection to a VM of another
+	// region: a few round trips.
+	hopDialTimeout = 600 * time.Millisecond
+	// headerTimeout bounds how long a caller may take to send a header. It is
+	// above the limit that operators set for callers.
+	headerTimeout = 6 * time.Second
+	// maxHeaderBytes bounds a header before the configuration's limit is
+	// looked at.
+	maxHeaderBytes = 64 << 10
+	// keepAlive is how long callers may use an idle connection, and
+	// keepAliveMargin how much longer it stays open.
+	keepAlive       = 4 * time.Second
+	keepAliveMargin = time.Second
+	// shareInterval is the time between two exchanges of loads.
+	shareInterval = 100 * time.Millisecond
+	// lingerPart is the part of the grace time in which a VM that shuts down
+	// still takes requests: callers learn from the directory meanwhile.
+	lingerPart = 0.36
+	// graceMargin is how long before the end of the grace time the process
+	// ends by itself.
+	graceMargin = 400 * time.Millisecond
+	// memoryPart is the part of the VM's memory above which the garbage
+	// collector works harder.
+	memoryPart = 0.7
+	// freezeAfter is the delay of a timer that shows that the process stood
+	// still.
+	freezeAfter = time.Second
+	// logFlush bounds the wait for the last log lines.
+	incarnationBytes = 8
+)
+
+// Adapter connects the process to the platform that it runs on.
+type Adapter interface {
+	Prober
+	Registry() discovery.Registry
+	Protocol() relay.Protocol
+	// ReadyHandler answers whether this VM takes requests.
+	ReadyHandler(ready func() bool) http.Handler
+	// DirectoryHandler answers callers that ask where to connect.
+	DirectoryHandler(entries func(region, failureDomain string) []string, ttl time.Duration) http.Handler
+}
+
+// Edge is one running process.
+type Edge struct {
+	settings atomic.Pointer[Settings]
+	log      *slog.Logger
+	now      clock.Clock
+	self     snapshot.Identity
+	metrics  *metrics.Metrics
+	adapter  Adapter
+
+	roster   *roster.Roster
+	follower *discovery.Follower
+	mesh     *mesh.Mesh
+	balancer *balance.Balancer
+	relay    *relay.Relay
+	servers  *upstream.Pool
+	gateways *upstream.Pool
+
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	ready    atomic.Bool
+}
+
+// New returns a process with checked settings.
+func New(settings *Settings, adapter Adapter, log *slog.Logger) *Edge {
+	random := make([]byte, incarnationBytes)
+	// Read never fails.
+	_, _ = rand.Read(random)
+	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New()}
+	e.settings.Store(settings)
+	e.self = snapshot.Identity{
+		VM: settings.VM, Incarnation: hex.EncodeToString(random),
+		Region: settings.Region, FailureDomain: settings.FailureDomain,
+	}
+	e.assemble(settings)
+	return e
+}
+
+func (e *Edge) assemble(settings *Settings) {
+	e.roster = roster.New(e.log)
+	e.mesh = mesh.New(mesh.Config{
+		Self:      e.self,
+		Addresses: mesh.Addresses{Callers: settings.Callers, Hops: settings.Hops, Control: settings.Control},
+		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
+		Configuration: e.configuration,
+		Received:      func(r record) { e.follower.Received(r) },
+		Newer: func(revision uint64, fetch func(context.Context) (uint64, []byte, error)) {
+			e.follower.Newer(revision, fetch)
+		},
+	})
+	e.follower = discovery.New(discovery.Config{
+		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
+		Scope: e.metrics.Scope, Share: e.mesh.Share,
+	})
+	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
+	e.servers = upstream.NewPool(e.now, serverDialTimeout)
+	e.gateways = upstream.NewPool(e.now, hopDialTimeout)
+	dials := e.metrics.Scope.Counter("dials")
+	e.servers.Dialed = func(error) { dials.Inc(1) }
+	e.relay = relay.New(relay.Config{
+		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Servers: e.servers, Gateways: e.gateways,
+		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack,
+		Leaving: e.leaving.Load, Refusing: e.refusing.Load,
+	})
+}
+
+func (e *Edge) configuration() (uint64, []byte) {
+	if e.follower == nil {
+		return 0, nil
+	}
+	c := e.follower.Current()
+	if c == nil {
+		return 0, nil
+	}
+	return c.Revision, c.Raw
+}
+
+// Run serves until ctx ends and then shuts down gracefully. Reload brings
+// changed settings.
+func (e *Edge) Run(ctx context.Context, reload <-chan *Settings) error {
+	settings := e.settings.Load()
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+	}
+	ports, err := listenAll(settings, e.log)
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, failed := errgroup.WithContext(background)
+	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
+	hops := &http.Server{Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog()}
+	group.Go(func() error { return callers.Serve(ports.callers) })
+	group.Go(func() error { return ignoreClosed(hops.Serve(ports.hops)) })
+	small := e.serveSmall(group, ports)
+	group.Go(func() error { return ignoreEnd(failed, e.mesh.Serve(failed, ports.control)) })
+	group.Go(func() error { return ignoreEnd(failed, e.mesh.Run(failed)) })
+	for _, topic := range []discovery.Topic{discovery.Operators, discovery.Servers} {
+		group.Go(func() error { return ignoreEnd(failed, e.follower.Run(failed, topic)) })
+	}
+	p := &poller{
+		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
+		prober: e.adapter, now: e.now, log: e.log, busy: map[roster.ServerKey]bool{},
+	}
+	group.Go(func() error { return ignoreEnd(failed, p.run(failed)) })
+	group.Go(func() error { return ignoreEnd(failed, e.share(failed)) })
+	e.log.Info("started", "vm", e.self.VM, "incarnation", e.self.Incarnation, "region", e.self.Region,
+		"failureDomain", e.self.FailureDomain, "callers", settings.Callers, "control", settings.Control,
+		"hops", settings.Hops, "operators", settings.Operators, "seeds", settings.Seeds, "version", version.String())
+	e.serveUntil(ctx, failed, reload)
+	if failed.Err() != nil {
+		return group.Wait()
+	}
+	e.shutdown(callers, hops)
+	for _, s := range small {
+		_ = s.Close()
+	}
+	stop()
+	err = group.Wait()
+	e.log.Info("stopped", "vm", e.self.VM, "incarnation", e.self.Incarnation)
+	return err
+}
+
+// serveUntil takes in changed settings until the process must end.
+func (e *Edge) serveUntil(ctx, failed context.Context, reload <-chan *Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-failed.Done():
+			return
+		case next := <-reload:
+			e.reload(next)
+		}
+	}
+}
+
+// reload takes in changed settings. Addresses and the VM's place stay as they
+// were: they change only with a new process.
+func (e *Edge) reload(next *Settings) {
+	merged := *e.settings.Load()
+	merged.Seeds, merged.Grace, merged.Cold, merged.RetrySlack = next.Seeds, next.Grace, next.Cold, next.RetrySlack
+	e.settings.Store(&merged)
+	e.mesh.SetSeeds(merged.Seeds)
+	e.log.Info("settings reloaded", "seeds", merged.Seeds, "grace", merged.Grace)
+}
+
+// shutdown tells everybody that this VM leaves, goes on taking requests while
+// callers learn of it, and then finishes what is in flight.
+func (e *Edge) shutdown(callers *drain.Server, hops *http.Server) {
+	grace := e.settings.Load().Grace
+	end := time.Now().Add(grace - graceMargin)
+	e.leaving.Store(true)
+	e.ready.Store(false)
+	e.mesh.SetState(false, true)
+	linger := time.Duration(lingerPart * float64(grace))
+	e.log.Info("leaving", "grace", grace, "linger", linger)
+	time.Sleep(linger)
+	e.refusing.Store(true)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := callers.Drain(ctx); err != nil {
+		e.log.Warn("requests cut at the end of the grace time", "error", err)
+	}
+	if err := hops.Shutdown(ctx); err != nil {
+		e.log.Warn("hops cut at the end of the grace time", "error", err)
+	}
+	_ = callers.Close()
+	_ = hops.Close()
+}
+
+// share exchanges loads and notices when the process stood still.
+func (e *Edge) share(ctx context.Context) error {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	last := e.now()
+	for n := 0; ; n++ {
+		now := e.now()
+		if stood := now.Sub(last); stood > freezeAfter {
+			e.log.Warn("the process stood still", "for", stood)
+		}
+		last = now
+		e.exchangeLoads(now)
+		if n%10 == 0 {
+			e.servers.Trim()
+			e.gateways.Trim()
+		}
+		if ready := e.follower.Known() && !e.leaving.Load(); ready != e.ready.Load() {
+			e.ready.Store(ready)
+			e.mesh.SetState(ready, e.leaving.Load())
+			e.log.Info("readiness changed", "ready", ready)
+		}
+		e.roster.Expire(now)
+		e.gauges(now)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// exchangeLoads tells the others this VM's use of backend servers, and takes
+// in theirs.
+func (e *Edge) exchangeLoads(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	view := e.roster.View()
+	own, others := map[string]balance.Usage{}, e.mesh.Usages()
+	var summaries []balance.Summary
+	for name, service := range table.Services {
+		for _, s := range view.Usable(name, e.self.Region) {
+			load := e.balancer.Load(s.Key())
+			if u := load.Own(); u.Active > 0 {
+				own[s.ID] = u
+			}
+			load.SetOthers(others[s.ID], now)
+		}
+		summaries = append(summaries, e.balancer.Summarize(service, view, now))
+	}
+	e.mesh.SetUsage(own)
+	e.mesh.SetSummaries(summaries)
+}
+
+func (e *Edge) gauges(now clock.Instant) {
+	s := e.metrics.Scope
+	s.Gauge("members").Update(float64(len(e.mesh.Members())))
+	s.Gauge("backend_servers").Update(float64(len(e.roster.View().All())))
+	s.Gauge("open_server_connections").Update(float64(e.servers.Open()))
+	s.Gauge("open_hop_connections").Update(float64(e.gateways.Open()))
+	if c := e.follower.Current(); c != nil {
+		s.Gauge("configuration_version").Update(float64(c.Table.Version))
+		s.Gauge("registry_age_seconds").Update(now.Sub(e.follower.ConfirmedAt()).Seconds())
+	}
+}
+
+func (e *Edge) entries(region, domain string) []string {
+	self := mesh.Member{
+		Identity: e.self, Addresses: mesh.Addresses{Callers: e.settings.Load().Callers},
+		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Reachable: true,
+	}
+	return entries(self, e.mesh.Members(), region, domain)
+}
+
+// ports are the open listeners. Directory may be nil.
+type ports struct {
+	callers, ready, control, directory, hops, operators net.Listener
+}
+
+// listenAll opens the ports. The operators' port is of no use to callers: a
+// process that can't have it serves without.
+func listenAll(s *Settings, log *slog.Logger) (*ports, error) {
+	p := &ports{}
+	for _, port := range []struct {
+		address  string
+		into     *net.Listener
+		optional bool
+	}{
+		{s.Callers, &p.callers, false}, {s.Ready, &p.ready, false}, {s.Control, &p.control, false},
+		{s.Directory, &p.directory, false}, {s.Hops, &p.hops, false}, {s.Operators, &p.operators, true},
+	} {
+		if port.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", port.address)
+		if err != nil && port.optional {
+			log.Warn("operators' port not open", "address", port.address, "error", err)
+			continue
+		}
+		if err != nil {
+			return nil, ErrListen.Wrap(err, "%s", port.address)
+		}
+		*port.into = l
+	}
+	return p, nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/edge/poller.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+const (
+	// pollInterval is the time between two questions to a model engine. The
+	// engine's report lags by a few hundred milliseconds anyway.
+	pollInterval = 250 * time.Millisecond
+	// pollTimeout bounds one question.
+	pollTimeout = 400 * time.Millisecond
+	// doubtFor is how long an engine that was found to have started anew
+	// counts as cold, beyond its service's cold start.
+	doubtFor = time.Second
+)
+
+// Report is an engine's word about itself.
+type Report struct {
+	balance.Report
+	// Started is when the engine's process started, in Unix milliseconds; zero
+	// is unknown.
+	Started int64
+}
+
+// Prober asks a backend server for its load.
+type Prober interface {
+	Report(ctx context.Context, server *roster.Server) (Report, error)
+}
+
+// poller asks the region's model engines for their load.
+type poller struct {
+	region   string
+	table    func() *ingress.Table
+	roster   *roster.Roster
+	balancer *balance.Balancer
+	prober   Prober
+	now      clock.Clock
+	log      logger
+
+	mu   sync.Mutex
+	busy map[roster.ServerKey]bool
+}
+
+type logger interface {
+	Info(msg string, args ...any)
+	Warn(msg string, args ...any)
+}
+
+func (p *poller) run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *poller) round(ctx context.Context) {
+	table := p.table()
+	if table == nil {
+		return
+	}
+	view := p.roster.View()
+	for name, service := range table.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, s := range view.Usable(name, p.region) {
+			p.start(ctx, service, s)
+		}
+	}
+	p.balancer.Forget(view)
+}
+
+// start asks one engine, unless an earlier question is still out.
+func (p *poller) start(ctx context.Context, service *ingress.Service, s *roster.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[s.Key()] {
+		return
+	}
+	p.busy[s.Key()] = true
+	go func() {
+		defer func() {
+			p.mu.Lock()
+			delete(p.busy, s.Key())
+			p.mu.Unlock()
+		}()
+		p.ask(ctx, service, s)
+	}()
+}
+
+func (p *poller) ask(ctx context.Context, service *ingress.Service, s *roster.Server) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load := p.balancer.Load(s.Key())
+	wasLost := load.Lost()
+	report, err := p.prober.Report(ctx, s)
+	if err != nil {
+		load.Missed()
+		if load.Lost() && !wasLost {
+			p.log.Warn("backend server lost", "server", s.ID, "service", s.Service, "error", err)
+		}
+		return
+	}
+	now := p.now()
+	if report.Started != 0 && s.Started != 0 && report.Started != s.Started {
+		load.Doubt(now.Add(service.ColdStart + doubtFor))
+	}
+	report.Heard = now
+	load.SetReport(report.Report)
+	if wasLost {
+		p.log.Info("backend server regained", "server", s.ID, "service", s.Service, "started", report.Started)
+	}
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,105 @@
+// Package edge assembles the process that serves routed services on one VM:
+// callers' requests, the directory, the membership and the configuration.
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+)
+
+// Errors of this package.
+var (
+	Errors = errorx.NewNamespace("edge").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// ErrSettings says that the settings are wrong. Its message lists every
+	// fault.
+	ErrSettings = Errors.NewType("settings")
+	// ErrListen says that an address could not be listened on.
+	ErrListen = Errors.NewType("listen")
+)
+
+// Settings are the settings of one VM.
+type Settings struct {
+	VM            string
+	Region        string
+	FailureDomain string
+	// Regions names the region of each failure domain.
+	Regions map[string]string
+	// Callers, Ready, Control and Directory are addresses to listen on, as
+	// IP:port. Directory may be empty.
+	Callers, Ready, Control, Directory string
+	// Hops is the address for requests of other VMs, and Operators the one
+	// for metrics and the dump of state.
+	Hops, Operators string
+	// Seeds are control addresses of other VMs. They may be stale.
+	Seeds []string
+	// Registry is the address of the platform's registry, which serves
+	// RegistryReads calls a second to all VMs together.
+	Registry      string
+	RegistryReads float64
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// MaxTTL bounds how long callers may keep an answer of the directory.
+	MaxTTL time.Duration
+	// RetrySlack is how many repeats a service tolerates of the whole fleet in
+	// a window, beyond a share of its requests.
+	RetrySlack float64
+	Cold       balance.Bounds
+	// MemoryBytes is the memory that the process may use; zero is unknown.
+	MemoryBytes int64
+}
+
+// leastGrace is the shortest time in which a shutdown can finish requests.
+const leastGrace = time.Second
+
+// Check lists every fault of the settings in one error.
+func (s *Settings) Check() error {
+	var faults []string
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	for _, f := range []struct{ name, value string }{
+		{"VM", s.VM}, {"region", s.Region}, {"failure domain", s.FailureDomain},
+	} {
+		if f.value == "" {
+			fault("the %s is missing", f.name)
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"callers", s.Callers}, {"ready", s.Ready}, {"control", s.Control},
+		{"hops", s.Hops}, {"operators", s.Operators}, {"registry", s.Registry},
+	} {
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			fault("the address for %s, %q, is not IP:port", f.name, f.value)
+		}
+	}
+	for _, seed := range append(slices.Clone(s.Seeds), s.optional()...) {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			fault("the address %q is not IP:port", seed)
+		}
+	}
+	if region, ok := s.Regions[s.FailureDomain]; s.FailureDomain != "" && (!ok || region != s.Region) {
+		fault("the failure domain %s is not listed in region %s", s.FailureDomain, s.Region)
+	}
+	if s.Grace < leastGrace {
+		fault("the grace time %v is below %v", s.Grace, leastGrace)
+	}
+	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryReads < 0 || s.MaxTTL < 0 {
+		fault("a bound is below 0")
+	}
+	if len(faults) > 0 {
+		return ErrSettings.New("%s", strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+func (s *Settings) optional() []string {
+	if s.Directory == "" {
+		return nil
+	}
+	return []string{s.Directory}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
 	"github.com/chestnutspring/chestnutspring/internal/fleet"
 	"github.com/chestnutspring/chestnutspring/internal/limits"
+	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/placement"
 	"github.com/chestnutspring/chestnutspring/internal/platform"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -45,7 +46,7 @@
 	now       clock.Clock
 	self      snapshot.Identity
 	publisher *snapshot.Publisher
-	metrics   *metrics
+	metrics   *metrics.Metrics
 	tls       *tlsConfigs
 	listeners *listeners
 
@@ -74,7 +75,7 @@
 	}
 	g.log = log.With("vm", g.self.VM)
 	g.publisher = snapshot.NewPublisher(g.self)
-	g.metrics = newMetrics()
+	g.metrics = metrics.New()
 	var err error
 	if g.tls, err = loadTLS(settings); err != nil {
 		return nil, err
@@ -108,11 +109,11 @@
 		ClientTLS:      g.tls.peerClient,
 		Now:            g.now,
 		Log:            g.log,
-		Scope:          g.metrics.scope,
+		Scope:          g.metrics.Scope,
 	})
 	g.config = configwatch.New(configwatch.Config{
 		Self: g.self, Reader: reader, Peers: g.fleet, Publisher: g.publisher,
-		Now: g.now, Log: g.log, Scope: g.metrics.scope, IsWatcher: g.fleet.IsWatcher,
+		Now: g.now, Log: g.log, Scope: g.metrics.Scope, IsWatcher: g.fleet.IsWatcher,
 	})
 	g.fleet.SetConfigSource(g.config)
 	g.limiter = limits.NewLimiter(g.now)
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -29,13 +29,13 @@
 // handlers builds the pipeline of filters and the ports around it.
 func (g *gateway) handlers() handlers {
 	peer := forward.NewClient(forward.Config{Self: g.self, Now: g.now, Log: g.log, TLS: g.tls.peerClient})
-	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.scope, Observe: g.fleet.Observe})
+	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.Scope, Observe: g.fleet.Observe})
 	issuer := booking.NewIssuer(g.self, g.now)
 	g.booking = bookingfilter.New(bookingfilter.Config{
-		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.scope,
+		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
 	})
 	g.route = route.New(route.Config{
-		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.scope,
+		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
 	})
 	handler := pipeline.Chain(g.route,
 		settle.New(g.booking),
@@ -46,7 +46,7 @@
 		body.New(),
 		settle.Mark(),
 		g.booking.Filter(),
-		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.scope}),
+		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.Scope}),
 	)
 	lookup := pipeline.Chain(pipeline.HandlerFunc(g.booking.Lookup),
 		bookingfilter.LookupFilter(),
@@ -67,7 +67,7 @@
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, Heard: g.config.Heard,
 		}),
 		operators: httpapi.NewOperators(httpapi.OperatorsConfig{
-			Ready: g.ready, Metrics: g.metrics.handler, State: g.state,
+			Ready: g.ready, Metrics: g.metrics.Handler, State: g.state,
 		}),
 	}
 }
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -38,6 +38,11 @@
 	// KindDemand is a gateway's demand by team; the name is its region, a
 	// slash and its VM.
 	KindDemand Kind = 9
+	// KindServer is the registry's word about a backend server, and
+	// KindEvacuation about a failure domain; the version is the registry's
+	// revision.
+	KindServer     Kind = 10
+	KindEvacuation Kind = 11
 )
 
 // Key identifies a record.
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,188 @@
+// Package ingress holds the configuration that maps callers' requests to
+// services: routes by host and path prefix, services and limits on callers.
+//
+// A Table is immutable; a new configuration replaces it whole.
+package ingress
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Unsafe requests run at most once. It is the zero value, so that a route
+	// of unknown kind is never repeated.
+	Unsafe Kind = iota
+	// Safe requests may run more than once.
+	Safe
+	// Stream requests are answered by a series of events.
+	Stream
+)
+
+// String returns the kind's name for logs.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Stream:
+		return "stream"
+	default:
+		return "unsafe"
+	}
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route says how the requests of one host and path prefix are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// LatencyObjective bounds the time to the answer, or to the first event
+	// of a stream, for full credit. GapObjective bounds the pauses between
+	// events. Zero means that none is stated.
+	LatencyObjective time.Duration
+	GapObjective     time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the backend servers at which a request may run.
+	MaxAttempts int
+	Shares      []Share
+	// Resumable streams may go on at another backend server after the last
+	// event that was delivered.
+	Resumable bool
+	// Homes are the regions that may serve the route; empty means all.
+	Homes []string
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
+
+// Permits reports whether the region may serve the route.
+func (r *Route) Permits(region string) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
+
+// ServiceFor picks one of the route's services by weight. Draw is uniform in
+// [0, 1).
+func (r *Route) ServiceFor(draw float64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := draw * total
+	for _, s := range r.Shares {
+		left -= s.Weight
+		if left < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// MemoryTokens is the memory shared by running requests and cached parts.
+	MemoryTokens int
+	// EventTokens is the number of tokens in an event of a stream.
+	EventTokens int
+}
+
+// Service is a group of backend servers that answer alike.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections bounds the connections to one backend server, of all
+	// callers together.
+	MaxConnections int
+	// ColdStart is how long a backend server stays cold after its start, and
+	// ColdPerSecond how many requests a second it tolerates in that time.
+	// Zero means no bound.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one configuration.
+type Table struct {
+	// Version is the operators' number of the configuration.
+	Version  uint64
+	Limits   Limits
+	Services map[string]*Service
+	hosts    map[string][]*Route
+}
+
+// NewTable returns the table of the given parts.
+func NewTable(version uint64, routes []*Route, services []*Service, limits Limits) *Table {
+	t := &Table{
+		Version: version, Limits: limits,
+		Services: make(map[string]*Service, len(services)),
+		hosts:    map[string][]*Route{},
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of path, or nil.
+// The host may bear a port.
+func (t *Table) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, ok := t.hosts[host]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			list = t.hosts[host[:i]]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.hosts {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,519 @@
+// Package mesh is the membership of VMs that find one another through a few
+// seeds: heartbeats, incarnations, each VM's load on backend servers, summaries
+// of regions, and what the registry said, for VMs that can't read it.
+//
+// Records spread by gossip; of two records with the same key the higher
+// version wins.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/peer"
+	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+const (
+	// TickInterval is the time between two exchanges with a neighbour. Loads
+	// of backend servers are at most so old.
+	TickInterval = 100 * time.Millisecond
+	// beatTicks is the number of ticks between two heartbeats of this VM.
+	beatTicks = 2
+	// silentAfter is the silence after which a member counts as unreachable:
+	// several heartbeats, and a retransmission on a lossy link.
+	silentAfter = 1500 * time.Millisecond
+	// countedFor is how long a silent member still counts for shared
+	// allowances: it may be cut off and at work.
+	countedFor = 20 * time.Second
+	// forgetAfter is when a silent member is forgotten.
+	forgetAfter = 10 * time.Minute
+	// fullMesh is the number of members of a region up to which each is a
+	// neighbour of each; beyond it a member has so many neighbours.
+	fullMesh = 8
+	// abroad is the number of neighbours in each other region.
+	abroad = 2
+	// unknownVMs is the number of VMs of the region that is assumed in the
+	// first seconds, until the others were heard.
+	unknownVMs   = 4
+	settlingTime = 3 * time.Second
+)
+
+// Member is a VM as this one knows it.
+type Member struct {
+	snapshot.Identity
+	Addresses
+	Leaving bool
+	// Ready means that the VM says that it takes requests.
+	Ready bool
+	// Heard is when its last heartbeat came in.
+	Heard     clock.Instant
+	Reachable bool
+}
+
+// Addresses are where a VM listens, as IP:port.
+type Addresses struct {
+	Callers, Hops, Control string
+}
+
+// announcement is a VM's word about itself.
+type announcement struct {
+	Incarnation, Region, FailureDomain string
+	Callers, Hops, Control             string
+	Leaving, Ready                     bool
+}
+
+// Config holds what a Mesh needs.
+type Config struct {
+	Self      snapshot.Identity
+	Addresses Addresses
+	Seeds     []string
+	Now       clock.Clock
+	Log       *slog.Logger
+	// Received takes in records that the mesh itself has no use for.
+	Received func(gossip.Record)
+	// Configuration returns the raw configuration in force and its revision.
+	Configuration func() (revision uint64, data []byte)
+	// Newer is told that a member knows a newer configuration. Fetch asks it.
+	Newer func(revision uint64, fetch func(context.Context) (uint64, []byte, error))
+}
+
+// Mesh is this VM's part in the membership.
+type Mesh struct {
+	Config
+	started clock.Instant
+	base    uint64
+
+	mu       sync.Mutex
+	store    *gossip.Store
+	version  uint64
+	members  map[string]*Member
+	usages   map[string]usageWord // by VM
+	summary  map[string]summaryWord
+	links    map[string]*link
+	leaving  bool
+	ready    bool
+	seeds    []string
+	loads    map[string]balance.Usage
+	regions  map[string][]balance.Summary
+	snapshot atomic.Pointer[[]Member]
+}
+
+type usageWord struct {
+	usage map[string]balance.Usage
+	at    clock.Instant
+}
+
+type summaryWord struct {
+	region    string
+	summaries map[string]balance.Summary
+	at        clock.Instant
+}
+
+// New returns a mesh of this VM alone.
+func New(config Config) *Mesh {
+	m := &Mesh{
+		Config: config, started: config.Now(), store: gossip.NewStore(),
+		members: map[string]*Member{}, usages: map[string]usageWord{}, summary: map[string]summaryWord{},
+		links: map[string]*link{}, seeds: config.Seeds,
+		// Versions of a new incarnation are above those of the ones before.
+		base: uint64(time.Now().UnixMilli()) << 16,
+	}
+	m.snapshot.Store(&[]Member{})
+	return m
+}
+
+// SetSeeds replaces the seeds.
+func (m *Mesh) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// SetState tells the others whether this VM takes requests and whether it is
+// shutting down.
+func (m *Mesh) SetState(ready, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ready, m.leaving = ready, leaving
+	m.announce()
+}
+
+// Share gives the others a record, if its version is news here.
+func (m *Mesh) Share(r gossip.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.store.Merge(r)
+}
+
+// SetUsage tells the VMs of the region what this one has at backend servers.
+func (m *Mesh) SetUsage(usage map[string]balance.Usage) {
+	m.write(gossip.KindLoad, m.Self.VM, usage)
+}
+
+// SetSummaries tells the other regions what this VM knows of its own.
+func (m *Mesh) SetSummaries(list []balance.Summary) {
+	m.write(gossip.KindSummary, m.Self.Region+"/"+m.Self.VM, list)
+}
+
+func (m *Mesh) write(kind gossip.Kind, name string, value any) {
+	data, err := gossip.Encode(value)
+	if err != nil {
+		m.Log.Error("record not encoded", "kind", kind, "error", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: m.next(), Value: data})
+}
+
+// next returns the next version of this VM's records. The caller holds the
+// lock.
+func (m *Mesh) next() uint64 {
+	m.version++
+	return m.base + m.version
+}
+
+// announce writes this VM's word about itself. The caller holds the lock.
+func (m *Mesh) announce() {
+	data, err := gossip.Encode(announcement{
+		Incarnation: m.Self.Incarnation, Region: m.Self.Region, FailureDomain: m.Self.FailureDomain,
+		Callers: m.Addresses.Callers, Hops: m.Addresses.Hops, Control: m.Addresses.Control,
+		Leaving: m.leaving, Ready: m.ready,
+	})
+	if err != nil {
+		m.Log.Error("announcement not encoded", "error", err)
+		return
+	}
+	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindMember, Name: m.Self.VM}, Version: m.next(), Value: data})
+}
+
+// Members returns the other VMs, ordered by name. Callers must not change it.
+func (m *Mesh) Members() []Member { return *m.snapshot.Load() }
+
+// Count returns the number of VMs that may be at work, this one included.
+func (m *Mesh) Count() int {
+	n, now := 1, m.Now()
+	for _, o := range m.Members() {
+		if now.Sub(o.Heard) < countedFor {
+			n++
+		}
+	}
+	if now.Sub(m.started) < settlingTime {
+		n = max(n, unknownVMs)
+	}
+	return n
+}
+
+// Peers returns the number of VMs of the region that may send to a backend
+// server, and this VM's rank among them.
+func (m *Mesh) Peers(server string) (vms, rank int) {
+	now := m.Now()
+	own := rendezvous(m.Self.VM, server)
+	vms = 1
+	for _, o := range m.Members() {
+		if o.Region != m.Self.Region || now.Sub(o.Heard) >= countedFor {
+			continue
+		}
+		vms++
+		if rendezvous(o.VM, server) > own {
+			rank++
+		}
+	}
+	if now.Sub(m.started) < settlingTime {
+		vms = max(vms, unknownVMs)
+	}
+	return vms, rank
+}
+
+// Member returns a reachable VM of the region and the address where it takes
+// hops, or "".
+func (m *Mesh) Member(region string, random uint64) (vm, address string) {
+	var list []Member
+	for _, o := range m.Members() {
+		if o.Region == region && o.Reachable && o.Ready && !o.Leaving {
+			list = append(list, o)
+		}
+	}
+	if len(list) == 0 {
+		return "", ""
+	}
+	o := list[random%uint64(len(list))]
+	return o.VM, o.Hops
+}
+
+// Regions returns what is known of a service in the other regions.
+func (m *Mesh) Regions(service string) []balance.RegionSummary {
+	now := m.Now()
+	byRegion := map[string]*balance.RegionSummary{}
+	for _, o := range m.Members() {
+		if o.Region == m.Self.Region || !o.Reachable || !o.Ready || o.Leaving {
+			continue
+		}
+		r := byRegion[o.Region]
+		if r == nil {
+			r = &balance.RegionSummary{Region: o.Region}
+			byRegion[o.Region] = r
+		}
+		r.Members++
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := map[string]clock.Instant{}
+	for _, w := range m.summary {
+		r := byRegion[w.region]
+		if r == nil || now.Sub(w.at) > silentAfter || w.at <= newest[w.region] {
+			continue
+		}
+		if s, ok := w.summaries[service]; ok {
+			newest[w.region] = w.at
+			r.Summary, r.Known = s, true
+		}
+	}
+	out := make([]balance.RegionSummary, 0, len(byRegion))
+	for _, r := range byRegion {
+		r.RoundTrip = m.roundTrip(r.Region)
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b balance.RegionSummary) int { return strings.Compare(a.Region, b.Region) })
+	return out
+}
+
+// Usages returns the sum of what the other VMs of the region have at each
+// backend server.
+func (m *Mesh) Usages() map[string]balance.Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, sums := m.Now(), map[string]balance.Usage{}
+	for vm, w := range m.usages {
+		if o := m.members[vm]; o == nil || o.Region != m.Self.Region || now.Sub(w.at) > silentAfter {
+			continue
+		}
+		for server, u := range w.usage {
+			s := sums[server]
+			sums[server] = balance.Usage{Active: s.Active + u.Active, Unread: s.Unread + u.Unread, Memory: s.Memory + u.Memory}
+		}
+	}
+	return sums
+}
+
+// Run exchanges records with the neighbours until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.announce()
+	m.mu.Unlock()
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		m.tick(ctx, n)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Mesh) tick(ctx context.Context, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n%beatTicks == 0 {
+		m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindBeat, Name: m.Self.VM}, Version: m.next()})
+	}
+	m.refresh()
+	m.connect(ctx)
+	for _, l := range m.links {
+		l.wake()
+	}
+}
+
+// refresh builds the members' snapshot. The caller holds the lock.
+func (m *Mesh) refresh() {
+	now := m.Now()
+	list := make([]Member, 0, len(m.members))
+	for vm, o := range m.members {
+		silent := now.Sub(o.Heard)
+		if silent > forgetAfter {
+			m.forget(vm)
+			continue
+		}
+		reachable := silent < silentAfter
+		if reachable != o.Reachable {
+			o.Reachable = reachable
+			m.Log.Info("member reachable", "member", vm, "incarnation", o.Incarnation, "reachable", reachable, "silent", silent)
+		}
+		list = append(list, *o)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
+	m.snapshot.Store(&list)
+}
+
+func (m *Mesh) forget(vm string) {
+	delete(m.members, vm)
+	delete(m.usages, vm)
+	for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindBeat, gossip.KindLoad} {
+		m.store.Delete(gossip.Key{Kind: kind, Name: vm})
+	}
+}
+
+// receive takes in one record. The caller holds the lock.
+func (m *Mesh) receive(r gossip.Record) bool {
+	if (r.Kind == gossip.KindMember || r.Kind == gossip.KindBeat || r.Kind == gossip.KindLoad) && r.Name == m.Self.VM {
+		m.outlive(r)
+		return false
+	}
+	if !m.store.Merge(r) {
+		return false
+	}
+	now := m.Now()
+	switch r.Kind {
+	case gossip.KindMember:
+		m.receiveMember(r, now)
+	case gossip.KindBeat:
+		if o := m.members[r.Name]; o != nil {
+			o.Heard = now
+		}
+	case gossip.KindLoad:
+		var usage map[string]balance.Usage
+		if m.decoded(r, &usage) {
+			m.usages[r.Name] = usageWord{usage: usage, at: now}
+		}
+	case gossip.KindSummary:
+		m.receiveSummary(r, now)
+	default:
+		return true
+	}
+	return false
+}
+
+// outlive moves this VM's versions above a record of an earlier incarnation
+// that others still spread.
+func (m *Mesh) outlive(r gossip.Record) {
+	if r.Version > m.base+m.version {
+		m.base = r.Version - m.version + 1
+		m.announce()
+	}
+}
+
+func (m *Mesh) receiveMember(r gossip.Record, now clock.Instant) {
+	var a announcement
+	if !m.decoded(r, &a) {
+		return
+	}
+	o := m.members[r.Name]
+	if o == nil {
+		o = &Member{}
+		m.members[r.Name] = o
+	}
+	fresh := o.Incarnation != a.Incarnation
+	if fresh || o.Leaving != a.Leaving || o.Ready != a.Ready {
+		m.Log.Info("member changed", "member", r.Name, "incarnation", a.Incarnation, "region", a.Region,
+			"failureDomain", a.FailureDomain, "ready", a.Ready, "leaving", a.Leaving)
+	}
+	o.Identity = snapshot.Identity{VM: r.Name, Incarnation: a.Incarnation, Region: a.Region, FailureDomain: a.FailureDomain}
+	o.Addresses = Addresses{Callers: a.Callers, Hops: a.Hops, Control: a.Control}
+	o.Leaving, o.Ready = a.Leaving, a.Ready
+	if fresh {
+		o.Heard = now
+	}
+}
+
+func (m *Mesh) receiveSummary(r gossip.Record, now clock.Instant) {
+	region, _, found := strings.Cut(r.Name, "/")
+	var list []balance.Summary
+	if !found || !m.decoded(r, &list) {
+		return
+	}
+	w := summaryWord{region: region, summaries: make(map[string]balance.Summary, len(list)), at: now}
+	for _, s := range list {
+		w.summaries[s.Service] = s
+	}
+	m.summary[r.Name] = w
+}
+
+func (m *Mesh) decoded(r gossip.Record, into any) bool {
+	if err := gossip.Decode(r.Value, into); err != nil {
+		m.Log.Warn("record can't be read", "kind", r.Kind, "name", r.Name, "error", err)
+		return false
+	}
+	return true
+}
+
+// rendezvous is the same in all processes.
+func rendezvous(vm, key string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range [...]string{vm, "\x00", key} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	return h ^ h>>33
+}
+
+// server handles the messages of neighbours.
+type server struct{ *Mesh }
+
+var _ peer.Handler = server{}
+
+// Serve answers neighbours on l until ctx ends.
+func (m *Mesh) Serve(ctx context.Context, l net.Listener) error {
+	return (&peer.Server{Handler: server{m}, Log: m.Log}).Serve(ctx, l)
+}
+
+// Self implements peer.Handler.
+func (s server) Self() peer.Hello {
+	revision, _ := s.Configuration()
+	return peer.Hello{
+		Version: peer.ProtocolVersion, VM: s.Mesh.Self.VM, Incarnation: s.Mesh.Self.Incarnation,
+		Region: s.Mesh.Self.Region, FailureDomain: s.Mesh.Self.FailureDomain, Revision: revision,
+	}
+}
+
+// Heard implements peer.Handler. It connects back to a VM that is behind a
+// newer configuration only through its link.
+func (s server) Heard(from peer.Hello, revision uint64) {
+	if own, _ := s.Configuration(); revision > own {
+		s.fetchFrom(from.VM, revision)
+	}
+}
+
+// Gossip implements peer.Handler.
+func (s server) Gossip(from peer.Hello, records []gossip.Record, _ bool) {
+	s.mu.Lock()
+	var others []gossip.Record
+	for _, r := range records {
+		if s.receive(r) {
+			others = append(others, r)
+		}
+	}
+	if l := s.links[from.VM]; l != nil {
+		for _, r := range records {
+			l.heard(r)
+		}
+	}
+	s.mu.Unlock()
+	for _, r := range others {
+		s.Received(r)
+	}
+}
+
+// Manifest implements peer.Handler.
+func (s server) Manifest() (platform.Value, bool) {
+	revision, data := s.Configuration()
+	return platform.Value{Name: "configuration", Revision: revision, Data: data}, data != nil
+}
+
+// Part implements peer.Handler: a configuration here has no parts.
+func (s server) Part(string) ([]byte, bool) { return nil, false }
--- a/internal/gateway/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,4 +1,5 @@
-package gateway
+// Package metrics holds a program's metrics and serves them as text.
+package metrics
 
 import (
 	"net/http"
@@ -11,13 +12,14 @@
 // reportInterval is how often tally passes its values to the reporter.
 const reportInterval = time.Second
 
-// metrics holds the root scope and the handler that serves it.
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
+// Metrics holds the root scope and the handler that serves it.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
 }
 
-func newMetrics() *metrics {
+// New returns the metrics of a program.
+func New() *Metrics {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "chestnut",
@@ -25,5 +27,5 @@
 		CachedReporter:         reporter,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &metrics{scope: scope, handler: reporter.HTTPHandler()}
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler()}
 }
