--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,7 +70,7 @@
 	// ReadyHandler answers whether this VM takes requests.
 	ReadyHandler(ready func() bool) http.Handler
 	// DirectoryHandler answers callers that ask where to connect.
-	DirectoryHandler(entries func(region, failureDomain string) []string, ttl time.Duration) http.Handler
+	DirectoryHandler(entries func(host, region, failureDomain string) []string, ttl time.Duration) http.Handler
 }
 
 // Edge is one running process.
@@ -312,12 +312,16 @@
 	}
 }
 
-func (e *Edge) entries(region, domain string) []string {
+func (e *Edge) entries(host, region, domain string) []string {
+	at := place{region: region, domain: domain}
+	if table := e.follower.Table(); table != nil {
+		at.homes, at.bound = table.HomesOf(host)
+	}
 	self := mesh.Member{
 		Identity: e.self, Addresses: mesh.Addresses{Callers: e.settings.Load().Callers},
 		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Reachable: true,
 	}
-	return entries(self, e.mesh.Members(), region, domain)
+	return entries(self, e.mesh.Members(), at)
 }
 
 // ports are the open listeners. Directory may be nil.
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
@@ -18,30 +19,43 @@
 	maxEntries = 64
 )
 
-// entries returns the callers' addresses of the VMs that a caller in a region
-// and failure domain may use: those near it, or all where none is near. A
-// region's callers are sent to another region only if it has no VM.
-func entries(self mesh.Member, others []mesh.Member, region, domain string) []string {
-	var near, regional, all []string
+// place is where a caller is, and which regions its host's routes permit.
+type place struct {
+	region, domain string
+	homes          []string
+	bound          bool
+}
+
+// entries returns the callers' addresses of the VMs that a caller may use:
+// those of its failure domain, else of its region. Only where its region has
+// none is it sent to others, and first to those that may serve all routes of
+// its host.
+func entries(self mesh.Member, others []mesh.Member, at place) []string {
+	var near, regional, homes, all []string
 	for _, m := range append([]mesh.Member{self}, others...) {
 		if !m.Reachable || !m.Ready || m.Leaving {
 			continue
 		}
 		all = append(all, m.Callers)
-		if m.Region != region {
+		if at.bound && slices.Contains(at.homes, m.Region) {
+			homes = append(homes, m.Callers)
+		}
+		if m.Region != at.region {
 			continue
 		}
 		regional = append(regional, m.Callers)
-		if m.FailureDomain == domain {
+		if m.FailureDomain == at.domain {
 			near = append(near, m.Callers)
 		}
 	}
+	choice := all
 	switch {
 	case len(near) >= fewEntries:
-		return near[:min(len(near), maxEntries)]
+		choice = near
 	case len(regional) > 0:
-		return regional[:min(len(regional), maxEntries)]
-	default:
-		return all[:min(len(all), maxEntries)]
+		choice = regional
+	case len(homes) > 0:
+		choice = homes
 	}
+	return choice[:min(len(choice), maxEntries)]
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -178,6 +178,21 @@
 	return nil
 }
 
+// HomesOf returns the regions that every route of the host permits; bound is
+// false where no route of the host has homes.
+func (t *Table) HomesOf(host string) (homes []string, bound bool) {
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		switch {
+		case len(r.Homes) == 0:
+		case !bound:
+			homes, bound = slices.Clone(r.Homes), true
+		default:
+			homes = slices.DeleteFunc(homes, func(region string) bool { return !r.Permits(region) })
+		}
+	}
+	return homes, bound
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
