Balance: the cost of reading a prompt beside running streams

An engine reads prompts in chunks between the steps of its streams, so long prompts that meet stretch a pause. Ruled out: retries, hops (pauses are the same without), memory. Change: the score of an engine counts the streams that the read makes late.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,6 +30,12 @@
 	// what each thousand tokens in memory add to it.
 	StepMs          float64
 	StepMsPerKToken float64
+	// StepMsPerStream is what each running stream adds to a step.
+	StepMsPerStream float64
+	// ChunkTokens is how many prompt tokens an engine reads in one step, and
+	// MsPerMegaPair the time that a million pairs of prompt tokens add.
+	ChunkTokens   float64
+	MsPerMegaPair float64
 	// CrossingMargin is the least gain for which a request leaves its region.
 	CrossingMargin time.Duration
 }
@@ -39,7 +45,10 @@
 var DefaultTuning = Tuning{
 	PromptTokensPerMs: 110,
 	StepMs:            2.6,
-	StepMsPerKToken:   0.0175,
+	StepMsPerKToken:   0.01,
+	StepMsPerStream:   0.06,
+	ChunkTokens:       2048,
+	MsPerMegaPair:     0.32,
 	CrossingMargin:    150 * time.Millisecond,
 }
 
@@ -56,6 +65,15 @@
 	spreadWeight = 0.5
 	// firstMs is an engine's fixed time to the first event.
 	firstMs = 30
+	// lateMs is the weight of one answer that misses an objective, in
+	// milliseconds of delay.
+	lateMs = 1000
+	// riskFrom and riskTo are the parts of an objective between which the
+	// chance to miss it grows from none to certain, as estimates are coarse.
+	riskFrom, riskTo = 0.65, 1.1
+	// heavyPart is the part of the gap objective at which a prompt counts as
+	// heavy.
+	heavyPart = 0.8
 	// silentAfter is the silence after which a server that owes first bytes
 	// gets no new work: several times the longest usual wait.
 	silentAfter = 1200 * time.Millisecond
@@ -247,13 +265,13 @@
 
 // estimate weighs one backend server.
 func (b *Balancer) estimate(q *Query, s *roster.Server, load *Load, held int) Estimate {
-	active, unread, memory := load.total(q.Now)
+	use := load.total(q.Now)
 	var e Estimate
 	if q.Service.Engine == nil {
-		e = b.plainEstimate(q, max(1, s.Slots), active, load.paceOf(q.Now))
+		e = b.plainEstimate(q, max(1, s.Slots), use.active, load.paceOf(q.Now))
 	} else {
 		e = b.engineEstimate(q, engineState{
-			slots: float64(max(1, s.Slots)), active: active, unread: unread, memory: memory,
+			total: use, slots: float64(max(1, s.Slots)),
 			memoryTotal: load.memoryTotal(q.Service.Engine.MemoryTokens), pace: load.paceOf(q.Now),
 		}, held)
 		e.Score += b.spread(q, s.Key(), held)
@@ -289,14 +307,76 @@
 
 // engineState is the load of a model engine, or of a region's average one.
 type engineState struct {
-	slots, active, unread, memory, memoryTotal, pace float64
+	total
+	slots, memoryTotal, pace float64
 }
 
+// stepMs returns the time of a step without reading of prompts.
+func (b *Balancer) stepMs(t total) float64 {
+	return b.Tuning.StepMs + b.Tuning.StepMsPerKToken*t.memory/1000 + b.Tuning.StepMsPerStream*t.active
+}
+
+// readMs returns the time that an engine needs for missing tokens of a prompt
+// of which it holds held tokens.
+func (b *Balancer) readMs(missing, held float64) float64 {
+	return missing/b.Tuning.PromptTokensPerMs + b.Tuning.MsPerMegaPair*missing*(held+missing/2)/1e6
+}
+
+// chunkMs returns the time of the reading in one step, at the end of a prompt.
+func (b *Balancer) chunkMs(prompt float64) float64 {
+	return b.readMs(b.Tuning.ChunkTokens, max(0, prompt-b.Tuning.ChunkTokens))
+}
+
+// engineEstimate weighs an engine. Reading a prompt stretches the steps of all
+// streams that run there; a stream is late if one of its events takes longer
+// than the gap objective allows.
 func (b *Balancer) engineEstimate(q *Query, s engineState, held int) Estimate {
 	missing := max(0, q.Demand.Prompt-held)
-	read := float64(missing) / b.Tuning.PromptTokensPerMs * s.pace
-	backlog := s.unread / b.Tuning.PromptTokensPerMs * s.pace
-	step := (b.Tuning.StepMs + b.Tuning.StepMsPerKToken*s.memory/1000) * s.pace
+	read := b.readMs(float64(missing), float64(held))
+	step := b.stepMs(s.total)
+	wait := b.slotWait(q, s)
+	first := wait + (s.readingMs+read+firstMs)*s.pace
+	rest := q.Demand.output() * step * s.pace
+	e := Estimate{
+		First: toDuration(first), Whole: toDuration(first + rest),
+		Missing: missing, Reading: toDuration(read),
+		Score: first + decodeWeight*rest + burdenWeight*read,
+	}
+	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
+	gapObjective := toMs(q.Route.GapObjective)
+	if gapObjective <= 0 {
+		return e
+	}
+	tokens := float64(q.Service.Engine.EventTokens)
+	most := tokens * b.chunkMs(float64(q.Demand.Prompt))
+	before := (tokens*step + min(s.readingMs, tokens*b.chunkMs(typicalPrompt))) * s.pace
+	after := (tokens*step + min(s.readingMs+read, max(most, tokens*b.chunkMs(typicalPrompt)))) * s.pace
+	e.Heavy = tokens*step+min(read, most) > heavyPart*gapObjective
+	others := missMs(after, gapObjective) - missMs(before, gapObjective)
+	e.Score += lateMs * (s.active*others + missMs(before, gapObjective))
+	if !e.Heavy {
+		// Heavy prompts that follow hold this stream up.
+		e.Score += lateMs * min(1, s.heavy*rest/1000)
+	}
+	return e
+}
+
+// typicalPrompt is the size of a prompt, in tokens, that is assumed where only
+// its reading time is known.
+const typicalPrompt = 10_000
+
+// miss returns the chance that a time in milliseconds misses an objective.
+func miss(ms float64, objective time.Duration) float64 { return missMs(ms, toMs(objective)) }
+
+func missMs(ms, objective float64) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	return min(1, max(0, (ms/objective-riskFrom)/(riskTo-riskFrom)))
+}
+
+// slotWait returns the expected wait in milliseconds for a slot and memory.
+func (b *Balancer) slotWait(q *Query, s engineState) float64 {
 	wait := 0.0
 	duration := b.durationMs(q.Service)
 	if over := s.active + 1 - s.slots; over > 0 {
@@ -307,12 +387,7 @@
 			wait = max(wait, over/s.memoryTotal*duration)
 		}
 	}
-	first := wait + backlog + read + firstMs
-	rest := q.Demand.output() * step
-	return Estimate{
-		First: toDuration(first), Whole: toDuration(first + rest), Missing: missing,
-		Score: first + decodeWeight*rest + burdenWeight*read,
-	}
+	return wait
 }
 
 func (b *Balancer) plainEstimate(q *Query, slots int, active, pace float64) Estimate {
@@ -359,8 +434,8 @@
 	if tokens <= 0 {
 		return
 	}
-	_, _, memory := load.total(now)
-	expected := (b.Tuning.StepMs + b.Tuning.StepMsPerKToken*memory/1000) * float64(tokens)
+	use := load.total(now)
+	expected := b.stepMs(use)*float64(tokens) + min(use.readingMs, float64(tokens)*b.chunkMs(typicalPrompt))
 	load.measure(toMs(gap)/expected, now)
 }
 
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -55,8 +55,12 @@
 	First, Whole time.Duration
 	// Score orders choices, in milliseconds; the least is best.
 	Score float64
-	// Missing is the number of prompt tokens that must be read.
+	// Missing is the number of prompt tokens that must be read, and Reading
+	// the time that this takes. Heavy means that it holds up the other streams
+	// of the engine for longer than their objective allows.
 	Missing int
+	Reading time.Duration
+	Heavy   bool
 }
 
 func toDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,10 +36,22 @@
 // Usage is what one gateway has at a backend server.
 type Usage struct {
 	Active int
-	// Unread is the number of prompt tokens sent and not known to be read.
-	Unread int
+	// ReadingUs is the time in microseconds that the prompts need that were
+	// sent and are not known to be read.
+	ReadingUs int64
 	// Memory is the number of tokens of the requests in progress.
 	Memory int
+	// Heavy is the rate, per second, of prompts whose reading holds up all
+	// streams of the engine.
+	Heavy float64
+}
+
+// Add returns the sum of two usages.
+func (u Usage) Add(o Usage) Usage {
+	return Usage{
+		Active: u.Active + o.Active, ReadingUs: u.ReadingUs + o.ReadingUs,
+		Memory: u.Memory + o.Memory, Heavy: u.Heavy + o.Heavy,
+	}
 }
 
 // heardUsage is the sum of the neighbours' usage of a server.
@@ -52,9 +65,10 @@
 	Breaker breaker.Breaker
 	Pace    Pacer
 
-	active, unread, memory atomic.Int64
-	others                 atomic.Pointer[heardUsage]
-	report                 atomic.Pointer[Report]
+	active, readingUs, memory atomic.Int64
+	heavy                     decayed
+	others                    atomic.Pointer[heardUsage]
+	report                    atomic.Pointer[Report]
 	// beyond is what the report showed beyond the own requests, as the bits
 	// of a float64.
 	beyond atomic.Uint64
@@ -77,8 +91,11 @@
 }
 
 // Own returns what this process has at the server.
-func (l *Load) Own() Usage {
-	return Usage{Active: int(l.active.Load()), Unread: int(l.unread.Load()), Memory: int(l.memory.Load())}
+func (l *Load) Own(now clock.Instant) Usage {
+	return Usage{
+		Active: int(l.active.Load()), ReadingUs: l.readingUs.Load(), Memory: int(l.memory.Load()),
+		Heavy: l.heavy.rate(now),
+	}
 }
 
 // SetOthers takes in the sum of what the neighbours say of their own use.
@@ -105,23 +122,28 @@
 // Doubt makes the server count as cold until the given instant.
 func (l *Load) Doubt(until clock.Instant) { l.doubt.Store(int64(until)) }
 
-// total returns the use by all gateways.
-func (l *Load) total(now clock.Instant) (active, unread, memory float64) {
-	own := l.Own()
-	active, unread, memory = float64(own.Active), float64(own.Unread), float64(own.Memory)
+// total is the use of a server by all gateways.
+type total struct {
+	active, readingMs, memory, heavy float64
+}
+
+func (l *Load) total(now clock.Instant) total {
+	own := l.Own(now)
 	var others Usage
 	if o := l.others.Load(); o != nil && now.Sub(o.at) < peerAge {
 		others = o.Usage
 	}
-	beyond := float64(others.Active)
-	r := l.report.Load()
-	if r != nil && now.Sub(r.Heard) < reportAge {
-		beyond = max(beyond, math.Float64frombits(l.beyond.Load()))
-		memory = max(memory+float64(others.Memory), float64(r.MemoryUsed))
-	} else {
-		memory += float64(others.Memory)
+	sum := own.Add(others)
+	t := total{
+		active: float64(sum.Active), readingMs: float64(sum.ReadingUs) / 1000,
+		memory: float64(sum.Memory), heavy: sum.Heavy,
+	}
+	if r := l.report.Load(); r != nil && now.Sub(r.Heard) < reportAge {
+		// The report shows VMs that are not heard here.
+		t.active = max(t.active, float64(own.Active)+math.Float64frombits(l.beyond.Load()))
+		t.memory = max(t.memory, float64(r.MemoryUsed))
 	}
-	return active + beyond, unread + float64(others.Unread), memory
+	return t
 }
 
 // memoryTotal returns the server's memory as it reported it, or the given one.
@@ -167,7 +189,7 @@
 // Work is one request's place at a backend server.
 type Work struct {
 	load    *Load
-	unread  int64
+	reading int64
 	memory  int64
 	begun   clock.Instant
 	started bool
@@ -175,11 +197,14 @@
 }
 
 // Begin records that a request is sent to the server.
-func (l *Load) Begin(d *Demand, missing int, now clock.Instant) *Work {
-	w := &Work{load: l, begun: now, unread: int64(missing), memory: int64(d.memory())}
+func (l *Load) Begin(d *Demand, e *Estimate, now clock.Instant) *Work {
+	w := &Work{load: l, begun: now, reading: e.Reading.Microseconds(), memory: int64(d.memory())}
 	l.active.Add(1)
-	l.unread.Add(w.unread)
+	l.readingUs.Add(w.reading)
 	l.memory.Add(w.memory)
+	if e.Heavy {
+		l.heavy.add(now)
+	}
 	if l.unstarted.Add(1) == 1 {
 		l.progress.Store(int64(now))
 	}
@@ -193,7 +218,7 @@
 		return
 	}
 	w.started = true
-	w.load.unread.Add(-w.unread)
+	w.load.readingUs.Add(-w.reading)
 	w.load.unstarted.Add(-1)
 }
 
@@ -204,7 +229,7 @@
 	}
 	w.ended = true
 	if !w.started {
-		w.load.unread.Add(-w.unread)
+		w.load.readingUs.Add(-w.reading)
 		w.load.unstarted.Add(-1)
 	}
 	w.load.active.Add(-1)
@@ -236,6 +261,39 @@
 	l.errors.add(0)
 }
 
+// decayed is a rate of events that fades.
+type decayed struct {
+	mu    sync.Mutex
+	count float64
+	at    clock.Instant
+}
+
+// heavyFading is the time in which the memory of heavy prompts fades: a few
+// times as long as a stream lasts.
+const heavyFading = 5 * time.Second
+
+func (d *decayed) add(now clock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fade(now)
+	d.count++
+}
+
+// rate returns the events per second.
+func (d *decayed) rate(now clock.Instant) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fade(now)
+	return d.count / heavyFading.Seconds()
+}
+
+func (d *decayed) fade(now clock.Instant) {
+	if now > d.at {
+		d.count *= math.Exp(-now.Sub(d.at).Seconds() / heavyFading.Seconds())
+		d.at = now
+	}
+}
+
 // rate is a smoothed share of events, as the bits of a float64.
 type rate struct{ bits atomic.Uint64 }
 
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -18,8 +18,14 @@
 	Servers int
 	Slots   int
 	Active  float64
-	// Unread, Memory and MemoryTotal are in tokens.
-	Unread, Memory, MemoryTotal float64
+	// Reading is the time in milliseconds that prompts need that are being
+	// read or wait for it.
+	Reading float64
+	// Memory and MemoryTotal are in tokens.
+	Memory, MemoryTotal float64
+	// Heavy is the rate of heavy prompts per second, and Fewest the number of
+	// requests at the server with the fewest.
+	Heavy, Fewest float64
 	// Pace is the mean of the measured times of a step over the expected ones.
 	Pace float64
 }
@@ -38,15 +44,15 @@
 
 // crossing records what this VM sent to a region lately.
 type crossing struct {
-	mu     sync.Mutex
-	active float64
-	unread float64
-	at     clock.Instant
+	mu        sync.Mutex
+	active    float64
+	readingMs float64
+	at        clock.Instant
 }
 
 func (c *crossing) fade(now clock.Instant) {
 	f := math.Exp(-now.Sub(c.at).Seconds() / sendsFade.Seconds())
-	c.active, c.unread, c.at = c.active*f, c.unread*f, now
+	c.active, c.readingMs, c.at = c.active*f, c.readingMs*f, now
 }
 
 func (b *Balancer) crossing(region, service string) *crossing {
@@ -58,13 +64,13 @@
 }
 
 // Crossed records that a request was sent to a region.
-func (b *Balancer) Crossed(region, service string, d *Demand, now clock.Instant) {
+func (b *Balancer) Crossed(region, service string, e *Estimate, now clock.Instant) {
 	c := b.crossing(region, service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fade(now)
 	c.active++
-	c.unread += float64(d.Prompt)
+	c.readingMs += toMs(e.Reading)
 }
 
 // chooseRegion returns the best of the other regions.
@@ -90,17 +96,24 @@
 	c := b.crossing(r.Region, q.Service.Name)
 	c.mu.Lock()
 	c.fade(q.Now)
-	active, unread := r.Summary.Active+c.active*vms, r.Summary.Unread+c.unread*vms
-	c.mu.Unlock()
 	n := float64(r.Summary.Servers)
+	use := total{
+		active: (r.Summary.Active + c.active*vms) / n, readingMs: (r.Summary.Reading + c.readingMs*vms) / n,
+		memory: r.Summary.Memory / n, heavy: r.Summary.Heavy / n,
+	}
+	c.mu.Unlock()
 	var e Estimate
 	if q.Service.Engine == nil {
-		e = b.plainEstimate(q, max(1, r.Summary.Slots), active, r.Summary.Pace)
+		e = b.plainEstimate(q, max(1, r.Summary.Slots), use.active*n, r.Summary.Pace)
 	} else {
-		e = b.engineEstimate(q, engineState{
-			slots: float64(r.Summary.Slots) / n, active: active / n, unread: unread / n,
-			memory: r.Summary.Memory / n, memoryTotal: r.Summary.MemoryTotal / n, pace: r.Summary.Pace,
-		}, 0)
+		s := engineState{
+			total: use, slots: float64(r.Summary.Slots) / n, memoryTotal: r.Summary.MemoryTotal / n, pace: r.Summary.Pace,
+		}
+		e = b.engineEstimate(q, s, 0)
+		if e.Heavy {
+			s.active = min(s.active, r.Summary.Fewest)
+			e = b.engineEstimate(q, s, 0)
+		}
 	}
 	link := toMs(r.RoundTrip)
 	e.First += r.RoundTrip
@@ -122,12 +135,16 @@
 		if cold, _ := b.cold(q, server, load, view); cold {
 			continue
 		}
-		active, unread, memory := load.total(now)
+		use := load.total(now)
+		if s.Servers == 0 || use.active < s.Fewest {
+			s.Fewest = use.active
+		}
 		s.Servers++
 		s.Slots += max(1, server.Slots)
-		s.Active += active
-		s.Unread += unread
-		s.Memory += memory
+		s.Active += use.active
+		s.Reading += use.readingMs
+		s.Memory += use.memory
+		s.Heavy += use.heavy
 		if service.Engine != nil {
 			s.MemoryTotal += load.memoryTotal(service.Engine.MemoryTokens)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,13 +42,13 @@
 	maxHeaderBytes = 64 << 10
 	// keepAlive is how long callers may use an idle connection, and
 	// keepAliveMargin how much longer it stays open.
-	keepAlive       = 4 * time.Second
-	keepAliveMargin = time.Second
+	keepAlive       = 2 * time.Second
+	keepAliveMargin = 500 * time.Millisecond
 	// shareInterval is the time between two exchanges of loads.
 	shareInterval = 100 * time.Millisecond
 	// lingerPart is the part of the grace time in which a VM that shuts down
 	// still takes requests: callers learn from the directory meanwhile.
-	lingerPart = 0.36
+	lingerPart = 0.22
 	// graceMargin is how long before the end of the grace time the process
 	// ends by itself.
 	graceMargin = 400 * time.Millisecond
@@ -228,11 +228,12 @@
 	end := time.Now().Add(grace - graceMargin)
 	e.leaving.Store(true)
 	e.ready.Store(false)
-	e.mesh.SetState(false, true)
+	e.mesh.SetState(mesh.State{Leaving: true})
 	linger := time.Duration(lingerPart * float64(grace))
 	e.log.Info("leaving", "grace", grace, "linger", linger)
 	time.Sleep(linger)
 	e.refusing.Store(true)
+	e.mesh.SetState(mesh.State{Leaving: true, Closing: true})
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Drain(ctx); err != nil {
@@ -263,7 +264,7 @@
 		}
 		if ready := e.follower.Known() && !e.leaving.Load(); ready != e.ready.Load() {
 			e.ready.Store(ready)
-			e.mesh.SetState(ready, e.leaving.Load())
+			e.mesh.SetState(mesh.State{Ready: ready, Leaving: e.leaving.Load(), Closing: e.refusing.Load()})
 			e.log.Info("readiness changed", "ready", ready)
 		}
 		e.roster.Expire(now)
@@ -289,7 +290,7 @@
 	for name, service := range table.Services {
 		for _, s := range view.Usable(name, e.self.Region) {
 			load := e.balancer.Load(s.Key())
-			if u := load.Own(); u.Active > 0 {
+			if u := load.Own(now); u.Active > 0 || u.Heavy > 0 {
 				own[s.ID] = u
 			}
 			load.SetOthers(others[s.ID], now)
@@ -319,7 +320,7 @@
 	}
 	self := mesh.Member{
 		Identity: e.self, Addresses: mesh.Addresses{Callers: e.settings.Load().Callers},
-		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Reachable: true,
+		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Closing: e.refusing.Load(), Reachable: true,
 	}
 	return entries(self, e.mesh.Members(), at)
 }
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -11,7 +11,7 @@
 	// entryTTL is how long callers may keep an answer of the directory. It is
 	// short, so that callers leave a VM that shuts down before it must go;
 	// some keep an answer for three times as long.
-	entryTTL = time.Second
+	entryTTL = 500 * time.Millisecond
 	// fewEntries is the number of VMs of the caller's failure domain below
 	// which those of the whole region are named too.
 	fewEntries = 2
@@ -28,11 +28,15 @@
 
 // entries returns the callers' addresses of the VMs that a caller may use:
 // those of its failure domain, else of its region. Only where its region has
-// none is it sent to others, and first to those that may serve all routes of
-// its host.
+// none is it sent to others: first to those that may serve all routes of its
+// host, then, for a host with bound routes, to those that may and shut down but
+// still take requests.
 func entries(self mesh.Member, others []mesh.Member, at place) []string {
-	var near, regional, homes, all []string
+	var near, regional, homes, last, all []string
 	for _, m := range append([]mesh.Member{self}, others...) {
+		if m.Reachable && m.Leaving && !m.Closing && (m.Region == at.region || slices.Contains(at.homes, m.Region)) {
+			last = append(last, m.Callers)
+		}
 		if !m.Reachable || !m.Ready || m.Leaving {
 			continue
 		}
@@ -56,6 +60,8 @@
 		choice = regional
 	case len(homes) > 0:
 		choice = homes
+	case at.bound && len(last) > 0:
+		choice = last
 	}
 	return choice[:min(len(choice), maxEntries)]
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -54,8 +54,9 @@
 	snapshot.Identity
 	Addresses
 	Leaving bool
-	// Ready means that the VM says that it takes requests.
-	Ready bool
+	// Ready means that the VM says that it takes requests. Closing means that
+	// it shuts down and refuses them.
+	Ready, Closing bool
 	// Heard is when its last heartbeat came in.
 	Heard     clock.Instant
 	Reachable bool
@@ -70,9 +71,12 @@
 type announcement struct {
 	Incarnation, Region, FailureDomain string
 	Callers, Hops, Control             string
-	Leaving, Ready                     bool
+	Leaving, Ready, Closing            bool
 }
 
+// State is what a VM says of itself.
+type State struct{ Ready, Leaving, Closing bool }
+
 // Config holds what a Mesh needs.
 type Config struct {
 	Self      snapshot.Identity
@@ -101,8 +105,7 @@
 	usages   map[string]usageWord // by VM
 	summary  map[string]summaryWord
 	links    map[string]*link
-	leaving  bool
-	ready    bool
+	state    State
 	seeds    []string
 	loads    map[string]balance.Usage
 	regions  map[string][]balance.Summary
@@ -140,12 +143,11 @@
 	m.seeds = seeds
 }
 
-// SetState tells the others whether this VM takes requests and whether it is
-// shutting down.
-func (m *Mesh) SetState(ready, leaving bool) {
+// SetState tells the others what this VM says of itself.
+func (m *Mesh) SetState(s State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ready, m.leaving = ready, leaving
+	m.state = s
 	m.announce()
 }
 
@@ -189,7 +191,7 @@
 	data, err := gossip.Encode(announcement{
 		Incarnation: m.Self.Incarnation, Region: m.Self.Region, FailureDomain: m.Self.FailureDomain,
 		Callers: m.Addresses.Callers, Hops: m.Addresses.Hops, Control: m.Addresses.Control,
-		Leaving: m.leaving, Ready: m.ready,
+		Leaving: m.state.Leaving, Ready: m.state.Ready, Closing: m.state.Closing,
 	})
 	if err != nil {
 		m.Log.Error("announcement not encoded", "error", err)
@@ -300,8 +302,7 @@
 			continue
 		}
 		for server, u := range w.usage {
-			s := sums[server]
-			sums[server] = balance.Usage{Active: s.Active + u.Active, Unread: s.Unread + u.Unread, Memory: s.Memory + u.Memory}
+			sums[server] = sums[server].Add(u)
 		}
 	}
 	return sums
@@ -416,13 +417,13 @@
 		m.members[r.Name] = o
 	}
 	fresh := o.Incarnation != a.Incarnation
-	if fresh || o.Leaving != a.Leaving || o.Ready != a.Ready {
+	if fresh || o.Leaving != a.Leaving || o.Ready != a.Ready || o.Closing != a.Closing {
 		m.Log.Info("member changed", "member", r.Name, "incarnation", a.Incarnation, "region", a.Region,
-			"failureDomain", a.FailureDomain, "ready", a.Ready, "leaving", a.Leaving)
+			"failureDomain", a.FailureDomain, "ready", a.Ready, "leaving", a.Leaving, "closing", a.Closing)
 	}
 	o.Identity = snapshot.Identity{VM: r.Name, Incarnation: a.Incarnation, Region: a.Region, FailureDomain: a.FailureDomain}
 	o.Addresses = Addresses{Callers: a.Callers, Hops: a.Hops, Control: a.Control}
-	o.Leaving, o.Ready = a.Leaving, a.Ready
+	o.Leaving, o.Ready, o.Closing = a.Leaving, a.Ready, a.Closing
 	if fresh {
 		o.Heard = now
 	}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -56,7 +56,7 @@
 	}
 	x.where = vm
 	x.sends++
-	x.Balancer.Crossed(plan.Region, x.service.Name, &x.req.Demand, x.Now())
+	x.Balancer.Crossed(plan.Region, x.service.Name, &plan.Estimate, x.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	exchange, err := x.Gateways.Do(ctx, x.hopCall(address))
@@ -113,7 +113,7 @@
 	if x.route.Kind == ingress.Stream {
 		return x.passStream(ctx, source)
 	}
-	return x.passWhole(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, 0, x.Now()))
+	return x.passWhole(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
 }
 
 func (x *run) takeRefusal(value string, ran int) outcome {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -173,8 +173,12 @@
 	weights   string
 	held      *heldAnswer
 	firstAt   clock.Instant
-	last      *outcome
-	where     string
+	// longestGap is the longest pause between events so far, and missing the
+	// prompt tokens that were expected to be read at the last place.
+	longestGap time.Duration
+	missing    int
+	last       *outcome
+	where      string
 }
 
 // Handle serves a request. A refusal after the answer has begun means that it
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -64,7 +64,7 @@
 	s, load := plan.Server, plan.Load
 	now := x.Now()
 	x.tried = append(x.tried, s.Key())
-	x.where = s.ID
+	x.where, x.missing = s.ID, plan.Estimate.Missing
 	// The view may have changed since the choice.
 	if !x.Roster.View().MayGetWork(s) {
 		return outcome{notRun: true, reason: "leaving"}
@@ -76,7 +76,7 @@
 		return outcome{notRun: true, reason: "cold"}
 	}
 	x.sends++
-	work := load.Begin(&x.req.Demand, plan.Estimate.Missing, now)
+	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
 	ctx, stop := x.watchServer(ctx, load)
 	defer stop()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -79,6 +79,9 @@
 	if s.work != nil {
 		s.work.Started(now)
 	}
+	if *lastAt != 0 {
+		x.longestGap = max(x.longestGap, now.Sub(*lastAt))
+	}
 	if s.load != nil && *lastAt != 0 && x.service.Engine != nil {
 		x.Balancer.MeasureGap(s.load, now.Sub(*lastAt), events*x.service.Engine.EventTokens, now)
 	}
