--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -14,12 +14,26 @@
 	heldFor = 30 * time.Second
 	// maxParts bounds the parts that are remembered.
 	maxParts = 20_000
+	// maxReads bounds the reads that are told to other VMs at a time.
+	maxReads = 64
+	// leastRead is the size, in tokens, of a part that is worth telling.
+	leastRead = 64
 )
 
+// Read says that a backend server was sent a part of a prompt.
+type Read struct {
+	Server string
+	// Started is the server's incarnation.
+	Started int64
+	Part    uint64
+}
+
 // Prefixes remembers which backend servers have read which parts of prompts.
 type Prefixes struct {
 	mu    sync.RWMutex
 	parts map[uint64]map[roster.ServerKey]clock.Instant
+	// recent are own reads that the other VMs have not been told.
+	recent []Read
 }
 
 // NewPrefixes returns a memory that knows nothing.
@@ -27,21 +41,47 @@
 	return &Prefixes{parts: map[uint64]map[roster.ServerKey]clock.Instant{}}
 }
 
-// Read records that a server reads the parts.
+// Read records that a server was sent the parts.
 func (p *Prefixes) Read(parts []Part, server roster.ServerKey, now clock.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range parts {
-		holders := p.parts[part.ID]
-		if holders == nil {
-			if len(p.parts) >= maxParts {
-				p.prune(now)
-			}
-			holders = map[roster.ServerKey]clock.Instant{}
-			p.parts[part.ID] = holders
+	for i, part := range parts {
+		if i < len(parts)-1 && part.Tokens >= leastRead && len(p.recent) < maxReads {
+			p.recent = append(p.recent, Read{Server: server.ID, Started: server.Started, Part: part.ID})
+		}
+		p.note(part.ID, server, now)
+	}
+}
+
+// Told takes in what other VMs had read.
+func (p *Prefixes) Told(reads []Read, now clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range reads {
+		p.note(r.Part, roster.ServerKey{ID: r.Server, Started: r.Started}, now)
+	}
+}
+
+// Recent returns the own reads since the last call.
+func (p *Prefixes) Recent() []Read {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.recent
+	p.recent = nil
+	return list
+}
+
+// note records a holder of a part. The caller holds the lock.
+func (p *Prefixes) note(id uint64, server roster.ServerKey, now clock.Instant) {
+	holders := p.parts[id]
+	if holders == nil {
+		if len(p.parts) >= maxParts {
+			p.prune(now)
 		}
-		holders[server] = now
+		holders = map[roster.ServerKey]clock.Instant{}
+		p.parts[id] = holders
 	}
+	holders[server] = now
 }
 
 // Dropped records that a server no longer holds a part.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,9 @@
 	// memoryPart is the part of the VM's memory above which the garbage
 	// collector works harder.
 	memoryPart = 0.7
+	// tellInterval is the least time between two words about a changed load:
+	// a few times what the word needs within a region.
+	tellInterval = 5 * time.Millisecond
 	// freezeAfter is the delay of a timer that shows that the process stood
 	// still.
 	freezeAfter = time.Second
@@ -90,6 +93,10 @@
 	servers  *upstream.Pool
 	gateways *upstream.Pool
 
+	// changed wakes the exchange of loads.
+	changed chan struct{}
+	// heard wakes the use of what others said of theirs.
+	heard    chan struct{}
 	leaving  atomic.Bool
 	refusing atomic.Bool
 	ready    atomic.Bool
@@ -100,7 +107,7 @@
 	random := make([]byte, incarnationBytes)
 	// Read never fails.
 	_, _ = rand.Read(random)
-	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New()}
+	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New(), changed: make(chan struct{}, 1), heard: make(chan struct{}, 1)}
 	e.settings.Store(settings)
 	e.self = snapshot.Identity{
 		VM: settings.VM, Incarnation: hex.EncodeToString(random),
@@ -117,7 +124,11 @@
 		Addresses: mesh.Addresses{Callers: settings.Callers, Hops: settings.Hops, Control: settings.Control},
 		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
 		Configuration: e.configuration,
-		Received:      func(r record) { e.follower.Received(r) },
+		Reads: func(reads []balance.Read) {
+			e.balancer.Prefixes.Told(reads, e.now())
+			wake(e.heard)
+		},
+		Received: func(r record) { e.follower.Received(r) },
 		Newer: func(revision uint64, fetch func(context.Context) (uint64, []byte, error)) {
 			e.follower.Newer(revision, fetch)
 		},
@@ -135,7 +146,7 @@
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Servers: e.servers, Gateways: e.gateways,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack,
-		Leaving: e.leaving.Load, Refusing: e.refusing.Load,
+		Leaving: e.leaving.Load, Refusing: e.refusing.Load, Changed: e.wakeShare,
 	})
 }
 
@@ -251,7 +262,21 @@
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	last := e.now()
-	for n := 0; ; n++ {
+	for n := 0; ; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.changed:
+			e.tellLoad(e.now())
+			// Changes that come together are told together.
+			time.Sleep(tellInterval)
+			continue
+		case <-e.heard:
+			e.hearLoads(e.now())
+			continue
+		case <-ticker.C:
+		}
+		n++
 		now := e.now()
 		if stood := now.Sub(last); stood > freezeAfter {
 			e.log.Warn("the process stood still", "for", stood)
@@ -269,12 +294,48 @@
 		}
 		e.roster.Expire(now)
 		e.gauges(now)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+	}
+}
+
+// wakeShare has the others told of a changed load.
+func (e *Edge) wakeShare() { wake(e.changed) }
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// hearLoads takes in what the other VMs of the region say of their use.
+func (e *Edge) hearLoads(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	view, others := e.roster.View(), e.mesh.Usages()
+	for name := range table.Services {
+		for _, s := range view.Usable(name, e.self.Region) {
+			e.balancer.Load(s.Key()).SetOthers(others[s.ID], now)
+		}
+	}
+}
+
+// tellLoad tells the others of the region this VM's use of backend servers.
+func (e *Edge) tellLoad(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	view, usage := e.roster.View(), map[string]balance.Usage{}
+	for name := range table.Services {
+		for _, s := range view.Usable(name, e.self.Region) {
+			if u := e.balancer.Load(s.Key()).Own(now); u.Active > 0 || u.Heavy > 0 {
+				usage[s.ID] = u
+			}
 		}
 	}
+	e.mesh.SetLoad(mesh.Load{Usage: usage, Reads: e.balancer.Prefixes.Recent()})
 }
 
 // exchangeLoads tells the others this VM's use of backend servers, and takes
@@ -284,20 +345,13 @@
 	if table == nil {
 		return
 	}
+	e.hearLoads(now)
 	view := e.roster.View()
-	own, others := map[string]balance.Usage{}, e.mesh.Usages()
 	var summaries []balance.Summary
-	for name, service := range table.Services {
-		for _, s := range view.Usable(name, e.self.Region) {
-			load := e.balancer.Load(s.Key())
-			if u := load.Own(now); u.Active > 0 || u.Heavy > 0 {
-				own[s.ID] = u
-			}
-			load.SetOthers(others[s.ID], now)
-		}
+	for _, service := range table.Services {
 		summaries = append(summaries, e.balancer.Summarize(service, view, now))
 	}
-	e.mesh.SetUsage(own)
+	e.tellLoad(now)
 	e.mesh.SetSummaries(summaries)
 }
 
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -219,6 +219,9 @@
 		delta, more = l.session.Next()
 		l.mu.Unlock()
 		l.mesh.mu.Unlock()
+		if len(delta.Records) == 0 {
+			return true
+		}
 		if err := client.Gossip(ctx, revision, delta, !more); err != nil {
 			l.mesh.Log.Warn("neighbour lost", "member", l.key, "address", l.address, "error", err)
 			return false
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -84,6 +84,8 @@
 	Seeds     []string
 	Now       clock.Clock
 	Log       *slog.Logger
+	// Reads takes in which parts of prompts other VMs of the region had read.
+	Reads func([]balance.Read)
 	// Received takes in records that the mesh itself has no use for.
 	Received func(gossip.Record)
 	// Configuration returns the raw configuration in force and its revision.
@@ -158,9 +160,24 @@
 	m.store.Merge(r)
 }
 
-// SetUsage tells the VMs of the region what this one has at backend servers.
-func (m *Mesh) SetUsage(usage map[string]balance.Usage) {
-	m.write(gossip.KindLoad, m.Self.VM, usage)
+// Load is what a VM tells the others of its region: its use of backend
+// servers, and the prompts' parts that it had them read lately.
+type Load struct {
+	Usage map[string]balance.Usage
+	Reads []balance.Read
+}
+
+// SetLoad tells the VMs of the region what this one has at backend servers.
+// Unlike other records it goes out at once.
+func (m *Mesh) SetLoad(load Load) {
+	m.write(gossip.KindLoad, m.Self.VM, load)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.region == m.Self.Region {
+			l.wake()
+		}
+	}
 }
 
 // SetSummaries tells the other regions what this VM knows of its own.
@@ -385,9 +402,10 @@
 			o.Heard = now
 		}
 	case gossip.KindLoad:
-		var usage map[string]balance.Usage
-		if m.decoded(r, &usage) {
-			m.usages[r.Name] = usageWord{usage: usage, at: now}
+		var load Load
+		if m.decoded(r, &load) {
+			m.usages[r.Name] = usageWord{usage: load.Usage, at: now}
+			m.Reads(load.Reads)
 		}
 	case gossip.KindSummary:
 		m.receiveSummary(r, now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,6 +129,8 @@
 	Now      clock.Clock
 	Log      *slog.Logger
 	Metrics  *Metrics
+	// Changed is told that the own use of a backend server has changed much.
+	Changed func()
 	// Leaving reports whether this VM is shutting down, and Refusing whether
 	// it no longer takes requests.
 	Leaving  func() bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -25,6 +25,9 @@
 	// refusedFor is how long a server that refused for want of room is passed
 	// over, unless there is no other.
 	refusedFor = 60 * time.Millisecond
+	// tellReading is the time for reading a prompt from which on the other VMs
+	// of the region are told of it at once.
+	tellReading = 15 * time.Millisecond
 	// maxPriority is the least urgent rank that engines know.
 	maxPriority = 9
 )
@@ -78,6 +81,10 @@
 	x.sends++
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
+	if plan.Estimate.Reading > tellReading {
+		x.Balancer.Prefixes.Read(x.req.Demand.Parts, s.Key(), now)
+		x.Changed()
+	}
 	ctx, stop := x.watchServer(ctx, load)
 	defer stop()
 	exchange, err := x.Servers.Do(ctx, x.serverCall(plan))
