--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -58,11 +58,11 @@
 	decodeWeight = 0.3
 	// burdenWeight is the weight of what reading a prompt takes from the other
 	// requests of the engine.
-	burdenWeight = 1.0
+	burdenWeight = 4.0
 	// spreadWeight is the part of the shared parts' reading time by which
 	// servers differ for a prefix that none is known to hold, so that all
 	// gateways tend to the same one.
-	spreadWeight = 0.5
+	spreadWeight = 3.0
 	// firstMs is an engine's fixed time to the first event.
 	firstMs = 30
 	// lateMs is the weight of one answer that misses an objective, in
@@ -343,6 +343,7 @@
 		Score: first + decodeWeight*rest + burdenWeight*read,
 	}
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
+	e.Score += lateMs * miss(first+rest, q.Remaining)
 	gapObjective := toMs(q.Route.GapObjective)
 	if gapObjective <= 0 {
 		return e
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,7 +145,7 @@
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Servers: e.servers, Gateways: e.gateways,
-		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack,
+		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, Changed: e.wakeShare,
 	})
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -48,9 +48,10 @@
 	// MaxTTL bounds how long callers may keep an answer of the directory.
 	MaxTTL time.Duration
 	// RetrySlack is how many repeats a service tolerates of the whole fleet in
-	// a window, beyond a share of its requests.
-	RetrySlack float64
-	Cold       balance.Bounds
+	// a RetryWindow, beyond a share of its requests.
+	RetrySlack  float64
+	RetryWindow time.Duration
+	Cold        balance.Bounds
 	// MemoryBytes is the memory that the process may use; zero is unknown.
 	MemoryBytes int64
 }
@@ -58,6 +59,9 @@
 // leastGrace is the shortest time in which a shutdown can finish requests.
 const leastGrace = time.Second
 
+// leastRetryWindow is the shortest span in which retries can be counted.
+const leastRetryWindow = 100 * time.Millisecond
+
 // Check lists every fault of the settings in one error.
 func (s *Settings) Check() error {
 	var faults []string
@@ -88,6 +92,9 @@
 	if s.Grace < leastGrace {
 		fault("the grace time %v is below %v", s.Grace, leastGrace)
 	}
+	if s.RetryWindow < leastRetryWindow {
+		fault("the retry window %v is below %v", s.RetryWindow, leastRetryWindow)
+	}
 	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryReads < 0 || s.MaxTTL < 0 {
 		fault("a bound is below 0")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,9 +34,6 @@
 	// safeIdle is the same for a request that may be repeated; the pool's own
 	// bounds are stricter.
 	safeIdle = time.Minute
-	// retryShare is the part of the requests that may be sent again. It is
-	// below the operators' bound, which counts over the whole fleet.
-	retryShare = 0.14
 	// minOffer is the least time to the deadline with which a request is
 	// still sent.
 	minOffer = 20 * time.Millisecond
@@ -137,7 +134,8 @@
 	Refusing func() bool
 	// RetrySlack is how many repeats a service tolerates of the whole fleet
 	// beyond the share, in each window.
-	RetrySlack float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 }
 
 // Relay serves requests.
@@ -148,7 +146,7 @@
 
 // New returns a relay.
 func New(config Config) *Relay {
-	return &Relay{Config: config, budgets: budgets{slack: config.RetrySlack}}
+	return &Relay{Config: config, budgets: budgets{slack: config.RetrySlack, span: config.RetryWindow}}
 }
 
 // run is one request on its way.
@@ -159,7 +157,7 @@
 	route   *ingress.Route
 	service *ingress.Service
 	w       pipeline.Response
-	budget  *retry.Budget
+	budget  *retry.Window
 	until   clock.Instant
 
 	// ran counts the backend servers at which the request may have run, and
@@ -224,7 +222,7 @@
 	}
 	x.budget = r.budgets.of(name, r.Peers.Count())
 	if req.Entry == "" {
-		x.budget.Request(retryShare)
+		x.budget.Request(retryShare, r.Now())
 	}
 	return x, nil
 }
@@ -299,7 +297,7 @@
 		}
 	}
 	// A send that reached no backend server costs nothing of the budget.
-	return !out.arrived || x.budget.Take()
+	return !out.arrived || x.budget.Take(x.Now())
 }
 
 // nowhere ends a request for which there is no place.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -6,44 +6,32 @@
 const (
 	// unit is one request in the budget's fixed-point form.
 	unit = 1 << 20
-	// defaultBurst bounds the retries that a quiet time can save up.
-	defaultBurst = 20
+	// maxSaved bounds the retries that a quiet time can save up.
+	maxSaved = 20 * unit
 	// initialSaved lets the first failures of a new process be retried.
-	initialSaved = 3
+	initialSaved = 3 * unit
 )
 
 // Budget is a token bucket that is filled by requests: each request adds the
 // share that may be retried, each retry or hedge takes one token.
 type Budget struct {
 	saved atomic.Int64
-	burst atomic.Int64
 }
 
 // NewBudget returns a budget with a few retries saved up.
 func NewBudget() *Budget {
-	b := NewBudgetOf(defaultBurst)
-	b.saved.Store(initialSaved * unit)
-	return b
-}
-
-// NewBudgetOf returns a full budget that saves up to burst retries.
-func NewBudgetOf(burst float64) *Budget {
 	b := &Budget{}
-	b.SetBurst(burst)
-	b.saved.Store(b.burst.Load())
+	b.saved.Store(initialSaved)
 	return b
 }
 
-// SetBurst changes how many retries can be saved up.
-func (b *Budget) SetBurst(burst float64) { b.burst.Store(int64(max(burst, 0) * unit)) }
-
 // Request records a request of which the given share, between 0 and 1, may be
 // retried.
 func (b *Budget) Request(share float64) {
 	add := int64(min(max(share, 0), 1) * unit)
 	for {
 		old := b.saved.Load()
-		next := min(old+add, max(b.burst.Load(), unit))
+		next := min(old+add, maxSaved)
 		if next == old || b.saved.CompareAndSwap(old, next) {
 			return
 		}
