Balance: prompts take turns to be read

Cause: late streams had pauses over the objective where several prompts were read back to back; three VMs that choose at once can't spread them. Change: a long prompt reserves its engine for its reading time, the region's VMs tell each other, and it waits for its turn for at most 0.3 of its objective.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -64,7 +64,17 @@
 	// gateways tend to the same one.
 	spreadWeight = 3.0
 	// firstMs is an engine's fixed time to the first event.
-	firstMs = 30
+	firstMs = 50
+	// turnMs is the reading time from which on prompts take turns at an
+	// engine, and restPart the pause after a turn, as a part of it: streams
+	// get so much time for themselves.
+	turnMs   = 30
+	restPart = 0.5
+	// crowdMs is the backlog of reading at which there are no pauses any more.
+	crowdMs = 250
+	// holdPart is the part of the latency objective for which a request waits
+	// for its turn at most.
+	holdPart = 0.3
 	// lateMs is the weight of one answer that misses an objective, in
 	// milliseconds of delay.
 	lateMs = 1000
@@ -74,6 +84,12 @@
 	// heavyPart is the part of the gap objective at which a prompt counts as
 	// heavy.
 	heavyPart = 0.8
+	// leastMeasured is the reading time from which on it is measured, and
+	// readSmoothing the weight of one measurement.
+	leastMeasured = 30 * time.Millisecond
+	readSmoothing = 0.02
+	// minReadPace and maxReadPace bound a measurement.
+	minReadPace, maxReadPace = 0.4, 3
 	// silentAfter is the silence after which a server that owes first bytes
 	// gets no new work: several times the longest usual wait.
 	silentAfter = 1200 * time.Millisecond
@@ -154,7 +170,10 @@
 	loads     sync.Map // roster.ServerKey to *Load
 	durations sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
 	crossings sync.Map // region and service to *crossing
-	seed      maphash.Seed
+	// reads is the measured time of reading over the expected one, as the bits
+	// of a float64.
+	reads atomic.Uint64
+	seed  maphash.Seed
 }
 
 // New returns a balancer for one VM.
@@ -319,7 +338,28 @@
 // readMs returns the time that an engine needs for missing tokens of a prompt
 // of which it holds held tokens.
 func (b *Balancer) readMs(missing, held float64) float64 {
-	return missing/b.Tuning.PromptTokensPerMs + b.Tuning.MsPerMegaPair*missing*(held+missing/2)/1e6
+	return b.readPace() * (missing/b.Tuning.PromptTokensPerMs + b.Tuning.MsPerMegaPair*missing*(held+missing/2)/1e6)
+}
+
+// readPace returns the measured time of reading over the expected one.
+func (b *Balancer) readPace() float64 {
+	if bits := b.reads.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return 1
+}
+
+// MeasureRead takes in the time to the first event of a prompt whose reading
+// had its turn at once.
+func (b *Balancer) MeasureRead(load *Load, service *ingress.Service, e *Estimate, first time.Duration, now clock.Instant) {
+	if service.Engine == nil || e.Reading < leastMeasured {
+		return
+	}
+	fixed := firstMs + float64(service.Engine.EventTokens)*b.stepMs(load.total(now))
+	sample := (toMs(first) - fixed) / toMs(e.Reading) * b.readPace()
+	sample = min(max(sample, minReadPace), maxReadPace)
+	old := b.readPace()
+	b.reads.Store(math.Float64bits(old + readSmoothing*(sample-old)))
 }
 
 // chunkMs returns the time of the reading in one step, at the end of a prompt.
@@ -334,8 +374,8 @@
 	missing := max(0, q.Demand.Prompt-held)
 	read := b.readMs(float64(missing), float64(held))
 	step := b.stepMs(s.total)
-	wait := b.slotWait(q, s)
-	first := wait + (s.readingMs+read+firstMs)*s.pace
+	tokens := float64(q.Service.Engine.EventTokens)
+	first := b.slotWait(q, s) + s.readingMs + read + (firstMs+tokens*step)*s.pace
 	rest := q.Demand.output() * step * s.pace
 	e := Estimate{
 		First: toDuration(first), Whole: toDuration(first + rest),
@@ -344,17 +384,19 @@
 	}
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
 	e.Score += lateMs * miss(first+rest, q.Remaining)
+	if read > turnMs {
+		calm := max(0, 1-s.readingMs/crowdMs)
+		e.Turn, e.Rest = true, toDuration(restPart*calm*read)
+		e.Hold = toDuration(min(s.readingMs, holdPart*toMs(q.Route.LatencyObjective)))
+	}
 	gapObjective := toMs(q.Route.GapObjective)
 	if gapObjective <= 0 {
 		return e
 	}
-	tokens := float64(q.Service.Engine.EventTokens)
 	most := tokens * b.chunkMs(float64(q.Demand.Prompt))
-	before := (tokens*step + min(s.readingMs, tokens*b.chunkMs(typicalPrompt))) * s.pace
-	after := (tokens*step + min(s.readingMs+read, max(most, tokens*b.chunkMs(typicalPrompt)))) * s.pace
-	e.Heavy = tokens*step+min(read, most) > heavyPart*gapObjective
-	others := missMs(after, gapObjective) - missMs(before, gapObjective)
-	e.Score += lateMs * (s.active*others + missMs(before, gapObjective))
+	gap := tokens*step*s.pace + min(read, most)
+	e.Heavy = gap > heavyPart*gapObjective
+	e.Score += lateMs * s.active * (missMs(gap, gapObjective) - missMs(tokens*step*s.pace, gapObjective))
 	if !e.Heavy {
 		// Heavy prompts that follow hold this stream up.
 		e.Score += lateMs * min(1, s.heavy*rest/1000)
@@ -362,10 +404,6 @@
 	return e
 }
 
-// typicalPrompt is the size of a prompt, in tokens, that is assumed where only
-// its reading time is known.
-const typicalPrompt = 10_000
-
 // miss returns the chance that a time in milliseconds misses an objective.
 func miss(ms float64, objective time.Duration) float64 { return missMs(ms, toMs(objective)) }
 
@@ -432,11 +470,11 @@
 // MeasureGap takes in the time between two events of a stream, which hold the
 // given number of tokens.
 func (b *Balancer) MeasureGap(load *Load, gap time.Duration, tokens int, now clock.Instant) {
-	if tokens <= 0 {
+	// Reading of prompts stretches gaps whatever the engine's pace.
+	if tokens <= 0 || !load.idleSince(now.Add(-gap)) {
 		return
 	}
-	use := load.total(now)
-	expected := b.stepMs(use)*float64(tokens) + min(use.readingMs, float64(tokens)*b.chunkMs(typicalPrompt))
+	expected := b.stepMs(load.total(now)) * float64(tokens)
 	load.measure(toMs(gap)/expected, now)
 }
 
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -55,6 +55,10 @@
 	First, Whole time.Duration
 	// Score orders choices, in milliseconds; the least is best.
 	Score float64
+	// Turn means that the prompt takes its turn to be read. Hold is the longest
+	// wait for it, and Rest the pause after it.
+	Turn       bool
+	Hold, Rest time.Duration
 	// Missing is the number of prompt tokens that must be read, and Reading
 	// the time that this takes. Heavy means that it holds up the other streams
 	// of the engine for longer than their objective allows.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -36,8 +36,8 @@
 // Usage is what one gateway has at a backend server.
 type Usage struct {
 	Active int
-	// ReadingUs is the time in microseconds that the prompts need that were
-	// sent and are not known to be read.
+	// ReadingUs is the time in microseconds until the prompts are read that
+	// have their turn or wait for it.
 	ReadingUs int64
 	// Memory is the number of tokens of the requests in progress.
 	Memory int
@@ -46,10 +46,11 @@
 	Heavy float64
 }
 
-// Add returns the sum of two usages.
+// Add returns the usage of two gateways together. Each of them counts the
+// turns that it knows of, those of the other included.
 func (u Usage) Add(o Usage) Usage {
 	return Usage{
-		Active: u.Active + o.Active, ReadingUs: u.ReadingUs + o.ReadingUs,
+		Active: u.Active + o.Active, ReadingUs: max(u.ReadingUs, o.ReadingUs),
 		Memory: u.Memory + o.Memory, Heavy: u.Heavy + o.Heavy,
 	}
 }
@@ -65,10 +66,13 @@
 	Breaker breaker.Breaker
 	Pace    Pacer
 
-	active, readingUs, memory atomic.Int64
-	heavy                     decayed
-	others                    atomic.Pointer[heardUsage]
-	report                    atomic.Pointer[Report]
+	active, memory atomic.Int64
+	// readUntil is the instant at which all prompts are read that have their
+	// turn or wait for it, as far as this VM knows.
+	readUntil atomic.Int64
+	heavy     decayed
+	others    atomic.Pointer[heardUsage]
+	report    atomic.Pointer[Report]
 	// beyond is what the report showed beyond the own requests, as the bits
 	// of a float64.
 	beyond atomic.Uint64
@@ -93,13 +97,50 @@
 // Own returns what this process has at the server.
 func (l *Load) Own(now clock.Instant) Usage {
 	return Usage{
-		Active: int(l.active.Load()), ReadingUs: l.readingUs.Load(), Memory: int(l.memory.Load()),
+		Active: int(l.active.Load()), ReadingUs: l.reading(now).Microseconds(), Memory: int(l.memory.Load()),
 		Heavy: l.heavy.rate(now),
 	}
 }
 
 // SetOthers takes in the sum of what the neighbours say of their own use.
-func (l *Load) SetOthers(u Usage, now clock.Instant) { l.others.Store(&heardUsage{Usage: u, at: now}) }
+func (l *Load) SetOthers(u Usage, now clock.Instant) {
+	l.others.Store(&heardUsage{Usage: u, at: now})
+	raise(&l.readUntil, int64(now.Add(time.Duration(u.ReadingUs)*time.Microsecond)))
+}
+
+// raise stores value if it is higher.
+func raise(v *atomic.Int64, value int64) {
+	for {
+		old := v.Load()
+		if old >= value || v.CompareAndSwap(old, value) {
+			return
+		}
+	}
+}
+
+// reading returns the time until all prompts are read that have their turn.
+func (l *Load) reading(now clock.Instant) time.Duration {
+	return min(maxBacklog, max(0, clock.Instant(l.readUntil.Load()).Sub(now)))
+}
+
+// idleSince reports whether no prompt was being read since the given instant.
+func (l *Load) idleSince(at clock.Instant) bool { return clock.Instant(l.readUntil.Load()) < at }
+
+// maxBacklog bounds the time until a turn: estimates of what came before add
+// up, and engines are rarely further behind.
+const maxBacklog = 500 * time.Millisecond
+
+// Turn gives a prompt its turn to be read after those before it, and returns
+// when that is. The rest that follows lets streams go on before the next turn.
+func (l *Load) Turn(read, rest time.Duration, now clock.Instant) clock.Instant {
+	for {
+		old := l.readUntil.Load()
+		start := min(max(clock.Instant(old), now), now.Add(maxBacklog))
+		if l.readUntil.CompareAndSwap(old, int64(start.Add(read+rest))) {
+			return start
+		}
+	}
+}
 
 // SetReport takes in the server's report of its load.
 func (l *Load) SetReport(r Report) {
@@ -135,7 +176,7 @@
 	}
 	sum := own.Add(others)
 	t := total{
-		active: float64(sum.Active), readingMs: float64(sum.ReadingUs) / 1000,
+		active: float64(sum.Active), readingMs: toMs(l.reading(now)),
 		memory: float64(sum.Memory), heavy: sum.Heavy,
 	}
 	if r := l.report.Load(); r != nil && now.Sub(r.Heard) < reportAge {
@@ -189,7 +230,6 @@
 // Work is one request's place at a backend server.
 type Work struct {
 	load    *Load
-	reading int64
 	memory  int64
 	begun   clock.Instant
 	started bool
@@ -198,9 +238,8 @@
 
 // Begin records that a request is sent to the server.
 func (l *Load) Begin(d *Demand, e *Estimate, now clock.Instant) *Work {
-	w := &Work{load: l, begun: now, reading: e.Reading.Microseconds(), memory: int64(d.memory())}
+	w := &Work{load: l, begun: now, memory: int64(d.memory())}
 	l.active.Add(1)
-	l.readingUs.Add(w.reading)
 	l.memory.Add(w.memory)
 	if e.Heavy {
 		l.heavy.add(now)
@@ -218,7 +257,6 @@
 		return
 	}
 	w.started = true
-	w.load.readingUs.Add(-w.reading)
 	w.load.unstarted.Add(-1)
 }
 
@@ -229,7 +267,6 @@
 	}
 	w.ended = true
 	if !w.started {
-		w.load.readingUs.Add(-w.reading)
 		w.load.unstarted.Add(-1)
 	}
 	w.load.active.Add(-1)
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -109,7 +109,7 @@
 	if x.weights == "" {
 		x.weights = x.Protocol.Inbound(e.StatusCode, e.Header).Weights
 	}
-	source := &streamSource{Exchange: e, sentAt: x.Now()}
+	source := &streamSource{Exchange: e}
 	if x.route.Kind == ingress.Stream {
 		return x.passStream(ctx, source)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,9 +176,11 @@
 	// longestGap is the longest pause between events so far, and missing the
 	// prompt tokens that were expected to be read at the last place.
 	longestGap time.Duration
-	missing    int
-	last       *outcome
-	where      string
+	// waited is the time spent waiting for a turn.
+	waited  time.Duration
+	missing int
+	last    *outcome
+	where   string
 }
 
 // Handle serves a request. A refusal after the answer has begun means that it
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -79,7 +79,7 @@
 	args := []any{
 		"request", x.req.ID, "route", route, "configuration", version, "entry", x.req.Entry, "result", result,
 		"at", x.where, "sends", x.sends, "ran", x.ran, "took", took, "first", x.firstDelay(),
-		"longestGap", x.longestGap, "events", x.events, "prompt", x.req.Demand.Prompt, "toRead", x.missing,
+		"waited", x.waited, "longestGap", x.longestGap, "events", x.events, "prompt", x.req.Demand.Prompt, "toRead", x.missing,
 		"output", x.req.Demand.Output, "hint", x.req.Demand.Expected,
 	}
 	if refusal == nil {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -25,9 +25,6 @@
 	// refusedFor is how long a server that refused for want of room is passed
 	// over, unless there is no other.
 	refusedFor = 60 * time.Millisecond
-	// tellReading is the time for reading a prompt from which on the other VMs
-	// of the region are told of it at once.
-	tellReading = 15 * time.Millisecond
 	// maxPriority is the least urgent rank that engines know.
 	maxPriority = 9
 )
@@ -68,6 +65,10 @@
 	now := x.Now()
 	x.tried = append(x.tried, s.Key())
 	x.where, x.missing = s.ID, plan.Estimate.Missing
+	if !x.takeTurn(ctx, &plan) {
+		return outcome{notRun: true, reason: "ended before its turn"}
+	}
+	now = x.Now()
 	// The view may have changed since the choice.
 	if !x.Roster.View().MayGetWork(s) {
 		return outcome{notRun: true, reason: "leaving"}
@@ -81,10 +82,6 @@
 	x.sends++
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
-	if plan.Estimate.Reading > tellReading {
-		x.Balancer.Prefixes.Read(x.req.Demand.Parts, s.Key(), now)
-		x.Changed()
-	}
 	ctx, stop := x.watchServer(ctx, load)
 	defer stop()
 	exchange, err := x.Servers.Do(ctx, x.serverCall(plan))
@@ -96,6 +93,31 @@
 	return x.takeAnswer(ctx, plan, exchange, work)
 }
 
+// takeTurn waits for the prompt's turn to be read at its engine. It returns
+// false if the request ended meanwhile.
+func (x *run) takeTurn(ctx context.Context, plan *balance.Plan) bool {
+	e := &plan.Estimate
+	now := x.Now()
+	start := plan.Load.Turn(e.Reading, e.Rest, now)
+	if !e.Turn {
+		return true
+	}
+	// The other VMs learn of the turn and of the parts that will be cached.
+	x.Balancer.Prefixes.Read(x.req.Demand.Parts, plan.Server.Key(), now)
+	x.Changed()
+	wait := min(start.Sub(now), e.Hold)
+	if wait <= 0 {
+		return true
+	}
+	x.waited += wait
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 // watchServer ends the wait for a backend server that stopped answering polls,
 // where the request may go elsewhere.
 func (x *run) watchServer(ctx context.Context, load *balance.Load) (context.Context, func()) {
@@ -187,7 +209,7 @@
 		x.weights = in.Weights
 	}
 	if x.route.Kind == ingress.Stream {
-		return x.passStream(ctx, &streamSource{Exchange: e, load: plan.Load, work: work, sentAt: now})
+		return x.passStream(ctx, &streamSource{Exchange: e, load: plan.Load, work: work, estimate: &plan.Estimate})
 	}
 	return x.passWhole(ctx, plan, e, work)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -24,9 +24,9 @@
 // of which load and work are nil.
 type streamSource struct {
 	*upstream.Exchange
-	load   *balance.Load
-	work   *balance.Work
-	sentAt clock.Instant
+	load     *balance.Load
+	work     *balance.Work
+	estimate *balance.Estimate
 }
 
 // passStream passes on whole events as they arrive. A stream that breaks off
@@ -77,6 +77,9 @@
 		x.firstAt = now
 	}
 	if s.work != nil {
+		if *lastAt == 0 && x.sends == 1 && x.waited == 0 {
+			x.Balancer.MeasureRead(s.load, x.service, s.estimate, now.Sub(s.work.Begun()), now)
+		}
 		s.work.Started(now)
 	}
 	if *lastAt != 0 {
