--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -89,6 +89,9 @@
 	// fullUntil is the instant until which the server counts as full.
 	fullUntil atomic.Int64
 	errors    rate
+	// suspectUntil is the instant until which another VM's word counts that
+	// the server doesn't answer.
+	suspectUntil atomic.Int64
 	// doubt is the instant until which the server counts as cold because it
 	// failed lately.
 	doubt atomic.Int64
@@ -156,6 +159,22 @@
 // Lost reports whether several polls in a row got no answer.
 func (l *Load) Lost() bool { return l.missed.Load() >= pollsToLose }
 
+// InDoubt reports whether the server should be asked soon: a poll got no
+// answer, another VM suspects it, or requests wait for a first byte.
+func (l *Load) InDoubt(now clock.Instant) bool {
+	return l.missed.Load() > 0 || now < clock.Instant(l.suspectUntil.Load()) || l.silence(now) > doubtfulSilence
+}
+
+// Suspect makes the server be asked often for a while.
+func (l *Load) Suspect(now clock.Instant) { l.suspectUntil.Store(int64(now.Add(suspectFor))) }
+
+const (
+	// suspectFor is how long the word of another VM counts.
+	suspectFor = time.Second
+	// doubtfulSilence is the wait for a first byte that is unusual.
+	doubtfulSilence = 600 * time.Millisecond
+)
+
 // pollsToLose is the number of unanswered polls after which a server gets no
 // new work.
 const pollsToLose = 2
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -26,6 +26,8 @@
 	// Heavy is the rate of heavy prompts per second, and Fewest the number of
 	// requests at the server with the fewest.
 	Heavy, Fewest float64
+	// Errors is the mean share of requests that fail.
+	Errors float64
 	// Pace is the mean of the measured times of a step over the expected ones.
 	Pace float64
 }
@@ -115,6 +117,7 @@
 			e = b.engineEstimate(q, s, 0)
 		}
 	}
+	e.Score += errorMs * r.Summary.Errors
 	link := toMs(r.RoundTrip)
 	e.First += r.RoundTrip
 	e.Whole += r.RoundTrip
@@ -149,10 +152,12 @@
 			s.MemoryTotal += load.memoryTotal(service.Engine.MemoryTokens)
 		}
 		pace += load.paceOf(now)
+		s.Errors += load.errors.value()
 	}
 	s.Pace = 1
 	if s.Servers > 0 {
 		s.Pace = pace / float64(s.Servers)
+		s.Errors /= float64(s.Servers)
 	}
 	return s
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,10 +97,12 @@
 	// changed wakes the exchange of loads.
 	changed chan struct{}
 	// heard wakes the use of what others said of theirs.
-	heard    chan struct{}
-	leaving  atomic.Bool
-	refusing atomic.Bool
-	ready    atomic.Bool
+	heard      chan struct{}
+	suspectsMu sync.Mutex
+	suspects   []string
+	leaving    atomic.Bool
+	refusing   atomic.Bool
+	ready      atomic.Bool
 }
 
 // New returns a process with checked settings.
@@ -124,11 +127,8 @@
 		Addresses: mesh.Addresses{Callers: settings.Callers, Hops: settings.Hops, Control: settings.Control},
 		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
 		Configuration: e.configuration,
-		Reads: func(reads []balance.Read) {
-			e.balancer.Prefixes.Told(reads, e.now())
-			wake(e.heard)
-		},
-		Received: func(r record) { e.follower.Received(r) },
+		LoadHeard:     e.loadHeard,
+		Received:      func(r record) { e.follower.Received(r) },
 		Newer: func(revision uint64, fetch func(context.Context) (uint64, []byte, error)) {
 			e.follower.Newer(revision, fetch)
 		},
@@ -187,7 +187,11 @@
 	}
 	p := &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
-		prober: e.adapter, now: e.now, log: e.log, busy: map[roster.ServerKey]bool{},
+		prober: e.adapter, now: e.now, log: e.log, busy: map[roster.ServerKey]bool{}, suspect: e.suspect,
+		rank: func(server string) int {
+			_, rank := e.mesh.Peers(server)
+			return rank
+		},
 	}
 	group.Go(func() error { return ignoreEnd(failed, p.run(failed)) })
 	group.Go(func() error { return ignoreEnd(failed, e.share(failed)) })
@@ -297,6 +301,35 @@
 	}
 }
 
+// loadHeard takes in what another VM of the region tells.
+func (e *Edge) loadHeard(load mesh.Load) {
+	now := e.now()
+	e.balancer.Prefixes.Told(load.Reads, now)
+	for _, id := range load.Suspects {
+		if s := e.roster.View().Lookup(id); s != nil {
+			e.balancer.Load(s.Key()).Suspect(now)
+		}
+	}
+	wake(e.heard)
+}
+
+// suspect tells the others of the region of a server that did not answer.
+func (e *Edge) suspect(s *roster.Server) {
+	e.suspectsMu.Lock()
+	e.suspects = append(e.suspects, s.ID)
+	e.suspectsMu.Unlock()
+	wake(e.changed)
+}
+
+// takeSuspects returns the suspects since the last call.
+func (e *Edge) takeSuspects() []string {
+	e.suspectsMu.Lock()
+	defer e.suspectsMu.Unlock()
+	list := e.suspects
+	e.suspects = nil
+	return list
+}
+
 // wakeShare has the others told of a changed load.
 func (e *Edge) wakeShare() { wake(e.changed) }
 
@@ -335,7 +368,7 @@
 			}
 		}
 	}
-	e.mesh.SetLoad(mesh.Load{Usage: usage, Reads: e.balancer.Prefixes.Recent()})
+	e.mesh.SetLoad(mesh.Load{Usage: usage, Reads: e.balancer.Prefixes.Recent(), Suspects: e.takeSuspects()})
 }
 
 // exchangeLoads tells the others this VM's use of backend servers, and takes
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -15,6 +15,10 @@
 	// pollInterval is the time between two questions to a model engine. The
 	// engine's report lags by a few hundred milliseconds anyway.
 	pollInterval = 250 * time.Millisecond
+	// sparsePolls is the number of intervals between two questions of a VM
+	// that isn't the one of its region that asks an engine regularly. It asks
+	// as often while the engine is in doubt.
+	sparsePolls = 4
 	// pollTimeout bounds one question.
 	pollTimeout = 400 * time.Millisecond
 	// doubtFor is how long an engine that was found to have started anew
@@ -45,8 +49,14 @@
 	now      clock.Clock
 	log      logger
 
-	mu   sync.Mutex
-	busy map[roster.ServerKey]bool
+	// rank returns this VM's place among those that ask a server.
+	rank func(server string) int
+	// suspect tells the other VMs of an engine that did not answer.
+	suspect func(s *roster.Server)
+
+	mu     sync.Mutex
+	busy   map[roster.ServerKey]bool
+	rounds int
 }
 
 type logger interface {
@@ -73,17 +83,28 @@
 		return
 	}
 	view := p.roster.View()
+	p.rounds++
 	for name, service := range table.Services {
 		if service.Engine == nil {
 			continue
 		}
 		for _, s := range view.Usable(name, p.region) {
-			p.start(ctx, service, s)
+			if p.due(s) {
+				p.start(ctx, service, s)
+			}
 		}
 	}
 	p.balancer.Forget(view)
 }
 
+// due reports whether this VM asks an engine in this round.
+func (p *poller) due(s *roster.Server) bool {
+	if p.rank(s.ID) == 0 || p.balancer.Load(s.Key()).InDoubt(p.now()) {
+		return true
+	}
+	return (p.rounds+int(s.Revision))%sparsePolls == 0
+}
+
 // start asks one engine, unless an earlier question is still out.
 func (p *poller) start(ctx context.Context, service *ingress.Service, s *roster.Server) {
 	p.mu.Lock()
@@ -110,6 +131,7 @@
 	report, err := p.prober.Report(ctx, s)
 	if err != nil {
 		load.Missed()
+		p.suspect(s)
 		if load.Lost() && !wasLost {
 			p.log.Warn("backend server lost", "server", s.ID, "service", s.Service, "error", err)
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -84,8 +84,9 @@
 	Seeds     []string
 	Now       clock.Clock
 	Log       *slog.Logger
-	// Reads takes in which parts of prompts other VMs of the region had read.
-	Reads func([]balance.Read)
+	// LoadHeard takes in what another VM of the region tells. It must not call
+	// the mesh.
+	LoadHeard func(Load)
 	// Received takes in records that the mesh itself has no use for.
 	Received func(gossip.Record)
 	// Configuration returns the raw configuration in force and its revision.
@@ -165,6 +166,8 @@
 type Load struct {
 	Usage map[string]balance.Usage
 	Reads []balance.Read
+	// Suspects are servers that did not answer a poll lately.
+	Suspects []string
 }
 
 // SetLoad tells the VMs of the region what this one has at backend servers.
@@ -405,7 +408,7 @@
 		var load Load
 		if m.decoded(r, &load) {
 			m.usages[r.Name] = usageWord{usage: load.Usage, at: now}
-			m.Reads(load.Reads)
+			m.LoadHeard(load)
 		}
 	case gossip.KindSummary:
 		m.receiveSummary(r, now)
