Tests: routes, roster, retry window, pacing and the choice under load

The window's property found a fault: retries of the oldest part were forgotten while the newest was still filling, so that a span of 10 s could hold one more than allowed.

--- /dev/null
+++ b/internal/balance/load_test.go
@@ -0,0 +1,257 @@
+package balance
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// lone is a fleet of one VM, with other regions.
+type lone struct{ regions []RegionSummary }
+
+func (l *lone) Peers(string) (vms, rank int)   { return 1, 0 }
+func (l *lone) Regions(string) []RegionSummary { return l.regions }
+
+var (
+	engineService = &ingress.Service{
+		Name: "writer", ColdStart: 3 * time.Second, ColdPerSecond: 4.7,
+		Engine: &ingress.Engine{Slots: 64, MemoryTokens: 444_000, EventTokens: 12},
+	}
+	streamRoute = &ingress.Route{
+		Name: "stream", Kind: ingress.Stream, LatencyObjective: time.Second, GapObjective: 300 * time.Millisecond,
+	}
+	plainService = &ingress.Service{Name: "desk"}
+	plainRoute   = &ingress.Route{Name: "book", LatencyObjective: 500 * time.Millisecond}
+)
+
+func newBed(engines, desks int, regions ...RegionSummary) (*Balancer, *roster.Roster) {
+	r := roster.New(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	put := func(n int, service string, slots int) {
+		for i := range n {
+			r.Put(roster.Entry{
+				ID: fmt.Sprint(service, i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
+				FailureDomain: "a", Region: "home", Slots: slots, Started: 1,
+			}, uint64(len(service)+i+1), 1)
+		}
+	}
+	put(engines, "writer", 64)
+	put(desks, "desk", 6)
+	return New("home", "a", Bounds{ColdOverage: 1.5, ColdSlack: 3}, DefaultTuning, &lone{regions}), r
+}
+
+func streamQuery(now clock.Instant, d *Demand) *Query {
+	return &Query{
+		Now: now, Route: streamRoute, Service: engineService, Demand: d,
+		Remaining: 8 * time.Second, Random: rand.Uint64(),
+	}
+}
+
+// prompt returns a demand with a document of its own choosing among docs.
+func prompt(doc, own, shared, output int) *Demand {
+	return &Demand{
+		Prompt: shared + own, Output: output,
+		Parts: []Part{{ID: uint64(doc + 1), Tokens: shared}, {ID: rand.Uint64(), Tokens: own}},
+	}
+}
+
+// TestLongPromptsThatMeetDontHoldStreamsUp is the pattern of the heaviest days:
+// many streams run while long prompts come in clumps. A read of two prompts in
+// a row at one engine stretches a pause of all its streams over the objective.
+func TestLongPromptsThatMeetDontHoldStreamsUp(t *testing.T) {
+	b, r := newBed(6, 0)
+	now := clock.Instant(time.Hour)
+	reads := map[string][]interval{}
+	for clump := range 40 {
+		for i := range 4 {
+			q := streamQuery(now, prompt(clump*4+i, 6000, 5000, 300))
+			plan := b.Choose(q, r.View())
+			start := plan.Load.Turn(plan.Estimate.Reading, plan.Estimate.Rest, now)
+			reads[plan.Server.ID] = append(reads[plan.Server.ID], interval{start, start.Add(plan.Estimate.Reading)})
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	for server, list := range reads {
+		for i, a := range list {
+			for _, other := range list[i+1:] {
+				if a.from < other.to && other.from < a.to {
+					t.Fatalf("two prompts are read at once at %s", server)
+				}
+			}
+		}
+	}
+}
+
+type interval struct{ from, to clock.Instant }
+
+// TestHeavyPromptGoesWhereFewestStreamsRun is the pattern of prompts so long
+// that their reading holds up whatever runs beside them.
+func TestHeavyPromptGoesWhereFewestStreamsRun(t *testing.T) {
+	is := is.New(t)
+	b, r := newBed(4, 0)
+	now := clock.Instant(time.Hour)
+	brief := prompt(1, 400, 200, 300)
+	for i, n := range []int{12, 3, 14, 9} {
+		s := r.View().Lookup(fmt.Sprint("writer", i))
+		for range n {
+			b.Load(s.Key()).Begin(brief, &Estimate{}, now)
+		}
+	}
+	plan := b.Choose(streamQuery(now, prompt(2, 50_000, 5000, 300)), r.View())
+	is.True(plan.Estimate.Heavy)
+	is.Equal(plan.Server.ID, "writer1")
+}
+
+// TestSharedDocumentsStayWhereTheyAreCached is the pattern of many requests
+// about a few documents.
+func TestSharedDocumentsStayWhereTheyAreCached(t *testing.T) {
+	b, r := newBed(6, 0)
+	now := clock.Instant(time.Hour)
+	again, total := 0, 0
+	for range 600 {
+		d := prompt(rand.IntN(55), 3000, 5000, 300)
+		plan := b.Choose(streamQuery(now, d), r.View())
+		if plan.Estimate.Missing > 3000 {
+			again++
+		}
+		total++
+		plan.Load.Turn(plan.Estimate.Reading, plan.Estimate.Rest, now)
+		b.Prefixes.Read(d.Parts, plan.Server.Key(), now)
+		now = now.Add(80 * time.Millisecond)
+	}
+	// Each of 55 documents is read once; twice as often is allowed.
+	if again > 110 {
+		t.Fatalf("%d of %d requests read their document again", again, total)
+	}
+}
+
+// TestPeakOfASmallRegionMovesToIdleOnes is the pattern of shifted daily peaks:
+// the own engines are crowded, another region's are idle.
+func TestPeakOfASmallRegionMovesToIdleOnes(t *testing.T) {
+	is := is.New(t)
+	idle := RegionSummary{
+		Region: "idle", Members: 2, RoundTrip: 160 * time.Millisecond, Known: true,
+		Summary: Summary{Service: "writer", Servers: 6, Slots: 384, Active: 12, Memory: 30_000, MemoryTotal: 2_664_000, Pace: 1},
+	}
+	b, r := newBed(2, 0, idle)
+	now := clock.Instant(time.Hour)
+	d := prompt(1, 400, 200, 300)
+	is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "") // a calm region keeps its own
+	for i := range 2 {
+		load := b.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key())
+		for range 70 {
+			load.Begin(d, &Estimate{}, now)
+		}
+	}
+	is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "idle")
+	q := streamQuery(now, d)
+	q.LocalOnly = true
+	is.True(b.Choose(q, r.View()).Region == "") // a hop is never passed on
+	q = streamQuery(now, d)
+	bound := *streamRoute
+	bound.Homes = []string{"home"}
+	q.Route = &bound
+	is.True(b.Choose(q, r.View()).Region == "") // homes bind
+}
+
+// TestCrossingsDontPourIntoOneRegion is the pattern of a region that looks idle
+// for as long as its summary is old.
+func TestCrossingsDontPourIntoOneRegion(t *testing.T) {
+	other := RegionSummary{
+		Region: "other", Members: 1, RoundTrip: 160 * time.Millisecond, Known: true,
+		Summary: Summary{Service: "desk", Servers: 1, Slots: 6, Pace: 1},
+	}
+	b, r := newBed(0, 1, other)
+	now := clock.Instant(time.Hour)
+	load := b.Load(r.View().Lookup("desk0").Key())
+	crossed := 0
+	for range 200 {
+		q := &Query{Now: now, Route: plainRoute, Service: plainService, Demand: &Demand{}, Remaining: 4 * time.Second}
+		plan := b.Choose(q, r.View())
+		if plan.Region != "" {
+			b.Crossed(plan.Region, "desk", &plan.Estimate, now)
+			crossed++
+		} else {
+			load.Begin(&Demand{}, &Estimate{}, now)
+		}
+	}
+	if crossed > 120 || crossed < 60 {
+		t.Fatalf("%d of 200 simultaneous requests crossed; two equal servers should share them", crossed)
+	}
+}
+
+// TestServerThatFailsRequestsIsPassedOver is the pattern of a server whose
+// health is good and whose answers are failures.
+func TestServerThatFailsRequestsIsPassedOver(t *testing.T) {
+	b, r := newBed(0, 3)
+	now := clock.Instant(time.Hour)
+	grey := 0
+	for range 300 {
+		q := &Query{Now: now, Route: plainRoute, Service: plainService, Demand: &Demand{}, Remaining: 4 * time.Second, Random: rand.Uint64()}
+		plan := b.Choose(q, r.View())
+		if plan.Server.ID == "desk0" {
+			grey++
+			if rand.Float64() < 0.4 {
+				plan.Load.Erred(now)
+			}
+		} else {
+			plan.Load.Succeeded()
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if grey > 60 {
+		t.Fatalf("the failing server got %d of 300 requests", grey)
+	}
+}
+
+// TestSilentServerGetsNoNewWork is the pattern of a server that goes dark with
+// its connections open.
+func TestSilentServerGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	b, r := newBed(2, 0)
+	now := clock.Instant(time.Hour)
+	d := prompt(1, 400, 200, 300)
+	dark := b.Load(r.View().Lookup("writer0").Key())
+	dark.Begin(d, &Estimate{}, now)
+	now = now.Add(silentAfter + time.Millisecond)
+	for range 20 {
+		is.Equal(b.Choose(streamQuery(now, d), r.View()).Server.ID, "writer1")
+	}
+	lost := b.Load(r.View().Lookup("writer1").Key())
+	for range pollsToLose {
+		lost.Missed()
+	}
+	is.Equal(b.Choose(streamQuery(now, d), r.View()).Reason, "servers-failing")
+}
+
+// TestSlowServerGetsLess is the pattern of a server that works several times
+// slower than its peers.
+func TestSlowServerGetsLess(t *testing.T) {
+	b, r := newBed(3, 0)
+	now := clock.Instant(time.Hour)
+	slow := b.Load(r.View().Lookup("writer2").Key())
+	for range 30 {
+		now = now.Add(time.Second)
+		b.MeasureGap(slow, 300*time.Millisecond, 12, now) // ten times the expected time
+	}
+	d := prompt(1, 400, 200, 300)
+	got := 0
+	for range 100 {
+		plan := b.Choose(streamQuery(now, d), r.View())
+		if plan.Server.ID == "writer2" {
+			got++
+		}
+		plan.Load.Begin(d, &Estimate{}, now)
+	}
+	if got > 15 {
+		t.Fatalf("the slow server got %d of 100 streams", got)
+	}
+}
--- /dev/null
+++ b/internal/balance/pacer_test.go
@@ -0,0 +1,54 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+func TestAllowancesOfAllVMsAddUpToTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 200).Draw(t, "rate")
+		vms := rapid.IntRange(1, 100).Draw(t, "VMs")
+		sum := 0
+		for rank := range vms {
+			sum += Allowance(rate, vms, rank)
+		}
+		if float64(sum) > rate {
+			t.Fatalf("%d VMs may send %d in a second, the server tolerates %.1f", vms, sum, rate)
+		}
+	})
+}
+
+// TestReturnOfAColdRegionIsPaced is the pattern of a failure domain that comes
+// back cold under full load: in no second does a server get more than it
+// tolerates, whatever the arrivals.
+func TestReturnOfAColdRegionIsPaced(t *testing.T) {
+	const rate, vms = 10.05, 3
+	rapid.Check(t, func(t *rapid.T) {
+		pacers := make([]Pacer, vms)
+		var sent []clock.Instant
+		now := clock.Instant(time.Hour)
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond)
+			vm := rapid.IntRange(0, vms-1).Draw(t, "VM")
+			if pacers[vm].Take(now, Allowance(rate, vms, vm), true) {
+				sent = append(sent, now)
+			}
+		}
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			if float64(n) > rate {
+				t.Fatalf("%d requests in a second to a cold server, it tolerates %.1f", n, rate)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,52 @@
+package ingress
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func table() *Table {
+	return NewTable(7, []*Route{
+		{Name: "all", Host: "a.example", Prefix: "/x/", Shares: []Share{{Service: "one", Weight: 1}}},
+		{Name: "part", Host: "A.example", Prefix: "/x/y/", Homes: []string{"north", "west"}},
+		{Name: "other", Host: "a.example", Prefix: "/z/", Homes: []string{"west", "south"}},
+		{Name: "free", Host: "b.example", Prefix: "/x/"},
+	}, []*Service{{Name: "one"}}, Limits{})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	is := is.New(t)
+	c := table()
+	is.Equal(c.Match("a.example", "/x/1").Name, "all")
+	is.Equal(c.Match("a.EXAMPLE:8080", "/x/y/1").Name, "part")
+	is.True(c.Match("a.example", "/x") == nil)
+	is.True(c.Match("c.example", "/x/1") == nil)
+}
+
+func TestHomesOfAHostAreThoseOfAllItsBoundRoutes(t *testing.T) {
+	is := is.New(t)
+	homes, bound := table().HomesOf("a.example")
+	is.True(bound)
+	is.Equal(homes, []string{"west"})
+	_, bound = table().HomesOf("b.example")
+	is.True(!bound)
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Shares: []Share{{"a", 90}, {"b", 10}}}
+	is.Equal(r.ServiceFor(0), "a")
+	is.Equal(r.ServiceFor(0.89), "a")
+	is.Equal(r.ServiceFor(0.91), "b")
+	is.Equal(r.ServiceFor(0.9999), "b")
+	is.Equal((&Route{}).ServiceFor(0.5), "")
+}
+
+func TestUnknownKindIsNeverRepeated(t *testing.T) {
+	is := is.New(t)
+	is.True(!(&Route{}).Idempotent())
+	is.True(!(&Route{Kind: Stream}).Idempotent())
+	is.True((&Route{Kind: Stream, Resumable: true}).Idempotent())
+	is.True((&Route{Kind: Safe}).Idempotent())
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -7,8 +7,13 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 )
 
-// windowParts is the number of parts of a window that are counted apart.
-const windowParts = 20
+const (
+	// windowParts is the number of parts of a window that are counted apart.
+	windowParts = 20
+	// keptParts is one more, so that the retries of a whole window are known
+	// while its newest part is still filling.
+	keptParts = windowParts + 1
+)
 
 // Window bounds the retries in every span of a given length to a share of the
 // requests of that span, plus a fixed number.
@@ -18,8 +23,8 @@
 	mu      sync.Mutex
 	slack   float64
 	part    int64 // number of the current part since the clock's start
-	earned  [windowParts]float64
-	retries [windowParts]float64
+	earned  [keptParts]float64
+	retries [keptParts]float64
 }
 
 // NewWindow returns a window of the given length that allows slack retries
@@ -40,7 +45,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	w.earned[w.part%windowParts] += share
+	w.earned[w.part%keptParts] += share
 }
 
 // Take reports whether a retry is within the bound, and counts it.
@@ -51,7 +56,7 @@
 	if w.left() < 1 {
 		return false
 	}
-	w.retries[w.part%windowParts]++
+	w.retries[w.part%keptParts]++
 	return true
 }
 
@@ -65,8 +70,12 @@
 
 func (w *Window) left() float64 {
 	left := w.slack
-	for i := range windowParts {
-		left += w.earned[i] - w.retries[i]
+	oldest := (w.part + 1) % keptParts // reaches beyond the window
+	for i := range int64(keptParts) {
+		left -= w.retries[i]
+		if i != oldest {
+			left += w.earned[i]
+		}
 	}
 	return left
 }
@@ -74,9 +83,9 @@
 // advance empties the parts that have left the window.
 func (w *Window) advance(now clock.Instant) {
 	part := int64(now) / int64(w.span/windowParts)
-	for n := 0; w.part < part && n < windowParts; n++ {
+	for n := 0; w.part < part && n < keptParts; n++ {
 		w.part++
-		w.earned[w.part%windowParts], w.retries[w.part%windowParts] = 0, 0
+		w.earned[w.part%keptParts], w.retries[w.part%keptParts] = 0, 0
 	}
 	w.part = max(w.part, part)
 }
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,130 @@
+package roster
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+const second = clock.Instant(time.Second)
+
+func newRoster() *Roster { return New(slog.New(slog.NewTextHandler(io.Discard, nil))) }
+
+func entry(id string) Entry {
+	return Entry{ID: id, Service: "s", Address: "10.0.0.1:1", FailureDomain: "a", Region: "r", Slots: 1, Started: 1}
+}
+
+func usable(r *Roster) int { return len(r.View().Usable("s", "r")) }
+
+func TestOlderWordNeverReplacesNewer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRoster()
+		type word struct {
+			revision uint64
+			draining bool
+			gone     bool
+		}
+		newest := word{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "words") {
+			w := word{
+				revision: rapid.Uint64Range(1, 12).Draw(t, "revision"),
+				draining: rapid.Bool().Draw(t, "draining"), gone: rapid.Bool().Draw(t, "gone"),
+			}
+			now := clock.Instant(i) * second
+			if w.gone {
+				r.Remove("x", w.revision, now)
+			} else {
+				e := entry("x")
+				e.Draining = w.draining
+				r.Put(e, w.revision, now)
+			}
+			if w.revision > newest.revision {
+				newest = w
+			}
+			s := r.View().Lookup("x")
+			if newest.gone != (s == nil) || s != nil && s.Draining != newest.draining {
+				t.Fatalf("after %+v the roster has %+v, newest is %+v", w, s, newest)
+			}
+		}
+	})
+}
+
+func TestEntryThatLapsedInAnOutageMayComeBack(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, 0)
+	r.Away()
+	r.Back(10 * second)
+	r.Listed(map[string]bool{}, 9, 10*second)
+	is.Equal(usable(r), 1) // it may come back
+	r.Expire(12 * second)
+	is.Equal(usable(r), 1)
+	r.Put(entry("x"), 11, 12*second)
+	r.Expire(20 * second)
+	is.Equal(usable(r), 1) // it came back
+}
+
+func TestEntryThatDoesNotComeBackIsGone(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, 0)
+	r.Away()
+	r.Back(10 * second)
+	r.Listed(map[string]bool{}, 9, 10*second)
+	r.Expire(clock.Instant(12600 * time.Millisecond))
+	is.Equal(usable(r), 0)
+	is.True(!r.Put(entry("x"), 4, 13*second)) // an old word of another VM
+}
+
+func TestRemovalWithoutOutageHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, 0)
+	r.Remove("x", 6, 10*second)
+	is.Equal(usable(r), 0)
+}
+
+func TestDrainingServerIsGoneAtOnceAlsoAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	e := entry("x")
+	r.Put(e, 5, 0)
+	e.Draining = true
+	r.Put(e, 6, second)
+	r.Away()
+	r.Back(2 * second)
+	r.Listed(map[string]bool{}, 9, 2*second)
+	is.True(r.View().Lookup("x") == nil)
+}
+
+func TestEvacuationTakesAFailureDomainOutAndRemembersItsEnd(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, 0)
+	s := r.View().Lookup("x")
+	r.Evacuate("a", true, 7, second)
+	is.Equal(usable(r), 0)
+	is.True(!r.View().MayGetWork(s))
+	is.True(!r.Evacuate("a", false, 6, 2*second)) // an old word
+	r.EvacuationsListed(map[string]bool{}, 8, 3*second)
+	is.Equal(usable(r), 1)
+	is.Equal(r.View().ReturnedAt("a"), 3*second)
+}
+
+func TestNewIncarnationGetsNoWorkThatWasMeantForTheOld(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, 0)
+	old := r.View().Lookup("x")
+	e := entry("x")
+	e.Started, e.ColdFor = 2, 3*time.Second
+	r.Put(e, 6, second)
+	is.True(!r.View().MayGetWork(old))
+	is.Equal(r.View().Lookup("x").ColdUntil, 4*second)
+}
