Tests: connections, membership, discovery, logs, settings and decoding

Found: a truncated answer with a length was read on after its failure and its connection kept (upstream).

--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+func member(vm, region, domain string, edit func(m *mesh.Member)) mesh.Member {
+	m := mesh.Member{
+		Identity:  snapshot.Identity{VM: vm, Region: region, FailureDomain: domain},
+		Addresses: mesh.Addresses{Callers: vm}, Ready: true, Reachable: true,
+	}
+	if edit != nil {
+		edit(&m)
+	}
+	return m
+}
+
+func TestDirectoryNamesTheNearestVMsThatTakeRequests(t *testing.T) {
+	leaving := func(m *mesh.Member) { m.Leaving, m.Ready = true, false }
+	closing := func(m *mesh.Member) { m.Leaving, m.Closing, m.Ready = true, true, false }
+	silent := func(m *mesh.Member) { m.Reachable = false }
+	tests := []struct {
+		name    string
+		members []mesh.Member
+		at      place
+		want    string
+	}{
+		{"own failure domain", []mesh.Member{
+			member("a1", "n", "n-a", nil), member("a2", "n", "n-a", nil), member("b1", "n", "n-b", nil),
+		}, place{region: "n", domain: "n-a"}, "a1 a2"},
+		{"one is too few", []mesh.Member{
+			member("a1", "n", "n-a", nil), member("b1", "n", "n-b", nil), member("w", "w", "w-a", nil),
+		}, place{region: "n", domain: "n-a"}, "a1 b1"},
+		{"not ready, leaving or silent", []mesh.Member{
+			member("a1", "n", "n-a", leaving), member("a2", "n", "n-a", silent), member("b1", "n", "n-b", nil),
+		}, place{region: "n", domain: "n-a"}, "b1"},
+		{"a home before any other", []mesh.Member{
+			member("w", "w", "w-a", nil), member("s", "s", "s-a", nil),
+		}, place{region: "n", domain: "n-a", homes: []string{"n", "w"}, bound: true}, "w"},
+		{"a home that still takes requests before a foreign region", []mesh.Member{
+			member("a1", "n", "n-a", leaving), member("w", "w", "w-a", closing), member("s", "s", "s-a", nil),
+		}, place{region: "n", domain: "n-a", homes: []string{"n", "w"}, bound: true}, "a1"},
+		{"anywhere", []mesh.Member{member("s", "s", "s-a", nil)}, place{region: "n", domain: "n-a"}, "s"},
+		{"nowhere", []mesh.Member{member("s", "s", "s-a", closing)}, place{region: "n", domain: "n-a"}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(strings.Join(entries(test.members[0], test.members[1:], test.at), " "), test.want)
+		})
+	}
+}
+
+func TestEveryFaultOfTheSettingsIsListed(t *testing.T) {
+	is := is.New(t)
+	err := (&Settings{Region: "n", FailureDomain: "n-a", Regions: map[string]string{"n-a": "other"}, Seeds: []string{"x"}, RetrySlack: -1}).Check()
+	is.True(err != nil)
+	for _, want := range []string{"VM is missing", "callers", "registry", `"x"`, "not listed in region n", "grace time", "below 0"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not in %v", want, err)
+		}
+	}
+	good := &Settings{
+		VM: "a", Region: "n", FailureDomain: "n-a", Regions: map[string]string{"n-a": "n"},
+		Callers: "10.0.0.1:1", Ready: "10.0.0.1:2", Control: "10.0.0.1:3", Hops: "10.0.0.1:4", Operators: "10.0.0.1:5",
+		Registry: "10.0.0.2:1", Grace: 8 * time.Second, RetryWindow: 10 * time.Second,
+	}
+	is.NoErr(good.Check())
+}
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,77 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func TestGoodNewsDontCrowdOutBadOnes(t *testing.T) {
+	is := is.New(t)
+	var out safeBuffer
+	log, sink := NewBounded(&out, slog.LevelInfo)
+	for range 5000 {
+		log.Info("served")
+	}
+	log.Warn("failed", "request", "r1")
+	sink.Close(time.Second)
+	is.True(strings.Contains(out.String(), "msg=failed request=r1"))
+	is.True(strings.Count(out.String(), "msg=served") <= infoPerSecond*(burstSeconds+1))
+	is.True(strings.Contains(out.String(), "log lines left out"))
+}
+
+// blockedWriter is a reader of logs that stopped reading.
+type blockedWriter struct{ until chan struct{} }
+
+func (w blockedWriter) Write(p []byte) (int, error) {
+	<-w.until
+	return len(p), nil
+}
+
+func TestReaderThatStopsCostsLinesNotTime(t *testing.T) {
+	is := is.New(t)
+	w := blockedWriter{make(chan struct{})}
+	log, sink := NewBounded(w, slog.LevelInfo)
+	started := time.Now()
+	for range 20 * queueLines {
+		log.Warn("failed")
+	}
+	is.True(time.Since(started) < 2*time.Second)
+	is.True(sink.Omitted() > 0)
+	close(w.until)
+	sink.Close(time.Second)
+}
+
+func TestFieldsAreKept(t *testing.T) {
+	is := is.New(t)
+	var out safeBuffer
+	log, sink := NewBounded(&out, slog.LevelInfo)
+	log.With("vm", "a").Info("x", "error", io.EOF)
+	log.Debug("hidden")
+	sink.Close(time.Second)
+	is.True(strings.Contains(out.String(), "msg=x vm=a error=EOF"))
+	is.True(!strings.Contains(out.String(), "hidden"))
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,143 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+)
+
+type node struct {
+	*Mesh
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// start runs a mesh node on the address, or on a free one.
+func start(t *testing.T, name, region, address string, seeds ...string) *node {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := New(Config{
+		Self:      snapshot.Identity{VM: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Region: region, FailureDomain: region + "-a"},
+		Addresses: Addresses{Callers: "10.0.0.1:1", Hops: "10.0.0.1:2", Control: l.Addr().String()},
+		Seeds:     seeds, Now: clock.Boot, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		LoadHeard: func(Load) {}, Received: func(gossip.Record) {},
+		Configuration: func() (uint64, []byte) { return 0, nil },
+		Newer:         func(uint64, func(context.Context) (uint64, []byte, error)) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Mesh: m, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		go func() { _ = m.Run(ctx) }()
+		_ = m.Serve(ctx, l)
+	}()
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) stop() { n.cancel(); <-n.done }
+
+func (n *node) sees(name string) *Member {
+	for _, m := range n.Members() {
+		if m.VM == name && m.Reachable {
+			return &m
+		}
+	}
+	return nil
+}
+
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("no %s in 10 s", what)
+}
+
+func TestVMsFindOneAnotherThroughOneSeed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	seed := start(t, "a", "north", "")
+	b := start(t, "b", "north", "", seed.Addresses.Control, "127.0.0.1:1")
+	c := start(t, "c", "west", "", seed.Addresses.Control)
+	until(t, "meeting of b and c", func() bool { return b.sees("c") != nil && c.sees("b") != nil && seed.sees("c") != nil })
+	b.SetState(State{Ready: true})
+	until(t, "readiness", func() bool { m := c.sees("b"); return m != nil && m.Ready })
+	b.SetState(State{Leaving: true})
+	until(t, "word of the shutdown", func() bool { m := c.sees("b"); return m != nil && m.Leaving })
+	vm, _ := c.Member("north", 0)
+	is.Equal(vm, "") // none is ready
+}
+
+func TestSeedThatRestartsIsANewIncarnation(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	seed := start(t, "a", "north", "")
+	b := start(t, "b", "north", "", seed.Addresses.Control)
+	until(t, "meeting", func() bool { return b.sees("a") != nil && seed.sees("b") != nil })
+	old := b.sees("a").Incarnation
+	seed.stop()
+	until(t, "silence", func() bool { return b.sees("a") == nil })
+	vms, _ := b.Peers("x")
+	is.True(vms >= 2) // it still counts for shared allowances
+	again := start(t, "a", "north", seed.Addresses.Control)
+	until(t, "return", func() bool { m := b.sees("a"); return m != nil && m.Incarnation != old && again.sees("b") != nil })
+}
+
+func TestLoadsStayInTheirRegionAndSummariesLeaveIt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a := start(t, "a", "north", "")
+	b := start(t, "b", "north", "", a.Addresses.Control)
+	c := start(t, "c", "west", "", a.Addresses.Control)
+	until(t, "meeting", func() bool { return b.sees("c") != nil && c.sees("a") != nil && a.sees("b") != nil })
+	a.SetState(State{Ready: true})
+	until(t, "load", func() bool {
+		a.SetLoad(Load{Usage: map[string]balance.Usage{"s1": {Active: 3, ReadingUs: 10}}})
+		a.SetSummaries([]balance.Summary{{Service: "s", Servers: 2, Slots: 8, Active: 3}})
+		time.Sleep(50 * time.Millisecond)
+		regions := c.Regions("s")
+		return b.Usages()["s1"].Active == 3 && len(regions) == 1 && regions[0].Known
+	})
+	is.Equal(len(c.Usages()), 0)
+	is.Equal(c.Regions("s")[0].Summary.Slots, 8)
+	is.Equal(len(c.Regions("unknown")), 1)
+	is.True(!c.Regions("unknown")[0].Known)
+}
+
+func TestRecordsOfTheRegistryReachEveryVM(t *testing.T) {
+	t.Parallel()
+	got := make(chan gossip.Record, 10)
+	a := start(t, "a", "north", "")
+	b := start(t, "b", "west", "", a.Addresses.Control)
+	b.Mesh.Received = func(r gossip.Record) { got <- r }
+	until(t, "meeting", func() bool { return a.sees("b") != nil && b.sees("a") != nil })
+	a.Share(gossip.Record{Key: gossip.Key{Kind: gossip.KindServer, Name: "s1"}, Version: 7, Value: []byte{1}})
+	select {
+	case r := <-got:
+		if r.Name != "s1" || r.Version != 7 {
+			t.Fatalf("got %+v", r)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the record did not arrive")
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,8 +53,9 @@
 	stop func() bool
 	// sent is true once the whole request was written.
 	sent *atomic.Bool
-	// whole is true once the body was read to its end.
-	whole bool
+	// whole is true once the body was read to its end, and broken once a read
+	// failed.
+	whole, broken bool
 	// Stray counts answers of other requests that were skipped.
 	Stray int
 }
@@ -168,8 +169,12 @@
 // Read reads the body. It returns io.EOF only where the answer is whole.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF) && !x.broken:
 		x.whole = true
+	default:
+		x.broken = true
 	}
 	return n, err
 }
@@ -184,7 +189,7 @@
 		x.conn.close()
 		return
 	}
-	if !x.whole {
+	if !x.whole && !x.broken {
 		// A short rest, such as the end of the chunks, is worth reading.
 		if x.ContentLength >= 0 && x.ContentLength <= drainBytes {
 			_, _ = io.Copy(io.Discard, io.LimitReader(x, drainBytes))
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,265 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+// serve runs script for each connection and returns the address.
+func serve(t *testing.T, script func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, []byte) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, nil
+	}
+	body, _ := io.ReadAll(req.Body)
+	return req, body
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(address, id string) *Call {
+	return &Call{
+		Address: address, Method: http.MethodPost, Target: "/p?q=%2F", Host: "h", Header: http.Header{"Id": {id}},
+		Body: []byte("body"), MaxIdle: time.Minute,
+		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func newPool() *Pool { return NewPool(clock.Boot, time.Second) }
+
+func exchange(t *testing.T, p *Pool, c *Call) (string, *Exchange, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	e, err := p.Do(ctx, c)
+	if err != nil {
+		return "", nil, err
+	}
+	body, err := io.ReadAll(e)
+	e.Done()
+	return string(body), e, err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, body := readRequest(r)
+			if req == nil {
+				return
+			}
+			reply(c, req.Header.Get("Id"), fmt.Sprint(n, req.RequestURI, string(body)))
+		}
+	})
+	p := newPool()
+	for i := range 3 {
+		body, e, err := exchange(t, p, call(address, fmt.Sprint(i)))
+		is.NoErr(err)
+		is.Equal(body, "0/p?q=%2Fbody") // the target goes out as it came
+		is.Equal(e.Reused(), i > 0)
+	}
+	is.Equal(p.Open(), 1)
+}
+
+func TestStrayAnswerIsSkippedAndItsConnectionClosed(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, _ := readRequest(r)
+		reply(c, "another", "not yours")
+		reply(c, req.Header.Get("Id"), "yours")
+		_, _ = r.ReadByte()
+	})
+	p := newPool()
+	body, _, err := exchange(t, p, call(address, "1"))
+	is.NoErr(err)
+	is.Equal(body, "yours")
+	is.Equal(p.Open(), 0)
+}
+
+func TestBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		req, _ := readRequest(r)
+		reply(c, req.Header.Get("Id"), fmt.Sprint(n))
+		if n == 0 {
+			time.Sleep(30 * time.Millisecond)
+			reply(c, "2", "late and unasked")
+		}
+		_, _ = r.ReadByte()
+	})
+	p := newPool()
+	body, _, err := exchange(t, p, call(address, "1"))
+	is.NoErr(err)
+	is.Equal(body, "0")
+	time.Sleep(100 * time.Millisecond)
+	body, _, err = exchange(t, p, call(address, "2"))
+	is.NoErr(err)
+	is.Equal(body, "1") // on a new connection
+}
+
+func TestBrokenConnectionIsNeverReplayed(t *testing.T) {
+	is := is.New(t)
+	requests := make(chan string, 10)
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for i := range 2 {
+			req, _ := readRequest(r)
+			if req == nil {
+				return
+			}
+			requests <- req.Header.Get("Id")
+			if i == 1 {
+				return // closes without an answer
+			}
+			reply(c, req.Header.Get("Id"), "ok")
+		}
+	})
+	p := newPool()
+	_, _, err := exchange(t, p, call(address, "1"))
+	is.NoErr(err)
+	_, _, err = exchange(t, p, call(address, "2"))
+	is.True(errorx.IsOfType(err, ErrBroken)) // it may have run
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(requests), 2)
+}
+
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	_ = l.Close()
+	_, _, err = exchange(t, newPool(), call(address, "1"))
+	is.True(errorx.IsOfType(err, ErrUnsent))
+}
+
+func TestTruncatedAnswersAreNotWhole(t *testing.T) {
+	answers := map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunk":    "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"no chunk": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nhalf",
+		"no http":  "this is no answer\r\n\r\n",
+		"head":     "HTTP/1.1 200 OK\r\nId: 1\r\n" + strings.Repeat("A: b\r\n", 20_000) + "\r\n",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, answer)
+			})
+			p := newPool()
+			if _, _, err := exchange(t, p, call(address, "1")); err == nil {
+				t.Fatal("a truncated answer was taken as whole")
+			}
+			if p.Open() != 0 {
+				t.Fatal("the connection was kept")
+			}
+		})
+	}
+}
+
+func TestUnframedAnswerIsWholeWhenItsConnectionEnds(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it")
+	})
+	body, _, err := exchange(t, newPool(), call(address, "1"))
+	is.NoErr(err)
+	is.Equal(body, "all of it")
+}
+
+func TestEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		reply(c, "1", "too long")
+		time.Sleep(200 * time.Millisecond)
+	})
+	p := newPool()
+	long := call(address, "1")
+	long.Body = bytes.Repeat([]byte("x"), 8<<20)
+	body, _, err := exchange(t, p, long)
+	is.NoErr(err)
+	is.Equal(body, "too long")
+	is.Equal(p.Open(), 0) // the rest of the body has no reader
+}
+
+func TestOldAndFullPoolsDial(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, _ := readRequest(r)
+			if req == nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=1\r\nContent-Length: 1\r\n\r\n%d", req.Header.Get("Id"), n)
+		}
+	})
+	p := newPool()
+	_, _, err := exchange(t, p, call(address, "1"))
+	is.NoErr(err)
+	time.Sleep(400 * time.Millisecond) // past the server's second less the margin
+	body, _, err := exchange(t, p, call(address, "2"))
+	is.NoErr(err)
+	is.Equal(body, "1")
+	full := call(address, "3")
+	full.MaxOpen, full.MaxIdle = 1, 0
+	_, _, err = exchange(t, p, full)
+	is.True(errorx.IsOfType(err, ErrUnsent))
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	address := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newPool().Do(ctx, call(address, "1"))
+	is.True(errorx.IsOfType(err, ErrBroken))
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the server was not told")
+	}
+}
