Mesh: bounded exchange in large fleets

Change: regions beyond 8 VMs exchange the engines' reports in place of each VM's use, with four neighbours, every 300 ms; two VMs a region write its summary; carriers cross regions; polls are divided; watches gather changes of 100 ms.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -26,6 +26,9 @@
 	// watchWait is how long a watch waits for changes. It bounds how long a
 	// connection that went silent hides them.
 	watchWait = 3 * time.Second
+	// gather is the pause before each watch, in which changes come together. A
+	// server that leaves may get work for so much longer.
+	gather = 100 * time.Millisecond
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -184,6 +187,12 @@
 	f.regained(topic)
 	f.takeList(topic, changes, revision)
 	for {
+		// Changes that come together are read together.
+		select {
+		case <-ctx.Done():
+			return true, ctx.Err()
+		case <-time.After(gather):
+		}
 		f.calls.Inc(1)
 		changes, next, err := f.Registry.Watch(ctx, topic, revision, watchWait)
 		if err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,9 @@
 	// memoryPart is the part of the VM's memory above which the garbage
 	// collector works harder.
 	memoryPart = 0.7
+	// largeShare is the number of intervals between two exchanges in a large
+	// region.
+	largeShare = 3
 	// tellInterval is the least time between two words about a changed load:
 	// a few times what the word needs within a region.
 	tellInterval = 5 * time.Millisecond
@@ -97,12 +100,13 @@
 	// changed wakes the exchange of loads.
 	changed chan struct{}
 	// heard wakes the use of what others said of theirs.
-	heard      chan struct{}
-	suspectsMu sync.Mutex
-	suspects   []string
-	leaving    atomic.Bool
-	refusing   atomic.Bool
-	ready      atomic.Bool
+	heard    chan struct{}
+	newsMu   sync.Mutex
+	suspects []string
+	reports  map[string]balance.Report
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	ready    atomic.Bool
 }
 
 // New returns a process with checked settings.
@@ -110,7 +114,7 @@
 	random := make([]byte, incarnationBytes)
 	// Read never fails.
 	_, _ = rand.Read(random)
-	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New(), changed: make(chan struct{}, 1), heard: make(chan struct{}, 1)}
+	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New(), changed: make(chan struct{}, 1), heard: make(chan struct{}, 1), reports: map[string]balance.Report{}}
 	e.settings.Store(settings)
 	e.self = snapshot.Identity{
 		VM: settings.VM, Incarnation: hex.EncodeToString(random),
@@ -188,10 +192,7 @@
 	p := &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
 		prober: e.adapter, now: e.now, log: e.log, busy: map[roster.ServerKey]bool{}, suspect: e.suspect,
-		rank: func(server string) int {
-			_, rank := e.mesh.Peers(server)
-			return rank
-		},
+		peers: e.mesh.Peers, reported: e.reported,
 	}
 	group.Go(func() error { return ignoreEnd(failed, p.run(failed)) })
 	group.Go(func() error { return ignoreEnd(failed, e.share(failed)) })
@@ -271,6 +272,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.changed:
+			if e.mesh.LargeRegion() {
+				continue // told at the next tick
+			}
 			e.tellLoad(e.now())
 			// Changes that come together are told together.
 			time.Sleep(tellInterval)
@@ -286,7 +290,9 @@
 			e.log.Warn("the process stood still", "for", stood)
 		}
 		last = now
-		e.exchangeLoads(now)
+		if !e.mesh.LargeRegion() || n%largeShare == 0 {
+			e.exchangeLoads(now)
+		}
 		if n%10 == 0 {
 			e.servers.Trim()
 			e.gateways.Trim()
@@ -305,29 +311,43 @@
 func (e *Edge) loadHeard(load mesh.Load) {
 	now := e.now()
 	e.balancer.Prefixes.Told(load.Reads, now)
+	view := e.roster.View()
 	for _, id := range load.Suspects {
-		if s := e.roster.View().Lookup(id); s != nil {
+		if s := view.Lookup(id); s != nil {
 			e.balancer.Load(s.Key()).Suspect(now)
 		}
 	}
+	for id, report := range load.Reports {
+		if s := view.Lookup(id); s != nil {
+			report.Heard = now
+			e.balancer.Load(s.Key()).SetReport(report)
+		}
+	}
 	wake(e.heard)
 }
 
 // suspect tells the others of the region of a server that did not answer.
 func (e *Edge) suspect(s *roster.Server) {
-	e.suspectsMu.Lock()
+	e.newsMu.Lock()
 	e.suspects = append(e.suspects, s.ID)
-	e.suspectsMu.Unlock()
-	wake(e.changed)
+	e.newsMu.Unlock()
+	e.wakeShare()
+}
+
+// reported keeps a report for the others of a large region.
+func (e *Edge) reported(server string, report balance.Report) {
+	e.newsMu.Lock()
+	defer e.newsMu.Unlock()
+	e.reports[server] = report
 }
 
-// takeSuspects returns the suspects since the last call.
-func (e *Edge) takeSuspects() []string {
-	e.suspectsMu.Lock()
-	defer e.suspectsMu.Unlock()
-	list := e.suspects
-	e.suspects = nil
-	return list
+// takeNews returns the suspects and reports since the last call.
+func (e *Edge) takeNews() ([]string, map[string]balance.Report) {
+	e.newsMu.Lock()
+	defer e.newsMu.Unlock()
+	suspects, reports := e.suspects, e.reports
+	e.suspects, e.reports = nil, map[string]balance.Report{}
+	return suspects, reports
 }
 
 // wakeShare has the others told of a changed load.
@@ -360,6 +380,15 @@
 	if table == nil {
 		return
 	}
+	suspects, reports := e.takeNews()
+	load := mesh.Load{Reads: e.balancer.Prefixes.Recent(), Suspects: suspects}
+	if e.mesh.LargeRegion() {
+		load.Reports = reports
+		if len(load.Reads)+len(load.Suspects)+len(load.Reports) > 0 {
+			e.mesh.SetLoad(load)
+		}
+		return
+	}
 	view, usage := e.roster.View(), map[string]balance.Usage{}
 	for name := range table.Services {
 		for _, s := range view.Usable(name, e.self.Region) {
@@ -368,7 +397,8 @@
 			}
 		}
 	}
-	e.mesh.SetLoad(mesh.Load{Usage: usage, Reads: e.balancer.Prefixes.Recent(), Suspects: e.takeSuspects()})
+	load.Usage = usage
+	e.mesh.SetLoad(load)
 }
 
 // exchangeLoads tells the others this VM's use of backend servers, and takes
@@ -379,12 +409,15 @@
 		return
 	}
 	e.hearLoads(now)
+	e.tellLoad(now)
+	if !e.mesh.IsReporter() {
+		return
+	}
 	view := e.roster.View()
 	var summaries []balance.Summary
 	for _, service := range table.Services {
 		summaries = append(summaries, e.balancer.Summarize(service, view, now))
 	}
-	e.tellLoad(now)
 	e.mesh.SetSummaries(summaries)
 }
 
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -16,9 +16,10 @@
 	// engine's report lags by a few hundred milliseconds anyway.
 	pollInterval = 250 * time.Millisecond
 	// sparsePolls is the number of intervals between two questions of a VM
-	// that isn't the one of its region that asks an engine regularly. It asks
-	// as often while the engine is in doubt.
-	sparsePolls = 4
+	// that isn't the one of its region that asks an engine regularly, for each
+	// VM of the region beyond the first. It asks as often while the engine is
+	// in doubt.
+	sparsePolls = 2
 	// pollTimeout bounds one question.
 	pollTimeout = 400 * time.Millisecond
 	// doubtFor is how long an engine that was found to have started anew
@@ -49,8 +50,10 @@
 	now      clock.Clock
 	log      logger
 
-	// rank returns this VM's place among those that ask a server.
-	rank func(server string) int
+	// peers returns the number of VMs that ask a server, and this one's rank.
+	peers func(server string) (vms, rank int)
+	// reported takes in a report for the other VMs of the region.
+	reported func(server string, report balance.Report)
 	// suspect tells the other VMs of an engine that did not answer.
 	suspect func(s *roster.Server)
 
@@ -99,10 +102,11 @@
 
 // due reports whether this VM asks an engine in this round.
 func (p *poller) due(s *roster.Server) bool {
-	if p.rank(s.ID) == 0 || p.balancer.Load(s.Key()).InDoubt(p.now()) {
+	vms, rank := p.peers(s.ID)
+	if rank == 0 || p.balancer.Load(s.Key()).InDoubt(p.now()) {
 		return true
 	}
-	return (p.rounds+int(s.Revision))%sparsePolls == 0
+	return (p.rounds+int(s.Revision)+rank)%(sparsePolls*max(1, vms-1)) == 0
 }
 
 // start asks one engine, unless an earlier question is still out.
@@ -143,6 +147,7 @@
 	}
 	report.Heard = now
 	load.SetReport(report.Report)
+	p.reported(s.ID, report.Report)
 	if wasLost {
 		p.log.Info("backend server regained", "server", s.ID, "service", s.Service, "started", report.Started)
 	}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -89,10 +89,16 @@
 			want[vm] = neighbour{o.Control, o.Region}
 		}
 	}
+	carrier := m.rankAmongReachable("carrier") < carriers
 	for region, list := range byRegion {
 		most := abroad
-		if region == m.Self.Region {
+		switch {
+		case region == m.Self.Region && len(list) < fullMesh:
 			most = fullMesh
+		case region == m.Self.Region:
+			most = largeDegree
+		case !carrier:
+			continue
 		}
 		if len(list) > most {
 			slices.SortFunc(list, func(a, b *Member) int {
@@ -105,7 +111,8 @@
 		}
 	}
 	for _, seed := range m.seeds {
-		if !known[seed] {
+		// A seed that doesn't answer is tried on only while few are known.
+		if !known[seed] && (len(byRegion[m.Self.Region]) < fullMesh || carrier) {
 			want[seed] = neighbour{seed, ""}
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -28,21 +28,35 @@
 	// TickInterval is the time between two exchanges with a neighbour. Loads
 	// of backend servers are at most so old.
 	TickInterval = 100 * time.Millisecond
-	// beatTicks is the number of ticks between two heartbeats of this VM.
-	beatTicks = 2
-	// silentAfter is the silence after which a member counts as unreachable:
+	// beatTicks is the number of ticks between two heartbeats of this VM, and
+	// silentAfter the silence after which a member counts as unreachable:
 	// several heartbeats, and a retransmission on a lossy link.
+	beatTicks   = 2
 	silentAfter = 1500 * time.Millisecond
+	// The same in a large fleet, where each record passes every VM.
+	largeBeatTicks   = 10
+	largeSilentAfter = 4 * time.Second
+	// largeTicks is the number of ticks between two exchanges with a neighbour
+	// of a large fleet.
+	largeTicks = 3
+	// largeFleet is the number of VMs from which on a fleet counts as large.
+	largeFleet = 16
+	// reporters is the number of VMs of a region that tell the others what
+	// their region can take.
+	reporters = 2
 	// countedFor is how long a silent member still counts for shared
 	// allowances: it may be cut off and at work.
 	countedFor = 20 * time.Second
 	// forgetAfter is when a silent member is forgotten.
 	forgetAfter = 10 * time.Minute
 	// fullMesh is the number of members of a region up to which each is a
-	// neighbour of each; beyond it a member has so many neighbours.
-	fullMesh = 8
-	// abroad is the number of neighbours in each other region.
-	abroad = 2
+	// neighbour of each; beyond it a member has largeDegree neighbours.
+	fullMesh    = 8
+	largeDegree = 4
+	// abroad is the number of neighbours in each other region, and carriers
+	// the number of VMs of a region that have such neighbours.
+	abroad   = 2
+	carriers = 4
 	// unknownVMs is the number of VMs of the region that is assumed in the
 	// first seconds, until the others were heard.
 	unknownVMs   = 4
@@ -164,8 +178,11 @@
 // Load is what a VM tells the others of its region: its use of backend
 // servers, and the prompts' parts that it had them read lately.
 type Load struct {
+	// Usage is empty in a large region, where engines' reports stand for it.
 	Usage map[string]balance.Usage
-	Reads []balance.Read
+	// Reports are by server.
+	Reports map[string]balance.Report
+	Reads   []balance.Read
 	// Suspects are servers that did not answer a poll lately.
 	Suspects []string
 }
@@ -174,6 +191,9 @@
 // Unlike other records it goes out at once.
 func (m *Mesh) SetLoad(load Load) {
 	m.write(gossip.KindLoad, m.Self.VM, load)
+	if m.LargeRegion() {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
@@ -220,6 +240,44 @@
 	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindMember, Name: m.Self.VM}, Version: m.next(), Value: data})
 }
 
+// LargeRegion reports whether the region has more VMs than can tell one
+// another of each request.
+func (m *Mesh) LargeRegion() bool {
+	n := 1
+	for _, o := range m.Members() {
+		if o.Region == m.Self.Region && o.Reachable {
+			n++
+		}
+	}
+	return n > fullMesh
+}
+
+// IsReporter reports whether this VM tells the other regions what its own can
+// take.
+func (m *Mesh) IsReporter() bool { return m.rankAmongReachable("summary") < reporters }
+
+// rankAmongReachable returns this VM's rank for a key among the VMs of its
+// region that can be reached.
+func (m *Mesh) rankAmongReachable(key string) int {
+	own, rank := rendezvous(m.Self.VM, key), 0
+	for _, o := range m.Members() {
+		if o.Region == m.Self.Region && o.Reachable && rendezvous(o.VM, key) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (m *Mesh) large() bool { return len(m.Members())+1 >= largeFleet }
+
+// silence returns the silence after which a member counts as unreachable.
+func (m *Mesh) silence() time.Duration {
+	if m.large() {
+		return largeSilentAfter
+	}
+	return silentAfter
+}
+
 // Members returns the other VMs, ordered by name. Callers must not change it.
 func (m *Mesh) Members() []Member { return *m.snapshot.Load() }
 
@@ -294,7 +352,7 @@
 	newest := map[string]clock.Instant{}
 	for _, w := range m.summary {
 		r := byRegion[w.region]
-		if r == nil || now.Sub(w.at) > silentAfter || w.at <= newest[w.region] {
+		if r == nil || now.Sub(w.at) > m.silence() || w.at <= newest[w.region] {
 			continue
 		}
 		if s, ok := w.summaries[service]; ok {
@@ -318,7 +376,7 @@
 	defer m.mu.Unlock()
 	now, sums := m.Now(), map[string]balance.Usage{}
 	for vm, w := range m.usages {
-		if o := m.members[vm]; o == nil || o.Region != m.Self.Region || now.Sub(w.at) > silentAfter {
+		if o := m.members[vm]; o == nil || o.Region != m.Self.Region || now.Sub(w.at) > m.silence() {
 			continue
 		}
 		for server, u := range w.usage {
@@ -348,11 +406,18 @@
 func (m *Mesh) tick(ctx context.Context, n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if n%beatTicks == 0 {
+	beat, exchange := beatTicks, 1
+	if m.large() {
+		beat, exchange = largeBeatTicks, largeTicks
+	}
+	if n%beat == 0 {
 		m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindBeat, Name: m.Self.VM}, Version: m.next()})
 	}
 	m.refresh()
 	m.connect(ctx)
+	if n%exchange != 0 {
+		return
+	}
 	for _, l := range m.links {
 		l.wake()
 	}
@@ -368,7 +433,7 @@
 			m.forget(vm)
 			continue
 		}
-		reachable := silent < silentAfter
+		reachable := silent < m.silence()
 		if reachable != o.Reachable {
 			o.Reachable = reachable
 			m.Log.Info("member reachable", "member", vm, "incarnation", o.Incarnation, "reachable", reachable, "silent", silent)
