--- /dev/null
+++ b/internal/citool/names/names_test.go
@@ -0,0 +1,59 @@
+// Package names checks that the platform's names and phrases stay where they
+// belong.
+package names
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wire matches the header fields, calls and keys of the users' platform.
+var wire = regexp.MustCompile(`Response-Stamp|Not-Executed|Expect-Instance|Expect-Version|Prefix-Hash|Token-Counts|` +
+	`Warmup-Remaining|Weight-Versions|Pin-Duration|Length-Hint|Kv-(From|Fetch|Backup)|/-/(resolve|ready|report|kv-|hold)|` +
+	`op/(config|evacuate)|coldLeftMs|routeType|gapTargetMs|homeRegions|trafficSplit`)
+
+// phrases are paraphrases of the field's terms. The code uses the terms.
+var phrases = regexp.MustCompile(`(?i)liveness report|work item|generation number|response-time goal|time budget`)
+
+func TestPlatformsNamesStayInItsFolder(t *testing.T) {
+	root := filepath.Join("..", "..", "..")
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			switch relative {
+			case ".git", "bin", "out", "target", "journal":
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasPrefix(relative, filepath.Join("internal", "citool", "names")) {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if found := phrases.Find(data); found != nil {
+			t.Errorf("%s: %q is not the usual term", relative, found)
+		}
+		if inside := strings.HasPrefix(relative, "platform") || strings.HasPrefix(relative, "soak"); !inside {
+			if found := wire.Find(data); found != nil {
+				t.Errorf("%s: %q belongs in platform/", relative, found)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
