--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 SHELL := /bin/bash
 BIN := bin
-PROGRAMS := chestnut-gateway chestnutctl chestnut-standin chestnut-load
+PROGRAMS := chestnut-gateway chestnut-edge chestnutctl chestnut-standin chestnut-load
 EXPERIMENTS ?= $(wildcard experiments/kite-*.yaml experiments/co-operative-*.yaml)
 DEPLOYMENT ?= kite-consortium
 
-.PHONY: all build demo test check clean soak experiments slopes
+.PHONY: all build demo test check clean soak faults experiments slopes
 
 all: build
 
@@ -38,6 +38,14 @@
 soak:
 	CHESTNUT_SOAK_SEEDS="$(SOAK_SEEDS)" CHESTNUT_SOAK_TIME=$(SOAK_TIME) go test -count=1 -v -timeout 30m -run TestPromiseAllUnderDrawnFaults ./test/promises
 
+# Plays the fault soak of the real programs by hand, with fresh seeds.
+FAULT_SEEDS ?= $(shell shuf -i 1000-999999 -n 5)
+FAULT_TIME ?= 20s
+FAULT_VMS ?= 2
+faults:
+	CHESTNUT_FAULT_SEEDS="$(FAULT_SEEDS)" CHESTNUT_FAULT_TIME=$(FAULT_TIME) CHESTNUT_FAULT_VMS=$(FAULT_VMS) \
+		go test -count=1 -v -timeout 60m -run TestFaultSoak ./soak
+
 # Measures the slopes of docs/CAPACITY.md; about five minutes on an idle machine.
 slopes: build
 	go test -run XXX -bench 'Slope|FullSize|TakeLoad|Record|Pick|Admit|ServeAmong' -benchtime 500ms -count 3 ./internal/... | grep -v "no test files" | go run ./internal/citool/slopes
