--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"hash/maphash"
 	"math"
 	"slices"
@@ -105,6 +106,12 @@
 	// for want of room, and errorMs to that of one that fails all requests.
 	fullMs  = 300
 	errorMs = 1500
+	// manyVMs is the number of VMs of a region beyond which not all servers are
+	// weighed, sampled the number of those drawn, and leastHeld the tokens from
+	// which on a server that holds them is weighed too.
+	manyVMs   = 8
+	sampled   = 3
+	leastHeld = 1000
 	// noise breaks ties, as a part of the score.
 	noise = 0.02
 	// sendsFade is the time in which a region's summary comes to show what was
@@ -231,8 +238,58 @@
 		return best
 	}
 	held := b.Prefixes.holdings(q.Demand.Parts, q.Now)
+	servers := view.Usable(q.Service.Name, b.Region)
+	if vms, _ := b.Fleet.Peers(""); vms > manyVMs && len(servers) > 2*sampled {
+		if plan := b.best(q, view, b.sample(q, servers, held), held, best); plan.Server != nil {
+			return plan
+		}
+	}
+	return b.best(q, view, servers, held, best)
+}
+
+// sample returns some servers at random, those that hold the prompt's parts
+// and those to which its document belongs. Where many VMs choose by reports
+// that are a while old, weighing all servers would send all of them to the
+// same one.
+func (b *Balancer) sample(q *Query, servers []*roster.Server, held map[roster.ServerKey]int) []*roster.Server {
+	var out []*roster.Server
+	add := func(s *roster.Server) {
+		if !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	for i := range uint64(sampled) {
+		add(servers[mix(q.Random+i)%uint64(len(servers))])
+	}
+	if shared := q.Demand.shared(); len(shared) > 0 {
+		last := shared[len(shared)-1].ID
+		add(slices.MaxFunc(servers, func(x, y *roster.Server) int {
+			return cmp.Compare(mix(last)^stableHash(x.ID), mix(last)^stableHash(y.ID))
+		}))
+	}
+	for _, s := range servers {
+		if held[s.Key()] >= leastHeld {
+			add(s)
+		}
+	}
+	return out
+}
+
+// ChooseServer weighs one backend server of the own region.
+func (b *Balancer) ChooseServer(q *Query, view *roster.View, id string) Plan {
+	s := view.Lookup(id)
+	if s == nil || s.Service != q.Service.Name || s.Region != b.Region || !q.Route.Permits(b.Region) || !view.MayGetWork(s) {
+		return Plan{Reason: "no-server"}
+	}
+	held := b.Prefixes.holdings(q.Demand.Parts, q.Now)
+	return b.best(q, view, []*roster.Server{s}, held, Plan{Reason: "no-server"})
+}
+
+// best returns the server with the least score, or a plan that says why there
+// is none.
+func (b *Balancer) best(q *Query, view *roster.View, servers []*roster.Server, held map[roster.ServerKey]int, best Plan) Plan {
 	found := false
-	for _, s := range view.Usable(q.Service.Name, b.Region) {
+	for _, s := range servers {
 		if slices.Contains(q.Tried, s.Key()) {
 			continue
 		}
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -255,3 +255,29 @@
 		t.Fatalf("the slow server got %d of 100 streams", got)
 	}
 }
+
+// many is a fleet of a large region.
+type many struct{ lone }
+
+func (m *many) Peers(string) (vms, rank int) { return 30, 0 }
+
+// TestManyVMsDontAllChooseTheSameServer is the pattern of a large region whose
+// VMs choose by reports that are a while old.
+func TestManyVMsDontAllChooseTheSameServer(t *testing.T) {
+	b, r := newBed(30, 0)
+	b.Fleet = &many{}
+	now := clock.Instant(time.Hour)
+	for i := range 30 {
+		load := b.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key())
+		load.SetReport(Report{Running: 10 + i%3, MemoryTotal: 444_000, Heard: now})
+	}
+	counts, most := map[string]int{}, 0
+	for range 300 {
+		plan := b.Choose(streamQuery(now, prompt(rand.Int(), 300, 50, 200)), r.View())
+		counts[plan.Server.ID]++
+		most = max(most, counts[plan.Server.ID])
+	}
+	if most > 50 { // five times an even share
+		t.Fatalf("one server got %d of 300 simultaneous requests", most)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -24,11 +24,11 @@
 
 const (
 	// watchWait is how long a watch waits for changes. It bounds how long a
-	// connection that went silent hides them.
-	watchWait = 3 * time.Second
+	// connection that went silent hides them, where its keep-alive doesn't.
+	watchWait = 5 * time.Second
 	// gather is the pause before each watch, in which changes come together. A
 	// server that leaves may get work for so much longer.
-	gather = 100 * time.Millisecond
+	gather = 200 * time.Millisecond
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -307,6 +307,23 @@
 	}
 }
 
+// heavyUse returns the rates of heavy prompts that went through this VM.
+func (e *Edge) heavyUse(now clock.Instant) map[string]balance.Usage {
+	usage := map[string]balance.Usage{}
+	for _, s := range e.roster.View().All() {
+		if s.Region != e.self.Region {
+			continue
+		}
+		if u := e.balancer.Load(s.Key()).Own(now); u.Heavy > leastHeavy {
+			usage[s.ID] = balance.Usage{Heavy: u.Heavy}
+		}
+	}
+	return usage
+}
+
+// leastHeavy is the rate of heavy prompts, per second, that is worth telling.
+const leastHeavy = 0.02
+
 // loadHeard takes in what another VM of the region tells.
 func (e *Edge) loadHeard(load mesh.Load) {
 	now := e.now()
@@ -383,7 +400,7 @@
 	suspects, reports := e.takeNews()
 	load := mesh.Load{Reads: e.balancer.Prefixes.Recent(), Suspects: suspects}
 	if e.mesh.LargeRegion() {
-		load.Reports = reports
+		load.Reports, load.Usage = reports, e.heavyUse(now)
 		if len(load.Reads)+len(load.Suspects)+len(load.Reports) > 0 {
 			e.mesh.SetLoad(load)
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -332,6 +332,25 @@
 	return o.VM, o.Hops
 }
 
+// Owner returns the VM of the region through which long prompts reach a backend
+// server, and the address where it takes hops. The address is "" where that is
+// this VM, or where the region is small enough to do without.
+func (m *Mesh) Owner(server string) (vm, address string) {
+	if !m.LargeRegion() {
+		return "", ""
+	}
+	best := rendezvous(m.Self.VM, server)
+	for _, o := range m.Members() {
+		if o.Region != m.Self.Region || !o.Reachable || !o.Ready || o.Leaving {
+			continue
+		}
+		if weight := rendezvous(o.VM, server); weight > best {
+			best, vm, address = weight, o.VM, o.Hops
+		}
+	}
+	return vm, address
+}
+
 // Regions returns what is known of a service in the other regions.
 func (m *Mesh) Regions(service string) []balance.RegionSummary {
 	now := m.Now()
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -43,7 +43,10 @@
 	RemainingMs int64  `json:"remainingMs"`
 	Entry       string `json:"entry"`
 	Service     string `json:"service"`
-	Attempts    int    `json:"attempts"`
+	// Server is the backend server of the receiver's region that must serve
+	// the request, or "".
+	Server   string `json:"server,omitempty"`
+	Attempts int    `json:"attempts"`
 }
 
 // sendRegion sends the request to a VM of another region, which serves it from
@@ -54,12 +57,22 @@
 	if address == "" {
 		return outcome{notRun: true, reason: "no VM in " + plan.Region}
 	}
+	x.Balancer.Crossed(plan.Region, x.service.Name, &plan.Estimate, x.Now())
+	return x.sendVM(ctx, plan, vm, address)
+}
+
+// sendVM sends the request to another VM, which serves it or refuses. A
+// request for a server of the own region may go nowhere else from there.
+func (x *run) sendVM(ctx context.Context, plan balance.Plan, vm, address string) outcome {
 	x.where = vm
 	x.sends++
-	x.Balancer.Crossed(plan.Region, x.service.Name, &plan.Estimate, x.Now())
+	server := ""
+	if plan.Server != nil {
+		server = plan.Server.ID
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	exchange, err := x.Gateways.Do(ctx, x.hopCall(address))
+	exchange, err := x.Gateways.Do(ctx, x.hopCall(address, server))
 	if err != nil {
 		x.Gateways.CloseIdle(address)
 		if errorx.IsOfType(err, upstream.ErrUnsent) {
@@ -71,11 +84,11 @@
 	return x.takeHopAnswer(ctx, plan, exchange)
 }
 
-func (x *run) hopCall(address string) *upstream.Call {
+func (x *run) hopCall(address, server string) *upstream.Call {
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEvent: x.lastEvent, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Attempts: x.maxAttempts() - x.ran,
+		Entry: x.VM, Service: x.service.Name, Server: server, Attempts: x.maxAttempts() - x.ran,
 	}
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -193,7 +206,7 @@
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEvent: head.LastEvent,
 		Arrived: now, Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
-		Entry: head.Entry, Service: head.Service, Attempts: max(1, head.Attempts),
+		Entry: head.Entry, Server: head.Server, Service: head.Service, Attempts: max(1, head.Attempts),
 	}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,9 @@
 	// Entry is the VM that took the request from the caller. It is "" at that
 	// VM itself: a request that bears an entry never leaves the region again.
 	Entry string
+	// Server is the backend server that the sender chose, or "". A request that
+	// bears one goes nowhere else.
+	Server string
 	// Service is the entry's choice among the route's services, or "".
 	Service string
 	// Attempts is how many backend servers may still run the request; zero
@@ -106,6 +109,9 @@
 type Peers interface {
 	// Member returns the address of a reachable VM of the region, or "".
 	Member(region string, random uint64) (vm, address string)
+	// Owner returns the VM of the own region that gives prompts their turns at
+	// a backend server; the address is "" where this VM does.
+	Owner(server string) (vm, address string)
 	// Count returns the number of VMs that are alive, this one included.
 	Count() int
 }
@@ -252,7 +258,7 @@
 		case plan.Server == nil && plan.Region == "":
 			return x.nowhere(ctx, plan)
 		case plan.Server != nil:
-			out = x.sendServer(ctx, plan)
+			out = x.sendLocal(ctx, plan)
 		default:
 			out = x.sendRegion(ctx, plan)
 		}
@@ -279,7 +285,12 @@
 	if left < minOffer {
 		return balance.Plan{Reason: "deadline"}
 	}
-	plan := x.Balancer.Choose(q, x.Roster.View())
+	var plan balance.Plan
+	if x.req.Server != "" {
+		plan = x.Balancer.ChooseServer(q, x.Roster.View(), x.req.Server)
+	} else {
+		plan = x.Balancer.Choose(q, x.Roster.View())
+	}
 	// A request that can't begin in time is refused at once. One that has
 	// begun goes on, as its caller holds a part of the answer.
 	if x.sends == 0 && (plan.Server != nil || plan.Region != "") && plan.Estimate.First > left {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -59,6 +59,20 @@
 	return nil
 }
 
+// sendLocal sends the request to a backend server of the own region. In a
+// large region a long prompt goes through the VM that gives the turns there.
+func (x *run) sendLocal(ctx context.Context, plan balance.Plan) outcome {
+	if plan.Estimate.Turn && x.req.Server == "" && !plan.Cold {
+		if vm, address := x.Peers.Owner(plan.Server.ID); address != "" {
+			x.tried = append(x.tried, plan.Server.Key())
+			x.Balancer.Prefixes.Read(x.req.Demand.Parts, plan.Server.Key(), x.Now())
+			x.missing = plan.Estimate.Missing
+			return x.sendVM(ctx, plan, vm, address)
+		}
+	}
+	return x.sendServer(ctx, plan)
+}
+
 // sendServer sends the request to a backend server of the own region.
 func (x *run) sendServer(ctx context.Context, plan balance.Plan) outcome {
 	s, load := plan.Server, plan.Load
