Shutdown: a VM without a stand-in takes short requests for longer; the directory of a new VM waits

Three parts: a VM that had just started named the first VM it heard of; a host whose bound routes have no common home fell back to all regions; all VMs of both home regions were shutting down for up to a second. Ruled out: stale members (the answers were right for what was known). Change: no answer before readiness; regions that most bound routes permit; a VM without a ready one beside it takes requests whose deadline is before its own end.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,10 @@
 	// lingerPart is the part of the grace time in which a VM that shuts down
 	// still takes requests: callers learn from the directory meanwhile.
 	lingerPart = 0.22
+	// lastCall is how long before its end a VM without a stand-in in its region
+	// takes no request any more, and standInPoll how often it looks for one.
+	lastCall    = 2500 * time.Millisecond
+	standInPoll = 50 * time.Millisecond
 	// graceMargin is how long before the end of the grace time the process
 	// ends by itself.
 	graceMargin = 400 * time.Millisecond
@@ -104,6 +109,9 @@
 	newsMu   sync.Mutex
 	suspects []string
 	reports  map[string]balance.Report
+	// endsAt is when this process ends, on the boot-time clock; zero while it
+	// takes requests of any length.
+	endsAt   atomic.Int64
 	leaving  atomic.Bool
 	refusing atomic.Bool
 	ready    atomic.Bool
@@ -151,6 +159,7 @@
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Servers: e.servers, Gateways: e.gateways,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, Changed: e.wakeShare,
+		EndsAt: func() clock.Instant { return clock.Instant(e.endsAt.Load()) },
 	})
 }
 
@@ -237,6 +246,13 @@
 	e.log.Info("settings reloaded", "seeds", merged.Seeds, "grace", merged.Grace)
 }
 
+// hasStandIn reports whether another VM of the region takes requests.
+func (e *Edge) hasStandIn() bool {
+	return slices.ContainsFunc(e.mesh.Members(), func(m mesh.Member) bool {
+		return m.Region == e.self.Region && m.Reachable && m.Ready && !m.Leaving
+	})
+}
+
 // shutdown tells everybody that this VM leaves, goes on taking requests while
 // callers learn of it, and then finishes what is in flight.
 func (e *Edge) shutdown(callers *drain.Server, hops *http.Server) {
@@ -248,6 +264,10 @@
 	linger := time.Duration(lingerPart * float64(grace))
 	e.log.Info("leaving", "grace", grace, "linger", linger)
 	time.Sleep(linger)
+	e.endsAt.Store(int64(e.now().Add(time.Until(end))))
+	for time.Now().Before(end.Add(-lastCall)) && !e.hasStandIn() {
+		time.Sleep(standInPoll)
+	}
 	e.refusing.Store(true)
 	e.mesh.SetState(mesh.State{Leaving: true, Closing: true})
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -450,7 +470,12 @@
 	}
 }
 
+// entries answers for the directory. A VM that has never been ready knows too
+// few of the others to send callers anywhere.
 func (e *Edge) entries(host, region, domain string) []string {
+	if !e.ready.Load() && !e.leaving.Load() {
+		return nil
+	}
 	at := place{region: region, domain: domain}
 	if table := e.follower.Table(); table != nil {
 		at.homes, at.bound = table.HomesOf(host)
@@ -459,7 +484,11 @@
 		Identity: e.self, Addresses: mesh.Addresses{Callers: e.settings.Load().Callers},
 		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Closing: e.refusing.Load(), Reachable: true,
 	}
-	return entries(self, e.mesh.Members(), at)
+	list, near := entries(self, e.mesh.Members(), at)
+	if !near {
+		e.log.Info("callers sent to another region", "host", host, "region", region, "bound", at.bound, "homes", at.homes, "entries", list)
+	}
+	return list
 }
 
 // ports are the open listeners. Directory may be nil.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,7 +53,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(strings.Join(entries(test.members[0], test.members[1:], test.at), " "), test.want)
+			list, _ := entries(test.members[0], test.members[1:], test.at)
+			is.Equal(strings.Join(list, " "), test.want)
 		})
 	}
 }
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -30,8 +30,8 @@
 // those of its failure domain, else of its region. Only where its region has
 // none is it sent to others: first to those that may serve all routes of its
 // host, then, for a host with bound routes, to those that may and shut down but
-// still take requests.
-func entries(self mesh.Member, others []mesh.Member, at place) []string {
+// still take requests. The second result is whether its region has any.
+func entries(self mesh.Member, others []mesh.Member, at place) (list []string, inRegion bool) {
 	var near, regional, homes, last, all []string
 	for _, m := range append([]mesh.Member{self}, others...) {
 		if m.Reachable && m.Leaving && !m.Closing && (m.Region == at.region || slices.Contains(at.homes, m.Region)) {
@@ -63,5 +63,5 @@
 	case at.bound && len(last) > 0:
 		choice = last
 	}
-	return choice[:min(len(choice), maxEntries)]
+	return choice[:min(len(choice), maxEntries)], len(regional) > 0
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -178,19 +178,23 @@
 	return nil
 }
 
-// HomesOf returns the regions that every route of the host permits; bound is
-// false where no route of the host has homes.
+// HomesOf returns the regions that most of the host's bound routes permit;
+// bound is false where no route of the host has homes.
 func (t *Table) HomesOf(host string) (homes []string, bound bool) {
+	permits, most := map[string]int{}, 0
 	for _, r := range t.hosts[strings.ToLower(host)] {
-		switch {
-		case len(r.Homes) == 0:
-		case !bound:
-			homes, bound = slices.Clone(r.Homes), true
-		default:
-			homes = slices.DeleteFunc(homes, func(region string) bool { return !r.Permits(region) })
+		for _, region := range r.Homes {
+			permits[region]++
+			most = max(most, permits[region])
 		}
 	}
-	return homes, bound
+	for region, n := range permits {
+		if n == most {
+			homes = append(homes, region)
+		}
+	}
+	slices.Sort(homes)
+	return homes, most > 0
 }
 
 // Routes returns the number of routes.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -24,6 +24,18 @@
 	is.True(c.Match("c.example", "/x/1") == nil)
 }
 
+func TestRoutesWithoutACommonHomeStillHaveHomes(t *testing.T) {
+	is := is.New(t)
+	c := NewTable(1, []*Route{
+		{Host: "a", Prefix: "/1/", Homes: []string{"north", "west"}},
+		{Host: "a", Prefix: "/2/", Homes: []string{"north", "west"}},
+		{Host: "a", Prefix: "/3/", Homes: []string{"south"}},
+	}, nil, Limits{})
+	homes, bound := c.HomesOf("a")
+	is.True(bound)
+	is.Equal(homes, []string{"north", "west"})
+}
+
 func TestHomesOfAHostAreThoseOfAllItsBoundRoutes(t *testing.T) {
 	is := is.New(t)
 	homes, bound := table().HomesOf("a.example")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,6 +138,9 @@
 	// it no longer takes requests.
 	Leaving  func() bool
 	Refusing func() bool
+	// EndsAt returns when this process ends, or zero. A request that may take
+	// longer is refused.
+	EndsAt func() clock.Instant
 	// RetrySlack is how many repeats a service tolerates of the whole fleet
 	// beyond the share, in each window.
 	RetrySlack  float64
@@ -228,6 +231,9 @@
 	if req.Deadline != 0 {
 		x.until = min(x.until, req.Deadline)
 	}
+	if end := r.EndsAt(); end != 0 && req.Entry == "" && x.until > end {
+		return x, verdict.Busy(verdict.CodeShuttingDown, "this VM ends before the request's deadline", retryAfterFailure)
+	}
 	x.budget = r.budgets.of(name, r.Peers.Count())
 	if req.Entry == "" {
 		x.budget.Request(retryShare, r.Now())
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,15 +50,14 @@
 
 // restart starts a VM again unless another fault has done so.
 func (w *World) restart(p *process) {
+	p.starting.Lock()
+	defer p.starting.Unlock()
 	p.mu.Lock()
-	running := true
+	done := p.done
+	p.mu.Unlock()
 	select {
-	case <-p.done:
-		running = false
+	case <-done:
 	default:
-	}
-	p.mu.Unlock()
-	if running {
 		return
 	}
 	if err := w.start(p); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,8 @@
 	path  string
 	log   *os.File
 
+	starting sync.Mutex // held while the process is started again
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	done    chan struct{}
