--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -269,18 +269,29 @@
 // fetchFrom offers the configuration of a member that has a newer one.
 func (m *Mesh) fetchFrom(vm string, revision uint64) {
 	m.Newer(revision, func(ctx context.Context) (uint64, []byte, error) {
-		m.mu.Lock()
-		l := m.links[vm]
-		m.mu.Unlock()
-		if l == nil {
-			return 0, nil, peer.ErrUnreachable.New("no link to %s", vm)
-		}
-		client := l.client.Load()
+		client := m.connected(vm)
 		if client == nil {
-			return 0, nil, peer.ErrUnreachable.New("no connection to %s", vm)
+			return 0, nil, peer.ErrUnreachable.New("no connection to %s or any other VM", vm)
 		}
 		own, _ := m.Configuration()
 		value, err := client.Manifest(ctx, own)
 		return value.Revision, value.Data, err
 	})
 }
+
+// connected returns the connection to a VM, or one to any other, or nil.
+func (m *Mesh) connected(vm string) *peer.Client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var other *peer.Client
+	for key, l := range m.links {
+		client := l.client.Load()
+		if client != nil && (key == vm || client.Remote.VM == vm) {
+			return client
+		}
+		if client != nil {
+			other = client
+		}
+	}
+	return other
+}
