--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,7 +70,7 @@
 	// freezeAfter is the delay of a timer that shows that the process stood
 	// still.
 	freezeAfter = time.Second
-	// logFlush bounds the wait for the last log lines.
+	// incarnationBytes is the size of the random part of an identity.
 	incarnationBytes = 8
 )
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -124,8 +124,6 @@
 	links    map[string]*link
 	state    State
 	seeds    []string
-	loads    map[string]balance.Usage
-	regions  map[string][]balance.Summary
 	snapshot atomic.Pointer[[]Member]
 }
 
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -27,7 +27,6 @@
 	// headerRan is the number of backend servers at which the request may
 	// have run before this answer.
 	headerRan = "Chestnut-Ran"
-	// headerCold and the like of a backend server's answer pass as they are.
 )
 
 // hopHead is what a VM tells another one of a request.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -172,7 +172,6 @@
 	// ran counts the backend servers at which the request may have run, and
 	// sends those to which it was sent.
 	ran, sends   int
-	arrived      bool
 	tried        []roster.ServerKey
 	triedRegions []string
 	// lastEvent is the id of the last event that was passed on, and events
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -76,13 +76,12 @@
 // sendServer sends the request to a backend server of the own region.
 func (x *run) sendServer(ctx context.Context, plan balance.Plan) outcome {
 	s, load := plan.Server, plan.Load
-	now := x.Now()
 	x.tried = append(x.tried, s.Key())
 	x.where, x.missing = s.ID, plan.Estimate.Missing
 	if !x.takeTurn(ctx, &plan) {
 		return outcome{notRun: true, reason: "ended before its turn"}
 	}
-	now = x.Now()
+	now := x.Now()
 	// The view may have changed since the choice.
 	if !x.Roster.View().MayGetWork(s) {
 		return outcome{notRun: true, reason: "leaving"}
@@ -102,7 +101,6 @@
 	if err != nil {
 		return x.sendFailed(ctx, plan, err)
 	}
-	x.arrived = true
 	x.Balancer.Prefixes.Read(x.req.Demand.Parts, s.Key(), now)
 	return x.takeAnswer(ctx, plan, exchange, work)
 }
@@ -192,7 +190,6 @@
 		return outcome{notRun: true, reason: err.Error()}
 	}
 	x.ran++
-	x.arrived = true
 	return outcome{arrived: true, reason: err.Error()}
 }
 
@@ -291,15 +288,13 @@
 		return outcome{arrived: true, final: true, reason: "answer not passed on: " + err.Error()}
 	}
 	e.Done()
-	took := x.Now().Sub(now.Add(-x.elapsedOf(work)))
+	took := x.Now().Sub(work.Begun())
 	plan.Load.Succeeded()
 	x.Balancer.Finished(x.service.Name, took)
 	x.Balancer.MeasurePlain(plan.Load, x.service, took, now)
 	return outcome{delivered: true, arrived: true}
 }
 
-func (x *run) elapsedOf(work *balance.Work) time.Duration { return x.Now().Sub(work.Begun()) }
-
 // hopByHop are the fields that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
@@ -313,9 +308,7 @@
 		out.Del(name)
 	}
 	if length >= 0 {
-		out.Set("Content-Length", itoa(length))
+		out.Set("Content-Length", strconv.Itoa(length))
 	}
 	return out
 }
-
-func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strconv"
 	"time"
@@ -55,7 +56,7 @@
 		}
 		switch {
 		case readErr == nil && len(pending) <= maxEventBytes:
-		case isEnd(readErr):
+		case errors.Is(readErr, io.EOF):
 			return x.endStream(s, pending)
 		default:
 			s.Abort()
@@ -141,7 +142,7 @@
 	s.Done()
 	if s.load != nil {
 		s.load.Succeeded()
-		x.Balancer.Finished(x.service.Name, x.elapsedOf(s.work))
+		x.Balancer.Finished(x.service.Name, x.Now().Sub(s.work.Begun()))
 	}
 	return outcome{delivered: true, arrived: true}
 }
@@ -203,10 +204,6 @@
 	return n, err == nil
 }
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
-var _ io.Reader = (*streamSource)(nil)
-
 // firstDelay returns the time to the first byte of the answer.
 func (x *run) firstDelay() time.Duration {
 	if x.firstAt == 0 {
