--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,7 +50,7 @@
 	StepMsPerStream:   0.06,
 	ChunkTokens:       2048,
 	MsPerMegaPair:     0.32,
-	CrossingMargin:    150 * time.Millisecond,
+	CrossingMargin:    300 * time.Millisecond,
 }
 
 const (
