--- a/client/entries.go
+++ b/client/entries.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
@@ -94,7 +94,7 @@
 
 // askDirectory returns the addresses of the own region, then of the others.
 func (c *Client) askDirectory(ctx context.Context) []string {
-	var directory platform.Directory
+	var directory published.Directory
 	if err := c.getJSON(ctx, c.config.Directory, &directory); err != nil {
 		return nil
 	}
--- a/internal/configwatch/apply.go
+++ b/internal/configwatch/apply.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -33,7 +33,7 @@
 // offer puts the configuration in force where it is newer than the one that
 // is. A nil error means that this configuration, or a newer one, is in force.
 // Other errors are ErrLower, ErrWaiting and ErrRejected.
-func (w *Watcher) offer(ctx context.Context, value platform.Value, sources []partSource) error {
+func (w *Watcher) offer(ctx context.Context, value published.Value, sources []partSource) error {
 	if done, err := w.settled(value); done {
 		return err
 	}
@@ -49,7 +49,7 @@
 }
 
 // settled reports whether the value needs no work, and with which outcome.
-func (w *Watcher) settled(value platform.Value) (bool, error) {
+func (w *Watcher) settled(value published.Value) (bool, error) {
 	switch revision := w.revision(); {
 	case value.Revision == revision:
 		return true, nil
@@ -65,7 +65,7 @@
 	return false, nil
 }
 
-func (w *Watcher) ignore(value platform.Value) {
+func (w *Watcher) ignore(value published.Value) {
 	w.metrics.ignored.Inc(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -74,7 +74,7 @@
 
 // collect returns all parts of the manifest: those in force, those of an
 // earlier try, and the rest from the sources in order.
-func (w *Watcher) collect(ctx context.Context, value platform.Value, manifest *bundle.Manifest, sources []partSource) (map[string][]byte, error) {
+func (w *Watcher) collect(ctx context.Context, value published.Value, manifest *bundle.Manifest, sources []partSource) (map[string][]byte, error) {
 	parts, missing := w.held(value, manifest)
 	if len(missing) == 0 {
 		return parts, nil
@@ -110,7 +110,7 @@
 
 // held returns the parts of the manifest that this process has and the digests
 // of the others, beginning with the one that was missing before.
-func (w *Watcher) held(value platform.Value, manifest *bundle.Manifest) (map[string][]byte, []string) {
+func (w *Watcher) held(value published.Value, manifest *bundle.Manifest) (map[string][]byte, []string) {
 	w.mu.Lock()
 	waiting := w.pending
 	w.mu.Unlock()
@@ -135,7 +135,7 @@
 
 // fetchPart asks the sources in order for a part that matches its digest.
 func fetchPart(ctx context.Context, digest string, sources []partSource) ([]byte, error) {
-	err := error(platform.ErrAbsent.New("no source of parts"))
+	err := error(published.ErrAbsent.New("no source of parts"))
 	for _, source := range sources {
 		var data []byte
 		if data, err = source(ctx, digest); err != nil {
@@ -149,7 +149,7 @@
 }
 
 // wait remembers a configuration whose parts aren't all there.
-func (w *Watcher) wait(value platform.Value, parts map[string][]byte, missing string, cause error) error {
+func (w *Watcher) wait(value published.Value, parts map[string][]byte, missing string, cause error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	first := w.pending == nil || w.pending.value.Revision != value.Revision
@@ -164,7 +164,7 @@
 }
 
 // apply checks the whole set and puts it in force.
-func (w *Watcher) apply(value platform.Value, parts map[string][]byte) error {
+func (w *Watcher) apply(value published.Value, parts map[string][]byte) error {
 	w.applyMu.Lock()
 	defer w.applyMu.Unlock()
 	if value.Revision <= w.revision() {
@@ -183,7 +183,7 @@
 }
 
 // applied does the bookkeeping after a configuration came into force.
-func (w *Watcher) applied(value platform.Value, objects int) {
+func (w *Watcher) applied(value published.Value, objects int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.pending != nil && w.pending.value.Revision <= value.Revision {
@@ -205,7 +205,7 @@
 }
 
 // reject remembers and reports a configuration that failed the check.
-func (w *Watcher) reject(value platform.Value, cause error) error {
+func (w *Watcher) reject(value published.Value, cause error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.rejected == nil || w.rejected.value.Revision <= value.Revision {
--- a/internal/configwatch/fakes_test.go
+++ b/internal/configwatch/fakes_test.go
@@ -13,7 +13,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -27,7 +27,7 @@
 // synctest bubble.
 type fakeService struct {
 	mu       sync.Mutex
-	history  []platform.Value // manifests, oldest first
+	history  []published.Value // manifests, oldest first
 	parts    map[string][]byte
 	changed  chan struct{}
 	down     bool
@@ -67,7 +67,7 @@
 	var revision uint64
 	s.set(func() {
 		revision = uint64(len(s.history) + 1)
-		s.history = append(s.history, platform.Value{Name: platform.ValueManifest, Revision: revision, Data: manifest})
+		s.history = append(s.history, published.Value{Name: published.ValueManifest, Revision: revision, Data: manifest})
 	})
 	return revision
 }
@@ -85,15 +85,15 @@
 }
 
 // newest returns what a reader sees now.
-func (s *fakeService) newest() (platform.Value, <-chan struct{}, error) {
+func (s *fakeService) newest() (published.Value, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Value{}, s.changed, errDown
+		return published.Value{}, s.changed, errDown
 	}
 	i := len(s.history) - 1 - s.lag()
 	if len(s.history) == 0 {
-		return platform.Value{}, s.changed, nil
+		return published.Value{}, s.changed, nil
 	}
 	return s.history[max(i, 0)], s.changed, nil
 }
@@ -121,32 +121,32 @@
 	return nil
 }
 
-func (r *reader) Read(ctx context.Context, name string) (platform.Value, error) {
+func (r *reader) Read(ctx context.Context, name string) (published.Value, error) {
 	if err := r.call(ctx); err != nil {
-		return platform.Value{}, err
+		return published.Value{}, err
 	}
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
 	if r.service.down {
-		return platform.Value{}, errDown
+		return published.Value{}, errDown
 	}
-	data, ok := r.service.parts[name[len(platform.ValuePartPrefix):]]
+	data, ok := r.service.parts[name[len(published.ValuePartPrefix):]]
 	if !ok {
-		return platform.Value{}, platform.ErrAbsent.New("%s", name)
+		return published.Value{}, published.ErrAbsent.New("%s", name)
 	}
-	return platform.Value{Name: name, Revision: 1, Data: data}, nil
+	return published.Value{Name: name, Revision: 1, Data: data}, nil
 }
 
-func (r *reader) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Value, error) {
+func (r *reader) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (published.Value, error) {
 	if err := r.call(ctx); err != nil {
-		return platform.Value{}, err
+		return published.Value{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		value, changed, err := r.service.newest()
 		if err != nil {
-			return platform.Value{}, err
+			return published.Value{}, err
 		}
 		if value.Revision > after {
 			r.service.mu.Lock()
@@ -157,10 +157,10 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			unchanged := platform.Value{Name: value.Name, Revision: value.Revision}
-			return unchanged, platform.ErrUnchanged.New("unchanged")
+			unchanged := published.Value{Name: value.Name, Revision: value.Revision}
+			return unchanged, published.ErrUnchanged.New("unchanged")
 		case <-ctx.Done():
-			return platform.Value{}, ctx.Err()
+			return published.Value{}, ctx.Err()
 		}
 	}
 }
@@ -402,10 +402,10 @@
 }
 
 // Manifest implements Peers.
-func (p *peersOf) Manifest(ctx context.Context, vm string) (platform.Value, error) {
+func (p *peersOf) Manifest(ctx context.Context, vm string) (published.Value, error) {
 	w, err := p.reach(ctx, vm)
 	if err != nil {
-		return platform.Value{}, err
+		return published.Value{}, err
 	}
 	value, ok := w.Manifest()
 	if !ok {
--- a/internal/configwatch/never_back_test.go
+++ b/internal/configwatch/never_back_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // TestStaleReplicasNeverBringAnOldRevisionBack lets each answer of the service
@@ -187,7 +187,7 @@
 		f.await(revision, accepted)
 		is.NoErr(w.apply(old, parts)) // as after a slow fetch
 		is.Equal(w.revision(), revision)
-		same := platform.Value{Revision: revision, Data: old.Data}
+		same := published.Value{Revision: revision, Data: old.Data}
 		is.NoErr(w.apply(same, parts))
 		is.Equal(w.publisherRevision(), revision)
 	})
--- a/internal/configwatch/service.go
+++ b/internal/configwatch/service.go
@@ -9,7 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // followService watches the service, or reads it when this member doesn't
@@ -75,7 +75,7 @@
 	asked := w.Now()
 	value, err := w.watchOnce(ctx, wait)
 	switch {
-	case errorx.IsOfType(err, platform.ErrUnchanged):
+	case errorx.IsOfType(err, published.ErrUnchanged):
 		return w.unchanged(ctx, asked, value.Revision)
 	case err != nil:
 		return err
@@ -83,15 +83,15 @@
 	return w.served(ctx, asked, value)
 }
 
-func (w *Watcher) watchOnce(ctx context.Context, wait time.Duration) (platform.Value, error) {
+func (w *Watcher) watchOnce(ctx context.Context, wait time.Duration) (published.Value, error) {
 	w.countServiceCall()
 	w.mu.Lock()
 	after := max(w.view.served, w.revision())
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+serviceTimeout)
 	defer cancel()
-	value, err := w.Reader.Watch(ctx, platform.ValueManifest, after, wait)
-	failed := err != nil && !errorx.IsOfType(err, platform.ErrUnchanged)
+	value, err := w.Reader.Watch(ctx, published.ValueManifest, after, wait)
+	failed := err != nil && !errorx.IsOfType(err, published.ErrUnchanged)
 	if failed {
 		w.metrics.serviceErrors.Inc(1)
 	}
@@ -113,7 +113,7 @@
 func (w *Watcher) unchanged(ctx context.Context, asked clock.Instant, newest uint64) error {
 	revision := w.revision()
 	if newest != 0 && newest < revision {
-		w.ignore(platform.Value{Revision: newest})
+		w.ignore(published.Value{Revision: newest})
 		return ErrLower.New("the service shows revision %d, %d is in force", newest, revision)
 	}
 	w.mu.Lock()
@@ -127,7 +127,7 @@
 }
 
 // served handles a manifest that the service returned.
-func (w *Watcher) served(ctx context.Context, asked clock.Instant, value platform.Value) error {
+func (w *Watcher) served(ctx context.Context, asked clock.Instant, value published.Value) error {
 	w.mu.Lock()
 	w.view.served = max(w.view.served, value.Revision)
 	w.mu.Unlock()
@@ -143,6 +143,6 @@
 	w.countServiceCall()
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
-	value, err := w.Reader.Read(ctx, platform.ValuePartPrefix+digest)
+	value, err := w.Reader.Read(ctx, published.ValuePartPrefix+digest)
 	return value.Data, err
 }
--- a/internal/configwatch/slope_test.go
+++ b/internal/configwatch/slope_test.go
@@ -14,7 +14,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -123,7 +123,7 @@
 		s.moved.Add(int64(len(next.Parts[digest])))
 		return append([]byte(nil), next.Parts[digest]...), nil
 	}
-	value := platform.Value{Revision: s.revision, Data: append([]byte(nil), next.Manifest...)}
+	value := published.Value{Revision: s.revision, Data: append([]byte(nil), next.Manifest...)}
 	if err := s.offer(context.Background(), value, []partSource{source}); err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/configwatch/view.go
+++ b/internal/configwatch/view.go
@@ -4,7 +4,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -60,7 +60,7 @@
 
 // pending is a configuration whose parts aren't all there yet.
 type pending struct {
-	value   platform.Value
+	value   published.Value
 	parts   map[string][]byte
 	missing string // digest of a part that is missing
 	reason  string
@@ -68,11 +68,11 @@
 
 // rejection is a configuration that failed the check.
 type rejection struct {
-	value  platform.Value
+	value  published.Value
 	reason string
 }
 
-func (r *rejection) matches(value platform.Value) bool {
+func (r *rejection) matches(value published.Value) bool {
 	return r != nil && r.value.Revision == value.Revision && string(r.value.Data) == string(value.Data)
 }
 
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -21,7 +21,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -75,7 +75,7 @@
 	// members only.
 	Revisions() map[string]uint64
 	// Manifest returns the manifest that is in force at the VM.
-	Manifest(ctx context.Context, vm string) (platform.Value, error)
+	Manifest(ctx context.Context, vm string) (published.Value, error)
 	// Part returns a part of the configuration that is in force at the VM.
 	Part(ctx context.Context, vm, digest string) ([]byte, error)
 }
@@ -101,7 +101,7 @@
 // nil: then there are no peers, no logs, no metrics, and the process watches.
 type Config struct {
 	Self      snapshot.Identity
-	Reader    platform.Reader
+	Reader    published.Reader
 	Peers     Peers
 	Publisher *snapshot.Publisher
 	Now       clock.Clock
@@ -133,7 +133,7 @@
 
 // inForce is the configuration in force. It is immutable.
 type inForce struct {
-	value platform.Value
+	value published.Value
 	parts map[string][]byte // by digest
 }
 
@@ -178,10 +178,10 @@
 func (w *Watcher) Ready() <-chan struct{} { return w.ready }
 
 // Manifest returns the manifest in force, for peers.
-func (w *Watcher) Manifest() (platform.Value, bool) {
+func (w *Watcher) Manifest() (published.Value, bool) {
 	current := w.current.Load()
 	if current == nil {
-		return platform.Value{}, false
+		return published.Value{}, false
 	}
 	return current.value, true
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,7 +16,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // The exit codes.
@@ -98,8 +98,8 @@
 
 // The names of files of a bundle's directory.
 const (
-	manifestFile = platform.ValueManifest
-	partsDir     = platform.ValuePartPrefix
+	manifestFile = published.ValueManifest
+	partsDir     = published.ValuePartPrefix
 )
 
 // BundleCommand writes a bundle.
@@ -187,13 +187,13 @@
 func loadPublished(url string) (*objects.Set, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), serviceTimeout)
 	defer cancel()
-	client := platform.NewClient(strings.TrimSuffix(url, "/"))
-	manifest, err := client.Read(ctx, platform.ValueManifest)
+	client := published.NewClient(strings.TrimSuffix(url, "/"))
+	manifest, err := client.Read(ctx, published.ValueManifest)
 	if err != nil {
 		return nil, err
 	}
 	set, err := bundle.Open(manifest.Data, func(digest string) ([]byte, error) {
-		part, err := client.Read(ctx, platform.ValuePartPrefix+digest)
+		part, err := client.Read(ctx, published.ValuePartPrefix+digest)
 		return part.Data, err
 	})
 	if err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 const kite = "../../examples/kite-consortium"
@@ -108,7 +108,7 @@
 			http.NotFound(w, r)
 			return
 		}
-		w.Header().Set(platform.HeaderRevision, "7")
+		w.Header().Set(published.HeaderRevision, "7")
 		_, _ = w.Write(data)
 	}))
 	defer service.Close()
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
 	standinplatform "github.com/chestnutspring/chestnutspring/internal/standin/platform"
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
@@ -39,7 +39,7 @@
 	"capacity":    func(_ context.Context, b *testbed.Bed, f Fault) error { return capacity(b, f) },
 	"cold-caches": func(_ context.Context, b *testbed.Bed, f Fault) error { return coldCaches(b, f) },
 	"leave": func(_ context.Context, b *testbed.Bed, f Fault) error {
-		return b.SetState(f.Name, platform.StateLeaving)
+		return b.SetState(f.Name, published.StateLeaving)
 	},
 	// Of entry VMs.
 	"kill":    onGateway(func(_ context.Context, g *testbed.Gateway) error { g.Kill(); return nil }),
--- a/internal/fleet/bed_test.go
+++ b/internal/fleet/bed_test.go
@@ -18,7 +18,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -58,7 +58,7 @@
 type fakeList struct {
 	mu       sync.Mutex
 	revision uint64
-	list     platform.VMList
+	list     published.VMList
 	down     bool
 	wake     chan struct{}
 }
@@ -66,11 +66,11 @@
 func newFakeList() *fakeList { return &fakeList{wake: make(chan struct{})} }
 
 // publish replaces the list and its revision.
-func (l *fakeList) publish(revision uint64, change func(list *platform.VMList)) {
+func (l *fakeList) publish(revision uint64, change func(list *published.VMList)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	vms := append([]platform.VM(nil), l.list.VMs...)
-	next := platform.VMList{VMs: vms}
+	vms := append([]published.VM(nil), l.list.VMs...)
+	next := published.VMList{VMs: vms}
 	change(&next)
 	l.revision, l.list = revision, next
 	close(l.wake)
@@ -83,24 +83,24 @@
 	l.down = down
 }
 
-func (l *fakeList) value() (platform.Value, chan struct{}, error) {
+func (l *fakeList) value() (published.Value, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Value{}, l.wake, platform.ErrUnavailable.New("down")
+		return published.Value{}, l.wake, published.ErrUnavailable.New("down")
 	}
 	data, _ := json.Marshal(l.list)
-	return platform.Value{Name: platform.ValueVMs, Revision: l.revision, Data: data}, l.wake, nil
+	return published.Value{Name: published.ValueVMs, Revision: l.revision, Data: data}, l.wake, nil
 }
 
-func (l *fakeList) Read(context.Context, string) (platform.Value, error) {
+func (l *fakeList) Read(context.Context, string) (published.Value, error) {
 	v, _, err := l.value()
 	return v, err
 }
 
 // Watch gives the value also when it is older than asked, as a stale replica
 // of the service does.
-func (l *fakeList) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Value, error) {
+func (l *fakeList) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (published.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
@@ -111,7 +111,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.Value{}, platform.ErrUnchanged.New("unchanged")
+			return published.Value{}, published.ErrUnchanged.New("unchanged")
 		}
 	}
 }
@@ -200,10 +200,10 @@
 func (b *bed) add(region string, i int, seeds ...string) *testNode {
 	vm := vmName(region, i)
 	l := b.listen("")
-	b.list.publish(b.list.revision+1, func(list *platform.VMList) {
-		list.VMs = append(list.VMs, platform.VM{
-			Name: vm, Region: region, FailureDomain: region + "-a", Role: platform.RoleEntry,
-			State: platform.StateLive, ControlAddress: l.Addr().String(),
+	b.list.publish(b.list.revision+1, func(list *published.VMList) {
+		list.VMs = append(list.VMs, published.VM{
+			Name: vm, Region: region, FailureDomain: region + "-a", Role: published.RoleEntry,
+			State: published.StateLive, ControlAddress: l.Addr().String(),
 		})
 	})
 	return b.build(region, vm, "first-"+vm, l, seeds)
--- a/internal/fleet/clients.go
+++ b/internal/fleet/clients.go
@@ -7,7 +7,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // clientIdle is how long an unused connection for calls is kept.
@@ -98,10 +98,10 @@
 }
 
 // Manifest asks a member for its manifest.
-func (f *Fleet) Manifest(ctx context.Context, vm string) (platform.Value, error) {
+func (f *Fleet) Manifest(ctx context.Context, vm string) (published.Value, error) {
 	client, err := f.clients.get(ctx, vm)
 	if err != nil {
-		return platform.Value{}, err
+		return published.Value{}, err
 	}
 	value, err := client.Manifest(ctx, f.revision())
 	if err != nil {
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/configwatch"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // confirmedSource has a configuration that was confirmed a while ago.
@@ -15,7 +15,7 @@
 
 var _ ConfirmationSource = confirmedSource{}
 
-func (confirmedSource) Manifest() (platform.Value, bool)         { return platform.Value{}, false }
+func (confirmedSource) Manifest() (published.Value, bool)        { return published.Value{}, false }
 func (confirmedSource) Part(string) ([]byte, bool)               { return nil, false }
 func (confirmedSource) Heard(string, uint64)                     {}
 func (s confirmedSource) Confirmation() configwatch.Confirmation { return s.answer }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,14 +24,14 @@
 	"github.com/chestnutspring/chestnutspring/internal/membership"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
 // ConfigSource is what the fleet needs of the configuration's watcher.
 type ConfigSource interface {
 	// Manifest and Part return what this process has, to give to peers.
-	Manifest() (platform.Value, bool)
+	Manifest() (published.Value, bool)
 	Part(digest string) ([]byte, bool)
 	// Heard takes a peer's configuration revision. It doesn't block.
 	Heard(vm string, revision uint64)
@@ -44,7 +44,7 @@
 	// as IP:port.
 	CallerAddress, ForwardAddress, ControlAddress string
 	Publisher                                     *snapshot.Publisher
-	Reader                                        platform.Reader
+	Reader                                        published.Reader
 	// Seeds are control addresses that are used until their members are known.
 	Seeds                []string
 	ServerTLS, ClientTLS *tls.Config
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/health"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // leavingBound is the promise: no new work after it.
@@ -45,14 +45,14 @@
 
 // listBackend puts a backend server's VM into the list.
 func (b *bed) listBackend(revision uint64, name, region, state string) {
-	b.list.publish(revision, func(list *platform.VMList) {
+	b.list.publish(revision, func(list *published.VMList) {
 		for i := range list.VMs {
 			if list.VMs[i].Name == name {
 				list.VMs[i].State = state
 				return
 			}
 		}
-		list.VMs = append(list.VMs, platform.VM{Name: name, Region: region, Role: platform.RoleBackend, State: state})
+		list.VMs = append(list.VMs, published.VM{Name: name, Region: region, Role: published.RoleBackend, State: state})
 	})
 }
 
@@ -78,13 +78,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := startBed(t, newMemNet(), 5, 3)
 		name := "jeju-engine-0"
-		b.listBackend(100, name, "jeju", platform.StateLive)
+		b.listBackend(100, name, "jeju", published.StateLive)
 		b.until("usable", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
-		b.listBackend(101, name, "jeju", platform.StateLeaving)
+		b.listBackend(101, name, "jeju", published.StateLeaving)
 		b.until("no new work", leavingBound, func() bool { return !b.usableAnywhere("jeju", name) })
 		// A stale replica of the service shows the older list, and two members
 		// are restarted and read nothing else.
-		b.listBackend(100, name, "jeju", platform.StateLive)
+		b.listBackend(100, name, "jeju", published.StateLive)
 		restarted := b.restart(vmName("jeju", 0), vmName("jeju", 1))[0]
 		b.until("restarted members have a view", leavingBound, func() bool {
 			if b.usableAnywhere("jeju", name) {
@@ -93,7 +93,7 @@
 			return b.usableEverywhere("jeju", "jeju-engine-1")
 		})
 		b.always("no new work under the older list", time.Minute, func() bool { return !b.usableAnywhere("jeju", name) })
-		b.listBackend(102, name, "jeju", platform.StateLive)
+		b.listBackend(102, name, "jeju", published.StateLive)
 		b.until("back by a newer list", leavingBound, func() bool { return b.usableEverywhere("jeju", name) })
 		since := restarted.view().Backends[name].Since
 		if now := restarted.cfg.Now(); since == 0 || now.Sub(since) > leavingBound {
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -11,7 +11,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 const (
@@ -64,7 +64,7 @@
 func (f *Fleet) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listRetry)
 	defer cancel()
-	value, err := f.cfg.Reader.Read(ctx, platform.ValueVMs)
+	value, err := f.cfg.Reader.Read(ctx, published.ValueVMs)
 	if err != nil {
 		f.cfg.Log.Warn("list of VMs not read", "error", err)
 		return
@@ -76,13 +76,13 @@
 func (f *Fleet) watchList(ctx context.Context) int {
 	watch, cancel := context.WithTimeout(ctx, listWait+listRetry)
 	defer cancel()
-	value, err := f.cfg.Reader.Watch(watch, platform.ValueVMs, f.knownList(), listWait)
+	value, err := f.cfg.Reader.Watch(watch, published.ValueVMs, f.knownList(), listWait)
 	switch {
 	case err == nil:
 		if !f.takeList(value) {
 			pause(ctx, listRetry/2+rand.N(listRetry))
 		}
-	case errorx.IsOfType(err, platform.ErrUnchanged):
+	case errorx.IsOfType(err, published.ErrUnchanged):
 	case ctx.Err() != nil:
 	default:
 		f.cfg.Log.Warn("list of VMs not watched", "error", err)
@@ -93,8 +93,8 @@
 
 // takeList takes in a list. An older list than one that was heard is ignored.
 // It reports whether the list was used.
-func (f *Fleet) takeList(value platform.Value) bool {
-	var list platform.VMList
+func (f *Fleet) takeList(value published.Value) bool {
+	var list published.VMList
 	if err := json.Unmarshal(value.Data, &list); err != nil {
 		f.cfg.Log.Warn("list of VMs malformed", "revision", value.Revision, "error", err)
 		return false
@@ -109,7 +109,7 @@
 	f.listRevision = value.Revision
 	present := map[string]bool{}
 	for _, vm := range list.VMs {
-		if vm.Role != platform.RoleEntry && vm.Region != f.cfg.Self.Region {
+		if vm.Role != published.RoleEntry && vm.Region != f.cfg.Self.Region {
 			continue // another region's backend servers
 		}
 		present[vm.Name] = true
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/membership"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 func TestIsolatedRegionKeepsItsMembersOverARestart(t *testing.T) {
@@ -68,8 +68,8 @@
 			return b.everyOther(lost, func(n *testNode) bool { return !n.view().Members[lost].Reachable })
 		})
 		b.until("dropped from the list", 10*time.Second, func() bool {
-			b.list.publish(b.list.revision+1, func(list *platform.VMList) {
-				list.VMs = slices.DeleteFunc(list.VMs, func(vm platform.VM) bool { return vm.Name == lost })
+			b.list.publish(b.list.revision+1, func(list *published.VMList) {
+				list.VMs = slices.DeleteFunc(list.VMs, func(vm published.VM) bool { return vm.Name == lost })
 			})
 			return b.everyOther(lost, func(n *testNode) bool { return n.view().Members[lost] == nil })
 		})
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -10,7 +10,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // raiseInterval is the least time between two raises of the own version over
@@ -49,11 +49,11 @@
 }
 
 // Manifest implements peer.Handler.
-func (h handler) Manifest() (platform.Value, bool) {
+func (h handler) Manifest() (published.Value, bool) {
 	if src := h.f.source.Load(); src != nil {
 		return (*src).Manifest()
 	}
-	return platform.Value{}, false
+	return published.Value{}, false
 }
 
 // Part implements peer.Handler.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/placement"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 
@@ -96,7 +96,7 @@
 
 // assemble builds the parts that need the addresses of the listeners.
 func (g *gateway) assemble() {
-	reader := platform.NewClient(g.settings.Platform)
+	reader := published.NewClient(g.settings.Platform)
 	g.fleet = fleet.New(fleet.Config{
 		Self:           g.self,
 		CallerAddress:  g.listeners.callers.Addr().String(),
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chestnutspring/chestnutspring/internal/placement"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // ErrNotNewest says that the configuration in force could not be confirmed as
@@ -15,7 +15,7 @@
 var ErrNotNewest = Errors.NewType("not_newest", errorx.Temporary())
 
 // newOrderer returns the part that orders placements from engines.
-func (g *gateway) newOrderer(reader platform.Reader) *placement.Orderer {
+func (g *gateway) newOrderer(reader published.Reader) *placement.Orderer {
 	return placement.New(placement.Config{
 		Self: g.self, Publisher: g.publisher, Now: g.now, Log: g.log,
 		HTTP:    &http.Client{CheckRedirect: refuseRedirect},
@@ -28,8 +28,8 @@
 
 // confirmNewest asks the configuration service whether the revision in force is
 // its newest.
-func (g *gateway) confirmNewest(ctx context.Context, reader platform.Reader) error {
-	value, err := reader.Read(ctx, platform.ValueManifest)
+func (g *gateway) confirmNewest(ctx context.Context, reader published.Reader) error {
+	value, err := reader.Read(ctx, published.ValueManifest)
 	if err != nil {
 		return err
 	}
--- a/internal/membership/address_test.go
+++ b/internal/membership/address_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	table := NewTable(snapshot.Identity{VM: "jeju-1", Region: "jeju"})
 	add := func(vm, region, announced string) {
-		table.List(vm, Listing{VM: platform.VM{Name: vm, Region: region, Role: platform.RoleEntry, ForwardAddress: "10.9.9.9:9"}}, 1)
+		table.List(vm, Listing{VM: published.VM{Name: vm, Region: region, Role: published.RoleEntry, ForwardAddress: "10.9.9.9:9"}}, 1)
 		table.Announce(vm, Announcement{Incarnation: "1", Region: region, ForwardAddress: announced}, 1)
 	}
 	add("jeju-2", "jeju", "10.0.0.1:1")
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -56,20 +56,20 @@
 }
 
 func entry(state string) Listing {
-	return Listing{VM: platform.VM{Name: "a", Region: "jeju", Role: platform.RoleEntry, State: state}}
+	return Listing{VM: published.VM{Name: "a", Region: "jeju", Role: published.RoleEntry, State: state}}
 }
 
 func TestLeavingOutlivesOlderLists(t *testing.T) {
 	is := is.New(t)
 	tb, now := table(), clock.Instant(time.Hour)
 	tb.Announce("a", Announcement{Incarnation: "a1", Region: "jeju"}, now)
-	tb.List("a", entry(platform.StateLeaving), 9)
-	tb.List("a", entry(platform.StateLive), 8) // an older list
+	tb.List("a", entry(published.StateLeaving), 9)
+	tb.List("a", entry(published.StateLive), 8) // an older list
 	is.True(tb.Members(now)["a"].Leaving)
-	tb.List("a", entry(platform.StateLive), 10)
+	tb.List("a", entry(published.StateLive), 10)
 	is.True(!tb.Members(now)["a"].Leaving)
 	tb.Announce("a", Announcement{Incarnation: "a1", Region: "jeju", Leaving: true}, now)
-	tb.List("a", entry(platform.StateLive), 11) // the member's own word outranks the list
+	tb.List("a", entry(published.StateLive), 11) // the member's own word outranks the list
 	is.True(tb.Members(now)["a"].Leaving)
 	tb.Announce("a", Announcement{Incarnation: "a2", Region: "jeju"}, now)
 	is.True(!tb.Members(now)["a"].Leaving) // a restart is a new incarnation
@@ -79,8 +79,8 @@
 func TestForgottenVMsDoNotComeBackByAnOldList(t *testing.T) {
 	is := is.New(t)
 	tb, now := table(), clock.Instant(time.Hour)
-	tb.List("a", entry(platform.StateLive), 5)
-	gone := entry(platform.StateLive)
+	tb.List("a", entry(published.StateLive), 5)
+	gone := entry(published.StateLive)
 	gone.Gone = true
 	tb.List("a", gone, 9)
 	is.Equal(tb.Members(now)["a"], nil)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -45,7 +45,7 @@
 
 // Listing is a VM's entry in the platform's list.
 type Listing struct {
-	VM platform.VM
+	VM published.VM
 	// Gone means that a newer list has dropped the VM.
 	Gone bool
 }
@@ -219,7 +219,7 @@
 // is leaving or gone. A VM that was never listed isn't leaving.
 func (t *Table) BackendLeaving(name string) bool {
 	l, ok := t.Listed(name)
-	return ok && (l.Gone || l.VM.State == platform.StateLeaving)
+	return ok && (l.Gone || l.VM.State == published.StateLeaving)
 }
 
 // Members returns all gateways that are known and not gone, by VM.
@@ -237,7 +237,7 @@
 	switch {
 	case n.announced:
 		return t.announcedMember(vm, n, now)
-	case n.listed && !n.listing.Gone && n.listing.VM.Role == platform.RoleEntry:
+	case n.listed && !n.listing.Gone && n.listing.VM.Role == published.RoleEntry:
 		return listedMember(n.listing.VM)
 	default:
 		return nil
@@ -257,7 +257,7 @@
 		CallerAddress:  n.own.CallerAddress,
 		ForwardAddress: n.own.ForwardAddress,
 		ControlAddress: n.own.ControlAddress,
-		Leaving:        n.own.Leaving || current && n.listing.VM.State == platform.StateLeaving,
+		Leaving:        n.own.Leaving || current && n.listing.VM.State == published.StateLeaving,
 		Revision:       n.config,
 	}
 	if n.listed && !n.listing.Gone && (m.Region != t.self.Region || !isReachableAddress(m.ForwardAddress)) {
@@ -278,7 +278,7 @@
 // has them. The list says how a VM of another region is reached from this one;
 // the VM itself knows only where it listens. Within the region the VM's own
 // word is newer than the list, which lags.
-func preferListedAddresses(m *snapshot.Member, vm platform.VM) {
+func preferListedAddresses(m *snapshot.Member, vm published.VM) {
 	if vm.CallerAddress != "" {
 		m.CallerAddress = vm.CallerAddress
 	}
@@ -302,12 +302,12 @@
 
 // listedMember is a gateway that only the list knows. It counts as
 // unreachable until something is heard of it.
-func listedMember(vm platform.VM) *snapshot.Member {
+func listedMember(vm published.VM) *snapshot.Member {
 	return &snapshot.Member{
 		Identity:       snapshot.Identity{VM: vm.Name, Region: vm.Region, FailureDomain: vm.FailureDomain},
 		CallerAddress:  vm.CallerAddress,
 		ForwardAddress: vm.ForwardAddress,
 		ControlAddress: vm.ControlAddress,
-		Leaving:        vm.State == platform.StateLeaving,
+		Leaving:        vm.State == published.StateLeaving,
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,7 +20,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -614,9 +614,9 @@
 }
 
 // Manifest implements peer.Handler.
-func (s server) Manifest() (platform.Value, bool) {
+func (s server) Manifest() (published.Value, bool) {
 	revision, data := s.Configuration()
-	return platform.Value{Name: "configuration", Revision: revision, Data: data}, data != nil
+	return published.Value{Name: "configuration", Revision: revision, Data: data}, data != nil
 }
 
 // Part implements peer.Handler: a configuration here has no parts.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // Dialer opens connections to peers.
@@ -101,17 +101,17 @@
 	return answer.Revision, nil
 }
 
-// Manifest asks for the peer's manifest. ErrAbsent of package platform says
+// Manifest asks for the peer's manifest. ErrAbsent of package published says
 // that it has none.
-func (c *Client) Manifest(ctx context.Context, revision uint64) (platform.Value, error) {
+func (c *Client) Manifest(ctx context.Context, revision uint64) (published.Value, error) {
 	var answer ValueAnswer
 	if err := c.call(ctx, methodManifest, ValueRequest{Revision: revision}, &answer); err != nil {
-		return platform.Value{}, err
+		return published.Value{}, err
 	}
 	if !answer.Found {
-		return platform.Value{}, platform.ErrAbsent.New("%s has no manifest", c.Remote.VM)
+		return published.Value{}, published.ErrAbsent.New("%s has no manifest", c.Remote.VM)
 	}
-	return platform.Value{Name: answer.Name, Revision: answer.ValueRevision, Data: answer.Data}, nil
+	return published.Value{Name: answer.Name, Revision: answer.ValueRevision, Data: answer.Data}, nil
 }
 
 // Part asks for a part of the configuration.
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	if !answer.Found {
-		return nil, platform.ErrAbsent.New("%s has no part %s", c.Remote.VM, digest)
+		return nil, published.ErrAbsent.New("%s has no part %s", c.Remote.VM, digest)
 	}
 	return answer.Data, nil
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,7 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // recorder is a Handler that notes what it was told.
@@ -44,8 +44,8 @@
 	r.records = append(r.records, records...)
 }
 
-func (r *recorder) Manifest() (platform.Value, bool) {
-	return platform.Value{Name: "manifest", Revision: 7, Data: bytes.Repeat([]byte{1}, 1<<20)}, true
+func (r *recorder) Manifest() (published.Value, bool) {
+	return published.Value{Name: "manifest", Revision: 7, Data: bytes.Repeat([]byte{1}, 1<<20)}, true
 }
 
 func (r *recorder) Part(string) ([]byte, bool) { return nil, false }
@@ -122,7 +122,7 @@
 	is.Equal(r.count(), 1)
 	is.Equal(r.heard, []uint64{5, 6, 7})
 	_, err = client.Part(t.Context(), 7, "absent")
-	is.True(errorx.IsOfType(err, platform.ErrAbsent))
+	is.True(errorx.IsOfType(err, published.ErrAbsent))
 }
 
 func frame(text string) []byte {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,7 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // Limits on connections.
@@ -42,7 +42,7 @@
 	// last that the neighbour has at present.
 	Gossip(from Hello, records []gossip.Record, complete bool)
 	// Manifest and Part return what this process has of the configuration.
-	Manifest() (platform.Value, bool)
+	Manifest() (published.Value, bool)
 	Part(digest string) ([]byte, bool)
 }
 
--- a/internal/platform/client.go
+++ b/internal/published/client.go
@@ -1,4 +1,4 @@
-package platform
+package published
 
 import (
 	"context"
--- a/internal/platform/platform.go
+++ b/internal/published/platform.go
@@ -1,4 +1,4 @@
-// Package platform reads what the operators' platform offers: the
+// Package published reads what the operators' platform offers: the
 // configuration service, the list of VMs and the directory. Nothing is ever
 // written there.
 //
@@ -10,7 +10,7 @@
 //
 // The revision comes in the header Value-Revision, with 304 too: it tells a
 // stale replica from a current one. An absent value is 404.
-package platform
+package published
 
 import (
 	"context"
--- a/internal/standin/directory/directory.go
+++ b/internal/standin/directory/directory.go
@@ -9,23 +9,23 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // Directory serves GET /v1/directory.
 type Directory struct {
-	current atomic.Pointer[platform.Directory]
+	current atomic.Pointer[published.Directory]
 }
 
 // New returns a directory with the given entries.
-func New(entries platform.Directory) *Directory {
+func New(entries published.Directory) *Directory {
 	d := &Directory{}
 	d.Set(entries)
 	return d
 }
 
 // Set replaces the entries.
-func (d *Directory) Set(entries platform.Directory) { d.current.Store(&entries) }
+func (d *Directory) Set(entries published.Directory) { d.current.Store(&entries) }
 
 // Handler serves the directory.
 func (d *Directory) Handler() http.Handler {
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -7,7 +7,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	wire "github.com/chestnutspring/chestnutspring/internal/platform"
+	wire "github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin"
 	"github.com/chestnutspring/chestnutspring/internal/standin/directory"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
--- a/internal/standin/host/spec.go
+++ b/internal/standin/host/spec.go
@@ -8,7 +8,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin"
 )
 
@@ -36,9 +36,9 @@
 type Platform struct {
 	Place `yaml:",inline"`
 	// Objects is a directory of objects to bundle and publish.
-	Objects   string             `yaml:"objects"`
-	VMs       []platform.VM      `yaml:"vms,omitempty"`
-	Directory platform.Directory `yaml:"directory,omitempty"`
+	Objects   string              `yaml:"objects"`
+	VMs       []published.VM      `yaml:"vms,omitempty"`
+	Directory published.Directory `yaml:"directory,omitempty"`
 }
 
 // Engine is a model engine.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	wire "github.com/chestnutspring/chestnutspring/internal/platform"
+	wire "github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // maxWait bounds the time that a watch may wait.
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
-	wire "github.com/chestnutspring/chestnutspring/internal/platform"
+	wire "github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin"
 )
 
--- a/internal/testbed/gateway.go
+++ b/internal/testbed/gateway.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin"
 	"github.com/chestnutspring/chestnutspring/internal/standin/directory"
 )
@@ -110,10 +110,10 @@
 	return nil
 }
 
-func (g *Gateway) vm() platform.VM {
-	return platform.VM{
+func (g *Gateway) vm() published.VM {
+	return published.VM{
 		Name: g.Name, Region: g.Region, FailureDomain: g.FailureDomain,
-		Role: platform.RoleEntry, CallerAddress: g.CallerAddress(),
+		Role: published.RoleEntry, CallerAddress: g.CallerAddress(),
 	}
 }
 
--- a/internal/testbed/publish.go
+++ b/internal/testbed/publish.go
@@ -7,11 +7,11 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/bundle"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
 // valueVMs is the name of the list of VMs at the platform.
-const valueVMs = platform.ValueVMs
+const valueVMs = published.ValueVMs
 
 // Publish publishes a configuration. The addresses of backend servers are
 // replaced by those of the stand-ins.
@@ -21,10 +21,10 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "bundle")
 	}
-	values := map[string][]byte{platform.ValueManifest: built.Manifest}
+	values := map[string][]byte{published.ValueManifest: built.Manifest}
 	for digest, part := range built.Parts {
-		if b.Platform.Revision(platform.ValuePartPrefix+digest) == 0 {
-			values[platform.ValuePartPrefix+digest] = part
+		if b.Platform.Revision(published.ValuePartPrefix+digest) == 0 {
+			values[published.ValuePartPrefix+digest] = part
 		}
 	}
 	b.Platform.PublishAll(values)
@@ -84,8 +84,8 @@
 		return err
 	}
 	b.Platform.PublishAll(map[string][]byte{
-		valueVMs:                list,
-		platform.ValueDirectory: entries,
+		valueVMs:                 list,
+		published.ValueDirectory: entries,
 	})
 	if b.directory != nil {
 		b.directory.Set(b.directoryOf())
@@ -93,14 +93,14 @@
 	return nil
 }
 
-func (b *Bed) vms() platform.VMList {
+func (b *Bed) vms() published.VMList {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list platform.VMList
-	add := func(vm platform.VM) {
+	var list published.VMList
+	add := func(vm published.VM) {
 		state, set := b.states[vm.Name]
 		if !set {
-			state = platform.StateLive
+			state = published.StateLive
 		}
 		if state != "" {
 			vm.State = state
@@ -112,9 +112,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.set.BackendServers)) {
 		domain := b.set.BackendServers[name].Spec.FailureDomain
-		add(platform.VM{
+		add(published.VM{
 			Name: name, Region: b.set.RegionOf(domain),
-			FailureDomain: domain, Role: platform.RoleBackend,
+			FailureDomain: domain, Role: published.RoleBackend,
 		})
 	}
 	return list
@@ -123,13 +123,13 @@
 // viewOf returns the list of VMs as a region sees it: other VMs are reached
 // over the links.
 func (b *Bed) viewOf(region string, data []byte) []byte {
-	var list platform.VMList
+	var list published.VMList
 	if err := json.Unmarshal(data, &list); err != nil {
 		return data
 	}
 	for i := range list.VMs {
 		vm := &list.VMs[i]
-		if vm.Role != platform.RoleEntry {
+		if vm.Role != published.RoleEntry {
 			continue
 		}
 		vm.ForwardAddress = b.addressOf(region, vm.Name, forwardPort)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -18,7 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin"
 	"github.com/chestnutspring/chestnutspring/internal/standin/directory"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
@@ -199,8 +199,8 @@
 }
 
 // directoryOf returns the directory of all gateways.
-func (b *Bed) directoryOf() platform.Directory {
-	d := platform.Directory{Entries: map[string][]string{}}
+func (b *Bed) directoryOf() published.Directory {
+	d := published.Directory{Entries: map[string][]string{}}
 	for _, name := range slices.Sorted(maps.Keys(b.Gateways)) {
 		g := b.Gateways[name]
 		d.Entries[g.Region] = append(d.Entries[g.Region], g.CallerAddress())
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/tlsconfig/tlstest"
 )
 
@@ -26,10 +26,10 @@
 func (quiet) Self() peer.Hello {
 	return peer.Hello{Version: peer.ProtocolVersion, VM: "b", Incarnation: "1", Region: "r"}
 }
-func (quiet) Heard(peer.Hello, uint64)                 {}
-func (quiet) Gossip(peer.Hello, []gossip.Record, bool) {}
-func (quiet) Manifest() (v platform.Value, found bool) { return }
-func (quiet) Part(string) (data []byte, found bool)    { return }
+func (quiet) Heard(peer.Hello, uint64)                  {}
+func (quiet) Gossip(peer.Hello, []gossip.Record, bool)  {}
+func (quiet) Manifest() (v published.Value, found bool) { return }
+func (quiet) Part(string) (data []byte, found bool)     { return }
 
 type safeBuffer struct {
 	mu sync.Mutex
--- a/test/promises/config_test.go
+++ b/test/promises/config_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
 )
 
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return bed.Platform.Revision(platform.ValueManifest)
+	return bed.Platform.Revision(published.ValueManifest)
 }
 
 // An accepted configuration is in force on all gateways within the bound, time
@@ -63,7 +63,7 @@
 		racing.Go(func() { addTeam(t, bed, fmt.Sprintf("racing-team-%d", operator)) })
 	}
 	racing.Wait()
-	last := bed.Platform.Revision(platform.ValueManifest)
+	last := bed.Platform.Revision(published.ValueManifest)
 	within(t, configurationBound, "the last of the racing revisions on all gateways", func() bool { return allAt(bed, last) })
 }
 
@@ -75,7 +75,7 @@
 	revision := addTeam(t, bed, "new-team")
 	within(t, configurationBound, "the new revision on all gateways", func() bool { return allAt(bed, revision) })
 
-	bed.Platform.SetStale(platform.ValueManifest, 2)
+	bed.Platform.SetStale(published.ValueManifest, 2)
 	restarted := bed.GatewaysOf("busan")[0]
 	restarted.Kill()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -93,7 +93,7 @@
 			}
 		}
 	}
-	bed.Platform.SetStale(platform.ValueManifest, 0)
+	bed.Platform.SetStale(published.ValueManifest, 0)
 	next := addTeam(t, bed, "newest-team")
 	within(t, configurationBound, "the newest revision on all gateways", func() bool { return allAt(bed, next) })
 }
--- a/test/promises/drawn_test.go
+++ b/test/promises/drawn_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
 	standinplatform "github.com/chestnutspring/chestnutspring/internal/standin/platform"
@@ -155,8 +155,8 @@
 
 func (d *drawn) stale() {
 	d.lasting("old manifest at the platform",
-		func() { d.bed.Platform.SetStale(platform.ValueManifest, 1) },
-		func() { d.bed.Platform.SetStale(platform.ValueManifest, 0) })
+		func() { d.bed.Platform.SetStale(published.ValueManifest, 1) },
+		func() { d.bed.Platform.SetStale(published.ValueManifest, 0) })
 }
 
 func (d *drawn) publish() {
@@ -289,7 +289,7 @@
 // serve again.
 func checkRecovery(t *testing.T, bed *testbed.Bed) {
 	t.Helper()
-	last := bed.Platform.Revision(platform.ValueManifest)
+	last := bed.Platform.Revision(published.ValueManifest)
 	within(t, recoveryBound, fmt.Sprintf("revision %d on all gateways after the last repair", last), func() bool { return allAt(bed, last) })
 	for name, g := range bed.Gateways {
 		prompt := "recovered " + name
--- a/test/promises/leaving_test.go
+++ b/test/promises/leaving_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/standin/engine"
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
 )
@@ -20,7 +20,7 @@
 // still calls it live.
 func TestPromiseLeavingBackendGetsNoNewWork(t *testing.T) {
 	sources := map[string]func(bed *testbed.Bed, server string) error{
-		"list":  func(bed *testbed.Bed, server string) error { return bed.SetState(server, platform.StateLeaving) },
+		"list":  func(bed *testbed.Bed, server string) error { return bed.SetState(server, published.StateLeaving) },
 		"probe": func(bed *testbed.Bed, server string) error { bed.Engines[server].SetLeaving(true); return nil },
 	}
 	for name, mark := range sources {
@@ -75,7 +75,7 @@
 	}
 	waking(time.Second)
 	frozen.Freeze()
-	if err := bed.SetState(server, platform.StateLeaving); err != nil {
+	if err := bed.SetState(server, published.StateLeaving); err != nil {
 		t.Fatal(err)
 	}
 	bed.Engines[server].SetLeaving(true)
--- a/test/promises/shutdown_test.go
+++ b/test/promises/shutdown_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
-	"github.com/chestnutspring/chestnutspring/internal/platform"
+	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
@@ -145,7 +145,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	revision := bed.Platform.Revision(platform.ValueManifest)
+	revision := bed.Platform.Revision(published.ValueManifest)
 	within(t, configurationBound, "limits lifted on all gateways", func() bool { return allAt(bed, revision) })
 }
 
