--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,9 +27,30 @@
 	return binary
 }
 
-// TestFaultSoak plays a few seeds in CI, and those of the environment by hand.
+// maxRegressions bounds the seeds of regressions.txt that CI plays, newest
+// first.
+const maxRegressions = 3
+
+// regressions returns the newest seeds that failed once.
+func regressions(t *testing.T) []string {
+	t.Helper()
+	data, err := os.ReadFile("regressions.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seeds []string
+	for line := range strings.Lines(string(data)) {
+		if seed, _, found := strings.Cut(line, " "); found && seed != "#" {
+			seeds = append([]string{seed}, seeds...)
+		}
+	}
+	return seeds[:min(len(seeds), maxRegressions)]
+}
+
+// TestFaultSoak plays a seed and the newest regressions in CI, and the seeds of
+// the environment by hand.
 func TestFaultSoak(t *testing.T) {
-	seeds, length, vms := []string{"1", "2"}, 8*time.Second, 2
+	seeds, length, vms := append([]string{"1"}, regressions(t)...), 8*time.Second, 2
 	if list := strings.Fields(os.Getenv(envSeeds)); len(list) > 0 {
 		seeds = list
 	}
