--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,18 +4,16 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
@@ -185,26 +183,26 @@
 	if err != nil {
 		return err
 	}
-	background, stop := context.WithCancel(context.Background())
+	parts, stop := context.WithCancel(context.Background())
 	defer stop()
-	group, failed := errgroup.WithContext(background)
+	group, failed := errgroup.WithContext(parts)
 	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
 	hops := &http.Server{Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog()}
 	group.Go(func() error { return callers.Serve(ports.callers) })
-	group.Go(func() error { return ignoreClosed(hops.Serve(ports.hops)) })
+	group.Go(func() error { return background.IgnoreClosed(hops.Serve(ports.hops)) })
 	small := e.serveSmall(group, ports)
-	group.Go(func() error { return ignoreEnd(failed, e.mesh.Serve(failed, ports.control)) })
-	group.Go(func() error { return ignoreEnd(failed, e.mesh.Run(failed)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, e.mesh.Serve(failed, ports.control)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, e.mesh.Run(failed)) })
 	for _, topic := range []discovery.Topic{discovery.Operators, discovery.Servers} {
-		group.Go(func() error { return ignoreEnd(failed, e.follower.Run(failed, topic)) })
+		group.Go(func() error { return background.IgnoreEnd(failed, e.follower.Run(failed, topic)) })
 	}
 	p := &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
 		prober: e.adapter, now: e.now, log: e.log, busy: map[roster.ServerKey]bool{}, suspect: e.suspect,
 		peers: e.mesh.Peers, reported: e.reported,
 	}
-	group.Go(func() error { return ignoreEnd(failed, p.run(failed)) })
-	group.Go(func() error { return ignoreEnd(failed, e.share(failed)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, p.run(failed)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, e.share(failed)) })
 	e.log.Info("started", "vm", e.self.VM, "incarnation", e.self.Incarnation, "region", e.self.Region,
 		"failureDomain", e.self.FailureDomain, "callers", settings.Callers, "control", settings.Control,
 		"hops", settings.Hops, "operators", settings.Operators, "seeds", settings.Seeds, "version", version.String())
@@ -246,218 +244,6 @@
 	e.log.Info("settings reloaded", "seeds", merged.Seeds, "grace", merged.Grace)
 }
 
-// hasStandIn reports whether another VM of the region takes requests.
-func (e *Edge) hasStandIn() bool {
-	return slices.ContainsFunc(e.mesh.Members(), func(m mesh.Member) bool {
-		return m.Region == e.self.Region && m.Reachable && m.Ready && !m.Leaving
-	})
-}
-
-// shutdown tells everybody that this VM leaves, goes on taking requests while
-// callers learn of it, and then finishes what is in flight.
-func (e *Edge) shutdown(callers *drain.Server, hops *http.Server) {
-	grace := e.settings.Load().Grace
-	end := time.Now().Add(grace - graceMargin)
-	e.leaving.Store(true)
-	e.ready.Store(false)
-	e.mesh.SetState(mesh.State{Leaving: true})
-	linger := time.Duration(lingerPart * float64(grace))
-	e.log.Info("leaving", "grace", grace, "linger", linger)
-	time.Sleep(linger)
-	e.endsAt.Store(int64(e.now().Add(time.Until(end))))
-	for time.Now().Before(end.Add(-lastCall)) && !e.hasStandIn() {
-		time.Sleep(standInPoll)
-	}
-	e.refusing.Store(true)
-	e.mesh.SetState(mesh.State{Leaving: true, Closing: true})
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := callers.Drain(ctx); err != nil {
-		e.log.Warn("requests cut at the end of the grace time", "error", err)
-	}
-	if err := hops.Shutdown(ctx); err != nil {
-		e.log.Warn("hops cut at the end of the grace time", "error", err)
-	}
-	_ = callers.Close()
-	_ = hops.Close()
-}
-
-// share exchanges loads and notices when the process stood still.
-func (e *Edge) share(ctx context.Context) error {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
-	last := e.now()
-	for n := 0; ; {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-e.changed:
-			if e.mesh.LargeRegion() {
-				continue // told at the next tick
-			}
-			e.tellLoad(e.now())
-			// Changes that come together are told together.
-			time.Sleep(tellInterval)
-			continue
-		case <-e.heard:
-			e.hearLoads(e.now())
-			continue
-		case <-ticker.C:
-		}
-		n++
-		now := e.now()
-		if stood := now.Sub(last); stood > freezeAfter {
-			e.log.Warn("the process stood still", "for", stood)
-		}
-		last = now
-		if !e.mesh.LargeRegion() || n%largeShare == 0 {
-			e.exchangeLoads(now)
-		}
-		if n%10 == 0 {
-			e.servers.Trim()
-			e.gateways.Trim()
-		}
-		if ready := e.follower.Known() && !e.leaving.Load(); ready != e.ready.Load() {
-			e.ready.Store(ready)
-			e.mesh.SetState(mesh.State{Ready: ready, Leaving: e.leaving.Load(), Closing: e.refusing.Load()})
-			e.log.Info("readiness changed", "ready", ready)
-		}
-		e.roster.Expire(now)
-		e.gauges(now)
-	}
-}
-
-// heavyUse returns the rates of heavy prompts that went through this VM.
-func (e *Edge) heavyUse(now clock.Instant) map[string]balance.Usage {
-	usage := map[string]balance.Usage{}
-	for _, s := range e.roster.View().All() {
-		if s.Region != e.self.Region {
-			continue
-		}
-		if u := e.balancer.Load(s.Key()).Own(now); u.Heavy > leastHeavy {
-			usage[s.ID] = balance.Usage{Heavy: u.Heavy}
-		}
-	}
-	return usage
-}
-
-// leastHeavy is the rate of heavy prompts, per second, that is worth telling.
-const leastHeavy = 0.02
-
-// loadHeard takes in what another VM of the region tells.
-func (e *Edge) loadHeard(load mesh.Load) {
-	now := e.now()
-	e.balancer.Prefixes.Told(load.Reads, now)
-	view := e.roster.View()
-	for _, id := range load.Suspects {
-		if s := view.Lookup(id); s != nil {
-			e.balancer.Load(s.Key()).Suspect(now)
-		}
-	}
-	for id, report := range load.Reports {
-		if s := view.Lookup(id); s != nil {
-			report.Heard = now
-			e.balancer.Load(s.Key()).SetReport(report)
-		}
-	}
-	wake(e.heard)
-}
-
-// suspect tells the others of the region of a server that did not answer.
-func (e *Edge) suspect(s *roster.Server) {
-	e.newsMu.Lock()
-	e.suspects = append(e.suspects, s.ID)
-	e.newsMu.Unlock()
-	e.wakeShare()
-}
-
-// reported keeps a report for the others of a large region.
-func (e *Edge) reported(server string, report balance.Report) {
-	e.newsMu.Lock()
-	defer e.newsMu.Unlock()
-	e.reports[server] = report
-}
-
-// takeNews returns the suspects and reports since the last call.
-func (e *Edge) takeNews() ([]string, map[string]balance.Report) {
-	e.newsMu.Lock()
-	defer e.newsMu.Unlock()
-	suspects, reports := e.suspects, e.reports
-	e.suspects, e.reports = nil, map[string]balance.Report{}
-	return suspects, reports
-}
-
-// wakeShare has the others told of a changed load.
-func (e *Edge) wakeShare() { wake(e.changed) }
-
-func wake(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// hearLoads takes in what the other VMs of the region say of their use.
-func (e *Edge) hearLoads(now clock.Instant) {
-	table := e.follower.Table()
-	if table == nil {
-		return
-	}
-	view, others := e.roster.View(), e.mesh.Usages()
-	for name := range table.Services {
-		for _, s := range view.Usable(name, e.self.Region) {
-			e.balancer.Load(s.Key()).SetOthers(others[s.ID], now)
-		}
-	}
-}
-
-// tellLoad tells the others of the region this VM's use of backend servers.
-func (e *Edge) tellLoad(now clock.Instant) {
-	table := e.follower.Table()
-	if table == nil {
-		return
-	}
-	suspects, reports := e.takeNews()
-	load := mesh.Load{Reads: e.balancer.Prefixes.Recent(), Suspects: suspects}
-	if e.mesh.LargeRegion() {
-		load.Reports, load.Usage = reports, e.heavyUse(now)
-		if len(load.Reads)+len(load.Suspects)+len(load.Reports) > 0 {
-			e.mesh.SetLoad(load)
-		}
-		return
-	}
-	view, usage := e.roster.View(), map[string]balance.Usage{}
-	for name := range table.Services {
-		for _, s := range view.Usable(name, e.self.Region) {
-			if u := e.balancer.Load(s.Key()).Own(now); u.Active > 0 || u.Heavy > 0 {
-				usage[s.ID] = u
-			}
-		}
-	}
-	load.Usage = usage
-	e.mesh.SetLoad(load)
-}
-
-// exchangeLoads tells the others this VM's use of backend servers, and takes
-// in theirs.
-func (e *Edge) exchangeLoads(now clock.Instant) {
-	table := e.follower.Table()
-	if table == nil {
-		return
-	}
-	e.hearLoads(now)
-	e.tellLoad(now)
-	if !e.mesh.IsReporter() {
-		return
-	}
-	view := e.roster.View()
-	var summaries []balance.Summary
-	for _, service := range table.Services {
-		summaries = append(summaries, e.balancer.Summarize(service, view, now))
-	}
-	e.mesh.SetSummaries(summaries)
-}
-
 func (e *Edge) gauges(now clock.Instant) {
 	s := e.metrics.Scope
 	s.Gauge("members").Update(float64(len(e.mesh.Members())))
@@ -490,50 +276,3 @@
 	}
 	return list
 }
-
-// ports are the open listeners. Directory may be nil.
-type ports struct {
-	callers, ready, control, directory, hops, operators net.Listener
-}
-
-// listenAll opens the ports. The operators' port is of no use to callers: a
-// process that can't have it serves without.
-func listenAll(s *Settings, log *slog.Logger) (*ports, error) {
-	p := &ports{}
-	for _, port := range []struct {
-		address  string
-		into     *net.Listener
-		optional bool
-	}{
-		{s.Callers, &p.callers, false}, {s.Ready, &p.ready, false}, {s.Control, &p.control, false},
-		{s.Directory, &p.directory, false}, {s.Hops, &p.hops, false}, {s.Operators, &p.operators, true},
-	} {
-		if port.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", port.address)
-		if err != nil && port.optional {
-			log.Warn("operators' port not open", "address", port.address, "error", err)
-			continue
-		}
-		if err != nil {
-			return nil, ErrListen.Wrap(err, "%s", port.address)
-		}
-		*port.into = l
-	}
-	return p, nil
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-func ignoreEnd(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
--- /dev/null
+++ b/internal/edge/loads.go
@@ -0,0 +1,187 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// share exchanges loads and notices when the process stood still.
+func (e *Edge) share(ctx context.Context) error {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	last := e.now()
+	for n := 0; ; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.changed:
+			if e.mesh.LargeRegion() {
+				continue // told at the next tick
+			}
+			e.tellLoad(e.now())
+			// Changes that come together are told together.
+			time.Sleep(tellInterval)
+			continue
+		case <-e.heard:
+			e.hearLoads(e.now())
+			continue
+		case <-ticker.C:
+		}
+		n++
+		now := e.now()
+		if stood := now.Sub(last); stood > freezeAfter {
+			e.log.Warn("the process stood still", "for", stood)
+		}
+		last = now
+		if !e.mesh.LargeRegion() || n%largeShare == 0 {
+			e.exchangeLoads(now)
+		}
+		if n%10 == 0 {
+			e.servers.Trim()
+			e.gateways.Trim()
+		}
+		if ready := e.follower.Known() && !e.leaving.Load(); ready != e.ready.Load() {
+			e.ready.Store(ready)
+			e.mesh.SetState(mesh.State{Ready: ready, Leaving: e.leaving.Load(), Closing: e.refusing.Load()})
+			e.log.Info("readiness changed", "ready", ready)
+		}
+		e.roster.Expire(now)
+		e.gauges(now)
+	}
+}
+
+// heavyUse returns the rates of heavy prompts that went through this VM.
+func (e *Edge) heavyUse(now clock.Instant) map[string]balance.Usage {
+	usage := map[string]balance.Usage{}
+	for _, s := range e.roster.View().All() {
+		if s.Region != e.self.Region {
+			continue
+		}
+		if u := e.balancer.Load(s.Key()).Own(now); u.Heavy > leastHeavy {
+			usage[s.ID] = balance.Usage{Heavy: u.Heavy}
+		}
+	}
+	return usage
+}
+
+// leastHeavy is the rate of heavy prompts, per second, that is worth telling.
+const leastHeavy = 0.02
+
+// loadHeard takes in what another VM of the region tells.
+func (e *Edge) loadHeard(load mesh.Load) {
+	now := e.now()
+	e.balancer.Prefixes.Told(load.Reads, now)
+	view := e.roster.View()
+	for _, id := range load.Suspects {
+		if s := view.Lookup(id); s != nil {
+			e.balancer.Load(s.Key()).Suspect(now)
+		}
+	}
+	for id, report := range load.Reports {
+		if s := view.Lookup(id); s != nil {
+			report.Heard = now
+			e.balancer.Load(s.Key()).SetReport(report)
+		}
+	}
+	wake(e.heard)
+}
+
+// suspect tells the others of the region of a server that did not answer.
+func (e *Edge) suspect(s *roster.Server) {
+	e.newsMu.Lock()
+	e.suspects = append(e.suspects, s.ID)
+	e.newsMu.Unlock()
+	e.wakeShare()
+}
+
+// reported keeps a report for the others of a large region.
+func (e *Edge) reported(server string, report balance.Report) {
+	e.newsMu.Lock()
+	defer e.newsMu.Unlock()
+	e.reports[server] = report
+}
+
+// takeNews returns the suspects and reports since the last call.
+func (e *Edge) takeNews() ([]string, map[string]balance.Report) {
+	e.newsMu.Lock()
+	defer e.newsMu.Unlock()
+	suspects, reports := e.suspects, e.reports
+	e.suspects, e.reports = nil, map[string]balance.Report{}
+	return suspects, reports
+}
+
+// wakeShare has the others told of a changed load.
+func (e *Edge) wakeShare() { wake(e.changed) }
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// hearLoads takes in what the other VMs of the region say of their use.
+func (e *Edge) hearLoads(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	view, others := e.roster.View(), e.mesh.Usages()
+	for name := range table.Services {
+		for _, s := range view.Usable(name, e.self.Region) {
+			e.balancer.Load(s.Key()).SetOthers(others[s.ID], now)
+		}
+	}
+}
+
+// tellLoad tells the others of the region this VM's use of backend servers.
+func (e *Edge) tellLoad(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	suspects, reports := e.takeNews()
+	load := mesh.Load{Reads: e.balancer.Prefixes.Recent(), Suspects: suspects}
+	if e.mesh.LargeRegion() {
+		load.Reports, load.Usage = reports, e.heavyUse(now)
+		if len(load.Reads)+len(load.Suspects)+len(load.Reports) > 0 {
+			e.mesh.SetLoad(load)
+		}
+		return
+	}
+	view, usage := e.roster.View(), map[string]balance.Usage{}
+	for name := range table.Services {
+		for _, s := range view.Usable(name, e.self.Region) {
+			if u := e.balancer.Load(s.Key()).Own(now); u.Active > 0 || u.Heavy > 0 {
+				usage[s.ID] = u
+			}
+		}
+	}
+	load.Usage = usage
+	e.mesh.SetLoad(load)
+}
+
+// exchangeLoads tells the others this VM's use of backend servers, and takes
+// in theirs.
+func (e *Edge) exchangeLoads(now clock.Instant) {
+	table := e.follower.Table()
+	if table == nil {
+		return
+	}
+	e.hearLoads(now)
+	e.tellLoad(now)
+	if !e.mesh.IsReporter() {
+		return
+	}
+	view := e.roster.View()
+	var summaries []balance.Summary
+	for _, service := range table.Services {
+		summaries = append(summaries, e.balancer.Summarize(service, view, now))
+	}
+	e.mesh.SetSummaries(summaries)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
@@ -55,7 +56,7 @@
 		}
 		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, ErrorLog: e.httpLog()}
 		servers = append(servers, server)
-		group.Go(func() error { return ignoreClosed(server.Serve(s.listener)) })
+		group.Go(func() error { return background.IgnoreClosed(server.Serve(s.listener)) })
 	}
 	return servers
 }
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
@@ -65,7 +66,7 @@
 		client, err := l.fleet.dialer.Open(ctx, l.address, l.fleet.hello())
 		if err != nil {
 			l.noteFailure(err)
-			pause(ctx, wait/2+rand.N(wait))
+			background.Pause(ctx, wait/2+rand.N(wait))
 			wait = min(2*wait, redialMax)
 			continue
 		}
@@ -76,15 +77,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (l *link) noteFailure(err error) {
 	f := l.fleet
 	f.mu.Lock()
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
 	"github.com/chestnutspring/chestnutspring/internal/published"
@@ -46,10 +47,10 @@
 			read := f.watchList(ctx)
 			_ = budget.WaitN(ctx, min(read, listBurst)) // ends early only with ctx
 		case f.knownList() == 0:
-			pause(ctx, unlistedRetry/2+rand.N(unlistedRetry))
+			background.Pause(ctx, unlistedRetry/2+rand.N(unlistedRetry))
 			f.readList(ctx)
 		default:
-			pause(ctx, roleCheck)
+			background.Pause(ctx, roleCheck)
 		}
 	}
 	return nil
@@ -80,13 +81,13 @@
 	switch {
 	case err == nil:
 		if !f.takeList(value) {
-			pause(ctx, listRetry/2+rand.N(listRetry))
+			background.Pause(ctx, listRetry/2+rand.N(listRetry))
 		}
 	case errorx.IsOfType(err, published.ErrUnchanged):
 	case ctx.Err() != nil:
 	default:
 		f.cfg.Log.Warn("list of VMs not watched", "error", err)
-		pause(ctx, listRetry/2+rand.N(listRetry))
+		background.Pause(ctx, listRetry/2+rand.N(listRetry))
 	}
 	return len(value.Data)
 }
--- a/internal/fleet/prefixes.go
+++ b/internal/fleet/prefixes.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 )
@@ -50,7 +51,7 @@
 				delete(sets, name)
 			}
 		}
-		pause(ctx, interval)
+		background.Pause(ctx, interval)
 	}
 	return nil
 }
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
@@ -233,7 +234,7 @@
 			f.kickLinks()
 		case <-f.dirty:
 			f.publish(false)
-			pause(ctx, publishInterval)
+			background.Pause(ctx, publishInterval)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/configwatch"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
@@ -160,16 +161,16 @@
 	}
 	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout}
 
-	background, stopBackground := context.WithCancel(context.Background())
+	parts, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
-	group, failed := errgroup.WithContext(background)
+	group, failed := errgroup.WithContext(parts)
 	group.Go(func() error { return callers.Serve(g.listeners.callers) })
 	group.Go(func() error { return serveForward(forward, g.listeners.forward) })
-	group.Go(func() error { return ignoreClosed(operators.Serve(g.listeners.operators)) })
-	group.Go(func() error { return ignoreEnd(failed, g.fleet.Serve(failed, g.listeners.control)) })
-	group.Go(func() error { return ignoreEnd(failed, g.fleet.Run(failed)) })
-	group.Go(func() error { return ignoreEnd(failed, g.config.Run(failed)) })
-	group.Go(func() error { return ignoreEnd(failed, g.orderer.Run(failed)) })
+	group.Go(func() error { return background.IgnoreClosed(operators.Serve(g.listeners.operators)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, g.fleet.Serve(failed, g.listeners.control)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, g.fleet.Run(failed)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, g.config.Run(failed)) })
+	group.Go(func() error { return background.IgnoreEnd(failed, g.orderer.Run(failed)) })
 	g.log.Info("listening",
 		"caller", g.listeners.callers.Addr(), "forward", g.listeners.forward.Addr(),
 		"control", g.listeners.control.Addr(), "operator", g.listeners.operators.Addr(),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,13 +1,12 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"log"
 	"log/slog"
 	"net"
 	"net/http"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
@@ -27,24 +26,9 @@
 
 func serveForward(server *http.Server, l net.Listener) error {
 	if server.TLSConfig != nil {
-		return ignoreClosed(server.ServeTLS(l, "", ""))
+		return background.IgnoreClosed(server.ServeTLS(l, "", ""))
 	}
-	return ignoreClosed(server.Serve(l))
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// ignoreEnd drops the error of a part that ended because ctx did.
-func ignoreEnd(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return background.IgnoreClosed(server.Serve(l))
 }
 
 // httpLog passes the lines of net/http's servers on as debug events.
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 )
@@ -166,7 +167,7 @@
 				lost = true
 				l.mesh.Log.Warn("neighbour lost", "member", l.key, "address", l.address, "error", err)
 			}
-			pause(ctx, redialPause)
+			background.Pause(ctx, redialPause)
 			continue
 		}
 		lost = false
@@ -176,13 +177,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // serve sends records over one connection until it ends.
 func (l *link) serve(ctx context.Context, client *peer.Client) {
 	l.mu.Lock()
