--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
@@ -29,6 +30,10 @@
 	// gather is the pause before each watch, in which changes come together. A
 	// server that leaves may get work for so much longer.
 	gather = 200 * time.Millisecond
+	// largeWait and largeGather are the same for a large fleet, whose calls the
+	// registry counts together.
+	largeWait   = 15 * time.Second
+	largeGather = 500 * time.Millisecond
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -91,6 +96,8 @@
 	Scope    tally.Scope
 	// Share gives a record to the other VMs.
 	Share func(gossip.Record)
+	// LargeFleet reports whether many VMs share the registry's rate.
+	LargeFleet func() bool
 }
 
 // Configuration is the one in force.
@@ -114,7 +121,6 @@
 	fetched  atomic.Int64
 	// confirmed is when the registry last answered.
 	confirmed atomic.Int64
-	// calm is when the registry was last found to be back.
 	calls  tally.Counter
 	failed tally.Counter
 	timing tally.Histogram
@@ -187,14 +193,17 @@
 	f.regained(topic)
 	f.takeList(topic, changes, revision)
 	for {
+		wait, pause := watchWait, gather
+		if f.LargeFleet() {
+			wait, pause = largeWait, largeGather
+		}
 		// Changes that come together are read together.
-		select {
-		case <-ctx.Done():
+		background.Pause(ctx, pause)
+		if ctx.Err() != nil {
 			return true, ctx.Err()
-		case <-time.After(gather):
 		}
 		f.calls.Inc(1)
-		changes, next, err := f.Registry.Watch(ctx, topic, revision, watchWait)
+		changes, next, err := f.Registry.Watch(ctx, topic, revision, wait)
 		if err != nil {
 			return true, err
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -81,7 +81,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	return New(Config{
 		Registry: f, Roster: roster.New(log), Now: clock.Synthetic(), Log: log, Scope: tally.NoopScope,
-		Share: func(gossip.Record) {},
+		Share: func(gossip.Record) {}, LargeFleet: func() bool { return false },
 	})
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,7 +145,7 @@
 	})
 	e.follower = discovery.New(discovery.Config{
 		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
-		Scope: e.metrics.Scope, Share: e.mesh.Share,
+		Scope: e.metrics.Scope, Share: e.mesh.Share, LargeFleet: e.mesh.Large,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
 	e.servers = upstream.NewPool(e.now, serverDialTimeout)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -264,11 +264,13 @@
 	return rank
 }
 
-func (m *Mesh) large() bool { return len(m.Members())+1 >= largeFleet }
+// Large reports whether the fleet has so many VMs that they exchange less
+// often.
+func (m *Mesh) Large() bool { return len(m.Members())+1 >= largeFleet }
 
 // silence returns the silence after which a member counts as unreachable.
 func (m *Mesh) silence() time.Duration {
-	if m.large() {
+	if m.Large() {
 		return largeSilentAfter
 	}
 	return silentAfter
@@ -422,7 +424,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	beat, exchange := beatTicks, 1
-	if m.large() {
+	if m.Large() {
 		beat, exchange = largeBeatTicks, largeTicks
 	}
 	if n%beat == 0 {
