--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -121,9 +121,9 @@
 	fetched  atomic.Int64
 	// confirmed is when the registry last answered.
 	confirmed atomic.Int64
-	calls  tally.Counter
-	failed tally.Counter
-	timing tally.Histogram
+	calls     tally.Counter
+	failed    tally.Counter
+	timing    tally.Histogram
 }
 
 // New returns a follower that knows nothing.
