--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -145,9 +145,15 @@
 	}
 }
 
-// SetReport takes in the server's report of its load.
+// SetReport takes in the server's answer to a poll of this VM.
 func (l *Load) SetReport(r Report) {
 	l.missed.Store(0)
+	l.TakeReport(r)
+}
+
+// TakeReport takes in a report that another VM heard. It says nothing of this
+// VM's own way to the server.
+func (l *Load) TakeReport(r Report) {
 	l.report.Store(&r)
 	own := float64(l.active.Load())
 	l.beyond.Store(math.Float64bits(max(0, float64(r.Running+r.Queued)-own)))
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -232,6 +232,20 @@
 	is.Equal(b.Choose(streamQuery(now, d), r.View()).Reason, "servers-failing")
 }
 
+// TestWordOfOthersDoesNotHideALostServer is the pattern of a VM that is cut off
+// from a server that the others of its region reach.
+func TestWordOfOthersDoesNotHideALostServer(t *testing.T) {
+	is := is.New(t)
+	l := &Load{}
+	for range pollsToLose {
+		l.Missed()
+	}
+	l.TakeReport(Report{Running: 3, Heard: 1})
+	is.True(l.Lost())
+	l.SetReport(Report{Running: 3, Heard: 1})
+	is.True(!l.Lost())
+}
+
 // TestSlowServerGetsLess is the pattern of a server that works several times
 // slower than its peers.
 func TestSlowServerGetsLess(t *testing.T) {
--- a/internal/balance/pacer.go
+++ b/internal/balance/pacer.go
@@ -23,9 +23,9 @@
 	sent []clock.Instant
 }
 
-// Take reports whether one more request may be sent, and counts it. Always
-// counts without a bound, so that a server that turns out to be cold finds its
-// past counted.
+// Take reports whether one more request may be sent, and counts it. Without a
+// bound it always may; it is counted all the same, for a server that turns out
+// to be cold.
 func (p *Pacer) Take(now clock.Instant, allowance int, bounded bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -234,11 +234,11 @@
 	}
 }
 
-// reload takes in changed settings. Addresses and the VM's place stay as they
-// were: they change only with a new process.
+// reload takes in changed seeds and a changed grace time. All else stays as it
+// was until the process starts again.
 func (e *Edge) reload(next *Settings) {
 	merged := *e.settings.Load()
-	merged.Seeds, merged.Grace, merged.Cold, merged.RetrySlack = next.Seeds, next.Grace, next.Cold, next.RetrySlack
+	merged.Seeds, merged.Grace = next.Seeds, next.Grace
 	e.settings.Store(&merged)
 	e.mesh.SetSeeds(merged.Seeds)
 	e.log.Info("settings reloaded", "seeds", merged.Seeds, "grace", merged.Grace)
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -85,7 +85,7 @@
 	for id, report := range load.Reports {
 		if s := view.Lookup(id); s != nil {
 			report.Heard = now
-			e.balancer.Load(s.Key()).SetReport(report)
+			e.balancer.Load(s.Key()).TakeReport(report)
 		}
 	}
 	wake(e.heard)
