Large regions: gossip in rings by failure domain, documents have home servers, larger VMs take more

Change: neighbours form a ring with chords in each failure domain and a few carriers link domains; only documents are told, once in 10 s; capacity from the settings is announced and weighs in the directory, in hops and in ownership; owners stand in their engine's failure domain; bytes between domains cost; the two home servers of a document are weighed; few VMs ask an engine in doubt; an owner's refusal is remembered for half a second; an owner may hold half of an engine's connections.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"hash/maphash"
 	"slices"
 	"sync"
@@ -38,6 +37,11 @@
 	MsPerMegaPair float64
 	// CrossingMargin is the least gain for which a request leaves its region.
 	CrossingMargin time.Duration
+	// DomainMsPerKB is the delay, in milliseconds, that sending a KB to another
+	// failure domain of the region is worth, and AnswerBytesPerToken the size of
+	// an answer.
+	DomainMsPerKB       float64
+	AnswerBytesPerToken float64
 }
 
 // DefaultTuning is for engines of about eight billion parameters on one
@@ -50,6 +54,11 @@
 	ChunkTokens:       2048,
 	MsPerMegaPair:     0.32,
 	CrossingMargin:    300 * time.Millisecond,
+
+	// About 100 ms for a prompt of 12 KB, where a late answer weighs lateMs.
+	DomainMsPerKB: 5,
+	// Events of some 100 bytes for ten tokens, with their framing.
+	AnswerBytesPerToken: 15,
 }
 
 const (
@@ -106,11 +115,16 @@
 	fullMs  = 300
 	errorMs = 1500
 	// manyVMs is the number of VMs of a region beyond which not all servers are
-	// weighed, sampled the number of those drawn, and leastHeld the tokens from
-	// which on a server that holds them is weighed too.
-	manyVMs   = 8
-	sampled   = 3
-	leastHeld = 1000
+	// weighed, sampled the number of those drawn in the own failure domain, and
+	// sampledFar in the others.
+	manyVMs    = 8
+	sampled    = 3
+	sampledFar = 1
+	// leastHeld is the size in tokens of a document: a shared part that is worth
+	// a way to the server that holds it. documentServers is the number of servers
+	// to which a document belongs: the second takes over from a busy first.
+	leastHeld       = 1000
+	documentServers = 2
 	// noise breaks ties, as a part of the score.
 	noise = 0.02
 	// sendsFade is the time in which a region's summary comes to show what was
@@ -127,6 +141,8 @@
 	Route   *ingress.Route
 	Service *ingress.Service
 	Demand  *Demand
+	// Bytes is the size of the request.
+	Bytes int
 	// Remaining is the time until the answer must be there.
 	Remaining time.Duration
 	// Tried are servers and TriedRegions regions that are ruled out.
@@ -158,8 +174,9 @@
 // Fleet is what the choice needs of the other VMs.
 type Fleet interface {
 	// Peers returns the VMs of the own region that share its backend servers,
-	// this one included, and this one's rank among them for a server.
-	Peers(server string) (vms, rank int)
+	// this one included, and this one's rank among them for a server in a
+	// failure domain.
+	Peers(server, failureDomain string) (vms, rank int)
 	// Regions returns what is known of the regions that can be reached.
 	Regions(service string) []RegionSummary
 }
@@ -238,7 +255,7 @@
 	}
 	held := b.Prefixes.holdings(q.Demand.Parts, q.Now)
 	servers := view.Usable(q.Service.Name, b.Region)
-	if vms, _ := b.Fleet.Peers(""); vms > manyVMs && len(servers) > 2*sampled {
+	if b.manyVMs() && len(servers) > sampled+sampledFar+documentServers {
 		if plan := b.best(q, view, b.sample(q, servers, held), held, best); plan.Server != nil {
 			return plan
 		}
@@ -246,25 +263,45 @@
 	return b.best(q, view, servers, held, best)
 }
 
-// sample returns some servers at random, those that hold the prompt's parts
-// and those to which its document belongs. Where many VMs choose by reports
-// that are a while old, weighing all servers would send all of them to the
-// same one.
+// manyVMs reports whether the region has too many VMs for each to know at once
+// what the others do.
+func (b *Balancer) manyVMs() bool {
+	vms, _ := b.Fleet.Peers("", "")
+	return vms > manyVMs
+}
+
+// sample returns some servers at random, those that hold the prompt's document
+// and those to which it belongs. Where many VMs choose by reports that are a
+// while old, weighing all servers would send all of them to the same one.
 func (b *Balancer) sample(q *Query, servers []*roster.Server, held map[roster.ServerKey]int) []*roster.Server {
-	var out []*roster.Server
+	var out, near, far []*roster.Server
+	for _, s := range servers {
+		if s.FailureDomain == b.Domain {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
+	}
 	add := func(s *roster.Server) {
 		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
 	}
-	for i := range uint64(sampled) {
-		add(servers[mix(q.Random+i)%uint64(len(servers))])
+	draw := func(from []*roster.Server, most int, seed uint64) {
+		for i := range uint64(min(most, len(from))) {
+			add(from[mix(seed+i)%uint64(len(from))])
+		}
+	}
+	draw(near, sampled, q.Random)
+	if len(near) < sampled {
+		draw(far, sampled, mix(q.Random))
+	} else {
+		draw(far, sampledFar, mix(q.Random))
 	}
-	if shared := q.Demand.shared(); len(shared) > 0 {
-		last := shared[len(shared)-1].ID
-		add(slices.MaxFunc(servers, func(x, y *roster.Server) int {
-			return cmp.Compare(mix(last)^stableHash(x.ID), mix(last)^stableHash(y.ID))
-		}))
+	if document, ok := q.Demand.document(); ok {
+		for _, s := range home(servers, document.ID) {
+			add(s)
+		}
 	}
 	for _, s := range servers {
 		if held[s.Key()] >= leastHeld {
@@ -274,6 +311,35 @@
 	return out
 }
 
+// home returns the servers to which a document belongs, the first one first.
+// All VMs agree on them as far as they know the same servers.
+func home(servers []*roster.Server, document uint64) []*roster.Server {
+	var out []*roster.Server
+	for range min(documentServers, len(servers)) {
+		var best *roster.Server
+		for _, s := range servers {
+			if !slices.Contains(out, s) && (best == nil || distance(document, s.ID) < distance(document, best.ID)) {
+				best = s
+			}
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+// distance orders servers for a part of a prompt: a number between 0 and 1.
+func distance(part uint64, server string) float64 { return fraction(mix(part) ^ stableHash(server)) }
+
+// Sent records that a server was sent a prompt, and has the other VMs told of
+// the parts that are worth it.
+func (b *Balancer) Sent(d *Demand, server roster.ServerKey, now clock.Instant) {
+	least := leastRead
+	if b.manyVMs() {
+		least = leastHeld
+	}
+	b.Prefixes.Read(d.Parts, server, least, now)
+}
+
 // ChooseServer weighs one backend server of the own region.
 func (b *Balancer) ChooseServer(q *Query, view *roster.View, id string) Plan {
 	s := view.Lookup(id)
@@ -293,7 +359,7 @@
 			continue
 		}
 		load := b.Load(s.Key())
-		if load.Lost() || !load.Breaker.Ready(q.Now) || load.silence(q.Now) > silentAfter {
+		if load.Lost() || load.shunned(q.Now) || !load.Breaker.Ready(q.Now) || load.silence(q.Now) > silentAfter {
 			best.Reason = pick(found, best.Reason, "servers-failing")
 			continue
 		}
@@ -333,7 +399,7 @@
 	if !cold {
 		return false, 0
 	}
-	vms, rank := b.Fleet.Peers(s.ID)
+	vms, rank := b.Fleet.Peers(s.ID, s.FailureDomain)
 	rate := q.Service.ColdPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
 	return true, Allowance(rate, vms, rank)
 }
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -49,6 +49,16 @@
 	return d.Parts[:len(d.Parts)-1]
 }
 
+// document returns the last shared part, if it is large enough to be worth a
+// way to the server that holds it.
+func (d *Demand) document() (Part, bool) {
+	shared := d.shared()
+	if len(shared) == 0 || shared[len(shared)-1].Tokens < leastHeld {
+		return Part{}, false
+	}
+	return shared[len(shared)-1], true
+}
+
 // Estimate is what a request is expected to meet.
 type Estimate struct {
 	// First is the time until the answer begins, and Whole until its end.
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -23,6 +23,9 @@
 		}, held)
 		e.Score += b.spread(q, s.Key(), held)
 	}
+	if b.Domain != "" && s.FailureDomain != b.Domain {
+		e.Score += b.domainCost(q)
+	}
 	if load.full(q.Now) {
 		e.Score += fullMs
 	}
@@ -34,6 +37,12 @@
 	return e
 }
 
+// domainCost weighs the bytes of a request and its answer between failure
+// domains.
+func (b *Balancer) domainCost(q *Query) float64 {
+	return b.Tuning.DomainMsPerKB * (float64(q.Bytes) + b.Tuning.AnswerBytesPerToken*q.Demand.output()) / 1000
+}
+
 // spread makes all gateways tend to the same server for a prefix that none is
 // known to hold.
 func (b *Balancer) spread(q *Query, key roster.ServerKey, held int) float64 {
@@ -49,7 +58,7 @@
 		return 0
 	}
 	last := shared[len(shared)-1]
-	return spreadWeight * float64(last.Tokens) / b.Tuning.PromptTokensPerMs * fraction(mix(last.ID)^stableHash(key.ID))
+	return spreadWeight * float64(last.Tokens) / b.Tuning.PromptTokensPerMs * distance(last.ID, key.ID)
 }
 
 // engineState is the load of a model engine, or of a region's average one.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -95,6 +95,9 @@
 	// doubt is the instant until which the server counts as cold because it
 	// failed lately.
 	doubt atomic.Int64
+	// shunnedUntil is the instant until which the server gets no new work, as
+	// the VM that gives the turns there found that it fails.
+	shunnedUntil atomic.Int64
 }
 
 // Own returns what this process has at the server.
@@ -165,7 +168,7 @@
 // Lost reports whether several polls in a row got no answer.
 func (l *Load) Lost() bool { return l.missed.Load() >= pollsToLose }
 
-// InDoubt reports whether the server should be asked soon: a poll got no
+// InDoubt reports whether the server should be asked often: a poll got no
 // answer, another VM suspects it, or requests wait for a first byte.
 func (l *Load) InDoubt(now clock.Instant) bool {
 	return l.missed.Load() > 0 || now < clock.Instant(l.suspectUntil.Load()) || l.silence(now) > doubtfulSilence
@@ -185,6 +188,14 @@
 // new work.
 const pollsToLose = 2
 
+// Shun takes the word of another VM that the server gets no new work for now.
+func (l *Load) Shun(now clock.Instant) { l.shunnedUntil.Store(int64(now.Add(shunFor))) }
+
+// shunFor is how long such a word counts: a few exchanges of a large region.
+const shunFor = 500 * time.Millisecond
+
+func (l *Load) shunned(now clock.Instant) bool { return now < clock.Instant(l.shunnedUntil.Load()) }
+
 // Doubt makes the server count as cold until the given instant.
 func (l *Load) Doubt(until clock.Instant) { l.doubt.Store(int64(until)) }
 
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -18,8 +18,8 @@
 // lone is a fleet of one VM, with other regions.
 type lone struct{ regions []RegionSummary }
 
-func (l *lone) Peers(string) (vms, rank int)   { return 1, 0 }
-func (l *lone) Regions(string) []RegionSummary { return l.regions }
+func (l *lone) Peers(string, string) (vms, rank int) { return 1, 0 }
+func (l *lone) Regions(string) []RegionSummary       { return l.regions }
 
 var (
 	engineService = &ingress.Service{
@@ -124,7 +124,7 @@
 		}
 		total++
 		plan.Load.Turn(plan.Estimate.Reading, plan.Estimate.Rest, now)
-		b.Prefixes.Read(d.Parts, plan.Server.Key(), now)
+		b.Prefixes.Read(d.Parts, plan.Server.Key(), leastRead, now)
 		now = now.Add(80 * time.Millisecond)
 	}
 	// Each of 55 documents is read once; twice as often is allowed.
@@ -273,7 +273,7 @@
 // many is a fleet of a large region.
 type many struct{ lone }
 
-func (m *many) Peers(string) (vms, rank int) { return 30, 0 }
+func (m *many) Peers(string, string) (vms, rank int) { return 30, 0 }
 
 // TestManyVMsDontAllChooseTheSameServer is the pattern of a large region whose
 // VMs choose by reports that are a while old.
@@ -295,3 +295,107 @@
 		t.Fatalf("one server got %d of 300 simultaneous requests", most)
 	}
 }
+
+// inTwoDomains puts every other engine in another failure domain of a large
+// region.
+func inTwoDomains(engines int) (*Balancer, *roster.Roster) {
+	b, r := newBed(0, 0)
+	b.Fleet = &many{}
+	for i := range engines {
+		r.Put(roster.Entry{
+			ID: fmt.Sprint("writer", i), Service: "writer", Address: fmt.Sprintf("10.0.0.%d:1", i),
+			FailureDomain: string("ab"[i%2]), Region: "home", Slots: 64, Started: 1,
+		}, uint64(i+1), 1)
+	}
+	return b, r
+}
+
+// TestDocumentsStayAtAFewServersOfALargeRegion is the pattern of a heavy day at
+// scale: many VMs, even load, and documents that are asked for again and again.
+func TestDocumentsStayAtAFewServersOfALargeRegion(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	const vms, docs, uses = 10, 20, 400
+	var fleet []*Balancer
+	_, r := inTwoDomains(30)
+	for range vms {
+		b, _ := inTwoDomains(30)
+		for i := range 30 {
+			load := b.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key())
+			load.SetReport(Report{Running: 10 + i%3, MemoryTotal: 444_000, Heard: now})
+		}
+		fleet = append(fleet, b)
+	}
+	at := map[int]map[string]bool{}
+	for i := range uses {
+		doc := i % docs
+		plan := fleet[rand.IntN(vms)].Choose(streamQuery(now, prompt(doc, 1200, 5000, 300)), r.View())
+		if at[doc] == nil {
+			at[doc] = map[string]bool{}
+		}
+		at[doc][plan.Server.ID] = true
+	}
+	servers := 0
+	for _, s := range at {
+		servers += len(s)
+	}
+	// Documents are not told here: the VMs agree by themselves.
+	is.True(servers <= docs*3)
+}
+
+// TestRequestsStayInTheirFailureDomain is the pattern of a region with dear
+// bytes between its failure domains.
+func TestRequestsStayInTheirFailureDomain(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	b, r := inTwoDomains(30)
+	far := 0
+	for i := range 200 {
+		q := streamQuery(now, prompt(i, 600, 200, 300))
+		q.Bytes = 830
+		if b.Choose(q, r.View()).Server.FailureDomain != "a" {
+			far++
+		}
+	}
+	is.True(far < 20)
+	// A failure domain whose engines are busy hands work to the others.
+	for i := range 30 {
+		if s := r.View().Lookup(fmt.Sprint("writer", i)); s.FailureDomain == "a" {
+			b.Load(s.Key()).SetReport(Report{Running: 90, Queued: 40, MemoryTotal: 444_000, Heard: now})
+		}
+	}
+	far = 0
+	for i := range 200 {
+		if b.Choose(streamQuery(now, prompt(i, 600, 200, 300)), r.View()).Server.FailureDomain != "a" {
+			far++
+		}
+	}
+	is.True(far > 180)
+}
+
+// TestServerThatItsOwnerGaveUpIsPassedOver is the pattern of an engine that
+// fails: the VM that gives the turns there knows before the others.
+func TestServerThatItsOwnerGaveUpIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	b, r := newBed(2, 0)
+	b.Load(r.View().Lookup("writer0").Key()).Shun(now)
+	for i := range 20 {
+		is.Equal(b.Choose(streamQuery(now, prompt(i, 600, 200, 300)), r.View()).Server.ID, "writer1")
+	}
+	now = now.Add(shunFor)
+	is.True(!b.Load(r.View().Lookup("writer0").Key()).shunned(now))
+}
+
+func TestReadsAreToldOnceAndOnlyWhatIsWorthIt(t *testing.T) {
+	is := is.New(t)
+	p, now := NewPrefixes(), clock.Instant(time.Hour)
+	key := roster.ServerKey{ID: "writer0", Started: 1}
+	parts := []Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}, {ID: 3, Tokens: 900}}
+	p.Read(parts, key, leastHeld, now)
+	is.Equal(p.Recent(), []Read{{Server: "writer0", Started: 1, Part: 2}})
+	p.Read(parts, key, leastHeld, now.Add(time.Second))
+	is.Equal(len(p.Recent()), 0) // the others know
+	p.Read(parts, key, leastHeld, now.Add(time.Second+2*retellAfter))
+	is.Equal(len(p.Recent()), 1)
+}
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -18,6 +18,9 @@
 	maxReads = 64
 	// leastRead is the size, in tokens, of a part that is worth telling.
 	leastRead = 64
+	// retellAfter is the time after which a part that a server read before is
+	// told again: well below heldFor.
+	retellAfter = 10 * time.Second
 )
 
 // Read says that a backend server was sent a part of a prompt.
@@ -41,12 +44,15 @@
 	return &Prefixes{parts: map[uint64]map[roster.ServerKey]clock.Instant{}}
 }
 
-// Read records that a server was sent the parts.
-func (p *Prefixes) Read(parts []Part, server roster.ServerKey, now clock.Instant) {
+// Read records that a server was sent the parts. Those of at least the given
+// number of tokens are told to other VMs, unless they know.
+func (p *Prefixes) Read(parts []Part, server roster.ServerKey, least int, now clock.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, part := range parts {
-		if i < len(parts)-1 && part.Tokens >= leastRead && len(p.recent) < maxReads {
+		at, known := p.parts[part.ID][server]
+		news := !known || now.Sub(at) > retellAfter
+		if i < len(parts)-1 && part.Tokens >= least && news && len(p.recent) < maxReads {
 			p.recent = append(p.recent, Read{Server: server.ID, Started: server.Started, Part: part.ID})
 		}
 		p.note(part.ID, server, now)
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -78,7 +78,7 @@
 // chooseRegion returns the best of the other regions.
 func (b *Balancer) chooseRegion(q *Query) Plan {
 	best := Plan{Reason: "no-region"}
-	vms, _ := b.Fleet.Peers("")
+	vms, _ := b.Fleet.Peers("", "")
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
 			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,6 +135,7 @@
 	e.mesh = mesh.New(mesh.Config{
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.Callers, Hops: settings.Hops, Control: settings.Control},
+		Capacity:  settings.capacity(),
 		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
 		Configuration: e.configuration,
 		LoadHeard:     e.loadHeard,
@@ -205,7 +206,7 @@
 	group.Go(func() error { return background.IgnoreEnd(failed, e.share(failed)) })
 	e.log.Info("started", "vm", e.self.VM, "incarnation", e.self.Incarnation, "region", e.self.Region,
 		"failureDomain", e.self.FailureDomain, "callers", settings.Callers, "control", settings.Control,
-		"hops", settings.Hops, "operators", settings.Operators, "seeds", settings.Seeds, "version", version.String())
+		"hops", settings.Hops, "operators", settings.Operators, "seeds", settings.Seeds, "capacity", settings.capacity(), "version", version.String())
 	e.serveUntil(ctx, failed, reload)
 	if failed.Err() != nil {
 		return group.Wait()
@@ -269,6 +270,7 @@
 	self := mesh.Member{
 		Identity: e.self, Addresses: mesh.Addresses{Callers: e.settings.Load().Callers},
 		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Closing: e.refusing.Load(), Reachable: true,
+		Capacity: e.settings.Load().capacity(),
 	}
 	list, near := entries(self, e.mesh.Members(), at)
 	if !near {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,13 +1,18 @@
 package edge
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
 
@@ -75,3 +80,50 @@
 	}
 	is.NoErr(good.Check())
 }
+
+func TestLargerVMsGetMoreCallers(t *testing.T) {
+	is := is.New(t)
+	size := func(capacity float64) func(*mesh.Member) { return func(m *mesh.Member) { m.Capacity = capacity } }
+	list, _ := entries(member("large", "n", "n-a", size(800)), []mesh.Member{
+		member("small", "n", "n-a", size(100)), member("medium", "n", "n-a", size(250)),
+	}, place{region: "n", domain: "n-a"})
+	is.Equal(strings.Join(list, " "), "large small medium large large large large large large large medium")
+	// A VM whose capacity is unknown makes all count alike.
+	list, _ = entries(member("large", "n", "n-a", size(800)), []mesh.Member{member("other", "n", "n-a", nil)}, place{region: "n", domain: "n-a"})
+	is.Equal(strings.Join(list, " "), "large other")
+}
+
+func TestManyVMsFitAnAnswerOfTheDirectory(t *testing.T) {
+	is := is.New(t)
+	var others []mesh.Member
+	for i := range maxEntries - 2 {
+		others = append(others, member(fmt.Sprint("small", i), "n", "n-a", func(m *mesh.Member) { m.Capacity = 10 }))
+	}
+	self := member("large", "n", "n-a", func(m *mesh.Member) { m.Capacity = 1000 })
+	list, _ := entries(self, others, place{region: "n", domain: "n-a"})
+	is.Equal(len(list), maxEntries)
+	for _, o := range others {
+		is.True(slices.Contains(list, o.Callers))
+	}
+}
+
+// TestFewVMsAskAnEngineInDoubt is the pattern of an overloaded engine whose
+// callers all wait: each VM of a large region sees its silence.
+func TestFewVMsAskAnEngineInDoubt(t *testing.T) {
+	is := is.New(t)
+	const vms, rounds = 30, 40
+	now := clock.Instant(time.Hour)
+	server := &roster.Server{Entry: roster.Entry{ID: "writer0", Started: 1}, Revision: 7}
+	questions := 0
+	for rank := range vms {
+		b := balance.New("n", "n-a", balance.Bounds{}, balance.DefaultTuning, nil)
+		b.Load(server.Key()).Suspect(now)
+		p := &poller{balancer: b, now: func() clock.Instant { return now }, peers: func(string, string) (int, int) { return vms, rank }}
+		for p.rounds = range rounds {
+			if p.due(server) {
+				questions++
+			}
+		}
+	}
+	is.Equal(questions, rounds*doubters+(vms-doubters)*rounds/doubtPolls)
+}
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,8 +16,10 @@
 	// fewEntries is the number of VMs of the caller's failure domain below
 	// which those of the whole region are named too.
 	fewEntries = 2
-	// maxEntries bounds an answer of the directory.
+	// maxEntries bounds an answer of the directory, and maxTimes the entries of
+	// one VM, so that its loss cuts off a bounded share of the callers.
 	maxEntries = 64
+	maxTimes   = 8
 )
 
 // place is where a caller is, and which regions its host's routes permit.
@@ -32,24 +35,24 @@
 // host, then, for a host with bound routes, to those that may and shut down but
 // still take requests. The second result is whether its region has any.
 func entries(self mesh.Member, others []mesh.Member, at place) (list []string, inRegion bool) {
-	var near, regional, homes, last, all []string
+	var near, regional, homes, last, all []mesh.Member
 	for _, m := range append([]mesh.Member{self}, others...) {
 		if m.Reachable && m.Leaving && !m.Closing && (m.Region == at.region || slices.Contains(at.homes, m.Region)) {
-			last = append(last, m.Callers)
+			last = append(last, m)
 		}
 		if !m.Reachable || !m.Ready || m.Leaving {
 			continue
 		}
-		all = append(all, m.Callers)
+		all = append(all, m)
 		if at.bound && slices.Contains(at.homes, m.Region) {
-			homes = append(homes, m.Callers)
+			homes = append(homes, m)
 		}
 		if m.Region != at.region {
 			continue
 		}
-		regional = append(regional, m.Callers)
+		regional = append(regional, m)
 		if m.FailureDomain == at.domain {
-			near = append(near, m.Callers)
+			near = append(near, m)
 		}
 	}
 	choice := all
@@ -63,5 +66,35 @@
 	case at.bound && len(last) > 0:
 		choice = last
 	}
-	return choice[:min(len(choice), maxEntries)], len(regional) > 0
+	return weighted(choice), len(regional) > 0
+}
+
+// weighted returns the callers' addresses of the VMs. Callers connect to one of
+// them at random, so one of a larger VM stands there more than once.
+func weighted(vms []mesh.Member) []string {
+	vms = vms[:min(len(vms), maxEntries)]
+	least, sum := math.Inf(1), 0.0
+	for _, m := range vms {
+		if m.Capacity <= 0 {
+			least = 0 // not all are known: all count alike
+			break
+		}
+		least = min(least, m.Capacity)
+		sum += m.Capacity
+	}
+	list := make([]string, 0, maxEntries)
+	for _, m := range vms {
+		list = append(list, m.Callers)
+	}
+	if least == 0 {
+		return list
+	}
+	unit := max(least, sum/maxEntries)
+	for _, m := range vms {
+		times := min(maxTimes, int(m.Capacity/unit)) - 1
+		for range min(times, maxEntries-len(list)) {
+			list = append(list, m.Callers)
+		}
+	}
+	return list
 }
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -20,6 +20,11 @@
 	// VM of the region beyond the first. It asks as often while the engine is
 	// in doubt.
 	sparsePolls = 2
+	// doubters is the number of VMs of a region that ask an engine in doubt in
+	// each interval; doubtPolls is the number of intervals between two questions
+	// of each other VM. The others learn what the first find out.
+	doubters   = 3
+	doubtPolls = 4
 	// pollTimeout bounds one question.
 	pollTimeout = 400 * time.Millisecond
 	// doubtFor is how long an engine that was found to have started anew
@@ -50,8 +55,9 @@
 	now      clock.Clock
 	log      logger
 
-	// peers returns the number of VMs that ask a server, and this one's rank.
-	peers func(server string) (vms, rank int)
+	// peers returns the number of VMs that ask a server in a failure domain,
+	// and this one's rank.
+	peers func(server, failureDomain string) (vms, rank int)
 	// reported takes in a report for the other VMs of the region.
 	reported func(server string, report balance.Report)
 	// suspect tells the other VMs of an engine that did not answer.
@@ -102,11 +108,15 @@
 
 // due reports whether this VM asks an engine in this round.
 func (p *poller) due(s *roster.Server) bool {
-	vms, rank := p.peers(s.ID)
-	if rank == 0 || p.balancer.Load(s.Key()).InDoubt(p.now()) {
+	vms, rank := p.peers(s.ID, s.FailureDomain)
+	if rank == 0 {
 		return true
 	}
-	return (p.rounds+int(s.Revision)+rank)%(sparsePolls*max(1, vms-1)) == 0
+	turn := p.rounds + int(s.Revision) + rank
+	if !p.balancer.Load(s.Key()).InDoubt(p.now()) {
+		return turn%(sparsePolls*max(1, vms-1)) == 0
+	}
+	return rank < doubters || turn%doubtPolls == 0
 }
 
 // start asks one engine, unless an earlier question is still out.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -54,6 +54,30 @@
 	Cold        balance.Bounds
 	// MemoryBytes is the memory that the process may use; zero is unknown.
 	MemoryBytes int64
+	// Cores is the VM's share of a processor core and LinkMbps the rate of its
+	// network link in Mbit/s; zero is unknown.
+	Cores, LinkMbps float64
+}
+
+const (
+	// requestsPerCore is the number of requests a second that a core serves:
+	// about a millisecond each, with its part of the fleet's exchanges.
+	requestsPerCore = 1000
+	// requestsPerMbps is the number that a link of a Mbit/s carries: a long
+	// prompt and its answer take some 12 KB each way.
+	requestsPerMbps = 10
+)
+
+// capacity returns how many requests a second the VM can take; zero is unknown.
+func (s *Settings) capacity() float64 {
+	switch {
+	case s.Cores <= 0:
+		return s.LinkMbps * requestsPerMbps
+	case s.LinkMbps <= 0:
+		return s.Cores * requestsPerCore
+	default:
+		return min(s.Cores*requestsPerCore, s.LinkMbps*requestsPerMbps)
+	}
 }
 
 // leastGrace is the shortest time in which a shutdown can finish requests.
@@ -95,7 +119,7 @@
 	if s.RetryWindow < leastRetryWindow {
 		fault("the retry window %v is below %v", s.RetryWindow, leastRetryWindow)
 	}
-	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryReads < 0 || s.MaxTTL < 0 {
+	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryReads < 0 || s.MaxTTL < 0 || s.Cores < 0 || s.LinkMbps < 0 {
 		fault("a bound is below 0")
 	}
 	if len(faults) > 0 {
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -90,25 +90,20 @@
 			want[vm] = neighbour{o.Control, o.Region}
 		}
 	}
-	carrier := m.rankAmongReachable("carrier") < carriers
+	add := func(list []*Member) {
+		for _, o := range list {
+			want[o.VM] = neighbour{o.Control, o.Region}
+		}
+	}
+	carrier := m.rankAmongReachable("carrier", "") < carriers
 	for region, list := range byRegion {
-		most := abroad
 		switch {
 		case region == m.Self.Region && len(list) < fullMesh:
-			most = fullMesh
+			add(list)
 		case region == m.Self.Region:
-			most = largeDegree
-		case !carrier:
-			continue
-		}
-		if len(list) > most {
-			slices.SortFunc(list, func(a, b *Member) int {
-				return cmp.Compare(rendezvous(b.VM, m.Self.VM), rendezvous(a.VM, m.Self.VM))
-			})
-			list = list[:most]
-		}
-		for _, o := range list {
-			want[o.VM] = neighbour{o.Control, o.Region}
+			add(m.regional(list))
+		case carrier:
+			add(preferred(list, m.Self.VM, abroad))
 		}
 	}
 	for _, seed := range m.seeds {
@@ -120,6 +115,49 @@
 	return want
 }
 
+// regional returns this VM's neighbours among many VMs of its region. Those of
+// a failure domain form a ring with chords, in which each has as many that tell
+// it as it tells; a few of them have neighbours in the other failure domains,
+// as bytes between those are dear.
+func (m *Mesh) regional(list []*Member) []*Member {
+	byDomain := map[string][]*Member{}
+	for _, o := range list {
+		byDomain[o.FailureDomain] = append(byDomain[o.FailureDomain], o)
+	}
+	out := chords(byDomain[m.Self.FailureDomain], m.Self.VM)
+	if len(out) > 0 && m.rankAmongReachable("carrier", m.Self.FailureDomain) >= domainCarriers {
+		return out
+	}
+	for domain, far := range byDomain {
+		if domain != m.Self.FailureDomain {
+			out = append(out, preferred(far, m.Self.VM, 1)...)
+		}
+	}
+	return out
+}
+
+// chords returns the members that follow a VM in the order of the names at the
+// distances 1, 2, 4 and so on. A record reaches all in as many steps as the
+// largest distance has binary digits.
+func chords(list []*Member, self string) []*Member {
+	slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.VM, b.VM) })
+	next, _ := slices.BinarySearchFunc(list, self, func(o *Member, name string) int { return cmp.Compare(o.VM, name) })
+	var out []*Member
+	for distance := 1; distance <= len(list); distance *= 2 {
+		out = append(out, list[(next+distance-1)%len(list)])
+	}
+	return out
+}
+
+// preferred returns up to most members, the ones of the largest preference for
+// the key first.
+func preferred(list []*Member, key string, most int) []*Member {
+	slices.SortFunc(list, func(a, b *Member) int {
+		return cmp.Compare(preference(b.VM, b.Capacity, key), preference(a.VM, a.Capacity, key))
+	})
+	return list[:min(len(list), most)]
+}
+
 // roundTrip returns the least round trip measured to a region. The caller
 // holds the lock.
 func (m *Mesh) roundTrip(region string) time.Duration {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -48,13 +48,16 @@
 	// forgetAfter is when a silent member is forgotten.
 	forgetAfter = 10 * time.Minute
 	// fullMesh is the number of members of a region up to which each is a
-	// neighbour of each; beyond it a member has largeDegree neighbours.
-	fullMesh    = 8
-	largeDegree = 4
+	// neighbour of each; beyond it they form a ring in each failure domain.
+	fullMesh = 8
 	// abroad is the number of neighbours in each other region, and carriers
 	// the number of VMs of a region that have such neighbours.
 	abroad   = 2
 	carriers = 4
+	// domainCarriers is the number of VMs of a failure domain of a large region
+	// that have a neighbour in each other failure domain of it. Any one of them
+	// is enough.
+	domainCarriers = 3
 	// unknownVMs is the number of VMs of the region that is assumed in the
 	// first seconds, until the others were heard.
 	unknownVMs   = 4
@@ -65,7 +68,10 @@
 type Member struct {
 	snapshot.Identity
 	Addresses
-	Leaving bool
+	// Capacity is how many requests a second the VM can take, as far as its
+	// processor and its link say.
+	Capacity float64
+	Leaving  bool
 	// Ready means that the VM says that it takes requests. Closing means that
 	// it shuts down and refuses them.
 	Ready, Closing bool
@@ -84,6 +90,7 @@
 	Incarnation, Region, FailureDomain string
 	Callers, Hops, Control             string
 	Leaving, Ready, Closing            bool
+	Capacity                           float64
 }
 
 // State is what a VM says of itself.
@@ -93,9 +100,12 @@
 type Config struct {
 	Self      snapshot.Identity
 	Addresses Addresses
-	Seeds     []string
-	Now       clock.Clock
-	Log       *slog.Logger
+	// Capacity is how many requests a second this VM can take; zero is
+	// unknown.
+	Capacity float64
+	Seeds    []string
+	Now      clock.Clock
+	Log      *slog.Logger
 	// LoadHeard takes in what another VM of the region tells. It must not call
 	// the mesh.
 	LoadHeard func(Load)
@@ -228,6 +238,7 @@
 		Incarnation: m.Self.Incarnation, Region: m.Self.Region, FailureDomain: m.Self.FailureDomain,
 		Callers: m.Addresses.Callers, Hops: m.Addresses.Hops, Control: m.Addresses.Control,
 		Leaving: m.state.Leaving, Ready: m.state.Ready, Closing: m.state.Closing,
+		Capacity: m.Capacity,
 	})
 	if err != nil {
 		m.Log.Error("announcement not encoded", "error", err)
@@ -248,22 +259,6 @@
 	return n > fullMesh
 }
 
-// IsReporter reports whether this VM tells the other regions what its own can
-// take.
-func (m *Mesh) IsReporter() bool { return m.rankAmongReachable("summary") < reporters }
-
-// rankAmongReachable returns this VM's rank for a key among the VMs of its
-// region that can be reached.
-func (m *Mesh) rankAmongReachable(key string) int {
-	own, rank := rendezvous(m.Self.VM, key), 0
-	for _, o := range m.Members() {
-		if o.Region == m.Self.Region && o.Reachable && rendezvous(o.VM, key) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // Large reports whether the fleet has so many VMs that they exchange less
 // often.
 func (m *Mesh) Large() bool { return len(m.Members())+1 >= largeFleet }
@@ -293,62 +288,6 @@
 	return n
 }
 
-// Peers returns the number of VMs of the region that may send to a backend
-// server, and this VM's rank among them.
-func (m *Mesh) Peers(server string) (vms, rank int) {
-	now := m.Now()
-	own := rendezvous(m.Self.VM, server)
-	vms = 1
-	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || now.Sub(o.Heard) >= countedFor {
-			continue
-		}
-		vms++
-		if rendezvous(o.VM, server) > own {
-			rank++
-		}
-	}
-	if now.Sub(m.started) < settlingTime {
-		vms = max(vms, unknownVMs)
-	}
-	return vms, rank
-}
-
-// Member returns a reachable VM of the region and the address where it takes
-// hops, or "".
-func (m *Mesh) Member(region string, random uint64) (vm, address string) {
-	var list []Member
-	for _, o := range m.Members() {
-		if o.Region == region && o.Reachable && o.Ready && !o.Leaving {
-			list = append(list, o)
-		}
-	}
-	if len(list) == 0 {
-		return "", ""
-	}
-	o := list[random%uint64(len(list))]
-	return o.VM, o.Hops
-}
-
-// Owner returns the VM of the region through which long prompts reach a backend
-// server, and the address where it takes hops. The address is "" where that is
-// this VM, or where the region is small enough to do without.
-func (m *Mesh) Owner(server string) (vm, address string) {
-	if !m.LargeRegion() {
-		return "", ""
-	}
-	best := rendezvous(m.Self.VM, server)
-	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || !o.Reachable || !o.Ready || o.Leaving {
-			continue
-		}
-		if weight := rendezvous(o.VM, server); weight > best {
-			best, vm, address = weight, o.VM, o.Hops
-		}
-	}
-	return vm, address
-}
-
 // Regions returns what is known of a service in the other regions.
 func (m *Mesh) Regions(service string) []balance.RegionSummary {
 	now := m.Now()
@@ -469,17 +408,4 @@
 	}
 }
 
-// rendezvous is the same in all processes.
-func rendezvous(vm, key string) uint64 {
-	h := uint64(14695981039346656037)
-	for _, s := range [...]string{vm, "\x00", key} {
-		for i := range len(s) {
-			h = (h ^ uint64(s[i])) * 1099511628211
-		}
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
-
 var _ peer.Handler = server{}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -84,7 +84,7 @@
 	until(t, "readiness", func() bool { m := c.sees("b"); return m != nil && m.Ready })
 	b.SetState(State{Leaving: true})
 	until(t, "word of the shutdown", func() bool { m := c.sees("b"); return m != nil && m.Leaving })
-	vm, _ := c.Member("north", 0)
+	vm, _ := c.Member("north", "request")
 	is.Equal(vm, "") // none is ready
 }
 
@@ -97,7 +97,7 @@
 	old := b.sees("a").Incarnation
 	seed.stop()
 	until(t, "silence", func() bool { return b.sees("a") == nil })
-	vms, _ := b.Peers("x")
+	vms, _ := b.Peers("x", "")
 	is.True(vms >= 2) // it still counts for shared allowances
 	again := start(t, "a", "north", seed.Addresses.Control)
 	until(t, "return", func() bool { m := b.sees("a"); return m != nil && m.Incarnation != old && again.sees("b") != nil })
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -70,6 +70,7 @@
 	}
 	o.Identity = snapshot.Identity{VM: r.Name, Incarnation: a.Incarnation, Region: a.Region, FailureDomain: a.FailureDomain}
 	o.Addresses = Addresses{Callers: a.Callers, Hops: a.Hops, Control: a.Control}
+	o.Capacity = a.Capacity
 	o.Leaving, o.Ready, o.Closing = a.Leaving, a.Ready, a.Closing
 	if fresh {
 		o.Heard = now
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -52,7 +52,7 @@
 // its own backend servers or refuses.
 func (x *run) sendRegion(ctx context.Context, plan balance.Plan) outcome {
 	x.triedRegions = append(x.triedRegions, plan.Region)
-	vm, address := x.Peers.Member(plan.Region, uint64(x.Now()))
+	vm, address := x.Peers.Member(plan.Region, x.req.ID)
 	if address == "" {
 		return outcome{notRun: true, reason: "no VM in " + plan.Region}
 	}
@@ -106,7 +106,7 @@
 	ran, _ := strconv.Atoi(e.Header.Get(headerRan)) // absent: none
 	if value := e.Header.Get(wire.HeaderRefusal); value != "" {
 		e.Done()
-		return x.takeRefusal(value, ran)
+		return x.takeRefusal(plan, value, ran)
 	}
 	if e.Header.Get(headerRan) == "" {
 		e.Abort()
@@ -128,7 +128,7 @@
 	return x.passWhole(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
 }
 
-func (x *run) takeRefusal(value string, ran int) outcome {
+func (x *run) takeRefusal(plan balance.Plan, value string, ran int) outcome {
 	var refusal verdict.Refusal
 	if err := json.Unmarshal([]byte(value), &refusal); err != nil {
 		x.ran++
@@ -136,6 +136,9 @@
 	}
 	x.ran += ran
 	if refusal.Verdict == verdict.NotRun {
+		if plan.Load != nil && refusal.Code == verdict.CodeNoBackend {
+			plan.Load.Shun(x.Now())
+		}
 		return outcome{notRun: true, reason: "refused by " + x.where + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.ran = max(x.ran, 1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,11 +107,16 @@
 
 // Peers picks the VM of a region that takes a request.
 type Peers interface {
-	// Member returns the address of a reachable VM of the region, or "".
-	Member(region string, random uint64) (vm, address string)
+	// Member returns the address of a reachable VM of the region, or "". The
+	// key, a request's id, spreads requests over the VMs.
+	Member(region, key string) (vm, address string)
 	// Owner returns the VM of the own region that gives prompts their turns at
-	// a backend server; the address is "" where this VM does.
-	Owner(server string) (vm, address string)
+	// a backend server in a failure domain; the address is "" where this VM
+	// does.
+	Owner(server, failureDomain string) (vm, address string)
+	// LargeRegion reports whether the own region is so large that servers have
+	// owners.
+	LargeRegion() bool
 	// Count returns the number of VMs that are alive, this one included.
 	Count() int
 }
@@ -284,7 +289,8 @@
 func (x *run) choose() balance.Plan {
 	left := x.remaining()
 	q := &balance.Query{
-		Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand, Remaining: left,
+		Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand,
+		Bytes: len(x.req.Body), Remaining: left,
 		Tried: x.tried, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", Random: rand.Uint64(),
 	}
 	if left < minOffer {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -63,9 +63,9 @@
 // large region a long prompt goes through the VM that gives the turns there.
 func (x *run) sendLocal(ctx context.Context, plan balance.Plan) outcome {
 	if plan.Estimate.Turn && x.req.Server == "" && !plan.Cold {
-		if vm, address := x.Peers.Owner(plan.Server.ID); address != "" {
+		if vm, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); address != "" {
 			x.tried = append(x.tried, plan.Server.Key())
-			x.Balancer.Prefixes.Read(x.req.Demand.Parts, plan.Server.Key(), x.Now())
+			x.Balancer.Sent(&x.req.Demand, plan.Server.Key(), x.Now())
 			x.missing = plan.Estimate.Missing
 			return x.sendVM(ctx, plan, vm, address)
 		}
@@ -101,7 +101,7 @@
 	if err != nil {
 		return x.sendFailed(ctx, plan, err)
 	}
-	x.Balancer.Prefixes.Read(x.req.Demand.Parts, s.Key(), now)
+	x.Balancer.Sent(&x.req.Demand, s.Key(), now)
 	return x.takeAnswer(ctx, plan, exchange, work)
 }
 
@@ -115,7 +115,7 @@
 		return true
 	}
 	// The other VMs learn of the turn and of the parts that will be cached.
-	x.Balancer.Prefixes.Read(x.req.Demand.Parts, plan.Server.Key(), now)
+	x.Balancer.Sent(&x.req.Demand, plan.Server.Key(), now)
 	x.Changed()
 	wait := min(start.Sub(now), e.Hold)
 	if wait <= 0 {
@@ -160,23 +160,31 @@
 		Server: plan.Server.ID, Remaining: x.remaining(), Priority: min(x.route.Priority, maxPriority),
 		LastEvent: x.lastEvent, Weights: x.weights,
 	})
-	vms, _ := x.Balancer.Fleet.Peers(plan.Server.ID)
+	vms, _ := x.Balancer.Fleet.Peers(plan.Server.ID, plan.Server.FailureDomain)
 	return &upstream.Call{
 		Address: plan.Server.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host,
 		Header: header, Body: x.req.Body, MaxIdle: idle,
-		MaxOpen: connectionShare(x.service, vms),
+		MaxOpen: x.connectionShare(plan, vms),
 		Belongs: func(h http.Header) bool { return x.Protocol.Inbound(http.StatusOK, h).RequestID == x.req.ID },
 	}
 }
 
 // connectionShare returns this VM's part of the connections that a backend
-// server accepts; zero means no bound.
-func connectionShare(s *ingress.Service, vms int) int {
-	if s.MaxConnections <= 0 {
+// server accepts; zero means no bound. The VM through which long prompts reach
+// it has half of them.
+func (x *run) connectionShare(plan balance.Plan, vms int) int {
+	if x.service.MaxConnections <= 0 {
 		return 0
 	}
 	// A tenth stays free for health checks and for VMs that are not known yet.
-	return max(2, s.MaxConnections*9/10/max(1, vms))
+	most := x.service.MaxConnections * 9 / 10
+	if x.service.Engine == nil || !x.Peers.LargeRegion() {
+		return max(2, most/max(1, vms))
+	}
+	if _, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); address == "" {
+		return max(2, most/2)
+	}
+	return max(2, most/2/max(1, vms))
 }
 
 // sendFailed explains a send without an answer.
