Crossings by bytes and crowding, waits by priority, refusal before callers leave, documents read again cost

Ruled out: missing word of holders (442 of 2,000 within 0.6 s of the first use), holders gone (196). Change: a crowded engine costs by the square of its occupancy; a crossing costs by its bytes and 50 ms instead of 300; a route's place among the priorities scales its wait for a slot; what can't begin before its callers leave is refused; each thousand shared tokens read again costs 100 ms; prompts that hold up streams look at all engines.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -42,6 +42,8 @@
 	// an answer.
 	DomainMsPerKB       float64
 	AnswerBytesPerToken float64
+	// RegionMsPerKB is the same for sending it to another region.
+	RegionMsPerKB float64
 }
 
 // DefaultTuning is for engines of about eight billion parameters on one
@@ -53,10 +55,11 @@
 	StepMsPerStream:   0.06,
 	ChunkTokens:       2048,
 	MsPerMegaPair:     0.32,
-	CrossingMargin:    300 * time.Millisecond,
+	CrossingMargin:    50 * time.Millisecond,
 
 	// About 100 ms for a prompt of 12 KB, where a late answer weighs lateMs.
 	DomainMsPerKB: 5,
+	RegionMsPerKB: 6,
 	// Events of some 100 bytes for ten tokens, with their framing.
 	AnswerBytesPerToken: 15,
 }
@@ -71,7 +74,11 @@
 	// spreadWeight is the part of the shared parts' reading time by which
 	// servers differ for a prefix that none is known to hold, so that all
 	// gateways tend to the same one.
-	spreadWeight = 3.0
+	spreadWeight = 6.0
+	// rereadMsPerKToken is what reading a thousand shared tokens again costs,
+	// beyond the time that it takes: a document of 5,000 is worth half a late
+	// answer.
+	rereadMsPerKToken = 100
 	// firstMs is an engine's fixed time to the first event.
 	firstMs = 50
 	// turnMs is the reading time from which on prompts take turns at an
@@ -79,8 +86,8 @@
 	// get so much time for themselves.
 	turnMs   = 30
 	restPart = 0.5
-	// crowdMs is the backlog of reading at which there are no pauses any more.
-	crowdMs = 250
+	// noRestMs is the backlog of reading at which there are no pauses any more.
+	noRestMs = 250
 	// holdPart is the part of the latency objective for which a request waits
 	// for its turn at most.
 	holdPart = 0.3
@@ -110,6 +117,16 @@
 	durationSmoothing = 0.05
 	// coldMs is added to the score of a cold server.
 	coldMs = 100
+	// crowdMs is what a place at an engine that is nearly full costs the others:
+	// streams stretch one another until all slots are taken. It is a little less
+	// than one late answer.
+	crowdMs = 800
+	// queueUrgent is the part of an engine's queue that the most urgent requests
+	// wait for, and queueSpread how many times as long the least urgent wait, as
+	// others overtake them. Measured at engines with twice as many requests
+	// as slots: 0.2 to 0.9 of the mean wait, and 3.
+	queueUrgent = 0.3
+	queueSpread = 10
 	// fullMs is added to the score of a server that has just refused a request
 	// for want of room, and errorMs to that of one that fails all requests.
 	fullMs  = 300
@@ -177,6 +194,8 @@
 	// this one included, and this one's rank among them for a server in a
 	// failure domain.
 	Peers(server, failureDomain string) (vms, rank int)
+	// CapacityShare returns this VM's part of the capacity of its region's VMs.
+	CapacityShare() float64
 	// Regions returns what is known of the regions that can be reached.
 	Regions(service string) []RegionSummary
 }
@@ -298,6 +317,11 @@
 	} else {
 		draw(far, sampledFar, mix(q.Random))
 	}
+	if q.Service.Engine != nil && b.holdsUp(q) {
+		// So few prompts are worth a look at every server for the one whose
+		// streams they harm least.
+		return servers
+	}
 	if document, ok := q.Demand.document(); ok {
 		for _, s := range home(servers, document.ID) {
 			add(s)
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -49,6 +49,22 @@
 	return d.Parts[:len(d.Parts)-1]
 }
 
+// sharedTokens returns the size of the parts that other requests may share.
+func (d *Demand) sharedTokens() int {
+	tokens := 0
+	for _, p := range d.shared() {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// Document returns the ID of the last shared part if it is large enough to be
+// worth a way to the server that holds it, else zero.
+func (d *Demand) Document() uint64 {
+	part, _ := d.document()
+	return part.ID
+}
+
 // document returns the last shared part, if it is large enough to be worth a
 // way to the server that holds it.
 func (d *Demand) document() (Part, bool) {
@@ -75,6 +91,12 @@
 	Missing int
 	Reading time.Duration
 	Heavy   bool
+	// Active is the number of requests, and Backlog the time until all prompts
+	// are read, that the choice assumed at the server. ReportAge is the age of
+	// the server's own report, negative if there is none.
+	Active    float64
+	Backlog   time.Duration
+	ReportAge time.Duration
 }
 
 func toDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -23,8 +23,9 @@
 		}, held)
 		e.Score += b.spread(q, s.Key(), held)
 	}
+	e.Active, e.Backlog, e.ReportAge = use.active, toDuration(use.readingMs), load.reportAge(q.Now)
 	if b.Domain != "" && s.FailureDomain != b.Domain {
-		e.Score += b.domainCost(q)
+		e.Score += b.Tuning.DomainMsPerKB * b.kilobytes(q)
 	}
 	if load.full(q.Now) {
 		e.Score += fullMs
@@ -37,10 +38,9 @@
 	return e
 }
 
-// domainCost weighs the bytes of a request and its answer between failure
-// domains.
-func (b *Balancer) domainCost(q *Query) float64 {
-	return b.Tuning.DomainMsPerKB * (float64(q.Bytes) + b.Tuning.AnswerBytesPerToken*q.Demand.output()) / 1000
+// kilobytes returns the expected size of a request and its answer.
+func (b *Balancer) kilobytes(q *Query) float64 {
+	return (float64(q.Bytes) + b.Tuning.AnswerBytesPerToken*q.Demand.output()) / 1000
 }
 
 // spread makes all gateways tend to the same server for a prefix that none is
@@ -50,11 +50,7 @@
 	if len(shared) == 0 {
 		return 0
 	}
-	tokens := 0
-	for _, p := range shared {
-		tokens += p.Tokens
-	}
-	if held >= tokens {
+	if held >= q.Demand.sharedTokens() {
 		return 0
 	}
 	last := shared[len(shared)-1]
@@ -112,17 +108,19 @@
 	read := b.readMs(float64(missing), float64(held))
 	step := b.stepMs(s.total)
 	tokens := float64(q.Service.Engine.EventTokens)
-	first := b.slotWait(q, s) + s.readingMs + read + (firstMs+tokens*step)*s.pace
+	first := b.slotWait(q, s)*queuePart(q.Route) + s.readingMs + read + (firstMs+tokens*step)*s.pace
 	rest := q.Demand.output() * step * s.pace
 	e := Estimate{
 		First: toDuration(first), Whole: toDuration(first + rest),
 		Missing: missing, Reading: toDuration(read),
 		Score: first + decodeWeight*rest + burdenWeight*read,
 	}
+	e.Score += rereadMsPerKToken * float64(max(0, q.Demand.sharedTokens()-held)) / 1000
+	e.Score += crowdMs * square(min(1, (s.active+1)/s.slots))
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
 	e.Score += lateMs * miss(first+rest, q.Remaining)
 	if read > turnMs {
-		calm := max(0, 1-s.readingMs/crowdMs)
+		calm := max(0, 1-s.readingMs/noRestMs)
 		e.Turn, e.Rest = true, toDuration(restPart*calm*read)
 		e.Hold = toDuration(min(s.readingMs, holdPart*toMs(q.Route.LatencyObjective)))
 	}
@@ -141,6 +139,20 @@
 	return e
 }
 
+// holdsUp reports whether reading the prompt stretches the gaps of an engine's
+// streams about as far as their objective allows.
+func (b *Balancer) holdsUp(q *Query) bool {
+	prompt := float64(q.Demand.Prompt)
+	gap := min(b.readMs(prompt, 0), float64(q.Service.Engine.EventTokens)*b.chunkMs(prompt))
+	return gap > heavyPart*toMs(q.Route.GapObjective) && q.Route.GapObjective > 0
+}
+
+func square(x float64) float64 { return x * x }
+
+// queuePart returns how long a route's requests wait for a slot, as a part of
+// the mean wait.
+func queuePart(r *ingress.Route) float64 { return queueUrgent * math.Pow(queueSpread, r.Yield) }
+
 // miss returns the chance that a time in milliseconds misses an objective.
 func miss(ms float64, objective time.Duration) float64 { return missMs(ms, toMs(objective)) }
 
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -223,6 +223,15 @@
 	return t
 }
 
+// reportAge returns the age of the server's last report, or -1 without one.
+func (l *Load) reportAge(now clock.Instant) time.Duration {
+	r := l.report.Load()
+	if r == nil {
+		return -1
+	}
+	return now.Sub(r.Heard)
+}
+
 // memoryTotal returns the server's memory as it reported it, or the given one.
 func (l *Load) memoryTotal(configured int) float64 {
 	if r := l.report.Load(); r != nil && r.MemoryTotal > 0 {
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -19,6 +19,7 @@
 type lone struct{ regions []RegionSummary }
 
 func (l *lone) Peers(string, string) (vms, rank int) { return 1, 0 }
+func (l *lone) CapacityShare() float64               { return 1 }
 func (l *lone) Regions(string) []RegionSummary       { return l.regions }
 
 var (
@@ -274,6 +275,7 @@
 type many struct{ lone }
 
 func (m *many) Peers(string, string) (vms, rank int) { return 30, 0 }
+func (m *many) CapacityShare() float64               { return 1. / 30 }
 
 // TestManyVMsDontAllChooseTheSameServer is the pattern of a large region whose
 // VMs choose by reports that are a while old.
@@ -313,7 +315,6 @@
 // TestDocumentsStayAtAFewServersOfALargeRegion is the pattern of a heavy day at
 // scale: many VMs, even load, and documents that are asked for again and again.
 func TestDocumentsStayAtAFewServersOfALargeRegion(t *testing.T) {
-	is := is.New(t)
 	now := clock.Instant(time.Hour)
 	const vms, docs, uses = 10, 20, 400
 	var fleet []*Balancer
@@ -327,9 +328,12 @@
 		fleet = append(fleet, b)
 	}
 	at := map[int]map[string]bool{}
+	random := rand.New(rand.NewPCG(1, 1))
 	for i := range uses {
 		doc := i % docs
-		plan := fleet[rand.IntN(vms)].Choose(streamQuery(now, prompt(doc, 1200, 5000, 300)), r.View())
+		q := streamQuery(now, prompt(doc, 1200, 5000, 300))
+		q.Random = random.Uint64()
+		plan := fleet[random.IntN(vms)].Choose(q, r.View())
 		if at[doc] == nil {
 			at[doc] = map[string]bool{}
 		}
@@ -340,7 +344,9 @@
 		servers += len(s)
 	}
 	// Documents are not told here: the VMs agree by themselves.
-	is.True(servers <= docs*3)
+	if servers > docs*3 {
+		t.Fatalf("%d documents are at %d servers", docs, servers)
+	}
 }
 
 // TestRequestsStayInTheirFailureDomain is the pattern of a region with dear
@@ -399,3 +405,42 @@
 	p.Read(parts, key, leastHeld, now.Add(time.Second+2*retellAfter))
 	is.Equal(len(p.Recent()), 1)
 }
+
+// TestRequestsCrossBeforeTheirRegionIsFull is the pattern of a region at its
+// peak while the others are idle: streams stretch one another long before the
+// engines' slots are all taken.
+func TestRequestsCrossBeforeTheirRegionIsFull(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	idle := RegionSummary{
+		Region: "away", Members: 6, Known: true, RoundTrip: 160 * time.Millisecond,
+		Summary: Summary{Service: "writer", Servers: 6, Slots: 6 * 64, Active: 12, MemoryTotal: 6 * 444_000, Pace: 1},
+	}
+	b, r := newBed(6, 0, idle)
+	at := func(running int) string {
+		for i := range 6 {
+			b.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key()).SetReport(Report{Running: running, MemoryTotal: 444_000, Heard: now})
+		}
+		return b.Choose(streamQuery(now, prompt(1, 400, 200, 300)), r.View()).Region
+	}
+	is.Equal(at(10), "")
+	is.Equal(at(55), "away")
+}
+
+// TestUrgentRequestsDontWaitForTheQueue is the pattern of engines with twice as
+// many requests as slots: the urgent overtake, and the others wait for long.
+func TestUrgentRequestsDontWaitForTheQueue(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	b, r := newBed(1, 0)
+	b.Load(r.View().Lookup("writer0").Key()).SetReport(Report{Running: 64, Queued: 64, MemoryTotal: 444_000, Heard: now})
+	first := func(yield float64) time.Duration {
+		q := streamQuery(now, prompt(1, 400, 200, 300))
+		route := *streamRoute
+		route.Yield = yield
+		q.Route = &route
+		return b.Choose(q, r.View()).Estimate.First
+	}
+	is.True(first(0) < time.Second)
+	is.True(first(1) > 4*time.Second)
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -78,13 +78,13 @@
 // chooseRegion returns the best of the other regions.
 func (b *Balancer) chooseRegion(q *Query) Plan {
 	best := Plan{Reason: "no-region"}
-	vms, _ := b.Fleet.Peers("", "")
+	share := b.Fleet.CapacityShare()
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
 			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) {
 			continue
 		}
-		e := b.regionEstimate(q, r, float64(vms))
+		e := b.regionEstimate(q, r, share)
 		if best.Region == "" || e.Score < best.Estimate.Score {
 			best = Plan{Region: r.Region, Estimate: e}
 		}
@@ -93,14 +93,14 @@
 }
 
 // regionEstimate weighs a region by its average server. The other VMs of the
-// own region are taken to send as much as this one.
-func (b *Balancer) regionEstimate(q *Query, r RegionSummary, vms float64) Estimate {
+// own region are taken to send as much as this one, by their capacity.
+func (b *Balancer) regionEstimate(q *Query, r RegionSummary, share float64) Estimate {
 	c := b.crossing(r.Region, q.Service.Name)
 	c.mu.Lock()
 	c.fade(q.Now)
 	n := float64(r.Summary.Servers)
 	use := total{
-		active: (r.Summary.Active + c.active*vms) / n, readingMs: (r.Summary.Reading + c.readingMs*vms) / n,
+		active: (r.Summary.Active + c.active/share) / n, readingMs: (r.Summary.Reading + c.readingMs/share) / n,
 		memory: r.Summary.Memory / n, heavy: r.Summary.Heavy / n,
 	}
 	c.mu.Unlock()
@@ -121,7 +121,7 @@
 	link := toMs(r.RoundTrip)
 	e.First += r.RoundTrip
 	e.Whole += r.RoundTrip
-	e.Score += link
+	e.Score += link + b.Tuning.RegionMsPerKB*b.kilobytes(q)
 	return e
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,8 +55,15 @@
 	// events. Zero means that none is stated.
 	LatencyObjective time.Duration
 	GapObjective     time.Duration
+	// Patience is how long callers wait for the first event of a stream before
+	// they leave; zero means until their deadline.
+	Patience time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
+	// Yield is the route's place among the priorities of the routes to its
+	// service: 0 for the most urgent and 1 for those that yield to all. NewTable
+	// sets it.
+	Yield float64
 	// MaxAttempts bounds the backend servers at which a request may run.
 	MaxAttempts int
 	Shares      []Share
@@ -154,12 +161,38 @@
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
+	rankPriorities(routes)
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return t
 }
 
+// rankPriorities sets each route's place among those that share its first
+// service.
+func rankPriorities(routes []*Route) {
+	priorities := map[string][]int{}
+	for _, r := range routes {
+		if len(r.Shares) > 0 {
+			service := r.Shares[0].Service
+			priorities[service] = append(priorities[service], r.Priority)
+		}
+	}
+	for service, list := range priorities {
+		slices.Sort(list)
+		priorities[service] = slices.Compact(list)
+	}
+	for _, r := range routes {
+		r.Yield = 0.5 // all are alike
+		if len(r.Shares) == 0 {
+			continue
+		}
+		if list := priorities[r.Shares[0].Service]; len(list) > 1 {
+			r.Yield = float64(slices.Index(list, r.Priority)) / float64(len(list)-1)
+		}
+	}
+}
+
 // Match returns the route of the host with the longest prefix of path, or nil.
 // The host may bear a port.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -62,3 +62,17 @@
 	is.True((&Route{Kind: Stream, Resumable: true}).Idempotent())
 	is.True((&Route{Kind: Safe}).Idempotent())
 }
+
+func TestPrioritiesAreRankedAmongTheRoutesOfAService(t *testing.T) {
+	is := is.New(t)
+	route := func(service string, priority int) *Route {
+		return &Route{Priority: priority, Shares: []Share{{Service: service, Weight: 1}}}
+	}
+	routes := []*Route{route("writer", 0), route("writer", 2), route("writer", 7), route("writer", 2), route("desk", 2), {}}
+	NewTable(1, routes, nil, Limits{})
+	var got []float64
+	for _, r := range routes {
+		got = append(got, r.Yield)
+	}
+	is.Equal(got, []float64{0, 0.5, 1, 0.5, 0.5, 0.5})
+}
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -26,12 +26,9 @@
 // preference orders VMs for a key: each is first for a share of all keys that
 // is in proportion to its capacity.
 func preference(vm string, capacity float64, key string) float64 {
-	if capacity <= 0 {
-		capacity = assumedCapacity
-	}
 	// The hash as a number between 0 and 1, both excluded.
 	u := (float64(rendezvous(vm, key)>>11) + 0.5) / (1 << 53)
-	return -capacity / math.Log(u)
+	return -capacityOr(capacity) / math.Log(u)
 }
 
 // ranked is a VM's place in an order: near VMs come first.
@@ -97,6 +94,26 @@
 	return vms, rank
 }
 
+// CapacityShare returns this VM's part of the capacity of the VMs of its region that
+// may be at work.
+func (m *Mesh) CapacityShare() float64 {
+	now, own := m.Now(), capacityOr(m.Capacity)
+	sum := own
+	for _, o := range m.Members() {
+		if o.Region == m.Self.Region && o.counts(now) {
+			sum += capacityOr(o.Capacity)
+		}
+	}
+	return own / sum
+}
+
+func capacityOr(capacity float64) float64 {
+	if capacity <= 0 {
+		return assumedCapacity
+	}
+	return capacity
+}
+
 // counts reports whether the VM may be at work.
 func (o *Member) counts(now clock.Instant) bool { return now.Sub(o.Heard) < countedFor }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,8 +192,10 @@
 	// waited is the time spent waiting for a turn.
 	waited  time.Duration
 	missing int
-	last    *outcome
-	where   string
+	// expected is what the last choice was based on.
+	expected balance.Estimate
+	last     *outcome
+	where    string
 }
 
 // Handle serves a request. A refusal after the answer has begun means that it
@@ -263,6 +265,7 @@
 			return x.ended(ctx)
 		}
 		plan := x.choose()
+		x.expected = plan.Estimate
 		var out outcome
 		switch {
 		case plan.Server == nil && plan.Region == "":
@@ -304,8 +307,12 @@
 	}
 	// A request that can't begin in time is refused at once. One that has
 	// begun goes on, as its caller holds a part of the answer.
-	if x.sends == 0 && (plan.Server != nil || plan.Region != "") && plan.Estimate.First > left {
-		return balance.Plan{Reason: "too-late", RetryAfter: plan.Estimate.First - left, Estimate: plan.Estimate}
+	patience := left
+	if x.route.Patience > 0 {
+		patience = min(patience, x.route.Patience-x.Now().Sub(x.req.Arrived))
+	}
+	if x.sends == 0 && (plan.Server != nil || plan.Region != "") && plan.Estimate.First > patience {
+		return balance.Plan{Reason: "too-late", RetryAfter: plan.Estimate.First - patience, Estimate: plan.Estimate}
 	}
 	return plan
 }
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -80,7 +80,8 @@
 		"request", x.req.ID, "route", route, "configuration", version, "entry", x.req.Entry, "result", result,
 		"at", x.where, "sends", x.sends, "ran", x.ran, "took", took, "first", x.firstDelay(),
 		"waited", x.waited, "longestGap", x.longestGap, "events", x.events, "prompt", x.req.Demand.Prompt, "toRead", x.missing,
-		"output", x.req.Demand.Output, "hint", x.req.Demand.Expected,
+		"document", x.req.Demand.Document(), "output", x.req.Demand.Output, "hint", x.req.Demand.Expected,
+		"expectedFirst", x.expected.First, "active", int(x.expected.Active), "backlog", x.expected.Backlog, "reportAge", x.expected.ReportAge,
 	}
 	if refusal == nil {
 		r.Metrics.whole.RecordDuration(took)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -160,33 +160,37 @@
 		Server: plan.Server.ID, Remaining: x.remaining(), Priority: min(x.route.Priority, maxPriority),
 		LastEvent: x.lastEvent, Weights: x.weights,
 	})
-	vms, _ := x.Balancer.Fleet.Peers(plan.Server.ID, plan.Server.FailureDomain)
 	return &upstream.Call{
 		Address: plan.Server.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host,
 		Header: header, Body: x.req.Body, MaxIdle: idle,
-		MaxOpen: x.connectionShare(plan, vms),
+		MaxOpen: x.connectionShare(plan),
 		Belongs: func(h http.Header) bool { return x.Protocol.Inbound(http.StatusOK, h).RequestID == x.req.ID },
 	}
 }
 
 // connectionShare returns this VM's part of the connections that a backend
-// server accepts; zero means no bound. The VM through which long prompts reach
-// it has half of them.
-func (x *run) connectionShare(plan balance.Plan, vms int) int {
+// server accepts; zero means no bound. Where long prompts reach it through one
+// VM, that has half of them, and the others share the rest by their capacity.
+func (x *run) connectionShare(plan balance.Plan) int {
 	if x.service.MaxConnections <= 0 {
 		return 0
 	}
 	// A tenth stays free for health checks and for VMs that are not known yet.
-	most := x.service.MaxConnections * 9 / 10
-	if x.service.Engine == nil || !x.Peers.LargeRegion() {
-		return max(2, most/max(1, vms))
-	}
-	if _, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); address == "" {
-		return max(2, most/2)
+	most := float64(x.service.MaxConnections) * 0.9
+	switch _, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); {
+	case x.service.Engine == nil || !x.Peers.LargeRegion():
+		most *= x.Balancer.Fleet.CapacityShare()
+	case address == "":
+		most /= 2
+	default:
+		most *= x.Balancer.Fleet.CapacityShare() / 2
 	}
-	return max(2, most/2/max(1, vms))
+	return max(leastConnections, int(most))
 }
 
+// leastConnections is what a VM may open whatever its part.
+const leastConnections = 4
+
 // sendFailed explains a send without an answer.
 func (x *run) sendFailed(ctx context.Context, plan balance.Plan, err error) outcome {
 	unsent := errorx.IsOfType(err, upstream.ErrUnsent)
