Documents have home regions, owners tell backlog and token times, few VMs read the store often

Change: owners tell what was sent and has no first byte yet, and the measured time of a token, which counts where it makes an answer late or unfinished; urgent prompts pass the backlog; a document belongs to a region, by the number of servers; memory counts as occupancy; a small VM's own crossing says less of the others; four VMs of a region read the store each half second, the others every two.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -94,6 +95,9 @@
 	// lateMs is the weight of one answer that misses an objective, in
 	// milliseconds of delay.
 	lateMs = 1000
+	// failMs is the same for an answer that isn't whole by its deadline: it is
+	// worth nothing, and its work is lost.
+	failMs = 2000
 	// riskFrom and riskTo are the parts of an objective between which the
 	// chance to miss it grows from none to certain, as estimates are coarse.
 	riskFrom, riskTo = 0.65, 1.1
@@ -147,6 +151,9 @@
 	// sendsFade is the time in which a region's summary comes to show what was
 	// sent there.
 	sendsFade = 400 * time.Millisecond
+	// leastShare bounds what one request of a small VM says of those that the
+	// others sent at the same time.
+	leastShare = 0.125
 	// returnMargin is how much longer than its stated cold start a server
 	// counts as cold after its failure domain was given back.
 	returnMargin = time.Second
@@ -252,7 +259,7 @@
 	if q.LocalOnly {
 		return local
 	}
-	remote := b.chooseRegion(q)
+	remote := b.chooseRegion(q, b.homeRegion(q, view))
 	switch {
 	case remote.Region == "":
 		return local
@@ -335,6 +342,28 @@
 	return out
 }
 
+// homeRegion returns the region to which the prompt's document belongs, or "".
+// Regions get documents in proportion to their servers, so that those of a
+// region at its peak are spread as well. All VMs agree on it as far as they
+// know the same servers.
+func (b *Balancer) homeRegion(q *Query, view *roster.View) string {
+	document, ok := q.Demand.document()
+	if !ok || q.Service.Engine == nil {
+		return ""
+	}
+	best, home := 0.0, ""
+	for _, region := range view.Regions() {
+		if !q.Route.Permits(region) {
+			continue
+		}
+		servers := float64(len(view.Usable(q.Service.Name, region)))
+		if weight := -servers / math.Log(distance(document.ID, region)); weight > best {
+			best, home = weight, region
+		}
+	}
+	return home
+}
+
 // home returns the servers to which a document belongs, the first one first.
 // All VMs agree on them as far as they know the same servers.
 func home(servers []*roster.Server, document uint64) []*roster.Server {
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -106,19 +106,21 @@
 func (b *Balancer) engineEstimate(q *Query, s engineState, held int) Estimate {
 	missing := max(0, q.Demand.Prompt-held)
 	read := b.readMs(float64(missing), float64(held))
-	step := b.stepMs(s.total)
+	undisturbed := b.stepMs(s.total) * s.pace
+	step := max(undisturbed, s.tokenMs)
 	tokens := float64(q.Service.Engine.EventTokens)
-	first := b.slotWait(q, s)*queuePart(q.Route) + s.readingMs + read + (firstMs+tokens*step)*s.pace
-	rest := q.Demand.output() * step * s.pace
+	part := queuePart(q.Route)
+	first := b.slotWait(q, s)*part + s.readingMs*min(1, part) + read + firstMs*s.pace + tokens*undisturbed
+	rest := q.Demand.output() * step
 	e := Estimate{
 		First: toDuration(first), Whole: toDuration(first + rest),
 		Missing: missing, Reading: toDuration(read),
-		Score: first + decodeWeight*rest + burdenWeight*read,
+		Score: first + decodeWeight*q.Demand.output()*undisturbed + burdenWeight*read,
 	}
 	e.Score += rereadMsPerKToken * float64(max(0, q.Demand.sharedTokens()-held)) / 1000
-	e.Score += crowdMs * square(min(1, (s.active+1)/s.slots))
+	e.Score += crowdMs * square(b.occupancy(q, s))
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
-	e.Score += lateMs * miss(first+rest, q.Remaining)
+	e.Score += failMs * miss(first+rest, q.Remaining)
 	if read > turnMs {
 		calm := max(0, 1-s.readingMs/noRestMs)
 		e.Turn, e.Rest = true, toDuration(restPart*calm*read)
@@ -129,12 +131,12 @@
 		return e
 	}
 	most := tokens * b.chunkMs(float64(q.Demand.Prompt))
-	gap := tokens*step*s.pace + min(read, most)
+	gap := tokens*undisturbed + min(read, most)
 	e.Heavy = gap > heavyPart*gapObjective
-	e.Score += lateMs * s.active * (missMs(gap, gapObjective) - missMs(tokens*step*s.pace, gapObjective))
+	e.Score += lateMs * s.active * max(0, missMs(gap, gapObjective)-missMs(tokens*step, gapObjective))
 	if !e.Heavy {
 		// Heavy prompts that follow hold this stream up.
-		e.Score += lateMs * min(1, s.heavy*rest/1000)
+		e.Score += lateMs * min(1, s.heavy*q.Demand.output()*undisturbed/1000)
 	}
 	return e
 }
@@ -147,6 +149,17 @@
 	return gap > heavyPart*toMs(q.Route.GapObjective) && q.Route.GapObjective > 0
 }
 
+// occupancy returns the part of an engine's slots or memory, whichever is
+// scarcer, that is taken with the request. An engine without memory left breaks
+// into streams that run.
+func (b *Balancer) occupancy(q *Query, s engineState) float64 {
+	part := (s.active + 1) / s.slots
+	if s.memoryTotal > 0 {
+		part = max(part, (s.memory+q.Demand.memory())/s.memoryTotal)
+	}
+	return min(1, part)
+}
+
 func square(x float64) float64 { return x * x }
 
 // queuePart returns how long a route's requests wait for a slot, as a part of
@@ -219,6 +232,9 @@
 // MeasureGap takes in the time between two events of a stream, which hold the
 // given number of tokens.
 func (b *Balancer) MeasureGap(load *Load, gap time.Duration, tokens int, now clock.Instant) {
+	if tokens > 0 {
+		load.measureToken(toMs(gap)/float64(tokens), now)
+	}
 	// Reading of prompts stretches gaps whatever the engine's pace.
 	if tokens <= 0 || !load.idleSince(now.Add(-gap)) {
 		return
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -23,6 +23,11 @@
 	paceAge = 5 * time.Second
 	// minPace and maxPace bound one measurement.
 	minPace, maxPace = 0.3, 30
+	// stepSmoothing is the weight of a new measurement of the time of a token,
+	// and stepAge how long it counts without a newer one. Engines with many
+	// streams give dozens of measurements a second.
+	stepSmoothing = 0.08
+	stepAge       = 1500 * time.Millisecond
 )
 
 // Report is a backend server's own word of its load.
@@ -44,6 +49,9 @@
 	// Heavy is the rate, per second, of prompts whose reading holds up all
 	// streams of the engine.
 	Heavy float64
+	// TokenUs is the measured time of a token of the streams there in
+	// microseconds, reading of prompts in between included; zero is unknown.
+	TokenUs int64
 }
 
 // Add returns the usage of two gateways together. Each of them counts the
@@ -51,7 +59,7 @@
 func (u Usage) Add(o Usage) Usage {
 	return Usage{
 		Active: u.Active + o.Active, ReadingUs: max(u.ReadingUs, o.ReadingUs),
-		Memory: u.Memory + o.Memory, Heavy: u.Heavy + o.Heavy,
+		Memory: u.Memory + o.Memory, Heavy: u.Heavy + o.Heavy, TokenUs: max(u.TokenUs, o.TokenUs),
 	}
 }
 
@@ -70,9 +78,16 @@
 	// readUntil is the instant at which all prompts are read that have their
 	// turn or wait for it, as far as this VM knows.
 	readUntil atomic.Int64
-	heavy     decayed
-	others    atomic.Pointer[heardUsage]
-	report    atomic.Pointer[Report]
+	// unread is the time in nanoseconds that the prompts need which were sent
+	// and have no first byte yet.
+	unread atomic.Int64
+	// token is the measured time of a token in milliseconds, as the bits of a
+	// float64; tokenAt is when it was last measured.
+	token   atomic.Uint64
+	tokenAt atomic.Int64
+	heavy   decayed
+	others  atomic.Pointer[heardUsage]
+	report  atomic.Pointer[Report]
 	// beyond is what the report showed beyond the own requests, as the bits
 	// of a float64.
 	beyond atomic.Uint64
@@ -104,7 +119,7 @@
 func (l *Load) Own(now clock.Instant) Usage {
 	return Usage{
 		Active: int(l.active.Load()), ReadingUs: l.reading(now).Microseconds(), Memory: int(l.memory.Load()),
-		Heavy: l.heavy.rate(now),
+		Heavy: l.heavy.rate(now), TokenUs: int64(l.tokenMs(now) * 1000),
 	}
 }
 
@@ -124,16 +139,24 @@
 	}
 }
 
-// reading returns the time until all prompts are read that have their turn.
+// reading returns the time until all prompts are read that have their turn or
+// were sent.
 func (l *Load) reading(now clock.Instant) time.Duration {
-	return min(maxBacklog, max(0, clock.Instant(l.readUntil.Load()).Sub(now)))
+	turns := min(maxBacklog, max(0, clock.Instant(l.readUntil.Load()).Sub(now)))
+	return max(turns, time.Duration(l.unread.Load())-readAhead)
 }
 
+// readAhead is what is read of the prompts without a first byte at any time: a
+// half of the one that is being read, and those that have only their fixed time
+// to the first byte left.
+const readAhead = 120 * time.Millisecond
+
 // idleSince reports whether no prompt was being read since the given instant.
 func (l *Load) idleSince(at clock.Instant) bool { return clock.Instant(l.readUntil.Load()) < at }
 
 // maxBacklog bounds the time until a turn: estimates of what came before add
-// up, and engines are rarely further behind.
+// up. An engine that is further behind shows it by prompts without a first
+// byte.
 const maxBacklog = 500 * time.Millisecond
 
 // Turn gives a prompt its turn to be read after those before it, and returns
@@ -202,6 +225,8 @@
 // total is the use of a server by all gateways.
 type total struct {
 	active, readingMs, memory, heavy float64
+	// tokenMs is the measured time of a token; zero is unknown.
+	tokenMs float64
 }
 
 func (l *Load) total(now clock.Instant) total {
@@ -213,7 +238,11 @@
 	sum := own.Add(others)
 	t := total{
 		active: float64(sum.Active), readingMs: toMs(l.reading(now)),
-		memory: float64(sum.Memory), heavy: sum.Heavy,
+		memory: float64(sum.Memory), heavy: sum.Heavy, tokenMs: float64(sum.TokenUs) / 1000,
+	}
+	if others.ReadingUs > 0 {
+		told := time.Duration(others.ReadingUs)*time.Microsecond - now.Sub(l.others.Load().at)
+		t.readingMs = max(t.readingMs, toMs(told))
 	}
 	if r := l.report.Load(); r != nil && now.Sub(r.Heard) < reportAge {
 		// The report shows VMs that are not heard here.
@@ -263,6 +292,25 @@
 	l.paceAt.Store(int64(now))
 }
 
+// tokenMs returns the measured time of a token in milliseconds, or zero.
+func (l *Load) tokenMs(now clock.Instant) float64 {
+	if now.Sub(clock.Instant(l.tokenAt.Load())) > stepAge {
+		return 0
+	}
+	return math.Float64frombits(l.token.Load())
+}
+
+// measureToken takes in a measured time of a token in milliseconds.
+func (l *Load) measureToken(ms float64, now clock.Instant) {
+	old, next := l.token.Load(), ms
+	if mean := l.tokenMs(now); mean > 0 {
+		next = mean + stepSmoothing*(ms-mean)
+	}
+	// A lost race loses one measurement.
+	l.token.CompareAndSwap(old, math.Float64bits(next))
+	l.tokenAt.Store(int64(now))
+}
+
 // silence returns for how long requests have waited for a first byte since the
 // server last gave a sign of life.
 func (l *Load) silence(now clock.Instant) time.Duration {
@@ -276,6 +324,7 @@
 type Work struct {
 	load    *Load
 	memory  int64
+	reading int64
 	begun   clock.Instant
 	started bool
 	ended   bool
@@ -283,8 +332,9 @@
 
 // Begin records that a request is sent to the server.
 func (l *Load) Begin(d *Demand, e *Estimate, now clock.Instant) *Work {
-	w := &Work{load: l, begun: now, memory: int64(d.memory())}
+	w := &Work{load: l, begun: now, memory: int64(d.memory()), reading: int64(e.Reading)}
 	l.active.Add(1)
+	l.unread.Add(w.reading)
 	l.memory.Add(w.memory)
 	if e.Heavy {
 		l.heavy.add(now)
@@ -303,6 +353,7 @@
 	}
 	w.started = true
 	w.load.unstarted.Add(-1)
+	w.load.unread.Add(-w.reading)
 }
 
 // End gives the place back.
@@ -313,6 +364,7 @@
 	w.ended = true
 	if !w.started {
 		w.load.unstarted.Add(-1)
+		w.load.unread.Add(-w.reading)
 	}
 	w.load.active.Add(-1)
 	w.load.memory.Add(-w.memory)
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -444,3 +444,40 @@
 	is.True(first(0) < time.Second)
 	is.True(first(1) > 4*time.Second)
 }
+
+// TestDocumentsHaveAHomeRegion is the pattern of documents that all regions ask
+// for: each is read in one region and not in all, and a region at its peak
+// keeps only its part of them.
+func TestDocumentsHaveAHomeRegion(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	away := RegionSummary{
+		Region: "away", Members: 6, Known: true, RoundTrip: 160 * time.Millisecond,
+		Summary: Summary{Service: "writer", Servers: 6, Slots: 6 * 64, Active: 60, MemoryTotal: 6 * 444_000, Pace: 1},
+	}
+	b, r := newBed(6, 0, away)
+	for i := range 6 {
+		r.Put(roster.Entry{ID: fmt.Sprint("far", i), Service: "writer", Address: "10.0.1.1:1", FailureDomain: "z", Region: "away", Slots: 64, Started: 1}, 100, 1)
+	}
+	crossed := 0
+	const documents = 200
+	for i := range documents {
+		b.Load(r.View().Lookup(fmt.Sprint("writer", i%6)).Key()).SetReport(Report{Running: 10, MemoryTotal: 444_000, Heard: now})
+		q := streamQuery(now, prompt(i, 1200, 5000, 300))
+		if b.Choose(q, r.View()).Region == "away" {
+			crossed++
+			// A document that is here already stays.
+			b.Sent(q.Demand, r.View().Lookup("writer0").Key(), now)
+			is.Equal(b.Choose(q, r.View()).Region, "")
+		}
+	}
+	is.True(crossed > documents*35/100 && crossed < documents*65/100)
+	// A route that the other region may not serve stays, too.
+	bound := *streamRoute
+	bound.Homes = []string{"home"}
+	for i := range documents {
+		q := streamQuery(now, prompt(1000+i, 1200, 5000, 300))
+		q.Route = &bound
+		is.Equal(b.Choose(q, r.View()).Region, "")
+	}
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -30,6 +30,8 @@
 	Errors float64
 	// Pace is the mean of the measured times of a step over the expected ones.
 	Pace float64
+	// TokenMs is the mean of the measured times of a token; zero is unknown.
+	TokenMs float64
 }
 
 // RegionSummary is a Summary as it was heard here.
@@ -75,16 +77,21 @@
 	c.readingMs += toMs(e.Reading)
 }
 
-// chooseRegion returns the best of the other regions.
-func (b *Balancer) chooseRegion(q *Query) Plan {
+// chooseRegion returns the best of the other regions. The home region of the
+// prompt's document is expected to hold it.
+func (b *Balancer) chooseRegion(q *Query, home string) Plan {
 	best := Plan{Reason: "no-region"}
-	share := b.Fleet.CapacityShare()
+	share := max(leastShare, b.Fleet.CapacityShare())
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
 			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) {
 			continue
 		}
-		e := b.regionEstimate(q, r, share)
+		held := 0
+		if r.Region == home {
+			held = q.Demand.sharedTokens()
+		}
+		e := b.regionEstimate(q, r, share, held)
 		if best.Region == "" || e.Score < best.Estimate.Score {
 			best = Plan{Region: r.Region, Estimate: e}
 		}
@@ -94,7 +101,7 @@
 
 // regionEstimate weighs a region by its average server. The other VMs of the
 // own region are taken to send as much as this one, by their capacity.
-func (b *Balancer) regionEstimate(q *Query, r RegionSummary, share float64) Estimate {
+func (b *Balancer) regionEstimate(q *Query, r RegionSummary, share float64, held int) Estimate {
 	c := b.crossing(r.Region, q.Service.Name)
 	c.mu.Lock()
 	c.fade(q.Now)
@@ -102,6 +109,7 @@
 	use := total{
 		active: (r.Summary.Active + c.active/share) / n, readingMs: (r.Summary.Reading + c.readingMs/share) / n,
 		memory: r.Summary.Memory / n, heavy: r.Summary.Heavy / n,
+		tokenMs: r.Summary.TokenMs,
 	}
 	c.mu.Unlock()
 	var e Estimate
@@ -111,10 +119,10 @@
 		s := engineState{
 			total: use, slots: float64(r.Summary.Slots) / n, memoryTotal: r.Summary.MemoryTotal / n, pace: r.Summary.Pace,
 		}
-		e = b.engineEstimate(q, s, 0)
+		e = b.engineEstimate(q, s, held)
 		if e.Heavy {
 			s.active = min(s.active, r.Summary.Fewest)
-			e = b.engineEstimate(q, s, 0)
+			e = b.engineEstimate(q, s, held)
 		}
 	}
 	e.Score += errorMs * r.Summary.Errors
@@ -129,7 +137,7 @@
 func (b *Balancer) Summarize(service *ingress.Service, view *roster.View, now clock.Instant) Summary {
 	s := Summary{Service: service.Name}
 	q := &Query{Now: now, Service: service}
-	pace := 0.0
+	pace, token := 0.0, 0.0
 	for _, server := range view.Usable(service.Name, b.Region) {
 		load := b.Load(server.Key())
 		if load.Lost() || !load.Breaker.Ready(now) || load.silence(now) > silentAfter {
@@ -152,11 +160,13 @@
 			s.MemoryTotal += load.memoryTotal(service.Engine.MemoryTokens)
 		}
 		pace += load.paceOf(now)
+		token += max(use.tokenMs, b.stepMs(use)*load.paceOf(now))
 		s.Errors += load.errors.value()
 	}
 	s.Pace = 1
 	if s.Servers > 0 {
 		s.Pace = pace / float64(s.Servers)
+		s.TokenMs = token / float64(s.Servers)
 		s.Errors /= float64(s.Servers)
 	}
 	return s
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -31,9 +31,12 @@
 	// server that leaves may get work for so much longer.
 	gather = 200 * time.Millisecond
 	// largeWait and largeGather are the same for a large fleet, whose calls the
-	// registry counts together.
-	largeWait   = 15 * time.Second
-	largeGather = 500 * time.Millisecond
+	// registry counts together. A VM that isn't one of the readers of its region
+	// pauses for learnerGather: the readers' word comes sooner, and without it
+	// the pause is well within the operators' bounds of 5 s.
+	largeWait     = 15 * time.Second
+	largeGather   = 500 * time.Millisecond
+	learnerGather = 2 * time.Second
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -96,8 +99,9 @@
 	Scope    tally.Scope
 	// Share gives a record to the other VMs.
 	Share func(gossip.Record)
-	// LargeFleet reports whether many VMs share the registry's rate.
-	LargeFleet func() bool
+	// LargeFleet reports whether many VMs share the registry's rate, and Reader
+	// whether this is one of the few of its region that read it often.
+	LargeFleet, Reader func() bool
 }
 
 // Configuration is the one in force.
@@ -193,10 +197,7 @@
 	f.regained(topic)
 	f.takeList(topic, changes, revision)
 	for {
-		wait, pause := watchWait, gather
-		if f.LargeFleet() {
-			wait, pause = largeWait, largeGather
-		}
+		wait, pause := f.intervals()
 		// Changes that come together are read together.
 		background.Pause(ctx, pause)
 		if ctx.Err() != nil {
@@ -215,6 +216,18 @@
 	}
 }
 
+// intervals returns how long a watch waits, and the pause before it.
+func (f *Follower) intervals() (wait, pause time.Duration) {
+	switch {
+	case !f.LargeFleet():
+		return watchWait, gather
+	case f.Reader():
+		return largeWait, largeGather
+	default:
+		return largeWait, learnerGather
+	}
+}
+
 func (f *Follower) lost(topic Topic, err error) {
 	f.failed.Inc(1)
 	f.mu.Lock()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -81,7 +81,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	return New(Config{
 		Registry: f, Roster: roster.New(log), Now: clock.Synthetic(), Log: log, Scope: tally.NoopScope,
-		Share: func(gossip.Record) {}, LargeFleet: func() bool { return false },
+		Share: func(gossip.Record) {}, LargeFleet: func() bool { return false }, Reader: func() bool { return true },
 	})
 }
 
@@ -202,3 +202,16 @@
 	record.Value = []byte("nonsense")
 	follower.Received(record) // no panic
 }
+
+func TestFewVMsOfALargeFleetReadTheRegistryOften(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(&fakeRegistry{})
+	f.LargeFleet = func() bool { return true }
+	_, often := f.intervals()
+	f.Reader = func() bool { return false }
+	_, seldom := f.intervals()
+	is.True(often < seldom)
+	// A VM that hears nothing of the readers still knows within the operators'
+	// bounds of five seconds.
+	is.True(seldom <= 2*time.Second)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,6 +107,9 @@
 	newsMu   sync.Mutex
 	suspects []string
 	reports  map[string]balance.Report
+	// reads are those of the last few words to a large region. Only the exchange
+	// of loads uses them.
+	reads [][]balance.Read
 	// endsAt is when this process ends, on the boot-time clock; zero while it
 	// takes requests of any length.
 	endsAt   atomic.Int64
@@ -146,7 +149,7 @@
 	})
 	e.follower = discovery.New(discovery.Config{
 		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
-		Scope: e.metrics.Scope, Share: e.mesh.Share, LargeFleet: e.mesh.Large,
+		Scope: e.metrics.Scope, Share: e.mesh.Share, LargeFleet: e.mesh.Large, Reader: e.mesh.IsReader,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
 	e.servers = upstream.NewPool(e.now, serverDialTimeout)
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
@@ -55,22 +56,43 @@
 	}
 }
 
-// heavyUse returns the rates of heavy prompts that went through this VM.
-func (e *Edge) heavyUse(now clock.Instant) map[string]balance.Usage {
+// ownedUse returns what this VM knows of the engines that long prompts reach
+// through it.
+func (e *Edge) ownedUse(now clock.Instant) map[string]balance.Usage {
 	usage := map[string]balance.Usage{}
 	for _, s := range e.roster.View().All() {
 		if s.Region != e.self.Region {
 			continue
 		}
-		if u := e.balancer.Load(s.Key()).Own(now); u.Heavy > leastHeavy {
-			usage[s.ID] = balance.Usage{Heavy: u.Heavy}
+		u := e.balancer.Load(s.Key()).Own(now)
+		if u.Heavy < leastHeavy && u.ReadingUs < leastBacklog.Microseconds() && u.TokenUs == 0 {
+			continue
+		}
+		if _, address := e.mesh.Owner(s.ID, s.FailureDomain); address == "" {
+			usage[s.ID] = balance.Usage{Heavy: u.Heavy, ReadingUs: u.ReadingUs, TokenUs: u.TokenUs}
 		}
 	}
 	return usage
 }
 
-// leastHeavy is the rate of heavy prompts, per second, that is worth telling.
-const leastHeavy = 0.02
+// lastReads returns the reads of the last few words, the new ones included. In
+// a large region a word can be replaced by the next one before all have it.
+func (e *Edge) lastReads(reads []balance.Read) []balance.Read {
+	e.reads = append(e.reads, reads)
+	e.reads = e.reads[max(0, len(e.reads)-repeatedReads):]
+	return slices.Concat(e.reads...)
+}
+
+// repeatedReads is the number of words that tell of a read: as many as the
+// steps of the exchange within a failure domain.
+const repeatedReads = 4
+
+const (
+	// leastHeavy is the rate of heavy prompts, per second, and leastBacklog the
+	// time until all prompts are read, that are worth telling.
+	leastHeavy   = 0.02
+	leastBacklog = 20 * time.Millisecond
+)
 
 // loadHeard takes in what another VM of the region tells.
 func (e *Edge) loadHeard(load mesh.Load) {
@@ -148,8 +170,8 @@
 	suspects, reports := e.takeNews()
 	load := mesh.Load{Reads: e.balancer.Prefixes.Recent(), Suspects: suspects}
 	if e.mesh.LargeRegion() {
-		load.Reports, load.Usage = reports, e.heavyUse(now)
-		if len(load.Reads)+len(load.Suspects)+len(load.Reports) > 0 {
+		load.Reports, load.Usage, load.Reads = reports, e.ownedUse(now), e.lastReads(load.Reads)
+		if len(load.Reads)+len(load.Suspects)+len(load.Reports)+len(load.Usage) > 0 {
 			e.mesh.SetLoad(load)
 		}
 		return
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -42,6 +42,9 @@
 	// reporters is the number of VMs of a region that tell the others what
 	// their region can take.
 	reporters = 2
+	// readers is the number of VMs of a region of a large fleet that read the
+	// registry often.
+	readers = 4
 	// countedFor is how long a silent member still counts for shared
 	// allowances: it may be cut off and at work.
 	countedFor = 20 * time.Second
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -56,6 +56,10 @@
 // take.
 func (m *Mesh) IsReporter() bool { return m.rankAmongReachable("summary", "") < reporters }
 
+// IsReader reports whether this VM reads the registry often, for the others of
+// its region.
+func (m *Mesh) IsReader() bool { return m.rankAmongReachable("registry", "") < readers }
+
 // rankAmongReachable returns this VM's rank for a key among the VMs of its
 // region that can be reached, or only of those in the failure domain if one is
 // named.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,8 +79,13 @@
 	// Evacuated holds the failure domains that get no work.
 	Evacuated map[string]bool
 	returned  map[string]clock.Instant
+	regions   []string
 }
 
+// Regions returns the regions that have servers which may get new work, in
+// order.
+func (v *View) Regions() []string { return v.regions }
+
 // ReturnedAt returns when the evacuation of a failure domain was seen to end,
 // or zero.
 func (v *View) ReturnedAt(domain string) clock.Instant { return v.returned[domain] }
@@ -341,6 +346,9 @@
 		if s.Draining || v.Evacuated[s.FailureDomain] {
 			continue
 		}
+		if i, found := slices.BinarySearch(v.regions, s.Region); !found {
+			v.regions = slices.Insert(v.regions, i, s.Region)
+		}
 		key := s.Service + "\x00" + s.Region
 		v.services[key] = append(v.services[key], s)
 	}
