--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -120,7 +120,7 @@
 	e.Score += rereadMsPerKToken * float64(max(0, q.Demand.sharedTokens()-held)) / 1000
 	e.Score += crowdMs * square(b.occupancy(q, s))
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
-	e.Score += failMs * miss(first+rest, q.Remaining)
+	e.Score += lateMs * miss(first+q.Demand.output()*undisturbed, q.Remaining)
 	if read > turnMs {
 		calm := max(0, 1-s.readingMs/noRestMs)
 		e.Turn, e.Rest = true, toDuration(restPart*calm*read)
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -481,3 +481,27 @@
 		is.Equal(b.Choose(q, r.View()).Region, "")
 	}
 }
+
+// TestBacklogIsWhatWasSentAndNotBegun is the pattern of an engine that falls
+// behind: turns alone show no more than half a second of it.
+func TestBacklogIsWhatWasSentAndNotBegun(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	l := &Load{}
+	d := prompt(1, 12000, 0, 300)
+	var sent []*Work
+	for range 20 {
+		sent = append(sent, l.Begin(d, &Estimate{Reading: 130 * time.Millisecond}, now))
+	}
+	is.Equal(l.reading(now), 20*130*time.Millisecond-readAhead)
+	for _, w := range sent[:10] {
+		w.Started(now)
+	}
+	sent[10].End(now)
+	is.Equal(l.reading(now), 9*130*time.Millisecond-readAhead)
+	// What an owner tells counts, less its age.
+	other := &Load{}
+	other.SetOthers(l.Own(now), now)
+	later := now.Add(200 * time.Millisecond)
+	is.True(other.total(later).readingMs > 700 && other.total(later).readingMs < 900)
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -37,6 +37,9 @@
 	largeWait     = 15 * time.Second
 	largeGather   = 500 * time.Millisecond
 	learnerGather = 2 * time.Second
+	// settling is the time after a list in which every VM reads often: entries
+	// that lapsed while the registry was away come back one by one.
+	settling = 6 * time.Second
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -123,8 +126,9 @@
 	// fetching is true while another VM is asked for its configuration.
 	fetching atomic.Bool
 	fetched  atomic.Int64
-	// confirmed is when the registry last answered.
-	confirmed atomic.Int64
+	// confirmed is when the registry last answered, and regainedAt when it did
+	// for the first time or after a failure.
+	confirmed, regainedAt atomic.Int64
 	calls     tally.Counter
 	failed    tally.Counter
 	timing    tally.Histogram
@@ -221,7 +225,7 @@
 	switch {
 	case !f.LargeFleet():
 		return watchWait, gather
-	case f.Reader():
+	case f.Reader(), f.Now().Sub(clock.Instant(f.regainedAt.Load())) < settling:
 		return largeWait, largeGather
 	default:
 		return largeWait, learnerGather
@@ -244,6 +248,7 @@
 
 func (f *Follower) regained(topic Topic) {
 	f.confirmed.Store(int64(f.Now()))
+	f.regainedAt.Store(int64(f.Now()))
 	f.mu.Lock()
 	was := f.away[topic]
 	f.away[topic] = false
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -209,6 +209,10 @@
 	f.LargeFleet = func() bool { return true }
 	_, often := f.intervals()
 	f.Reader = func() bool { return false }
+	f.regained(Servers)
+	_, settled := f.intervals()
+	is.Equal(settled, often) // what lapsed while the registry was away comes back
+	f.regainedAt.Store(int64(f.Now().Add(-settling)))
 	_, seldom := f.intervals()
 	is.True(often < seldom)
 	// A VM that hears nothing of the readers still knows within the operators'
