--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -129,9 +129,9 @@
 	// confirmed is when the registry last answered, and regainedAt when it did
 	// for the first time or after a failure.
 	confirmed, regainedAt atomic.Int64
-	calls     tally.Counter
-	failed    tally.Counter
-	timing    tally.Histogram
+	calls                 tally.Counter
+	failed                tally.Counter
+	timing                tally.Histogram
 }
 
 // New returns a follower that knows nothing.
