--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -95,9 +95,6 @@
 	// lateMs is the weight of one answer that misses an objective, in
 	// milliseconds of delay.
 	lateMs = 1000
-	// failMs is the same for an answer that isn't whole by its deadline: it is
-	// worth nothing, and its work is lost.
-	failMs = 2000
 	// riskFrom and riskTo are the parts of an objective between which the
 	// chance to miss it grows from none to certain, as estimates are coarse.
 	riskFrom, riskTo = 0.65, 1.1
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -111,16 +111,16 @@
 	tokens := float64(q.Service.Engine.EventTokens)
 	part := queuePart(q.Route)
 	first := b.slotWait(q, s)*part + s.readingMs*min(1, part) + read + firstMs*s.pace + tokens*undisturbed
-	rest := q.Demand.output() * step
+	rest := q.Demand.output() * undisturbed
 	e := Estimate{
-		First: toDuration(first), Whole: toDuration(first + rest),
+		First: toDuration(first), Whole: toDuration(first + q.Demand.output()*step),
 		Missing: missing, Reading: toDuration(read),
-		Score: first + decodeWeight*q.Demand.output()*undisturbed + burdenWeight*read,
+		Score: first + decodeWeight*rest + burdenWeight*read,
 	}
 	e.Score += rereadMsPerKToken * float64(max(0, q.Demand.sharedTokens()-held)) / 1000
 	e.Score += crowdMs * square(b.occupancy(q, s))
 	e.Score += lateMs * miss(first, q.Route.LatencyObjective)
-	e.Score += lateMs * miss(first+q.Demand.output()*undisturbed, q.Remaining)
+	e.Score += lateMs * miss(first+rest, q.Remaining)
 	if read > turnMs {
 		calm := max(0, 1-s.readingMs/noRestMs)
 		e.Turn, e.Rest = true, toDuration(restPart*calm*read)
@@ -136,7 +136,7 @@
 	e.Score += lateMs * s.active * max(0, missMs(gap, gapObjective)-missMs(tokens*step, gapObjective))
 	if !e.Heavy {
 		// Heavy prompts that follow hold this stream up.
-		e.Score += lateMs * min(1, s.heavy*q.Demand.output()*undisturbed/1000)
+		e.Score += lateMs * min(1, s.heavy*rest/1000)
 	}
 	return e
 }
