--- a/soak/soak.go
+++ b/soak/soak.go
@@ -166,7 +166,7 @@
 		}
 	}
 	for _, p := range w.vms {
-		if !w.within(settle, func() bool { return ready(p) }) {
+		if !w.within(settle, p.Takes) {
 			return fmt.Errorf("%s is not ready after %v", p.Name, settle)
 		}
 	}
@@ -246,16 +246,6 @@
 	}
 }
 
-func ready(p *process) bool {
-	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + p.Ready + "/-/ready")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 func (w *World) within(d time.Duration, done func() bool) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if done() {
