--- a/soak/faults.go
+++ b/soak/faults.go
@@ -214,8 +214,8 @@
 	zones := []string{"north-a", "west-a", "south-a"}
 	zone, length := zones[w.rng.IntN(len(zones))], w.lasting()
 	w.tell("evacuate %s for %v", zone, length)
-	w.Store.Put("op/evacuate/"+zone, map[string]any{})
-	time.AfterFunc(length, func() { w.Store.Remove("op/evacuate/" + zone) })
+	w.Evacuate(zone, true)
+	time.AfterFunc(length, func() { w.Evacuate(zone, false) })
 }
 
 // heal ends all faults and waits for what was ordered.
