--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -40,6 +40,12 @@
 	// settling is the time after a list in which every VM reads often: entries
 	// that lapsed while the registry was away come back one by one.
 	settling = 6 * time.Second
+	// beginTimeout bounds the wait for a list to begin: a slow registry takes a
+	// second, and a silent one must not hide its return. Each patientTry-th list
+	// in a row waits for patientTimeout, for a slower one.
+	beginTimeout   = 1500 * time.Millisecond
+	patientTimeout = 4 * time.Second
+	patientTry     = 3
 	// firstPause and maxPause bound the time between failed reads.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -85,8 +91,8 @@
 // Registry is what the operators publish, read only.
 type Registry interface {
 	// List returns all entries of a topic and the revision at which a watch
-	// goes on.
-	List(ctx context.Context, topic Topic) ([]Change, uint64, error)
+	// goes on. It gives up where an answer does not begin in time.
+	List(ctx context.Context, topic Topic, begin time.Duration) ([]Change, uint64, error)
 	// Watch waits up to wait for changes after the revision.
 	Watch(ctx context.Context, topic Topic, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Decode reads a published configuration.
@@ -122,7 +128,8 @@
 	inForce atomic.Pointer[Configuration]
 	mu      sync.Mutex // serializes changes of the configuration
 	away    map[Topic]bool
-	listed  map[Topic]bool
+	// failures counts the lists in a row that failed.
+	failures atomic.Int32
 	// fetching is true while another VM is asked for its configuration.
 	fetching atomic.Bool
 	fetched  atomic.Int64
@@ -138,7 +145,7 @@
 func New(config Config) *Follower {
 	scope := config.Scope.SubScope("registry")
 	return &Follower{
-		Config: config, away: map[Topic]bool{}, listed: map[Topic]bool{},
+		Config: config, away: map[Topic]bool{},
 		calls: scope.Counter("calls"), failed: scope.Counter("failures"),
 		timing: scope.Histogram("list_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 	}
@@ -193,10 +200,12 @@
 func (f *Follower) follow(ctx context.Context, topic Topic) (progressed bool, err error) {
 	f.calls.Inc(1)
 	started := f.Now()
-	changes, revision, err := f.Registry.List(ctx, topic)
+	changes, revision, err := f.Registry.List(ctx, topic, f.patience())
 	if err != nil {
+		f.failures.Add(1)
 		return false, err
 	}
+	f.failures.Store(0)
 	f.timing.RecordDuration(f.Now().Sub(started))
 	f.regained(topic)
 	f.takeList(topic, changes, revision)
@@ -220,6 +229,14 @@
 	}
 }
 
+// patience returns how long the next list may take to begin.
+func (f *Follower) patience() time.Duration {
+	if f.failures.Load()%patientTry == patientTry-1 {
+		return patientTimeout
+	}
+	return beginTimeout
+}
+
 // intervals returns how long a watch waits, and the pause before it.
 func (f *Follower) intervals() (wait, pause time.Duration) {
 	switch {
@@ -252,7 +269,6 @@
 	f.mu.Lock()
 	was := f.away[topic]
 	f.away[topic] = false
-	f.listed[topic] = true
 	f.mu.Unlock()
 	if topic == Servers {
 		f.Roster.Back(f.Now())
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -27,13 +27,15 @@
 	down    bool
 	gone    bool
 	events  chan []Change
+	begins  []time.Duration
 	lists   int
 }
 
-func (f *fakeRegistry) List(context.Context, Topic) ([]Change, uint64, error) {
+func (f *fakeRegistry) List(_ context.Context, _ Topic, begin time.Duration) ([]Change, uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
+	f.begins = append(f.begins, begin)
 	if f.down {
 		return nil, 0, ErrUnavailable.New("down")
 	}
@@ -219,3 +221,27 @@
 	// bounds of five seconds.
 	is.True(seldom <= 2*time.Second)
 }
+
+// TestEachThirdListOfASilentRegistryIsPatient is the pattern of a registry that
+// goes silent and comes back while VMs start: a list that waits for it is given
+// up soon, and now and then one waits for a registry that is merely slow.
+func TestEachThirdListOfASilentRegistryIsPatient(t *testing.T) {
+	is := is.New(t)
+	registry := &fakeRegistry{down: true}
+	follow(t, registry, Servers, func(_ *testing.T, follower *Follower) {
+		time.Sleep(10 * time.Second)
+		var begins []time.Duration
+		registry.set(func() { begins = registry.begins })
+		for i, begin := range begins {
+			if (i+1)%patientTry == 0 {
+				is.Equal(begin, patientTimeout)
+			} else {
+				is.Equal(begin, beginTimeout)
+			}
+		}
+		is.True(len(begins) >= patientTry)
+		registry.set(func() { registry.down = false })
+		time.Sleep(maxPause * 2)
+		is.Equal(follower.failures.Load(), int32(0))
+	})
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 )
@@ -80,6 +81,22 @@
 	}
 }
 
+const (
+	// vmsPerRegistry is the number of VMs among which the registry's rate is
+	// divided; it is the number of the operators' plan.
+	vmsPerRegistry = 400
+	// leastCallRate is this VM's least rate of calls a second, enough for two
+	// watches that keep failing.
+	leastCallRate = 4
+	// callBurst is the number of calls beyond the rate, for a start.
+	callBurst = 12
+)
+
+// RegistryLimit returns this VM's part of the calls that the registry serves.
+func (s *Settings) RegistryLimit() *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(max(leastCallRate, s.RegistryReads/vmsPerRegistry)), callBurst)
+}
+
 // leastGrace is the shortest time in which a shutdown can finish requests.
 const leastGrace = time.Second
 
