State that nothing reads is out; one default bounds callers' bodies

Estimate.Whole, Demand.Model, Server.StopsAt, the callers' header and idle limits and Prefixes.Dropped were written or declared and never read.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -25,8 +25,6 @@
 	Expected int
 	// Parts are the prompt's parts in order.
 	Parts []Part
-	// Model names the model.
-	Model string
 }
 
 // output returns the expected number of tokens of the answer.
@@ -77,8 +75,8 @@
 
 // Estimate is what a request is expected to meet.
 type Estimate struct {
-	// First is the time until the answer begins, and Whole until its end.
-	First, Whole time.Duration
+	// First is the time until the answer begins.
+	First time.Duration
 	// Score orders choices, in milliseconds; the least is best.
 	Score float64
 	// Turn means that the prompt takes its turn to be read. Hold is the longest
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -113,8 +113,7 @@
 	first := b.slotWait(q, s)*part + s.readingMs*min(1, part) + read + firstMs*s.pace + tokens*undisturbed
 	rest := q.Demand.output() * undisturbed
 	e := Estimate{
-		First: toDuration(first), Whole: toDuration(first + q.Demand.output()*step),
-		Missing: missing, Reading: toDuration(read),
+		First: toDuration(first), Missing: missing, Reading: toDuration(read),
 		Score: first + decodeWeight*rest + burdenWeight*read,
 	}
 	e.Score += rereadMsPerKToken * float64(max(0, q.Demand.sharedTokens()-held)) / 1000
@@ -197,7 +196,7 @@
 	// A server that has free slots is the better the more of them are free.
 	crowd := active / float64(slots) * service * 0.5
 	whole := wait + service
-	return Estimate{First: toDuration(whole), Whole: toDuration(whole), Score: whole + crowd}
+	return Estimate{First: toDuration(whole), Score: whole + crowd}
 }
 
 // durationMs returns the service's usual time from the send to the end.
--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -90,13 +90,6 @@
 	holders[server] = now
 }
 
-// Dropped records that a server no longer holds a part.
-func (p *Prefixes) Dropped(id uint64, server roster.ServerKey) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.parts[id], server)
-}
-
 // prune forgets what is old, or everything where nothing is.
 func (p *Prefixes) prune(now clock.Instant) {
 	for id, holders := range p.parts {
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -128,7 +128,6 @@
 	e.Score += errorMs * r.Summary.Errors
 	link := toMs(r.RoundTrip)
 	e.First += r.RoundTrip
-	e.Whole += r.RoundTrip
 	e.Score += link + b.Tuning.RegionMsPerKB*b.kilobytes(q)
 	return e
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -133,9 +133,8 @@
 // Limits bound what a caller may send.
 type Limits struct {
 	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes is zero where none is stated.
+	MaxBodyBytes int64
 }
 
 // Table is one configuration.
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -14,7 +14,7 @@
 const (
 	// bodyTimeout bounds how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
-	// defaultBodyBytes bounds a body until a configuration is known.
+	// defaultBodyBytes bounds a body where no configuration does.
 	defaultBodyBytes = 4 << 20
 )
 
@@ -52,10 +52,13 @@
 	if err != nil {
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, err.Error())
 	}
-	limits := ingress.Limits{MaxBodyBytes: defaultBodyBytes}
+	var limits ingress.Limits
 	if table := r.Table(); table != nil {
 		limits = table.Limits
 	}
+	if limits.MaxBodyBytes <= 0 {
+		limits.MaxBodyBytes = defaultBodyBytes
+	}
 	if limits.MaxHeaderBytes > 0 && headerBytes(hr.Header) > limits.MaxHeaderBytes {
 		return nil, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,8 +56,6 @@
 	Seen clock.Instant
 	// ColdUntil is when the server is expected to be warm.
 	ColdUntil clock.Instant
-	// StopsAt is when the server is stopped; zero means not announced.
-	StopsAt clock.Instant
 	// missing is when the entry was found missing after an outage of the
 	// registry; zero means that it is there.
 	missing clock.Instant
@@ -168,9 +166,6 @@
 	if e.ColdFor > 0 {
 		s.ColdUntil = max(s.ColdUntil, now.Add(e.ColdFor))
 	}
-	if e.LeavesIn > 0 {
-		s.StopsAt = now.Add(e.LeavesIn)
-	}
 	r.servers[e.ID] = s
 	r.log.Info("backend server changed", "server", e.ID, "service", e.Service, "address", e.Address,
 		"failureDomain", e.FailureDomain, "draining", e.Draining, "coldFor", e.ColdFor, "leavesIn", e.LeavesIn,
