One package spreads keys over members

balance, mesh and routing each had the same mixing of bits; balance and mesh hashed names by hand where the rest of the project calls xxhash, and each weighed members by the same formula. internal/spread holds Mix, Unit and Weigh, with tests, for all three; a document's home servers are found with one distance each. Which VM or server is first for a key changes with the hash; that each has its share, and that all agree, does not.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,16 +1,19 @@
 package balance
 
 import (
+	"cmp"
 	"hash/maphash"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 // Bounds are the operators' bounds on what the fleet may do to backend servers.
@@ -312,14 +315,14 @@
 	}
 	draw := func(from []*roster.Server, most int, seed uint64) {
 		for i := range uint64(min(most, len(from))) {
-			add(from[mix(seed+i)%uint64(len(from))])
+			add(from[spread.Mix(seed+i)%uint64(len(from))])
 		}
 	}
 	draw(near, sampled, q.Random)
 	if len(near) < sampled {
-		draw(far, sampled, mix(q.Random))
+		draw(far, sampled, spread.Mix(q.Random))
 	} else {
-		draw(far, sampledFar, mix(q.Random))
+		draw(far, sampledFar, spread.Mix(q.Random))
 	}
 	if q.Service.Engine != nil && b.holdsUp(q) {
 		// So few prompts are worth a look at every server for the one whose
@@ -354,8 +357,8 @@
 			continue
 		}
 		servers := float64(len(view.Usable(q.Service.Name, region)))
-		if weight := -servers / math.Log(distance(document.ID, region)); weight > best {
-			best, home = weight, region
+		if preference := spread.Weigh(affinity(document.ID, region), servers); preference > best {
+			best, home = preference, region
 		}
 	}
 	return home
@@ -364,21 +367,29 @@
 // home returns the servers to which a document belongs, the first one first.
 // All VMs agree on them as far as they know the same servers.
 func home(servers []*roster.Server, document uint64) []*roster.Server {
+	type place struct {
+		server   *roster.Server
+		distance float64
+	}
+	places := make([]place, len(servers))
+	for i, s := range servers {
+		places[i] = place{s, distance(document, s.ID)}
+	}
+	slices.SortFunc(places, func(x, y place) int { return cmp.Compare(x.distance, y.distance) })
 	var out []*roster.Server
-	for range min(documentServers, len(servers)) {
-		var best *roster.Server
-		for _, s := range servers {
-			if !slices.Contains(out, s) && (best == nil || distance(document, s.ID) < distance(document, best.ID)) {
-				best = s
-			}
-		}
-		out = append(out, best)
+	for _, p := range places[:min(documentServers, len(places))] {
+		out = append(out, p.server)
 	}
 	return out
 }
 
+// affinity is the hash of a part of a prompt with a place that may hold it.
+func affinity(part uint64, place string) uint64 {
+	return spread.Mix(part) ^ xxhash.Sum64String(place)
+}
+
 // distance orders servers for a part of a prompt: a number between 0 and 1.
-func distance(part uint64, server string) float64 { return fraction(mix(part) ^ stableHash(server)) }
+func distance(part uint64, server string) float64 { return spread.Unit(affinity(part, server)) }
 
 // Sent records that a server was sent a prompt, and has the other VMs told of
 // the parts that are worth it.
@@ -453,25 +464,3 @@
 	rate := q.Service.ColdPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
 	return true, Allowance(rate, vms, rank)
 }
-
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-// fraction returns a number in [0, 1) that depends on x alone.
-func fraction(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
-
-func hash(seed maphash.Seed, s string) uint64 { return maphash.String(seed, s) }
-
-// stableHash is the same in all processes.
-func stableHash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"hash/maphash"
 	"math"
 	"sync/atomic"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 // estimate weighs one backend server.
@@ -34,7 +36,7 @@
 	if quiet := load.silence(q.Now); quiet > e.First {
 		e.Score += toMs(quiet)
 	}
-	e.Score *= 1 + noise*fraction(q.Random^hash(b.seed, s.ID))
+	e.Score *= 1 + noise*spread.Unit(q.Random^maphash.String(b.seed, s.ID))
 	return e
 }
 
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -1,34 +1,19 @@
 package mesh
 
 import (
-	"math"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 // assumedCapacity stands for the capacity of a VM that states none, in requests
 // a second: that of a fifth of a core.
 const assumedCapacity = 100
 
-// rendezvous is the same in all processes.
-func rendezvous(vm, key string) uint64 {
-	h := uint64(14695981039346656037)
-	for _, s := range [...]string{vm, "\x00", key} {
-		for i := range len(s) {
-			h = (h ^ uint64(s[i])) * 1099511628211
-		}
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
-
-// preference orders VMs for a key: each is first for a share of all keys that
-// is in proportion to its capacity.
+// preference orders VMs for a key, by their capacities.
 func preference(vm string, capacity float64, key string) float64 {
-	// The hash as a number between 0 and 1, both excluded.
-	u := (float64(rendezvous(vm, key)>>11) + 0.5) / (1 << 53)
-	return -capacityOr(capacity) / math.Log(u)
+	return spread.Weigh(xxhash.Sum64String(vm)^spread.Mix(xxhash.Sum64String(key)), capacityOr(capacity))
 }
 
 // ranked is a VM's place in an order: near VMs come first.
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -1,6 +1,10 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/chestnutspring/chestnutspring/internal/spread"
+)
 
 // NextInTurn returns the next usable candidate in turn, for the policy
 // home-round-robin, or nil.
@@ -22,7 +26,7 @@
 	var region *RegionOption
 	least := 0.0
 	take := func(load float64, salt uint64, c *Candidate, o *RegionOption) {
-		load += noise * fraction(mix(q.Random^salt))
+		load += noise * spread.Unit(q.Random^salt)
 		if server == nil && region == nil || load < least {
 			least, server, region = load, c, o
 		}
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 // Picker is the immutable view of one snapshot from which targets are served.
@@ -108,7 +109,7 @@
 		rec := r.record(b.Name)
 		rec.server.Reported(status, slotsOf(b), t.shareOf(b))
 		c := Candidate{
-			Config: b, Server: rec.server, id: rec.id, hash: mix(uint64(rec.id) + 1),
+			Config: b, Server: rec.server, id: rec.id, hash: spread.Mix(uint64(rec.id) + 1),
 			healthy:    status == nil || status.Healthy,
 			sameDomain: b.Spec.FailureDomain == s.Self.FailureDomain,
 		}
@@ -196,12 +197,3 @@
 	}
 	return 1 / (tokensPerSecond * model.Spec.SecondsPerToken)
 }
-
-// mix spreads the bits of x.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 const (
@@ -233,12 +234,12 @@
 	load := (float64(c.Server.InFlight()) + c.Server.Others()) / slots
 	slowness := t.slowness(c, q.Now)
 	prompt := q.PromptTime.Seconds()
-	spread := 0.0
+	elsewhere := 0.0 // what a server costs that doesn't hold the prefix
 	if q.Prefix != 0 && t.Prefixes != nil {
 		if t.holds(c, q) {
 			prompt *= cachedPromptShare
 		} else {
-			spread = prompt * spreadShare * fraction(mix(q.Prefix^c.hash))
+			elsewhere = prompt * spreadShare * spread.Unit(q.Prefix^c.hash)
 		}
 	}
 	pace := 1 + loadSlope*min(load, 1)
@@ -247,11 +248,11 @@
 	if stalled := c.Server.Stalled(q.Now); stalled > firstByteGrace+time.Duration(2*slowness*prompt*float64(time.Second)) {
 		wait += stalled.Seconds()
 	}
-	score := service + wait + spread
+	score := service + wait + elsewhere
 	if !c.sameDomain {
 		score += crossDomainSeconds
 	}
-	score *= 1 + noise*fraction(mix(q.Random^c.hash))
+	score *= 1 + noise*spread.Unit(q.Random^c.hash)
 	return Estimate{
 		Wait: toDuration(wait), Service: toDuration(service), Score: score,
 		Prompt: toDuration(prompt), Pace: pace,
@@ -379,8 +380,6 @@
 	return min(1, max(least, part))
 }
 
-// fraction maps x to [0, 1).
-func fraction(x uint64) float64 { return float64(x>>11) / (1 << 53) }
 
 func toDuration(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
--- a/internal/routing/region.go
+++ b/internal/routing/region.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 const (
@@ -147,7 +148,7 @@
 		return false
 	}
 	part := ramp(q.Now, o.since, t.Policy.SlowStart)
-	return part >= 1 || fraction(mix(q.Random)) < part
+	return part >= 1 || spread.Unit(q.Random) < part
 }
 
 // Spare reports whether a permitted region has slots to spare; nil permits all.
@@ -223,7 +224,7 @@
 	if len(members) == 0 {
 		return nil
 	}
-	return members[mix(q.Random^1)%uint64(len(members))]
+	return members[spread.Mix(q.Random^1)%uint64(len(members))]
 }
 
 // untried returns the members that aren't on the request's trail.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 const start = clock.Instant(time.Hour)
@@ -213,7 +214,7 @@
 	crossed := 0
 	const requests = 2000
 	for i := range requests {
-		if target.Decide(query(mix(uint64(i))), "a", Local{}, anywhere).Region != nil {
+		if target.Decide(query(spread.Mix(uint64(i))), "a", Local{}, anywhere).Region != nil {
 			crossed++
 		}
 	}
@@ -248,7 +249,7 @@
 	q.Prefix = 42
 	b.ReportAllocs()
 	for i := uint64(0); b.Loop(); i++ {
-		q.Random = mix(i)
+		q.Random = spread.Mix(i)
 		choice, ok := target.Place(q)
 		if !ok {
 			b.Fatal("no slot")
