What follows from the members is worked out once a tick, and there is one notion of a large region

Each request walked the members several times, with a hash and a logarithm each, to learn whether the region is large (twice, by two bounds of eight: reachable VMs in mesh, counted ones in balance) and which part of its capacity this VM has; an owner was looked up before it was known that one is needed. mesh.standing holds both, renewed with the members each 100 ms; balance asks the mesh. In the 20 s after a region shrinks to eight VMs it now counts as small at once in both. TakesRequests and counts replace five spelled-out conditions, readHeld two reads of an answer.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -135,10 +135,9 @@
 	// for want of room, and errorMs to that of one that fails all requests.
 	fullMs  = 300
 	errorMs = 1500
-	// manyVMs is the number of VMs of a region beyond which not all servers are
-	// weighed, sampled the number of those drawn in the own failure domain, and
-	// sampledFar in the others.
-	manyVMs    = 8
+	// sampled is the number of servers of the own failure domain that are drawn
+	// in a large region, where not all are weighed, and sampledFar the number of
+	// the others.
 	sampled    = 3
 	sampledFar = 1
 	// leastHeld is the size in tokens of a document: a shared part that is worth
@@ -201,6 +200,9 @@
 	// this one included, and this one's rank among them for a server in a
 	// failure domain.
 	Peers(server, failureDomain string) (vms, rank int)
+	// LargeRegion reports whether the own region has too many VMs for each to
+	// know at once what the others do.
+	LargeRegion() bool
 	// CapacityShare returns this VM's part of the capacity of its region's VMs.
 	CapacityShare() float64
 	// Regions returns what is known of the regions that can be reached.
@@ -281,7 +283,7 @@
 	}
 	held := b.Prefixes.holdings(q.Demand.Parts, q.Now)
 	servers := view.Usable(q.Service.Name, b.Region)
-	if b.manyVMs() && len(servers) > sampled+sampledFar+documentServers {
+	if b.Fleet.LargeRegion() && len(servers) > sampled+sampledFar+documentServers {
 		if plan := b.best(q, view, b.sample(q, servers, held), held, best); plan.Server != nil {
 			return plan
 		}
@@ -289,13 +291,6 @@
 	return b.best(q, view, servers, held, best)
 }
 
-// manyVMs reports whether the region has too many VMs for each to know at once
-// what the others do.
-func (b *Balancer) manyVMs() bool {
-	vms, _ := b.Fleet.Peers("", "")
-	return vms > manyVMs
-}
-
 // sample returns some servers at random, those that hold the prompt's document
 // and those to which it belongs. Where many VMs choose by reports that are a
 // while old, weighing all servers would send all of them to the same one.
@@ -395,7 +390,7 @@
 // the parts that are worth it.
 func (b *Balancer) Sent(d *Demand, server roster.ServerKey, now clock.Instant) {
 	least := leastRead
-	if b.manyVMs() {
+	if b.Fleet.LargeRegion() {
 		least = leastHeld
 	}
 	b.Prefixes.Read(d.Parts, server, least, now)
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -19,6 +19,7 @@
 type lone struct{ regions []RegionSummary }
 
 func (l *lone) Peers(string, string) (vms, rank int) { return 1, 0 }
+func (l *lone) LargeRegion() bool                    { return false }
 func (l *lone) CapacityShare() float64               { return 1 }
 func (l *lone) Regions(string) []RegionSummary       { return l.regions }
 
@@ -275,6 +276,7 @@
 type many struct{ lone }
 
 func (m *many) Peers(string, string) (vms, rank int) { return 30, 0 }
+func (m *many) LargeRegion() bool                    { return true }
 func (m *many) CapacityShare() float64               { return 1. / 30 }
 
 // TestManyVMsDontAllChooseTheSameServer is the pattern of a large region whose
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -135,7 +135,16 @@
 	links    map[string]*link
 	state    State
 	seeds    []string
-	snapshot atomic.Pointer[[]Member]
+	standing atomic.Pointer[standing]
+}
+
+// standing is what follows from the members that are known. It is immutable
+// and renewed with each tick.
+type standing struct {
+	members     []Member
+	largeRegion bool
+	// share is this VM's part of the capacity of its region.
+	share float64
 }
 
 type usageWord struct {
@@ -158,7 +167,7 @@
 		// Versions of a new incarnation are above those of the ones before.
 		base: uint64(time.Now().UnixMilli()) << 16,
 	}
-	m.snapshot.Store(&[]Member{})
+	m.standing.Store(&standing{share: 1})
 	return m
 }
 
@@ -252,15 +261,7 @@
 
 // LargeRegion reports whether the region has more VMs than can tell one
 // another of each request.
-func (m *Mesh) LargeRegion() bool {
-	n := 1
-	for _, o := range m.Members() {
-		if o.Region == m.Self.Region && o.Reachable {
-			n++
-		}
-	}
-	return n > fullMesh
-}
+func (m *Mesh) LargeRegion() bool { return m.standing.Load().largeRegion }
 
 // Large reports whether the fleet has so many VMs that they exchange less
 // often.
@@ -275,13 +276,13 @@
 }
 
 // Members returns the other VMs, ordered by name. Callers must not change it.
-func (m *Mesh) Members() []Member { return *m.snapshot.Load() }
+func (m *Mesh) Members() []Member { return m.standing.Load().members }
 
 // Count returns the number of VMs that may be at work, this one included.
 func (m *Mesh) Count() int {
 	n, now := 1, m.Now()
 	for _, o := range m.Members() {
-		if now.Sub(o.Heard) < countedFor {
+		if o.counts(now) {
 			n++
 		}
 	}
@@ -296,7 +297,7 @@
 	now := m.Now()
 	byRegion := map[string]*balance.RegionSummary{}
 	for _, o := range m.Members() {
-		if o.Region == m.Self.Region || !o.Reachable || !o.Ready || o.Leaving {
+		if o.Region == m.Self.Region || !o.TakesRequests() {
 			continue
 		}
 		r := byRegion[o.Region]
@@ -382,7 +383,7 @@
 	}
 }
 
-// refresh builds the members' snapshot. The caller holds the lock.
+// refresh renews what follows from the members. The caller holds the lock.
 func (m *Mesh) refresh() {
 	now := m.Now()
 	list := make([]Member, 0, len(m.members))
@@ -400,7 +401,7 @@
 		list = append(list, *o)
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
-	m.snapshot.Store(&list)
+	m.standing.Store(m.standingOf(list, now))
 }
 
 func (m *Mesh) forget(vm string) {
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -83,17 +83,27 @@
 	return vms, rank
 }
 
-// CapacityShare returns this VM's part of the capacity of the VMs of its region that
-// may be at work.
-func (m *Mesh) CapacityShare() float64 {
-	now, own := m.Now(), capacityOr(m.Capacity)
+// CapacityShare returns this VM's part of the capacity of the VMs of its region
+// that may be at work.
+func (m *Mesh) CapacityShare() float64 { return m.standing.Load().share }
+
+// standingOf works out what follows from the members.
+func (m *Mesh) standingOf(members []Member, now clock.Instant) *standing {
+	own, reachable := capacityOr(m.Capacity), 1
 	sum := own
-	for _, o := range m.Members() {
-		if o.Region == m.Self.Region && o.counts(now) {
+	for i := range members {
+		o := &members[i]
+		if o.Region != m.Self.Region {
+			continue
+		}
+		if o.Reachable {
+			reachable++
+		}
+		if o.counts(now) {
 			sum += capacityOr(o.Capacity)
 		}
 	}
-	return own / sum
+	return &standing{members: members, largeRegion: reachable > fullMesh, share: own / sum}
 }
 
 func capacityOr(capacity float64) float64 {
@@ -106,15 +116,15 @@
 // counts reports whether the VM may be at work.
 func (o *Member) counts(now clock.Instant) bool { return now.Sub(o.Heard) < countedFor }
 
-// takesHops reports whether the VM takes requests of others.
-func (o *Member) takesHops() bool { return o.Reachable && o.Ready && !o.Leaving }
+// TakesRequests reports whether the VM can be reached and takes requests.
+func (o *Member) TakesRequests() bool { return o.Reachable && o.Ready && !o.Leaving }
 
 // Member returns a VM of the region and the address where it takes hops, or "".
 // Each is returned as often as its capacity says.
 func (m *Mesh) Member(region, key string) (vm, address string) {
 	best := 0.0
 	for _, o := range m.Members() {
-		if o.Region != region || !o.takesHops() {
+		if o.Region != region || !o.TakesRequests() {
 			continue
 		}
 		if p := preference(o.VM, o.Capacity, key); p > best {
@@ -133,7 +143,7 @@
 	}
 	best := m.own(server, domain)
 	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || !o.takesHops() {
+		if o.Region != m.Self.Region || !o.TakesRequests() {
 			continue
 		}
 		if r := o.ranked(server, domain); r.before(best) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,9 +114,6 @@
 	// a backend server in a failure domain; the address is "" where this VM
 	// does.
 	Owner(server, failureDomain string) (vm, address string)
-	// LargeRegion reports whether the own region is so large that servers have
-	// owners.
-	LargeRegion() bool
 	// Count returns the number of VMs that are alive, this one included.
 	Count() int
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -177,15 +177,13 @@
 	}
 	// A tenth stays free for health checks and for VMs that are not known yet.
 	most := float64(x.service.MaxConnections) * 0.9
-	switch _, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); {
-	case x.service.Engine == nil || !x.Peers.LargeRegion():
+	if x.service.Engine == nil || !x.Balancer.Fleet.LargeRegion() {
+		return max(leastConnections, int(most*x.Balancer.Fleet.CapacityShare()))
+	}
+	if _, address := x.Peers.Owner(plan.Server.ID, plan.Server.FailureDomain); address != "" {
 		most *= x.Balancer.Fleet.CapacityShare()
-	case address == "":
-		most /= 2
-	default:
-		most *= x.Balancer.Fleet.CapacityShare() / 2
 	}
-	return max(leastConnections, int(most))
+	return max(leastConnections, int(most/2))
 }
 
 // leastConnections is what a VM may open whatever its part.
@@ -240,12 +238,8 @@
 // takeFailure holds a backend server's failure, so that a request that may be
 // repeated can be tried elsewhere first.
 func (x *run) takeFailure(ctx context.Context, plan balance.Plan, e *upstream.Exchange, in Inbound) outcome {
-	body, err := io.ReadAll(io.LimitReader(e, maxHeldBytes))
+	body, err := x.readHeld(ctx, plan.Load, e)
 	if err != nil {
-		e.Abort()
-		if ctx.Err() == nil {
-			plan.Load.Failed(x.Now())
-		}
 		return outcome{arrived: true, reason: "answer broke off: " + err.Error()}
 	}
 	e.Done()
@@ -264,6 +258,18 @@
 	return outcome{arrived: true, reason: reason, final: e.StatusCode < http.StatusInternalServerError}
 }
 
+// readHeld reads an answer of up to maxHeldBytes.
+func (x *run) readHeld(ctx context.Context, load *balance.Load, e *upstream.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e, maxHeldBytes))
+	if err != nil {
+		e.Abort()
+		if ctx.Err() == nil {
+			load.Failed(x.Now())
+		}
+	}
+	return body, err
+}
+
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -276,12 +282,8 @@
 // passWhole passes on an answer that isn't a stream. An answer of up to
 // maxHeldBytes is read whole first, so that one that breaks off isn't begun.
 func (x *run) passWhole(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.Work) outcome {
-	body, err := io.ReadAll(io.LimitReader(e, maxHeldBytes))
+	body, err := x.readHeld(ctx, plan.Load, e)
 	if err != nil {
-		e.Abort()
-		if ctx.Err() == nil {
-			plan.Load.Failed(x.Now())
-		}
 		return outcome{arrived: true, reason: "answer broke off: " + err.Error()}
 	}
 	now := x.Now()
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -380,7 +380,6 @@
 	return min(1, max(least, part))
 }
 
-
 func toDuration(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
 }
