--- a/cmd/chestnut-edge/main.go
+++ b/cmd/chestnut-edge/main.go
@@ -16,18 +16,13 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/chestnutspring/chestnutspring/internal/command"
 	"github.com/chestnutspring/chestnutspring/internal/edge"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 	"github.com/chestnutspring/chestnutspring/platform"
 )
 
-// The exit codes.
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 const (
 	// fileInterval is the time between two looks at the settings file, which
 	// may change without a signal.
@@ -50,12 +45,7 @@
 		kong.Name("chestnut-edge"),
 		kong.Description("Serves routed services on one entry VM."),
 		kong.Vars{"version": version.String(), "settings": platform.DefaultSettingsPath},
-		kong.Exit(func(code int) {
-			if code != 0 {
-				code = exitSettings
-			}
-			os.Exit(code)
-		}),
+		command.UsageExit(command.ExitSettings),
 	)
 	os.Exit(run(&f))
 }
@@ -64,7 +54,7 @@
 	settings, err := platform.LoadSettings(f.Settings, f.OperatorPort)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-edge:", err)
-		return exitSettings
+		return command.ExitSettings
 	}
 	if f.Check {
 		fmt.Println("the settings are correct")
@@ -77,7 +67,7 @@
 	process := edge.New(settings, platform.New(settings, log), log)
 	if err := process.Run(ctx, watchSettings(ctx, f, log)); err != nil {
 		log.Error("failed", "error", err)
-		return exitFailure
+		return command.ExitFailure
 	}
 	return 0
 }
--- a/cmd/chestnut-gateway/main.go
+++ b/cmd/chestnut-gateway/main.go
@@ -13,17 +13,12 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/chestnutspring/chestnutspring/internal/command"
 	"github.com/chestnutspring/chestnutspring/internal/gateway"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 )
 
-// The exit codes.
-const (
-	exitFailure  = 1
-	exitSettings = 2
-)
-
 type flags struct {
 	gateway.Settings
 	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
@@ -35,22 +30,17 @@
 		kong.Name("chestnut-gateway"),
 		kong.Description("Serves callers on one entry VM and passes their requests to backend servers."),
 		kong.Vars{"version": version.String()},
-		kong.Exit(func(code int) {
-			if code != 0 {
-				code = exitSettings
-			}
-			os.Exit(code)
-		}),
+		command.UsageExit(command.ExitSettings),
 	)
 	if err := f.Check(); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-gateway:", err)
-		os.Exit(exitSettings)
+		os.Exit(command.ExitSettings)
 	}
 	log := logging.New(os.Stderr, f.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := gateway.Run(ctx, &f.Settings, log); err != nil {
 		log.Error("failed", "error", err)
-		os.Exit(exitFailure)
+		os.Exit(command.ExitFailure)
 	}
 }
--- a/cmd/chestnutctl/main.go
+++ b/cmd/chestnutctl/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/chestnutspring/chestnutspring/internal/command"
 	"github.com/chestnutspring/chestnutspring/internal/ctl"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 )
@@ -28,12 +29,7 @@
 			"Exit codes: 0 success; 1 found faults, a difference or nowhere to run; 2 wrong command line; 3 something can't be read, written or reached."),
 		kong.Vars{"version": version.String()},
 		kong.DefaultEnvars("CHESTNUT"),
-		kong.Exit(func(code int) {
-			if code != ctl.ExitOK {
-				code = ctl.ExitUsage
-			}
-			os.Exit(code)
-		}),
+		command.UsageExit(ctl.ExitUsage),
 	)
 	env := &ctl.Env{Out: os.Stdout, Err: os.Stderr}
 	os.Exit(ctl.Code(env, command.Run(env)))
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -408,17 +408,21 @@
 	is.Equal(len(p.Recent()), 1)
 }
 
+// away is another region with six engines and the given number of requests.
+func away(active float64) RegionSummary {
+	return RegionSummary{
+		Region: "away", Members: 6, Known: true, RoundTrip: 160 * time.Millisecond,
+		Summary: Summary{Service: "writer", Servers: 6, Slots: 6 * 64, Active: active, MemoryTotal: 6 * 444_000, Pace: 1},
+	}
+}
+
 // TestRequestsCrossBeforeTheirRegionIsFull is the pattern of a region at its
 // peak while the others are idle: streams stretch one another long before the
 // engines' slots are all taken.
 func TestRequestsCrossBeforeTheirRegionIsFull(t *testing.T) {
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
-	idle := RegionSummary{
-		Region: "away", Members: 6, Known: true, RoundTrip: 160 * time.Millisecond,
-		Summary: Summary{Service: "writer", Servers: 6, Slots: 6 * 64, Active: 12, MemoryTotal: 6 * 444_000, Pace: 1},
-	}
-	b, r := newBed(6, 0, idle)
+	b, r := newBed(6, 0, away(12))
 	at := func(running int) string {
 		for i := range 6 {
 			b.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key()).SetReport(Report{Running: running, MemoryTotal: 444_000, Heard: now})
@@ -453,11 +457,7 @@
 func TestDocumentsHaveAHomeRegion(t *testing.T) {
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
-	away := RegionSummary{
-		Region: "away", Members: 6, Known: true, RoundTrip: 160 * time.Millisecond,
-		Summary: Summary{Service: "writer", Servers: 6, Slots: 6 * 64, Active: 60, MemoryTotal: 6 * 444_000, Pace: 1},
-	}
-	b, r := newBed(6, 0, away)
+	b, r := newBed(6, 0, away(60))
 	for i := range 6 {
 		r.Put(roster.Entry{ID: fmt.Sprint("far", i), Service: "writer", Address: "10.0.1.1:1", FailureDomain: "z", Region: "away", Slots: 64, Started: 1}, 100, 1)
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -55,13 +55,20 @@
 	})
 }
 
-func TestEntryThatLapsedInAnOutageMayComeBack(t *testing.T) {
-	is := is.New(t)
+// lapsed returns a roster whose entry is missing after an outage that ended
+// at 10 s.
+func lapsed() *Roster {
 	r := newRoster()
 	r.Put(entry("x"), 5, 0)
 	r.Away()
 	r.Back(10 * second)
 	r.Listed(map[string]bool{}, 9, 10*second)
+	return r
+}
+
+func TestEntryThatLapsedInAnOutageMayComeBack(t *testing.T) {
+	is := is.New(t)
+	r := lapsed()
 	is.Equal(usable(r), 1) // it may come back
 	r.Expire(12 * second)
 	is.Equal(usable(r), 1)
@@ -72,11 +79,7 @@
 
 func TestEntryThatDoesNotComeBackIsGone(t *testing.T) {
 	is := is.New(t)
-	r := newRoster()
-	r.Put(entry("x"), 5, 0)
-	r.Away()
-	r.Back(10 * second)
-	r.Listed(map[string]bool{}, 9, 10*second)
+	r := lapsed()
 	r.Expire(clock.Instant(12600 * time.Millisecond))
 	is.Equal(usable(r), 0)
 	is.True(!r.Put(entry("x"), 4, 13*second)) // an old word of another VM
