--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,6 +74,7 @@
 type View struct {
 	services map[string][]*Server
 	byID     map[string]*Server
+	all      []*Server
 	// Evacuated holds the failure domains that get no work.
 	Evacuated map[string]bool
 	returned  map[string]clock.Instant
@@ -104,12 +105,8 @@
 		!now.Draining && !v.Evacuated[s.FailureDomain]
 }
 
-// All returns every known server, ordered by id.
-func (v *View) All() []*Server {
-	list := slices.Collect(maps.Values(v.byID))
-	slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
-	return list
-}
+// All returns every known server, ordered by id. Callers must not change it.
+func (v *View) All() []*Server { return v.all }
 
 // Roster takes in the registry's words.
 type Roster struct {
@@ -337,7 +334,8 @@
 			v.returned[domain] = word.ended
 		}
 	}
-	for _, s := range v.All() {
+	v.all = slices.SortedFunc(maps.Values(v.byID), func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	for _, s := range v.all {
 		if s.Draining || v.Evacuated[s.FailureDomain] {
 			continue
 		}
