--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -434,6 +434,12 @@
 			best.Reason = reasonUnless(found, best.Reason, "servers-failing")
 			continue
 		}
+		if !load.Admits(q.Now) {
+			if wait := max(rampStep, load.Pause.Remaining(q.Now)); !found && (best.Reason != ReasonPaused || wait < best.RetryAfter) {
+				best.Reason, best.RetryAfter = ReasonPaused, wait
+			}
+			continue
+		}
 		cold, allowance := b.coldAllowance(q, s, load, view)
 		if cold && !load.ColdLimiter.HasRoom(q.Now, allowance) {
 			best.Reason = reasonUnless(found, best.Reason, "servers-cold")
@@ -451,6 +457,10 @@
 	return best
 }
 
+// ReasonPaused is the reason of a plan without a server if all servers asked for a
+// pause.
+const ReasonPaused = "servers-paused"
+
 // reasonUnless returns current if a server was found, else reason.
 func reasonUnless(found bool, current, reason string) string {
 	if found {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -73,6 +73,7 @@
 type Load struct {
 	Breaker     breaker.Breaker
 	ColdLimiter ColdLimiter
+	Pause       Pause
 
 	active, memory atomic.Int64
 	// prefillUntil is the instant at which all prompts that are known here to have
@@ -172,6 +173,14 @@
 	}
 }
 
+// ReleasePrefillSlot returns the slot of a prompt that is not sent after all.
+func (l *Load) ReleasePrefillSlot(prefill, gap time.Duration) {
+	l.prefillUntil.Add(-int64(prefill + gap))
+}
+
+// Admits reports whether the server's pause allows one more request of this VM.
+func (l *Load) Admits(now clock.Instant) bool { return l.Pause.Admits(int(l.active.Load()), now) }
+
 // RecordPollReport records the server's response to a poll by this VM.
 func (l *Load) RecordPollReport(r Report) {
 	l.missedPolls.Store(0)
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
@@ -44,7 +45,7 @@
 			r.Put(roster.Entry{
 				ID: fmt.Sprint(service, i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
 				FailureDomain: "a", Region: "home", Slots: slots, Started: 1,
-			}, uint64(len(service)+i+1), 1)
+			}, revision.Revision(len(service)+i+1), roster.Event, 1)
 		}
 	}
 	put(engines, "writer", 64)
@@ -312,7 +313,7 @@
 		r.Put(roster.Entry{
 			ID: fmt.Sprint("writer", i), Service: "writer", Address: fmt.Sprintf("10.0.0.%d:1", i),
 			FailureDomain: string("ab"[i%2]), Region: "home", Slots: 64, Started: 1,
-		}, uint64(i+1), 1)
+		}, revision.Revision(i+1), roster.Event, 1)
 	}
 	return b, r
 }
@@ -463,7 +464,7 @@
 	now := clock.Instant(time.Hour)
 	b, r := newTestBalancer(6, 0, awaySummary(60))
 	for i := range 6 {
-		r.Put(roster.Entry{ID: fmt.Sprint("far", i), Service: "writer", Address: "10.0.1.1:1", FailureDomain: "z", Region: "away", Slots: 64, Started: 1}, 100, 1)
+		r.Put(roster.Entry{ID: fmt.Sprint("far", i), Service: "writer", Address: "10.0.1.1:1", FailureDomain: "z", Region: "away", Slots: 64, Started: 1}, 100, roster.Event, 1)
 	}
 	remote := 0
 	const prefixes = 200
--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -51,6 +51,14 @@
 	return b.nextTrial.CompareAndSwap(next, int64(now.Add(trialTimeout)))
 }
 
+// ReturnTrial ends a trial that Allow granted and that was not used, so that the
+// next request may be the trial.
+func (b *Breaker) ReturnTrial(now clock.Instant) {
+	if next := b.nextTrial.Load(); next != 0 {
+		b.nextTrial.CompareAndSwap(next, int64(now))
+	}
+}
+
 // RecordSuccess closes the breaker.
 func (b *Breaker) RecordSuccess() {
 	b.failures.Store(0)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,7 +3,9 @@
 // applies the registry records that other VMs publish, so that a VM that can't read
 // the registry, or reads it less often, still receives changes.
 //
-// A configuration replaces only one with a lower revision, whatever its source.
+// A configuration replaces only one with a lower version, whatever its source. The
+// registry may be restored from an older copy, which begins a new era of its
+// revisions (package revision).
 package discovery
 
 import (
@@ -21,6 +23,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
@@ -59,15 +62,18 @@
 	maxBackoff = 800 * time.Millisecond
 	// fetchTimeout bounds a request to another VM for its configuration.
 	fetchTimeout = 2 * time.Second
-	// minFetchInterval is the minimum time between two such requests.
-	minFetchInterval = 200 * time.Millisecond
+	// minFetchInterval is the minimum time between two such requests, and
+	// vainFetchInterval that after one which brought nothing newer: an earlier
+	// release offers the registry's revision in place of the version.
+	minFetchInterval  = 200 * time.Millisecond
+	vainFetchInterval = 2 * time.Second
 )
 
 // Errors of a Registry.
 var (
 	Errors = errorx.NewNamespace("discovery").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 	// ErrHistoryGone means that the registry no longer has the changes after the
-	// revision of a watch.
+	// revision of a watch, or that it was restored.
 	ErrHistoryGone = Errors.NewType("history_gone")
 	// ErrUnavailable means that the registry did not respond or refused the call.
 	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
@@ -85,7 +91,7 @@
 // Change is one change in the registry. Exactly one of Server, RemovedServer,
 // Domain and Table is set.
 type Change struct {
-	Revision uint64
+	Revision revision.Revision
 	// Server is a new or changed entry, and RemovedServer the ID of one that was
 	// removed or is malformed.
 	Server        *roster.Entry
@@ -102,11 +108,12 @@
 type Registry interface {
 	// List returns all entries of a topic and the revision from which to watch.
 	// It fails with ErrUnavailable if a response does not start within
-	// startTimeout.
-	List(ctx context.Context, topic Topic, startTimeout time.Duration) ([]Change, uint64, error)
+	// startTimeout, or with ErrHistoryGone if the era changed meanwhile.
+	List(ctx context.Context, topic Topic, startTimeout time.Duration) ([]Change, revision.Revision, error)
 	// Watch waits up to wait for changes after the revision and returns them
-	// with the new revision. The error is ErrHistoryGone or ErrUnavailable.
-	Watch(ctx context.Context, topic Topic, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// with the new revision. The error is ErrHistoryGone, also if the era has
+	// changed, or ErrUnavailable.
+	Watch(ctx context.Context, topic Topic, after revision.Revision, wait time.Duration) ([]Change, revision.Revision, error)
 	// Decode decodes a published configuration.
 	Decode(raw []byte) (*ingress.Table, error)
 }
@@ -128,9 +135,11 @@
 
 // Configuration is a configuration in force.
 type Configuration struct {
-	Table    *ingress.Table
-	Raw      []byte
-	Revision uint64
+	Table *ingress.Table
+	Raw   []byte
+	// Revision is the registry's revision of the configuration, or zero if it was
+	// received from another VM.
+	Revision revision.Revision
 	// Since is the time at which it came into force in this process.
 	Since clock.Instant
 }
@@ -145,9 +154,9 @@
 	// successful one.
 	failedLists atomic.Int32
 	// fetching is true during a request to another VM for its configuration, and
-	// lastFetch is the time of the last one.
+	// nextFetch is the time of the earliest next one.
 	fetching  atomic.Bool
-	lastFetch atomic.Int64
+	nextFetch atomic.Int64
 	// lastResponse is the time of the registry's last response, and lastList that of
 	// the last successful list.
 	lastResponse, lastList atomic.Int64
@@ -196,7 +205,7 @@
 			return ctx.Err()
 		}
 		if errorx.IsOfType(err, ErrHistoryGone) {
-			f.Log.Warn("registry history truncated, listing again", "topic", topic)
+			f.Log.Warn("registry history truncated or registry restored, listing again", "topic", topic, "reason", err)
 			continue
 		}
 		if progressed {
@@ -217,7 +226,7 @@
 func (f *Follower) follow(ctx context.Context, topic Topic) (progressed bool, err error) {
 	f.calls.Inc(1)
 	started := f.Now()
-	changes, revision, err := f.Registry.List(ctx, topic, f.nextListStartTimeout())
+	changes, at, err := f.Registry.List(ctx, topic, f.nextListStartTimeout())
 	if err != nil {
 		f.failedLists.Add(1)
 		return false, err
@@ -225,7 +234,7 @@
 	f.failedLists.Store(0)
 	f.listDuration.RecordDuration(f.Now().Sub(started))
 	f.markAvailable(topic)
-	f.applyList(topic, changes, revision)
+	f.applyList(topic, changes, at)
 	for {
 		wait, pause := f.intervals()
 		background.Sleep(ctx, pause)
@@ -233,15 +242,15 @@
 			return true, ctx.Err()
 		}
 		f.calls.Inc(1)
-		changes, next, err := f.Registry.Watch(ctx, topic, revision, wait)
+		changes, next, err := f.Registry.Watch(ctx, topic, at, wait)
 		if err != nil {
 			return true, err
 		}
 		f.lastResponse.Store(int64(f.Now()))
 		for _, c := range changes {
-			f.apply(c)
+			f.apply(c, roster.Event)
 		}
-		revision = max(revision, next)
+		at = max(at, next)
 	}
 }
 
@@ -298,7 +307,7 @@
 
 // applyList applies a complete list. Known entries that it doesn't contain are
 // removed.
-func (f *Follower) applyList(topic Topic, changes []Change, revision uint64) {
+func (f *Follower) applyList(topic Topic, changes []Change, at revision.Revision) {
 	servers, domains := map[string]bool{}, map[string]bool{}
 	for _, c := range changes {
 		if c.Server != nil {
@@ -307,58 +316,74 @@
 		if c.Domain != "" && c.Evacuated {
 			domains[c.Domain] = true
 		}
-		f.apply(c)
+		f.apply(c, roster.Listed)
 	}
 	if topic == Servers {
-		f.Roster.ApplyServerList(servers, revision, f.Now())
+		f.Roster.ApplyServerList(servers, at, f.Now())
 		return
 	}
-	f.Roster.ApplyEvacuationList(domains, revision, f.Now())
+	f.Roster.ApplyEvacuationList(domains, at, f.Now())
 }
 
 // apply applies a change from the registry and publishes it to the other VMs if it
 // is new.
-func (f *Follower) apply(c Change) {
+func (f *Follower) apply(c Change, source roster.Source) {
 	now := f.Now()
 	switch {
 	case c.Table != nil:
 		f.activate(c.Table, c.Raw, c.Revision, "registry")
 	case c.Server != nil:
-		if f.Roster.Put(*c.Server, c.Revision, now) {
-			f.publish(gossip.KindServer, c.Server.ID, c.Revision, serverRecord{Entry: c.Server})
+		if f.Roster.Put(*c.Server, c.Revision, source, now) {
+			f.publish(gossip.KindServer, c.Server.ID, c.Revision, serverRecord{Entry: c.Server, Started: c.Server.Started})
 		}
 	case c.RemovedServer != "":
-		if f.Roster.Remove(c.RemovedServer, c.Revision, now) {
-			f.publish(gossip.KindServer, c.RemovedServer, c.Revision, serverRecord{})
+		started := int64(0)
+		if s := f.Roster.View().Lookup(c.RemovedServer); s != nil {
+			started = s.Started
+		}
+		if f.Roster.Remove(c.RemovedServer, c.Revision, started, now) {
+			f.publish(gossip.KindServer, c.RemovedServer, c.Revision, serverRecord{Started: started})
 		}
 	case c.Domain != "":
-		if f.Roster.SetEvacuated(c.Domain, c.Evacuated, c.Revision, now) {
+		if f.Roster.SetEvacuated(c.Domain, c.Evacuated, c.Revision, source, now) {
 			f.publish(gossip.KindEvacuation, c.Domain, c.Revision, c.Evacuated)
 		}
 	}
 }
 
+// MarkLeaving records that an incarnation of a server announced in a response that
+// it leaves, and reports it to the other VMs if this is new.
+func (f *Follower) MarkLeaving(key roster.ServerKey) {
+	if !f.Roster.MarkLeaving(key, f.Now()) || key.Started <= 0 {
+		return
+	}
+	f.Publish(gossip.Record{Key: gossip.Key{Kind: gossip.KindLeaving, Name: key.ID}, Version: uint64(key.Started)})
+}
+
 // serverRecord is the value of a KindServer record. A nil entry means that the
-// server was removed. It is encoded as an array: fields may only be added at the
-// end.
+// server was removed. Started is the incarnation concerned, or zero if it is
+// unknown. It is encoded as an array: fields may only be added at the end.
 type serverRecord struct {
-	Entry *roster.Entry
+	Entry   *roster.Entry
+	Started int64
 }
 
 // publish encodes a value and publishes it as a record to the other VMs.
-func (f *Follower) publish(kind gossip.Kind, name string, revision uint64, value any) {
+func (f *Follower) publish(kind gossip.Kind, name string, rev revision.Revision, value any) {
 	data, err := gossip.Encode(value)
 	if err != nil {
 		f.Log.Error("encoding record failed", "kind", kind, "name", name, "error", err)
 		return
 	}
-	f.Publish(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: revision, Value: data})
+	f.Publish(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: uint64(rev), Value: data})
 }
 
 // ApplyRecord applies a record of another VM that read the registry.
 func (f *Follower) ApplyRecord(r gossip.Record) {
-	now := f.Now()
+	now, rev := f.Now(), revision.Revision(r.Version)
 	switch r.Kind {
+	case gossip.KindLeaving:
+		f.Roster.MarkLeaving(roster.ServerKey{ID: r.Name, Started: int64(r.Version)}, now)
 	case gossip.KindServer:
 		var record serverRecord
 		if err := gossip.Decode(r.Value, &record); err != nil {
@@ -366,9 +391,9 @@
 			return
 		}
 		if record.Entry == nil {
-			f.Roster.Remove(r.Name, r.Version, now)
+			f.Roster.Remove(r.Name, rev, record.Started, now)
 		} else if record.Entry.ID == r.Name {
-			f.Roster.Put(*record.Entry, r.Version, now)
+			f.Roster.Put(*record.Entry, rev, roster.Listed, now)
 		}
 	case gossip.KindEvacuation:
 		var evacuated bool
@@ -376,49 +401,59 @@
 			f.Log.Warn("malformed record", "name", r.Name, "error", err)
 			return
 		}
-		f.Roster.SetEvacuated(r.Name, evacuated, r.Version, now)
+		f.Roster.SetEvacuated(r.Name, evacuated, rev, roster.Listed, now)
 	}
 }
 
-// activate puts a configuration in force if its revision is higher than that of
-// the current one.
-func (f *Follower) activate(table *ingress.Table, raw []byte, revision uint64, from string) {
+// activate puts a configuration in force if its version is higher than that of the
+// current one, and reports whether it did. A copy from which the registry was
+// restored holds an older version at a higher revision, so the revision only
+// decides between equal versions.
+func (f *Follower) activate(table *ingress.Table, raw []byte, rev revision.Revision, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if old := f.current.Load(); old != nil && old.Revision >= revision {
-		return
+	old := f.current.Load()
+	if old != nil && (old.Table.Version > table.Version || old.Table.Version == table.Version && old.Revision >= rev) {
+		if old.Table.Version > table.Version && old.Revision < rev {
+			f.Log.Warn("ignoring a configuration with a lower version than the one in force", "version", table.Version,
+				"inForce", old.Table.Version, "revision", rev, "from", from)
+		}
+		return false
 	}
-	f.current.Store(&Configuration{Table: table, Raw: raw, Revision: revision, Since: f.Now()})
-	f.Log.Info("configuration in force", "version", table.Version, "revision", revision, "from", from,
+	f.current.Store(&Configuration{Table: table, Raw: raw, Revision: rev, Since: f.Now()})
+	f.Log.Info("configuration in force", "version", table.Version, "revision", rev, "from", from,
 		"routes", table.RouteCount(), "services", len(table.Services))
+	return true
 }
 
-// FetchNewer starts fetching the configuration of another VM if the given revision
-// is higher than that of the one in force and no fetch is running or recent.
-// Fetch returns the revision and the raw configuration that it received.
-func (f *Follower) FetchNewer(revision uint64, fetch func(context.Context) (uint64, []byte, error)) {
-	if c := f.current.Load(); c != nil && c.Revision >= revision {
+// FetchNewer starts fetching the configuration of another VM if the version that it
+// offers is higher than the one in force and no fetch is running or recent. Fetch
+// returns the raw configuration that it received.
+func (f *Follower) FetchNewer(version uint64, fetch func(context.Context) ([]byte, error)) {
+	if c := f.current.Load(); c != nil && c.Table.Version >= version {
 		return
 	}
 	now := f.Now()
-	if now.Sub(clock.Instant(f.lastFetch.Load())) < minFetchInterval || !f.fetching.CompareAndSwap(false, true) {
+	if now < clock.Instant(f.nextFetch.Load()) || !f.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	f.lastFetch.Store(int64(now))
+	f.nextFetch.Store(int64(now.Add(minFetchInterval)))
 	go func() {
 		defer f.fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
-		got, raw, err := fetch(ctx)
+		raw, err := fetch(ctx)
 		if err != nil {
-			f.Log.Warn("fetching configuration from another VM failed", "revision", revision, "error", err)
+			f.Log.Warn("fetching configuration from another VM failed", "version", version, "error", err)
 			return
 		}
 		table, err := f.Registry.Decode(raw)
 		if err != nil {
-			f.Log.Warn("configuration from another VM is malformed", "revision", got, "error", err)
+			f.Log.Warn("configuration from another VM is malformed", "version", version, "error", err)
 			return
 		}
-		f.activate(table, raw, got, "member")
+		if !f.activate(table, raw, 0, "member") {
+			f.nextFetch.Store(int64(now.Add(vainFetchInterval)))
+		}
 	}()
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
@@ -24,7 +26,7 @@
 type fakeRegistry struct {
 	mu            sync.Mutex
 	entries       []Change
-	revision      uint64
+	revision      revision.Revision
 	down          bool
 	truncated     bool
 	events        chan []Change
@@ -32,7 +34,7 @@
 	lists         int
 }
 
-func (f *fakeRegistry) List(_ context.Context, _ Topic, startTimeout time.Duration) ([]Change, uint64, error) {
+func (f *fakeRegistry) List(_ context.Context, _ Topic, startTimeout time.Duration) ([]Change, revision.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
@@ -43,7 +45,7 @@
 	return f.entries, f.revision, nil
 }
 
-func (f *fakeRegistry) Watch(ctx context.Context, _ Topic, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (f *fakeRegistry) Watch(ctx context.Context, _ Topic, after revision.Revision, wait time.Duration) ([]Change, revision.Revision, error) {
 	f.mu.Lock()
 	down, truncated := f.down, f.truncated
 	f.truncated = false
@@ -89,14 +91,14 @@
 	})
 }
 
-func server(id string, revision uint64) Change {
-	return Change{Revision: revision, Server: &roster.Entry{
+func server(id string, rev revision.Revision) Change {
+	return Change{Revision: rev, Server: &roster.Entry{
 		ID: id, Service: "s", Address: "10.0.0.1:1", FailureDomain: "a", Region: "r", Slots: 1, Started: 1,
 	}}
 }
 
-func table(version uint64, revision uint64) Change {
-	return Change{Revision: revision, Table: ingress.NewTable(version, nil, nil, ingress.Limits{}), Raw: []byte{byte(version)}}
+func table(version uint64, rev revision.Revision) Change {
+	return Change{Revision: rev, Table: ingress.NewTable(version, nil, nil, ingress.Limits{}), Raw: []byte{byte(version)}}
 }
 
 // follow runs a follower of the topic and then test, in a synctest bubble.
@@ -177,16 +179,27 @@
 	f := &fakeRegistry{entries: []Change{table(5, 10)}, revision: 10}
 	follow(t, f, Operators, func(t *testing.T, follower *Follower) {
 		is := is.New(t)
-		fetches := 0
-		fetch := func(context.Context) (uint64, []byte, error) { fetches++; return 14, []byte{8}, nil }
-		follower.FetchNewer(10, fetch)
-		follower.FetchNewer(14, fetch)
+		var fetches atomic.Int32
+		fetch := func(context.Context) ([]byte, error) { fetches.Add(1); return []byte{8}, nil }
+		follower.FetchNewer(5, fetch)
+		follower.FetchNewer(8, fetch)
 		synctest.Wait()
-		is.Equal(fetches, 1)
+		is.Equal(fetches.Load(), int32(1))
 		is.Equal(follower.Table().Version, uint64(8))
-		follower.FetchNewer(99, func(context.Context) (uint64, []byte, error) { return 99, nil, nil })
+		time.Sleep(minFetchInterval)
+		follower.FetchNewer(99, func(context.Context) ([]byte, error) { fetches.Add(1); return nil, nil })
 		time.Sleep(time.Second)
+		is.Equal(fetches.Load(), int32(2))
 		is.Equal(follower.Table().Version, uint64(8)) // a malformed configuration is ignored
+		// A VM of an earlier release offers the registry's revision.
+		follower.FetchNewer(99, fetch)
+		synctest.Wait()
+		is.Equal(fetches.Load(), int32(3))
+		for range 10 {
+			follower.FetchNewer(99, fetch)
+			time.Sleep(vainFetchInterval / 20)
+		}
+		is.Equal(fetches.Load(), int32(3))
 	})
 }
 
@@ -207,6 +220,67 @@
 	follower.ApplyRecord(record) // must not panic
 }
 
+// restored returns the revision with the number in the era after a restore.
+func restored(number uint64) revision.Revision {
+	r, err := revision.New(1, number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// TestConfigurationOfRestoredRegistryIsOrderedByVersion covers a registry that is
+// restored from a copy with an older configuration. Its revisions of the new era
+// are higher than all before.
+func TestConfigurationOfRestoredRegistryIsOrderedByVersion(t *testing.T) {
+	f := &fakeRegistry{entries: []Change{table(9, 50)}, revision: 50}
+	follow(t, f, Operators, func(t *testing.T, follower *Follower) {
+		is := is.New(t)
+		f.update(func() { f.entries, f.revision, f.truncated = []Change{table(5, restored(20))}, restored(20), true })
+		time.Sleep(2 * watchTimeout)
+		is.Equal(follower.Table().Version, uint64(9)) // the copy doesn't take it back
+		f.events <- []Change{table(9, restored(21))}  // the operator writes it again
+		time.Sleep(2 * batchPause)
+		is.Equal(follower.Current().Revision, restored(21))
+		f.events <- []Change{table(12, restored(22))}
+		time.Sleep(2 * batchPause)
+		is.Equal(follower.Table().Version, uint64(12))
+	})
+}
+
+// TestVMWithCopysConfigurationFetchesNewerOne covers two VMs after a restore: one
+// that read the copy and one that knows a newer version from the era before.
+func TestVMWithCopysConfigurationFetchesNewerOne(t *testing.T) {
+	f := &fakeRegistry{entries: []Change{table(5, restored(20))}, revision: restored(20)}
+	follow(t, f, Operators, func(t *testing.T, follower *Follower) {
+		is := is.New(t)
+		follower.FetchNewer(9, func(context.Context) ([]byte, error) { return []byte{9}, nil })
+		synctest.Wait()
+		is.Equal(follower.Table().Version, uint64(9))
+		f.events <- []Change{table(9, restored(21))}
+		time.Sleep(2 * batchPause)
+		is.Equal(follower.Current().Revision, restored(21))
+	})
+}
+
+func TestLeavingServerIsReportedToOtherVMsOnce(t *testing.T) {
+	is := is.New(t)
+	reporting, receiving := newFollower(&fakeRegistry{}), newFollower(&fakeRegistry{})
+	var records []gossip.Record
+	reporting.Publish = func(r gossip.Record) { records = append(records, r) }
+	receiving.Publish = func(gossip.Record) { t.Fatal("a report of another VM was published again") }
+	for _, f := range []*Follower{reporting, receiving} {
+		f.Roster.Put(*server("x", 0).Server, 5, roster.Event, f.Now())
+	}
+	key := reporting.Roster.View().Lookup("x").Key()
+	reporting.MarkLeaving(key)
+	reporting.MarkLeaving(key)
+	is.Equal(len(records), 1)
+	receiving.ApplyRecord(records[0])
+	is.Equal(len(receiving.Roster.View().Usable("s", "r")), 0)
+	is.True(receiving.Roster.View().Leaving(receiving.Roster.View().Lookup("x")))
+}
+
 func TestOnlyRegistryReadersOfLargeFleetUseShortPause(t *testing.T) {
 	is := is.New(t)
 	f := newFollower(&fakeRegistry{})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -153,8 +153,8 @@
 		Configuration: e.currentConfiguration,
 		OnLoad:        e.applyPeerLoad,
 		OnRecord:      func(r record) { e.follower.ApplyRecord(r) },
-		OnNewerConfiguration: func(revision uint64, fetch func(context.Context) (uint64, []byte, error)) {
-			e.follower.FetchNewer(revision, fetch)
+		OnNewerConfiguration: func(version uint64, fetch func(context.Context) ([]byte, error)) {
+			e.follower.FetchNewer(version, fetch)
 		},
 	})
 	e.follower = discovery.New(discovery.Config{
@@ -170,7 +170,8 @@
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
+		ServerLeaves: e.follower.MarkLeaving,
+		Leaving:      e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
 		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
 	})
 }
@@ -183,7 +184,7 @@
 	if c == nil {
 		return 0, nil
 	}
-	return c.Revision, c.Raw
+	return c.Table.Version, c.Raw
 }
 
 // Run serves until ctx is cancelled and then shuts down gracefully. It applies
@@ -214,7 +215,7 @@
 	p := &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
 		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, onFailure: e.queueSuspect,
-		serverRank: e.mesh.ServerRank, onReport: e.queueReport,
+		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving,
 	}
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, p.run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.runLoadExchange(groupCtx)) })
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -38,6 +38,8 @@
 	// Started is when the engine's process started, in Unix milliseconds; zero
 	// means unknown.
 	Started int64
+	// Leaving means that the engine announced that it leaves.
+	Leaving bool
 }
 
 // ReportFetcher requests the load reports of backend servers.
@@ -64,6 +66,8 @@
 	// onFailure receives each engine that did not respond to a poll, to be announced
 	// to the other VMs.
 	onFailure func(s *roster.Server)
+	// onLeaving receives each engine that announced that it leaves.
+	onLeaving func(key roster.ServerKey)
 
 	mu       sync.Mutex
 	inFlight map[roster.ServerKey]bool
@@ -115,7 +119,7 @@
 		return true
 	}
 	// The revision and the rank spread the polls of the VMs over the rounds.
-	offset := p.rounds + int(s.Revision) + rank
+	offset := p.rounds + int(s.Revision.Number()) + rank
 	if !p.balancer.Load(s.Key()).Suspected(p.now()) {
 		return offset%(backupPollRounds*max(1, vms-1)) == 0
 	}
@@ -156,9 +160,13 @@
 		return
 	}
 	now := p.now()
-	if report.Started != 0 && s.Started != 0 && report.Started != s.Started {
+	restarted := report.Started != 0 && s.Started != 0 && report.Started != s.Started
+	if restarted {
 		load.MarkCold(now.Add(service.ColdPeriod + restartColdMargin))
 	}
+	if report.Leaving && !restarted {
+		p.onLeaving(s.Key())
+	}
 	report.ReceivedAt = now
 	load.RecordPollReport(report.Report)
 	p.onReport(s.ID, report.Report)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -80,7 +80,9 @@
 	Ready         bool
 	Leaving       bool
 	Configuration uint64
-	Revision      uint64
+	// Revision is the registry's revision of the configuration, and Era the era of
+	// that revision; both are 0 if another VM sent the configuration.
+	Revision, Era uint64
 	// RegistryAgeMs is the time in milliseconds since the registry last answered.
 	RegistryAgeMs int64
 	Members       []mesh.Member
@@ -90,6 +92,12 @@
 // serverState is a backend server in the state dump.
 type serverState struct {
 	*roster.Server
+	// Revision and Era are the parts of the entry's revision.
+	Revision, Era uint64
+	// Leaving means that the server announced in a response that it leaves, and
+	// PausedMs is for how many milliseconds it still wants no requests.
+	Leaving      bool
+	PausedMs     int64
 	OwnUsage     any  `json:"Own"`
 	PeerUsage    any  `json:"Others"`
 	Unresponsive bool `json:"Lost"`
@@ -104,13 +112,15 @@
 		Members: e.mesh.Members(), RegistryAgeMs: now.Sub(e.follower.ConfirmedAt()).Milliseconds(),
 	}
 	if c := e.follower.Current(); c != nil {
-		s.Configuration, s.Revision = c.Table.Version, c.Revision
+		s.Configuration, s.Revision, s.Era = c.Table.Version, c.Revision.Number(), c.Revision.Era()
 	}
 	peerUsage := e.mesh.PeerUsage()
-	for _, server := range e.roster.View().All() {
+	view := e.roster.View()
+	for _, server := range view.All() {
 		load := e.balancer.Load(server.Key())
 		s.Servers = append(s.Servers, serverState{
-			Server: server, OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Unresponsive(), BreakerOpen: load.Breaker.IsOpen(),
+			Server: server, Revision: server.Revision.Number(), Era: server.Revision.Era(),
+			Leaving: view.Leaving(server), PausedMs: load.Pause.Remaining(now).Milliseconds(), OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Unresponsive(), BreakerOpen: load.Breaker.IsOpen(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -44,6 +44,10 @@
 	// version is the registry's revision.
 	KindServer     Kind = 10
 	KindEvacuation Kind = 11
+	// KindLeaving means that a backend server announced that it leaves; the name
+	// is the server and the version the start of its process, in Unix
+	// milliseconds.
+	KindLeaving Kind = 12
 )
 
 // Key identifies a record.
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -258,7 +258,7 @@
 
 // send sends all pending records and reports whether it succeeded.
 func (l *link) send(ctx context.Context, client *peer.Client) bool {
-	revision, _ := l.mesh.Configuration()
+	version, _ := l.mesh.Configuration()
 	for more := true; more; {
 		var delta gossip.Delta
 		l.mesh.mu.Lock()
@@ -269,7 +269,7 @@
 		if len(delta.Records) == 0 {
 			return true
 		}
-		if err := client.Gossip(ctx, revision, delta, !more); err != nil {
+		if err := client.Gossip(ctx, version, delta, !more); err != nil {
 			l.mesh.Log.Warn("sending records to peer failed", "member", l.key, "address", l.address, "error", err)
 			return false
 		}
@@ -277,14 +277,14 @@
 	return true
 }
 
-// monitor measures the round trip by pings, compares configuration revisions, and
+// monitor measures the round trip by pings, compares configuration versions, and
 // ends the connection when a ping is not answered in time.
 func (l *link) monitor(ctx context.Context, client *peer.Client) {
 	for {
 		started := l.mesh.Now()
-		revision, _ := l.mesh.Configuration()
+		version, _ := l.mesh.Configuration()
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		peerRevision, err := client.Ping(pingCtx, revision)
+		peerVersion, err := client.Ping(pingCtx, version)
 		cancel()
 		if err != nil {
 			return
@@ -294,8 +294,8 @@
 			took = time.Duration(float64(old) + roundTripSmoothing*float64(int64(took)-old))
 		}
 		l.roundTrip.Store(int64(took))
-		if peerRevision > revision {
-			l.mesh.offerConfiguration(client.Remote.VM, peerRevision)
+		if peerVersion > version {
+			l.mesh.offerConfiguration(client.Remote.VM, peerVersion)
 		}
 		select {
 		case <-ctx.Done():
@@ -309,15 +309,15 @@
 
 // offerConfiguration reports a member with a newer configuration through
 // OnNewerConfiguration.
-func (m *Mesh) offerConfiguration(vm string, revision uint64) {
-	m.OnNewerConfiguration(revision, func(ctx context.Context) (uint64, []byte, error) {
+func (m *Mesh) offerConfiguration(vm string, version uint64) {
+	m.OnNewerConfiguration(version, func(ctx context.Context) ([]byte, error) {
 		client := m.connectionTo(vm)
 		if client == nil {
-			return 0, nil, peer.ErrUnreachable.New("no connection to %s or any other VM", vm)
+			return nil, peer.ErrUnreachable.New("no connection to %s or any other VM", vm)
 		}
 		own, _ := m.Configuration()
 		value, err := client.Manifest(ctx, own)
-		return value.Revision, value.Data, err
+		return value.Data, err
 	})
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -123,12 +123,12 @@
 	// OnRecord is called for each new record of a kind that the mesh itself
 	// doesn't use.
 	OnRecord func(gossip.Record)
-	// Configuration returns the raw configuration in force and its revision.
-	Configuration func() (revision uint64, data []byte)
+	// Configuration returns the raw configuration in force and its version.
+	Configuration func() (version uint64, data []byte)
 	// OnNewerConfiguration is called when a member has a configuration of a
-	// higher revision. Fetch requests it from that member or, without a
+	// higher version. Fetch requests it from that member or, without a
 	// connection to it, from another VM.
-	OnNewerConfiguration func(revision uint64, fetch func(context.Context) (uint64, []byte, error))
+	OnNewerConfiguration func(version uint64, fetch func(context.Context) ([]byte, error))
 }
 
 // Mesh is this VM's membership in the fleet.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -40,7 +40,7 @@
 		Seeds:     seeds, Now: clock.Boot, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		OnLoad: func(Load) {}, OnRecord: func(gossip.Record) {},
 		Configuration:        func() (uint64, []byte) { return 0, nil },
-		OnNewerConfiguration: func(uint64, func(context.Context) (uint64, []byte, error)) {},
+		OnNewerConfiguration: func(uint64, func(context.Context) ([]byte, error)) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Mesh: m, cancel: cancel, done: make(chan struct{})}
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -110,19 +110,19 @@
 
 // Self implements peer.Handler.
 func (h handler) Self() peer.Hello {
-	revision, _ := h.Configuration()
+	version, _ := h.Configuration()
 	return peer.Hello{
 		Version: peer.ProtocolVersion, VM: h.Mesh.Self.VM, Incarnation: h.Mesh.Self.Incarnation,
-		Region: h.Mesh.Self.Region, FailureDomain: h.Mesh.Self.FailureDomain, Revision: revision,
+		Region: h.Mesh.Self.Region, FailureDomain: h.Mesh.Self.FailureDomain, Revision: version,
 	}
 }
 
 // OnMessage implements peer.Handler. It offers the configuration of a peer that has
-// a higher revision. The peer's own connection can't be used to fetch it: that takes
+// a higher version. The peer's own connection can't be used to fetch it: that takes
 // a link from this VM to the peer or to another VM.
-func (h handler) OnMessage(from peer.Hello, revision uint64) {
-	if own, _ := h.Configuration(); revision > own {
-		h.offerConfiguration(from.VM, revision)
+func (h handler) OnMessage(from peer.Hello, version uint64) {
+	if own, _ := h.Configuration(); version > own {
+		h.offerConfiguration(from.VM, version)
 	}
 }
 
@@ -148,8 +148,8 @@
 
 // Manifest implements peer.Handler.
 func (h handler) Manifest() (published.Value, bool) {
-	revision, data := h.Configuration()
-	return published.Value{Name: "configuration", Revision: revision, Data: data}, data != nil
+	version, data := h.Configuration()
+	return published.Value{Name: "configuration", Revision: version, Data: data}, data != nil
 }
 
 // Part implements peer.Handler. The configuration is published as one value, so
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,11 @@
 	WarmupRemaining time.Duration
 	// WeightsVersion is the version of the weights that the server uses.
 	WeightsVersion string
+	// Leaving means that the server announces that it leaves.
+	Leaving bool
+	// RetryAfter is how long the server asks this VM to send no requests, in
+	// seconds as the server sent it, or "".
+	RetryAfter string
 }
 
 // Protocol translates between requests and their form on the wire between the
@@ -142,6 +147,9 @@
 	// UsageChanged is called when this VM's use of a backend server has changed
 	// so much that the other VMs should be informed at once.
 	UsageChanged func()
+	// ServerLeaves is called when an incarnation of a backend server announces that
+	// it leaves.
+	ServerLeaves func(roster.ServerKey)
 	// Leaving reports whether this VM is shutting down, and Refusing whether
 	// it no longer accepts requests.
 	Leaving  func() bool
@@ -356,9 +364,18 @@
 	if plan.Reason == "too-late" {
 		code = verdict.CodeOverloaded
 	}
-	return verdict.Busy(code, "no backend server can begin in time: "+plan.Reason, jitter(plan.RetryAfter))
+	after := jitter(plan.RetryAfter)
+	if plan.Reason == balance.ReasonPaused {
+		after = afterPause(plan.RetryAfter)
+	}
+	return verdict.Busy(code, "no backend server can begin in time: "+plan.Reason, after)
 }
 
+// afterPause returns the retry time of a caller whose request needs a backend
+// server that pauses for d: a little later than that, so that the callers don't
+// return together.
+func afterPause(d time.Duration) time.Duration { return d + jitter(d)/4 }
+
 // jitter returns a random duration between 0.8 and 1.4 times d, so that callers
 // that were refused together don't retry together.
 func jitter(d time.Duration) time.Duration {
@@ -377,11 +394,14 @@
 	case x.fallback != nil:
 		return x.fallback.writeTo(x.w)
 	case x.possibleRuns == 0 && out.notRun:
-		after := out.retryAfter
+		after := jitter(out.retryAfter)
+		if out.pause > 0 {
+			after = afterPause(out.pause)
+		}
 		if after <= 0 {
-			after = retryAfterFailure
+			after = jitter(retryAfterFailure)
 		}
-		return verdict.Busy(verdict.CodeOverloaded, "backend servers refused: "+out.reason, jitter(after))
+		return verdict.Busy(verdict.CodeOverloaded, "backend servers refused: "+out.reason, after)
 	default:
 		return verdict.Ambiguous(verdict.CodeBackendFailed, "the backend server failed: "+out.reason, retryAfterFailure)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
@@ -26,6 +28,9 @@
 	// fullBackoff is how long a server that refused a request for lack of
 	// capacity counts as full. It is then used only if the others score worse.
 	fullBackoff = 60 * time.Millisecond
+	// maxRetryAfter bounds the retry time that a backend server may state. The pause
+	// that follows from it has a lower bound of its own.
+	maxRetryAfter = time.Hour
 	// maxPriority is the highest priority number that engines accept, which is
 	// the least urgent one.
 	maxPriority = 9
@@ -44,6 +49,8 @@
 	reason string
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
+	// pause is for how long the backend server wants no requests of this VM.
+	pause time.Duration
 }
 
 // fallbackResponse is a backend server's failure response. It is relayed if no
@@ -81,19 +88,11 @@
 	s, load := plan.Server, plan.Load
 	x.triedServers = append(x.triedServers, s.Key())
 	x.destination, x.prefillTokens = s.ID, plan.Estimate.UncachedTokens
-	if !x.waitForPrefillSlot(ctx, &plan) {
-		return outcome{notRun: true, reason: "ended before its turn"}
-	}
+	started := x.waitForPrefillSlot(ctx, &plan)
 	now := x.Now()
-	// The view may have changed since the plan was made.
-	if !x.Roster.View().IsUsable(s) {
-		return outcome{notRun: true, reason: "leaving"}
-	}
-	if !load.Breaker.Allow(now) {
-		return outcome{notRun: true, reason: "breaker"}
-	}
-	if !load.ColdLimiter.Take(now, plan.Allowance, plan.Cold) {
-		return outcome{notRun: true, reason: "cold"}
+	if reason := x.admit(&plan, started, now); reason != "" {
+		load.ReleasePrefillSlot(plan.Estimate.PrefillTime, plan.Estimate.PrefillGap)
+		return outcome{notRun: true, reason: reason, pause: load.Pause.Remaining(now)}
 	}
 	x.sends++
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
@@ -108,6 +107,27 @@
 	return x.handleResponse(ctx, plan, exchange, work)
 }
 
+// admit returns why the request may not be sent to the plan's server now, or "". The
+// view and the load may have changed since the plan was made. Started is false if
+// the request ended while it waited for its prefill slot.
+func (x *transaction) admit(plan *balance.Plan, started bool, now clock.Instant) string {
+	load := plan.Load
+	switch {
+	case !started:
+		return "ended before its turn"
+	case !x.Roster.View().IsUsable(plan.Server):
+		return "leaving"
+	case !load.Admits(now):
+		return "paused"
+	case !load.Breaker.Allow(now):
+		return "breaker"
+	case !load.ColdLimiter.Take(now, plan.Allowance, plan.Cold):
+		load.Breaker.ReturnTrial(now)
+		return "cold"
+	}
+	return ""
+}
+
 // waitForPrefillSlot reserves a prefill slot at the engine and waits for it if
 // the estimate requires that. It returns false if ctx ends during the wait.
 func (x *transaction) waitForPrefillSlot(ctx context.Context, plan *balance.Plan) bool {
@@ -219,11 +239,16 @@
 	if in.WarmupRemaining > 0 {
 		x.Roster.ExtendWarmup(plan.Server.ID, in.WarmupRemaining, now)
 	}
+	if in.Leaving {
+		x.ServerLeaves(plan.Server.Key())
+		x.ServerPool.CloseIdle(plan.Server.Address)
+	}
+	pause := x.beginPause(plan, in, now)
 	if in.NotRun {
 		e.Release()
 		work.RecordFirstByte(now)
 		plan.Load.RecordRefusal(now.Add(fullBackoff))
-		return outcome{notRun: true, mayHaveArrived: true, reason: "refused with status " + http.StatusText(e.StatusCode)}
+		return outcome{notRun: true, mayHaveArrived: true, reason: "refused with status " + http.StatusText(e.StatusCode), pause: pause}
 	}
 	x.possibleRuns++
 	success := e.StatusCode < http.StatusMultipleChoices
@@ -244,6 +269,24 @@
 	return x.relayBody(ctx, plan, e, work)
 }
 
+// beginPause applies the time for which a backend server asks this VM to send no
+// requests, and returns it; zero means that it doesn't ask.
+func (x *transaction) beginPause(plan balance.Plan, in Inbound, now clock.Instant) time.Duration {
+	if in.RetryAfter == "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(in.RetryAfter, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		x.Log.Warn("ignoring the malformed retry time of a backend server", "server", plan.Server.ID, "value", in.RetryAfter)
+		return 0
+	}
+	asked := time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	pause := plan.Load.Pause.Begin(asked, now)
+	x.Log.Info("backend server asks for a pause", "server", plan.Server.ID, "service", plan.Server.Service,
+		"asked", in.RetryAfter, "pause", pause)
+	return pause
+}
+
 // handleFailure keeps a backend server's failure response as the fallback, so that
 // a request that may be retried is sent to other servers or regions first.
 func (x *transaction) handleFailure(ctx context.Context, plan balance.Plan, e *upstream.Exchange, in Inbound) outcome {
@@ -251,9 +294,14 @@
 	if err != nil {
 		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
 	}
-	e.Release()
 	plan.Load.RecordErrorResponse(x.Now())
 	reason := "status " + http.StatusText(e.StatusCode)
+	if len(body) == maxBufferedBytes {
+		// It may be incomplete, or have no end.
+		e.Abort()
+		return outcome{mayHaveArrived: true, reason: reason + " with a body above the limit"}
+	}
+	e.Release()
 	if !in.Signed {
 		return outcome{mayHaveArrived: true, reason: reason + " without signature"}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,8 +2,9 @@
 // failure domains that are being evacuated.
 //
 // Each update carries the registry's revision. An older revision never replaces a
-// newer one, whether it comes from the registry or from another VM. Readers load
-// an immutable View.
+// newer one, whether it comes from the registry or from another VM. After the
+// registry was restored from an older copy, what it lists may be older than what is
+// known here: see doubts.go. Readers load an immutable View.
 package roster
 
 import (
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 )
 
 const (
@@ -26,6 +28,9 @@
 	// outageWindow is how long after the end of a registry outage a removal may
 	// still be caused by it.
 	outageWindow = reappearGrace
+	// leavingMemory is how long the announcement of a server that is no longer
+	// listed is kept, in case a restored registry lists it again.
+	leavingMemory = 10 * time.Minute
 )
 
 // Entry is a backend server's entry in the registry, as the server published it.
@@ -52,14 +57,18 @@
 type Server struct {
 	Entry
 	// Revision is the registry's revision of the entry.
-	Revision uint64
+	Revision revision.Revision
 	// Seen is when this process first received an entry of this incarnation.
 	Seen clock.Instant
 	// ColdUntil is when the server is expected to be warm.
 	ColdUntil clock.Instant
-	// missing is when the entry was found missing after a registry outage; zero
-	// means that it is present.
-	missing clock.Instant
+	// missing is when the entry was found missing after a registry outage or
+	// restore; zero means that it is present. missingFor is how long it may be.
+	missing    clock.Instant
+	missingFor time.Duration
+	// listed means that the entry was read from a list or from another VM, so that
+	// it may come from a restored copy.
+	listed bool
 }
 
 // Key returns the key of the server's incarnation.
@@ -80,6 +89,8 @@
 	Evacuated      map[string]bool
 	evacuationEnds map[string]clock.Instant
 	regions        []string
+	// leaving holds the incarnations that announced in a response that they leave.
+	leaving map[ServerKey]bool
 }
 
 // Regions returns the sorted regions that have servers which may receive new
@@ -106,9 +117,12 @@
 func (v *View) IsUsable(s *Server) bool {
 	now := v.byID[s.ID]
 	return now != nil && now.Started == s.Started && now.Address == s.Address &&
-		!now.Draining && !v.Evacuated[s.FailureDomain]
+		!now.Draining && !v.leaving[s.Key()] && !v.Evacuated[s.FailureDomain]
 }
 
+// Leaving reports whether the server announced in a response that it leaves.
+func (v *View) Leaving(s *Server) bool { return v.leaving[s.Key()] }
+
 // All returns every known server, ordered by ID. Callers must not modify the
 // slice.
 func (v *View) All() []*Server { return v.all }
@@ -119,25 +133,38 @@
 
 	mu      sync.Mutex
 	servers map[string]*Server
-	// removed holds the revisions of removals, so that an older update from a
+	// removed holds the removals by server ID, so that an older update from a
 	// peer doesn't restore an entry.
-	removed             map[string]uint64
-	evacuations         map[string]evacuation
+	removed     map[string]removal
+	evacuations map[string]evacuation
+	// leaving holds when an incarnation first announced that it leaves.
+	leaving             map[ServerKey]clock.Instant
+	doubts              doubts
 	registryUnavailable bool
 	outageEnd           clock.Instant // end of the last registry outage
 	view                atomic.Pointer[View]
 }
 
+// removal is the removal of a server's entry. Started is the incarnation that was
+// removed, or zero if none was known.
+type removal struct {
+	revision revision.Revision
+	started  int64
+}
+
 // evacuation is the evacuation state of a failure domain.
 type evacuation struct {
-	revision uint64
+	revision revision.Revision
 	active   bool
 	ended    clock.Instant
 }
 
 // New returns an empty roster.
 func New(log *slog.Logger) *Roster {
-	r := &Roster{log: log, servers: map[string]*Server{}, removed: map[string]uint64{}, evacuations: map[string]evacuation{}}
+	r := &Roster{
+		log: log, servers: map[string]*Server{}, removed: map[string]removal{}, evacuations: map[string]evacuation{},
+		leaving: map[ServerKey]clock.Instant{}, doubts: newDoubts(),
+	}
 	r.publish()
 	return r
 }
@@ -145,23 +172,53 @@
 // View returns the current view.
 func (r *Roster) View() *View { return r.view.Load() }
 
+// Source is where an update was read.
+type Source int
+
+// The sources of updates.
+const (
+	// Event is a change that the registry reported to a watch.
+	Event Source = iota
+	// Listed is an entry of a list, or an update of another VM. After a restore
+	// of the registry it may be older than what is known.
+	Listed
+)
+
 // Put applies an entry of the registry at its revision and reports whether it was
-// newer than the known one.
-func (r *Roster) Put(e Entry, revision uint64, now clock.Instant) bool {
+// newer than the known one. An entry that is in doubt is not applied yet.
+func (r *Roster) Put(e Entry, rev revision.Revision, source Source, now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := r.servers[e.ID]
-	if old != nil && old.Revision >= revision {
-		if old.Revision == revision && old.missing != 0 {
-			r.clearMissing(old)
-		}
+	old, gone := r.servers[e.ID], r.removed[e.ID]
+	known := r.knownRevision(e.ID)
+	if known >= rev {
+		r.applyOlderLeave(old, e, rev, now)
 		return false
 	}
-	if r.removed[e.ID] >= revision {
+	if source == Listed && rev.Era() > known.Era() && contradicts(e, old, gone) {
+		r.doubts.addServer(e, rev, now, r.log)
 		return false
 	}
+	r.put(e, rev, source, now)
+	return true
+}
+
+// knownRevision returns the highest revision at which the server's entry was
+// applied or removed. The caller must hold r.mu.
+func (r *Roster) knownRevision(id string) revision.Revision {
+	known := r.removed[id].revision
+	if old := r.servers[id]; old != nil {
+		known = max(known, old.Revision)
+	}
+	return known
+}
+
+// put applies an entry. The caller must hold r.mu.
+func (r *Roster) put(e Entry, rev revision.Revision, source Source, now clock.Instant) {
+	old := r.servers[e.ID]
 	delete(r.removed, e.ID)
-	s := &Server{Entry: e, Revision: revision, Seen: now}
+	delete(r.doubts.servers, e.ID)
+	s := &Server{Entry: e, Revision: rev, Seen: now, listed: source == Listed}
 	if old != nil && old.Started == e.Started {
 		s.Seen, s.ColdUntil = old.Seen, old.ColdUntil
 	}
@@ -171,96 +228,129 @@
 	r.servers[e.ID] = s
 	r.log.Info("backend server changed", "server", e.ID, "service", e.Service, "address", e.Address,
 		"failureDomain", e.FailureDomain, "draining", e.Draining, "coldFor", e.ColdFor, "leavesIn", e.LeavesIn,
-		"revision", revision)
-	r.publish()
-	return true
-}
-
-func (r *Roster) clearMissing(old *Server) {
-	s := *old
-	s.missing = 0
-	r.servers[s.ID] = &s
+		"revision", rev)
 	r.publish()
 }
 
 // Remove applies the removal of an entry at the given revision and reports whether
-// it was newer than the known state.
-func (r *Roster) Remove(id string, revision uint64, now clock.Instant) bool {
+// it was newer than the known state. Started is the incarnation that was removed
+// if the remover knows it, or zero.
+func (r *Roster) Remove(id string, rev revision.Revision, started int64, now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.servers[id]
-	if r.removed[id] >= revision || old != nil && old.Revision >= revision {
+	if r.knownRevision(id) >= rev {
+		r.applyOlderRemoval(old, rev, started, now)
 		return false
 	}
-	r.removed[id] = revision
+	r.removed[id] = r.removalOf(id, rev, started)
+	delete(r.doubts.servers, id)
 	if old == nil {
 		return true
 	}
-	if r.recentOutage(now) && !old.Draining {
-		r.markMissing(old, now)
+	if r.recentOutage(now) && !r.leaves(old) {
+		r.markMissing(old, reappearGrace, now)
 		return true
 	}
-	delete(r.servers, id)
-	r.log.Info("backend server removed", "server", id, "service", old.Service, "revision", revision)
+	r.remove(old, rev)
 	r.publish()
 	return true
 }
 
-// markMissing keeps an entry that may have lapsed only because the registry was
-// unavailable. Expire removes it if it does not reappear.
-func (r *Roster) markMissing(old *Server, now clock.Instant) {
+// removalOf returns the removal of a server at the revision. Started may be zero.
+func (r *Roster) removalOf(id string, rev revision.Revision, started int64) removal {
+	started = max(started, r.removed[id].started)
+	if old := r.servers[id]; old != nil {
+		started = max(started, old.Started)
+	}
+	return removal{revision: rev, started: started}
+}
+
+// remove deletes an entry. The caller must hold r.mu, and publish.
+func (r *Roster) remove(old *Server, rev revision.Revision) {
+	r.removed[old.ID] = r.removalOf(old.ID, rev, old.Started)
+	delete(r.servers, old.ID)
+	r.log.Info("backend server removed", "server", old.ID, "service", old.Service, "revision", rev)
+}
+
+// leaves reports whether the server is known to leave. The caller must hold r.mu.
+func (r *Roster) leaves(s *Server) bool {
+	_, announced := r.leaving[s.Key()]
+	return s.Draining || announced
+}
+
+// markMissing keeps an entry that may be missing only because the registry was
+// unavailable or restored. Expire removes it if it does not reappear within the
+// grace time. The caller must hold r.mu.
+func (r *Roster) markMissing(old *Server, grace time.Duration, now clock.Instant) {
 	if old.missing != 0 {
 		return
 	}
 	s := *old
-	s.missing = now
+	s.missing, s.missingFor = now, grace
 	r.servers[s.ID] = &s
-	r.log.Info("backend server missing after a registry outage; keeping it for the grace time", "server", s.ID, "service", s.Service,
-		"grace", reappearGrace)
+	r.log.Info("backend server missing after a registry outage or restore; keeping it for the grace time", "server", s.ID,
+		"service", s.Service, "grace", grace)
 }
 
 // ApplyServerList applies a complete list of server IDs, read at the given
 // revision: entries that are not listed are removed.
-func (r *Roster) ApplyServerList(ids map[string]bool, revision uint64, now clock.Instant) {
+func (r *Roster) ApplyServerList(ids map[string]bool, rev revision.Revision, now clock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, old := range r.servers {
-		if ids[id] || old.Revision > revision {
+		if ids[id] || old.Revision > rev {
 			continue
 		}
-		if r.recentOutage(now) && !old.Draining {
-			r.markMissing(old, now)
+		restored := old.Revision.Era() != rev.Era()
+		if r.leaves(old) || !restored && !r.recentOutage(now) {
+			r.remove(old, rev)
 			continue
 		}
-		delete(r.servers, id)
-		r.removed[id] = revision
-		r.log.Info("backend server removed", "server", id, "service", old.Service, "revision", revision)
+		r.removed[id] = r.removalOf(id, rev, 0)
+		grace := reappearGrace
+		if restored {
+			grace = restoreGrace
+		}
+		r.markMissing(old, grace, now)
 	}
+	r.doubts.keepListed(ids)
 	r.publish()
 }
 
 // SetEvacuated records whether a failure domain is being evacuated, and reports
-// whether the update was newer than the known state.
-func (r *Roster) SetEvacuated(domain string, on bool, revision uint64, now clock.Instant) bool {
+// whether the update was newer than the known state. An update that is in doubt is
+// not applied yet.
+func (r *Roster) SetEvacuated(domain string, on bool, rev revision.Revision, source Source, now clock.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.evacuations[domain]
-	if ok && old.revision >= revision {
+	if ok && old.revision >= rev {
 		return false
 	}
-	state := evacuation{revision: revision, active: on}
-	if old.active && !on {
+	if ok && source == Listed && rev.Era() > old.revision.Era() && old.active != on {
+		r.doubts.addEvacuation(domain, on, rev, now, r.log)
+		return false
+	}
+	r.setEvacuated(domain, on, rev, now)
+	return true
+}
+
+// setEvacuated applies an evacuation or its end. The caller must hold r.mu.
+func (r *Roster) setEvacuated(domain string, on bool, rev revision.Revision, now clock.Instant) {
+	delete(r.doubts.evacuations, domain)
+	state := evacuation{revision: rev, active: on}
+	if r.evacuations[domain].active && !on {
 		state.ended = now
 	}
 	r.evacuations[domain] = state
-	r.log.Info("evacuation changed", "failureDomain", domain, "evacuated", on, "revision", revision)
+	r.log.Info("evacuation changed", "failureDomain", domain, "evacuated", on, "revision", rev)
 	r.publish()
-	return true
 }
 
 // ApplyEvacuationList applies a complete list of evacuated failure domains:
 // evacuations that are not listed have ended.
-func (r *Roster) ApplyEvacuationList(domains map[string]bool, revision uint64, now clock.Instant) {
+func (r *Roster) ApplyEvacuationList(domains map[string]bool, rev revision.Revision, now clock.Instant) {
 	r.mu.Lock()
 	var ended []string
 	for domain, state := range r.evacuations {
@@ -270,10 +360,25 @@
 	}
 	r.mu.Unlock()
 	for _, domain := range ended {
-		r.SetEvacuated(domain, false, revision, now)
+		r.SetEvacuated(domain, false, rev, Listed, now)
 	}
 }
 
+// MarkLeaving records that an incarnation of a server announced in a response that
+// it leaves, and reports whether this is new. It gets no new requests from then
+// on, whatever the registry lists.
+func (r *Roster) MarkLeaving(key ServerKey, now clock.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.leaving[key]; known {
+		return false
+	}
+	r.leaving[key] = now
+	r.log.Info("backend server announced that it leaves", "server", key.ID, "started", key.Started)
+	r.publish()
+	return true
+}
+
 // ExtendWarmup applies a server's report that it stays cold for the given time. It
 // never shortens the known warm-up time.
 func (r *Roster) ExtendWarmup(id string, left time.Duration, now clock.Instant) {
@@ -310,32 +415,46 @@
 	return r.registryUnavailable || r.outageEnd != 0 && now.Sub(r.outageEnd) < outageWindow
 }
 
-// Expire removes the entries that did not reappear after a registry outage. It is
-// called a few times per second.
+// Expire removes the entries that did not reappear after a registry outage or
+// restore, settles doubts and forgets old announcements. It is called a few times
+// per second.
 func (r *Roster) Expire(now clock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetLeaving(now)
 	if r.registryUnavailable {
 		return
 	}
 	changed := false
 	for id, s := range r.servers {
-		if s.missing == 0 || now.Sub(max(s.missing, r.outageEnd)) < reappearGrace {
+		if s.missing == 0 || now.Sub(max(s.missing, r.outageEnd)) < s.missingFor {
 			continue
 		}
-		delete(r.servers, id)
-		r.removed[id] = max(r.removed[id], s.Revision)
-		r.log.Info("backend server removed: not registered again after the registry outage", "server", id, "service", s.Service)
+		r.remove(s, max(r.removed[id].revision, s.Revision))
 		changed = true
 	}
 	if changed {
 		r.publish()
 	}
+	r.settleDoubts(now)
+}
+
+// forgetLeaving deletes the announcements of incarnations that are no longer
+// listed, after leavingMemory. The caller must hold r.mu.
+func (r *Roster) forgetLeaving(now clock.Instant) {
+	for key, at := range r.leaving {
+		if s := r.servers[key.ID]; now.Sub(at) > leavingMemory && (s == nil || s.Started != key.Started) {
+			delete(r.leaving, key)
+		}
+	}
 }
 
 // publish builds and stores the view. The caller must hold r.mu.
 func (r *Roster) publish() {
-	v := &View{services: map[string][]*Server{}, byID: maps.Clone(r.servers), Evacuated: map[string]bool{}, evacuationEnds: map[string]clock.Instant{}}
+	v := &View{services: map[string][]*Server{}, byID: maps.Clone(r.servers), Evacuated: map[string]bool{}, evacuationEnds: map[string]clock.Instant{}, leaving: map[ServerKey]bool{}}
+	for key := range r.leaving {
+		v.leaving[key] = true
+	}
 	for domain, state := range r.evacuations {
 		if state.active {
 			v.Evacuated[domain] = true
@@ -345,7 +464,7 @@
 	}
 	v.all = slices.SortedFunc(maps.Values(v.byID), func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 	for _, s := range v.all {
-		if s.Draining || v.Evacuated[s.FailureDomain] {
+		if s.Draining || v.leaving[s.Key()] || v.Evacuated[s.FailureDomain] {
 			continue
 		}
 		if i, found := slices.BinarySearch(v.regions, s.Region); !found {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 )
 
 const second = clock.Instant(time.Second)
@@ -26,23 +27,23 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRoster()
 		type update struct {
-			revision uint64
+			revision revision.Revision
 			draining bool
 			removed  bool
 		}
 		newest := update{}
 		for i := range rapid.IntRange(1, 30).Draw(t, "updates") {
 			u := update{
-				revision: rapid.Uint64Range(1, 12).Draw(t, "revision"),
+				revision: revision.Revision(rapid.Uint64Range(1, 12).Draw(t, "revision")),
 				draining: rapid.Bool().Draw(t, "draining"), removed: rapid.Bool().Draw(t, "removed"),
 			}
 			now := clock.Instant(i) * second
 			if u.removed {
-				r.Remove("x", u.revision, now)
+				r.Remove("x", u.revision, 0, now)
 			} else {
 				e := entry("x")
 				e.Draining = u.draining
-				r.Put(e, u.revision, now)
+				r.Put(e, u.revision, Event, now)
 			}
 			if u.revision > newest.revision {
 				newest = u
@@ -59,7 +60,7 @@
 // ended at 10 s.
 func lapsed() *Roster {
 	r := newRoster()
-	r.Put(entry("x"), 5, 0)
+	r.Put(entry("x"), 5, Event, 0)
 	r.MarkRegistryUnavailable()
 	r.MarkRegistryAvailable(10 * second)
 	r.ApplyServerList(map[string]bool{}, 9, 10*second)
@@ -72,7 +73,7 @@
 	is.Equal(usable(r), 1) // kept for the grace time
 	r.Expire(12 * second)
 	is.Equal(usable(r), 1)
-	r.Put(entry("x"), 11, 12*second)
+	r.Put(entry("x"), 11, Event, 12*second)
 	r.Expire(20 * second)
 	is.Equal(usable(r), 1) // it reappeared
 }
@@ -82,14 +83,14 @@
 	r := lapsed()
 	r.Expire(clock.Instant(12600 * time.Millisecond))
 	is.Equal(usable(r), 0)
-	is.True(!r.Put(entry("x"), 4, 13*second)) // an older update from another VM
+	is.True(!r.Put(entry("x"), 4, Event, 13*second)) // an older update from another VM
 }
 
 func TestRemovalWithoutOutageAppliesAtOnce(t *testing.T) {
 	is := is.New(t)
 	r := newRoster()
-	r.Put(entry("x"), 5, 0)
-	r.Remove("x", 6, 10*second)
+	r.Put(entry("x"), 5, Event, 0)
+	r.Remove("x", 6, 0, 10*second)
 	is.Equal(usable(r), 0)
 }
 
@@ -97,9 +98,9 @@
 	is := is.New(t)
 	r := newRoster()
 	e := entry("x")
-	r.Put(e, 5, 0)
+	r.Put(e, 5, Event, 0)
 	e.Draining = true
-	r.Put(e, 6, second)
+	r.Put(e, 6, Event, second)
 	r.MarkRegistryUnavailable()
 	r.MarkRegistryAvailable(2 * second)
 	r.ApplyServerList(map[string]bool{}, 9, 2*second)
@@ -109,12 +110,12 @@
 func TestEvacuationExcludesFailureDomainAndRecordsItsEnd(t *testing.T) {
 	is := is.New(t)
 	r := newRoster()
-	r.Put(entry("x"), 5, 0)
+	r.Put(entry("x"), 5, Event, 0)
 	s := r.View().Lookup("x")
-	r.SetEvacuated("a", true, 7, second)
+	r.SetEvacuated("a", true, 7, Event, second)
 	is.Equal(usable(r), 0)
 	is.True(!r.View().IsUsable(s))
-	is.True(!r.SetEvacuated("a", false, 6, 2*second)) // an older update
+	is.True(!r.SetEvacuated("a", false, 6, Event, 2*second)) // an older update
 	r.ApplyEvacuationList(map[string]bool{}, 8, 3*second)
 	is.Equal(usable(r), 1)
 	is.Equal(r.View().EvacuationEndedAt("a"), 3*second)
@@ -123,11 +124,11 @@
 func TestPreviousIncarnationIsNotUsable(t *testing.T) {
 	is := is.New(t)
 	r := newRoster()
-	r.Put(entry("x"), 5, 0)
+	r.Put(entry("x"), 5, Event, 0)
 	old := r.View().Lookup("x")
 	e := entry("x")
 	e.Started, e.ColdFor = 2, 3*time.Second
-	r.Put(e, 6, second)
+	r.Put(e, 6, Event, second)
 	is.True(!r.View().IsUsable(old))
 	is.Equal(r.View().Lookup("x").ColdUntil, 4*second)
 }
