Bytes without end are bounded; a hung request is sent elsewhere

Change: informational responses share the header's limit; at most 128 KiB of a body or event are buffered. A watched request (idempotent, attempts left) is left when requests sent 250 ms later have their first byte and it is overdue by three times the estimate, or when its stream has had no event for three gap objectives while the server sends others data. An engine with a queue is never left for that, and a retry is taken from the budget first.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -100,6 +100,9 @@
 	// instant of the last data from the server.
 	awaitingFirstByte atomic.Int32
 	progressAt        atomic.Int64
+	// latestStarted is when the latest-sent of the requests that got their first
+	// byte was sent.
+	latestStarted atomic.Int64
 	// missedPolls counts unanswered polls since the last answered one.
 	missedPolls atomic.Int32
 	// fullUntil is the instant until which the server counts as full.
@@ -340,6 +343,32 @@
 	return max(0, now.Sub(clock.Instant(l.progressAt.Load())))
 }
 
+const (
+	// overtakeMargin is how much later than a request another one must have been
+	// sent to overtake it: servers start requests roughly in the order of arrival.
+	overtakeMargin = 250 * time.Millisecond
+	// progressAge is the age of the last data from a server that progresses.
+	progressAge = 300 * time.Millisecond
+)
+
+// Overtaken reports whether a request that was sent well after the given instant
+// has got its first byte.
+func (l *Load) Overtaken(sentAt clock.Instant) bool {
+	return clock.Instant(l.latestStarted.Load()).Sub(sentAt) > overtakeMargin
+}
+
+// Progressing reports whether data of some request arrived just now.
+func (l *Load) Progressing(now clock.Instant) bool {
+	return now.Sub(clock.Instant(l.progressAt.Load())) < progressAge
+}
+
+// NothingQueued reports whether the server stated in a recent report that no
+// request waits for a slot or memory.
+func (l *Load) NothingQueued(now clock.Instant) bool {
+	r := l.report.Load()
+	return r != nil && now.Sub(r.ReceivedAt) < maxReportAge && r.Queued == 0
+}
+
 // InFlight is one request in progress at a backend server. Its methods must not
 // be called concurrently.
 type InFlight struct {
@@ -370,9 +399,22 @@
 // that the server makes progress.
 func (f *InFlight) RecordFirstByte(now clock.Instant) {
 	f.load.progressAt.Store(int64(now))
-	if f.started {
-		return
+	if !f.started {
+		storeMax(&f.load.latestStarted, int64(f.sentAt))
+		f.start()
 	}
+}
+
+// RecordRefused records that the server refused the request.
+func (f *InFlight) RecordRefused(now clock.Instant) {
+	f.load.progressAt.Store(int64(now))
+	if !f.started {
+		f.start()
+	}
+}
+
+// start ends the wait for the first byte.
+func (f *InFlight) start() {
 	f.started = true
 	f.load.awaitingFirstByte.Add(-1)
 	f.load.pendingPrefill.Add(-f.prefill)
@@ -385,8 +427,7 @@
 	}
 	f.ended = true
 	if !f.started {
-		f.load.awaitingFirstByte.Add(-1)
-		f.load.pendingPrefill.Add(-f.prefill)
+		f.start()
 	}
 	f.load.active.Add(-1)
 	f.load.memory.Add(-f.memory)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -348,7 +348,7 @@
 		}
 	}
 	// Sending again costs no retry if no backend server received the request.
-	return !out.mayHaveArrived || x.budget.Allow(x.Now())
+	return !out.mayHaveArrived || out.retryGranted || x.budget.Allow(x.Now())
 }
 
 // noPlanRefusal returns the refusal of a request for which there is no backend
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -19,12 +19,10 @@
 )
 
 const (
-	// lossCheckInterval is how often a pending request checks whether its
-	// backend server still responds to polls.
-	lossCheckInterval = 250 * time.Millisecond
 	// maxBufferedBytes bounds the part of a response that is buffered before
-	// it is relayed.
-	maxBufferedBytes = 1 << 20
+	// it is relayed. Servers in trouble may send bytes without end to many
+	// requests at once.
+	maxBufferedBytes = 128 << 10
 	// fullBackoff is how long a server that refused a request for lack of
 	// capacity counts as full. It is then used only if the others score worse.
 	fullBackoff = 60 * time.Millisecond
@@ -51,6 +49,8 @@
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no requests of this VM.
 	pause time.Duration
+	// retryGranted means that the retry was already taken from the budget.
+	retryGranted bool
 }
 
 // fallbackResponse is a backend server's failure response. It is relayed if no
@@ -97,14 +97,21 @@
 	x.sends++
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
-	ctx, stop := x.watchServer(ctx, load)
-	defer stop()
+	ctx, watch := x.watchServer(ctx, &plan, now)
+	defer watch.stop()
+	out := x.exchange(ctx, plan, work, watch)
+	out.retryGranted = watch.retryGranted.Load()
+	return out
+}
+
+// exchange sends the request to the plan's server and relays the response.
+func (x *transaction) exchange(ctx context.Context, plan balance.Plan, work *balance.InFlight, watch *serverWatch) outcome {
 	exchange, err := x.ServerPool.Do(ctx, x.serverCall(plan))
 	if err != nil {
 		return x.handleSendError(ctx, plan, err)
 	}
-	x.Balancer.RecordSend(&x.req.Demand, s.Key(), now)
-	return x.handleResponse(ctx, plan, exchange, work)
+	x.Balancer.RecordSend(&x.req.Demand, plan.Server.Key(), work.SentAt())
+	return x.handleResponse(ctx, plan, exchange, work, watch)
 }
 
 // admit returns why the request may not be sent to the plan's server now, or "". The
@@ -154,28 +161,6 @@
 	}
 }
 
-// watchServer returns a context that is cancelled when the backend server stops
-// answering polls, and a function that ends the watch. The server is not
-// watched if the request could not be retried elsewhere.
-func (x *transaction) watchServer(ctx context.Context, load *balance.Load) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	if !x.route.Idempotent() || x.possibleRuns+1 >= x.maxAttempts() {
-		return ctx, cancel
-	}
-	var timer *time.Timer
-	timer = time.AfterFunc(lossCheckInterval, func() {
-		if load.Unresponsive() {
-			cancel()
-			return
-		}
-		timer.Reset(lossCheckInterval)
-	})
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
-
 // serverCall returns the request to the backend server of the plan.
 func (x *transaction) serverCall(plan balance.Plan) *upstream.Call {
 	idle := idempotentMaxIdle
@@ -233,7 +218,7 @@
 
 // handleResponse relays a backend server's response, or returns why it is not
 // relayed.
-func (x *transaction) handleResponse(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.InFlight) outcome {
+func (x *transaction) handleResponse(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.InFlight, watch *serverWatch) outcome {
 	now := x.Now()
 	in := x.Protocol.Inbound(e.StatusCode, e.Header)
 	if in.WarmupRemaining > 0 {
@@ -246,7 +231,7 @@
 	pause := x.beginPause(plan, in, now)
 	if in.NotRun {
 		e.Release()
-		work.RecordFirstByte(now)
+		work.RecordRefused(now)
 		plan.Load.RecordRefusal(now.Add(fullBackoff))
 		return outcome{notRun: true, mayHaveArrived: true, reason: "refused with status " + http.StatusText(e.StatusCode), pause: pause}
 	}
@@ -264,7 +249,7 @@
 		x.weightsVersion = in.WeightsVersion
 	}
 	if x.route.Kind == ingress.Stream {
-		return x.relayStream(ctx, &streamSource{Exchange: e, load: plan.Load, work: work, estimate: &plan.Estimate})
+		return x.relayStream(ctx, &streamSource{Exchange: e, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
 	}
 	return x.relayBody(ctx, plan, e, work)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,16 +18,17 @@
 	// streamBufferBytes is the size of the buffer for reading a stream.
 	streamBufferBytes = 8 << 10
 	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 128 << 10
 )
 
 // streamSource is the origin of a stream: a backend server, or another VM. For
-// another VM, load, work and estimate are nil.
+// another VM, all but the exchange is nil.
 type streamSource struct {
 	*upstream.Exchange
 	load     *balance.Load
 	work     *balance.InFlight
 	estimate *balance.Estimate
+	watch    *serverWatch
 }
 
 // relayStream relays complete events as they arrive. If the stream is
@@ -84,6 +85,7 @@
 			x.Balancer.RecordPrefillTime(s.load, x.service, s.estimate, now.Sub(s.work.SentAt()), now)
 		}
 		s.work.RecordFirstByte(now)
+		s.watch.lastEventAt.Store(int64(now))
 	}
 	if *lastAt != 0 {
 		x.longestGap = max(x.longestGap, now.Sub(*lastAt))
--- /dev/null
+++ b/internal/relay/watch.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+const (
+	// lossCheckInterval is how often a pending request checks whether its
+	// backend server still responds to polls and serves this request.
+	lossCheckInterval = 250 * time.Millisecond
+	// minOverdue is the minimum wait for the first byte after which a request may
+	// count as hung, and overdueFactor the same in expected times to first byte.
+	minOverdue    = 600 * time.Millisecond
+	overdueFactor = 3
+	// minStall is the minimum pause between events after which a stream may count
+	// as hung, and stallFactor the same in gap objectives.
+	minStall    = time.Second
+	stallFactor = 3
+)
+
+// serverWatch cancels a request at a backend server that no longer serves it, so
+// that the request can be sent to another one.
+type serverWatch struct {
+	x      *transaction
+	load   *balance.Load
+	sentAt clock.Instant
+	// expectedFirst is the expected time to the first byte.
+	expectedFirst time.Duration
+	// lastEventAt is when the last complete event arrived; zero before the first.
+	lastEventAt atomic.Int64
+	// retryGranted is true once the watch cancelled the request after it took a
+	// retry from the budget.
+	retryGranted atomic.Bool
+	cancel       context.CancelFunc
+	// timer is nil if the request is not watched.
+	timer atomic.Pointer[time.Timer]
+}
+
+// watchServer returns a context that is cancelled when the backend server stops
+// answering polls, or when it serves other requests but not this one. The server
+// is not watched if the request could not be retried elsewhere.
+func (x *transaction) watchServer(ctx context.Context, plan *balance.Plan, sentAt clock.Instant) (context.Context, *serverWatch) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, cancel: cancel}
+	if x.route.Idempotent() && x.possibleRuns+1 < x.maxAttempts() {
+		w.timer.Store(time.AfterFunc(lossCheckInterval, w.check))
+	}
+	return ctx, w
+}
+
+// stop ends the watch and cancels its context.
+func (w *serverWatch) stop() {
+	if timer := w.timer.Load(); timer != nil {
+		timer.Stop()
+	}
+	w.cancel()
+}
+
+func (w *serverWatch) check() {
+	now := w.x.Now()
+	switch {
+	case w.load.Unresponsive():
+		w.cancel()
+		return
+	case w.hung(now) && w.x.budget.Allow(now):
+		w.retryGranted.Store(true)
+		w.load.RecordErrorResponse(now)
+		w.x.Log.Warn("backend server serves other requests but not this one; sending it elsewhere", "request", w.x.req.ID,
+			"server", w.x.destination, "sentBefore", now.Sub(w.sentAt), "expectedFirst", w.expectedFirst,
+			"lastEventBefore", w.sinceLastEvent(now))
+		w.cancel()
+		return
+	}
+	w.timer.Load().Reset(lossCheckInterval)
+}
+
+// hung reports whether the server progresses with other requests but not with
+// this one. A server that is merely slow or full is not left.
+func (w *serverWatch) hung(now clock.Instant) bool {
+	if w.x.service.Engine != nil && !w.load.NothingQueued(now) {
+		return false
+	}
+	if w.lastEventAt.Load() == 0 {
+		return now.Sub(w.sentAt) > max(minOverdue, overdueFactor*w.expectedFirst) && w.load.Overtaken(w.sentAt)
+	}
+	return w.sinceLastEvent(now) > max(minStall, stallFactor*w.x.route.GapObjective) && w.load.Progressing(now)
+}
+
+// sinceLastEvent returns the time since the last event, or zero before the first.
+func (w *serverWatch) sinceLastEvent(now clock.Instant) time.Duration {
+	at := clock.Instant(w.lastEventAt.Load())
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(at)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -140,19 +140,20 @@
 }
 
 // readHead reads the response header, skipping informational (1xx) responses and
-// responses to other requests.
+// responses to other requests. The informational responses before a response count
+// towards the limit of its header, as a server may send them without end.
 func (x *Exchange) readHead(call *Call) error {
 	request := &http.Request{Method: call.Method}
+	x.conn.limit.N = maxHeadBytes
 	for {
-		x.conn.limit.N = maxHeadBytes
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return err
 		}
-		x.conn.limit.N = math.MaxInt64
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		x.conn.limit.N = math.MaxInt64
 		if call.MatchResponse == nil || call.MatchResponse(resp.Header) {
 			x.Response = resp
 			return nil
@@ -163,6 +164,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
 			return errors.New("an answer of another request that does not end")
 		}
+		x.conn.limit.N = maxHeadBytes
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -263,3 +265,97 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// endless sends the chunk again and again until the connection is closed or a
+// minute has passed.
+func endless(c net.Conn, chunk string, pause time.Duration) {
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(pause) {
+		if _, err := io.WriteString(c, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// liveHeapBytes returns the size of the heap without garbage.
+func liveHeapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestBytesWithoutEndAreBounded covers servers in trouble that send bytes which are
+// no answer until the caller closes, on several connections at once. Those in a
+// head fail the exchange at once, those in a body end with the caller's deadline;
+// neither takes memory.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	line := strings.Repeat("x", 4096)
+	for name, c := range map[string]struct {
+		start, repeat string
+		pause         time.Duration
+		untilDeadline bool
+	}{
+		"no head":                     {"", line, 0, false},
+		"lines that are no head":      {"", "no answer\r\n", 0, false},
+		"a status line":               {"HTTP/1.1 200 ", line, 0, false},
+		"a header field":              {ok + "A: ", line, 0, false},
+		"header fields":               {ok, "A: " + line + "\r\n", 0, false},
+		"informational responses":     {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", 0, false},
+		"answers of other requests":   {"", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nx", 0, false},
+		"another's body":              {"HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", line, 0, false},
+		"a chunk's size":              {ok + "Transfer-Encoding: chunked\r\n\r\n", line, 0, false},
+		"a trailer":                   {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + line + "\r\n", 0, false},
+		"a slow head":                 {"", "x", 20 * time.Millisecond, true},
+		"a body without length":       {ok + "\r\n", line, 0, true},
+		"chunks":                      {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + line + "\r\n", 0, true},
+		"a slow body":                 {ok + "\r\n", "x", 20 * time.Millisecond, true},
+		"a body longer than its size": {ok + "Content-Length: 4096\r\n\r\n", line, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(conn, c.start)
+				endless(conn, c.repeat, c.pause)
+			})
+			p := newPool()
+			before := liveHeapBytes()
+			var wg sync.WaitGroup
+			for range 8 {
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+					defer cancel()
+					started := time.Now()
+					e, err := p.Do(ctx, call(address, "1"))
+					if err == nil {
+						_, err = io.Copy(io.Discard, e)
+						e.Release()
+					}
+					if name == "a body longer than its size" {
+						if err != nil {
+							t.Errorf("a complete body: %v", err)
+						}
+					} else if err == nil {
+						t.Error("the bytes were accepted as an answer")
+					}
+					if took := time.Since(started); took > 2*time.Second || !c.untilDeadline && ctx.Err() != nil {
+						t.Errorf("took %v", took)
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond) // the bytes have come for a while
+			if grown := liveHeapBytes() - before; grown > 4<<20 {
+				t.Errorf("memory grew by %d bytes", grown)
+			}
+			wg.Wait()
+			// A connection on which the excess arrives only now is not reused.
+			time.Sleep(50 * time.Millisecond)
+			if p.takeIdle(address, time.Minute) != nil {
+				t.Error("a connection with unread bytes is reused")
+			}
+			if n := p.OpenConnections(); n != 0 {
+				t.Errorf("%d connections are open", n)
+			}
+		})
+	}
+}
