--- a/internal/background/background.go
+++ b/internal/background/background.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 )
@@ -26,6 +27,17 @@
 	return err
 }
 
+// CloseWhenDone waits until ctx ends and then closes all servers, so that a group
+// of tasks ends as a whole when one of them has failed. It always returns nil; the
+// servers have ended already if they were shut down before.
+func CloseWhenDone(ctx context.Context, servers ...io.Closer) error {
+	<-ctx.Done()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	return nil
+}
+
 // Sleep waits for d or until ctx ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/booking/table.go
+++ b/internal/booking/table.go
@@ -164,10 +164,10 @@
 	return record, Wait
 }
 
-// Find returns the record of a key and Wait; nil and Run if no attempt has been
-// recorded; nil and Full if the key is closed without a record; or nil and
-// Evicted if the outcome is unknown.
-func (t *Table) Find(key Key) (*Record, Decision) {
+// Find returns the record of the team's key and Wait; nil and Run if no attempt
+// has been recorded; nil and Full if the key is closed without a record; or nil
+// and Evicted if the outcome is unknown.
+func (t *Table) Find(key Key, team string) (*Record, Decision) {
 	text := key.String()
 	s := t.shardOf(text)
 	s.mu.Lock()
@@ -178,7 +178,7 @@
 	switch {
 	case key.Epoch < t.evictedBefore.Load():
 		return nil, Evicted
-	case key.Epoch < t.all.closedBefore.Load():
+	case t.isClosed(key, team):
 		return nil, Full
 	default:
 		return nil, Run
--- a/internal/booking/table_test.go
+++ b/internal/booking/table_test.go
@@ -269,3 +269,27 @@
 	is.Equal(hops.Begin(late, time.Minute), booking.HopNew)
 	is.Equal(hops.Size(), 1)
 }
+
+// TestFindReportsKeyClosedByItsTeamsLimit covers a lookup of a key that can never
+// run, because its team's limit closed the epoch, while other teams go on.
+func TestFindReportsKeyClosedByItsTeamsLimit(t *testing.T) {
+	is := is.New(t)
+	now := func() clock.Instant { return clock.Instant(time.Hour) }
+	issuer := booking.NewIssuer(self, now)
+	table := booking.NewTable(booking.TableConfig{Issuer: issuer, Now: now, MaxRecords: 100, MaxTeamRecords: 2})
+	key := func(n int) booking.Key {
+		k, err := booking.ParseKey(issuer.Prefix() + "~" + strconv.Itoa(n))
+		is.NoErr(err)
+		return k
+	}
+	for n := range 2 {
+		_, decision := table.Begin(key(n), "kites", booking.Fingerprint{}, time.Minute)
+		is.Equal(decision, booking.Run)
+	}
+	_, decision := table.Begin(key(2), "kites", booking.Fingerprint{}, time.Minute)
+	is.Equal(decision, booking.Full)
+	_, decision = table.Find(key(2), "kites")
+	is.Equal(decision, booking.Full) // it is known that it never ran
+	_, decision = table.Find(key(3), "other")
+	is.Equal(decision, booking.Run)
+}
--- a/internal/citool/testreport/main.go
+++ b/internal/citool/testreport/main.go
@@ -1,6 +1,8 @@
 // Command testreport reads a file with the output of "go test -json" and prints
 // the failed tests and the totals. It exits with status 1 unless every failed
-// test is listed in KNOWN-RED.txt, and with 2 if the file can't be read.
+// test is listed in KNOWN-RED.txt, and with 2 if the file can't be read. It also
+// fails if go test did without reporting a failed test, or if the tests of a
+// package ended early with status 0.
 package main
 
 import (
@@ -25,19 +27,24 @@
 type report struct {
 	passed, skipped int
 	failed          []string
+	// passedPackages are the packages that passed, and completed those whose test
+	// program reported its end.
+	passedPackages []string
+	completed      map[string]bool
 	// output has the output of each test that hasn't passed.
 	output map[string][]string
 }
 
 func main() {
 	knownPath := flag.String("known", "KNOWN-RED.txt", "list of tests that may fail")
+	status := flag.Int("status", 0, "exit status of go test")
 	flag.Parse()
 	r, err := readReport(flag.Arg(0))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "testreport:", err)
 		os.Exit(2)
 	}
-	os.Exit(r.print(readKnown(*knownPath)))
+	os.Exit(r.print(readKnown(*knownPath), *status))
 }
 
 // readReport reads the events from a file. Lines that aren't JSON, such as
@@ -48,7 +55,7 @@
 		return nil, err
 	}
 	defer func() { _ = f.Close() }()
-	r := &report{output: map[string][]string{}}
+	r := &report{output: map[string][]string{}, completed: map[string]bool{}}
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(make([]byte, 1<<20), 16<<20)
 	for scanner.Scan() {
@@ -67,9 +74,14 @@
 	switch e.Action {
 	case "output", "build-output":
 		r.output[name] = append(r.output[name], e.Output)
+		if e.Output == "PASS\n" {
+			r.completed[e.Package] = true
+		}
 	case "pass":
 		if e.Test != "" {
 			r.passed++
+		} else {
+			r.passedPackages = append(r.passedPackages, e.Package)
 		}
 		delete(r.output, name)
 	case "skip":
@@ -81,10 +93,10 @@
 	}
 }
 
-// print prints the failures and the totals and returns the exit code. A failed
-// package is counted only if none of its tests failed, for example because it
+// print prints the failures and the totals and returns the exit code. The status is
+// that of go test. A failed package is counted only if none of its tests failed, for example because it
 // didn't build: go test also reports the package of a failed test as failed.
-func (r *report) print(known []string) int {
+func (r *report) print(known []string, status int) int {
 	packagesWithFailedTests := map[string]bool{}
 	for _, name := range r.failed {
 		if pkg, test, _ := strings.Cut(name, " "); test != "" {
@@ -108,6 +120,18 @@
 			fmt.Print(line)
 		}
 	}
+	for _, pkg := range r.passedPackages {
+		if !r.completed[pkg] {
+			code = 1
+			failures++
+			fmt.Println("FAIL:", pkg, "ended with status 0 before its tests were complete")
+		}
+	}
+	if status != 0 && len(r.failed) == 0 {
+		code = 1
+		failures++
+		fmt.Println("FAIL: go test ended with status", status, "without reporting a failed test")
+	}
 	for _, line := range r.output[" "] {
 		fmt.Print(line)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -150,9 +150,9 @@
 	current     atomic.Pointer[Configuration]
 	mu          sync.Mutex // guards unavailable and serializes configuration changes
 	unavailable map[Topic]bool
-	// failedLists is the number of failed lists, of any topic, since the last
+	// failedLists holds, by topic, the number of failed lists since the last
 	// successful one.
-	failedLists atomic.Int32
+	failedLists map[Topic]*atomic.Int32
 	// fetching is true during a request to another VM for its configuration, and
 	// nextFetch is the time of the earliest next one.
 	fetching  atomic.Bool
@@ -170,7 +170,8 @@
 	scope := config.Scope.SubScope("registry")
 	return &Follower{
 		Config: config, unavailable: map[Topic]bool{},
-		calls: scope.Counter("calls"), failures: scope.Counter("failures"),
+		failedLists: map[Topic]*atomic.Int32{Servers: {}, Operators: {}},
+		calls:       scope.Counter("calls"), failures: scope.Counter("failures"),
 		listDuration: scope.Histogram("list_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 	}
 }
@@ -226,12 +227,12 @@
 func (f *Follower) follow(ctx context.Context, topic Topic) (progressed bool, err error) {
 	f.calls.Inc(1)
 	started := f.Now()
-	changes, at, err := f.Registry.List(ctx, topic, f.nextListStartTimeout())
+	changes, at, err := f.Registry.List(ctx, topic, f.nextListStartTimeout(topic))
 	if err != nil {
-		f.failedLists.Add(1)
+		f.failedLists[topic].Add(1)
 		return false, err
 	}
-	f.failedLists.Store(0)
+	f.failedLists[topic].Store(0)
 	f.listDuration.RecordDuration(f.Now().Sub(started))
 	f.markAvailable(topic)
 	f.applyList(topic, changes, at)
@@ -254,9 +255,9 @@
 	}
 }
 
-// nextListStartTimeout returns the start timeout of the next list.
-func (f *Follower) nextListStartTimeout() time.Duration {
-	if f.failedLists.Load()%longListInterval == longListInterval-1 {
+// nextListStartTimeout returns the start timeout of the topic's next list.
+func (f *Follower) nextListStartTimeout(topic Topic) time.Duration {
+	if f.failedLists[topic].Load()%longListInterval == longListInterval-1 {
 		return longListStartTimeout
 	}
 	return listStartTimeout
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -220,6 +220,19 @@
 	follower.ApplyRecord(record) // must not panic
 }
 
+// TestFailedListsAreCountedByTopic covers a registry that fails for one topic only:
+// the other topic's lists keep the short timeout.
+func TestFailedListsAreCountedByTopic(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(&fakeRegistry{down: true})
+	for range longListInterval - 1 {
+		_, err := f.follow(t.Context(), Operators)
+		is.True(err != nil)
+	}
+	is.Equal(f.nextListStartTimeout(Operators), longListStartTimeout)
+	is.Equal(f.nextListStartTimeout(Servers), listStartTimeout)
+}
+
 // restored returns the revision with the number in the era after a restore.
 func restored(number uint64) revision.Revision {
 	r, err := revision.New(1, number)
@@ -318,6 +331,6 @@
 		is.True(len(startTimeouts) >= longListInterval)
 		registry.update(func() { registry.down = false })
 		time.Sleep(maxBackoff * 2)
-		is.Equal(follower.failedLists.Load(), int32(0))
+		is.Equal(follower.failedLists[Servers].Load(), int32(0))
 	})
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,8 +95,10 @@
 	log      *slog.Logger
 	now      clock.Clock
 	self     snapshot.Identity
-	metrics  *metrics.Metrics
-	adapter  Adapter
+	// startedAt is when this process started.
+	startedAt clock.Instant
+	metrics   *metrics.Metrics
+	adapter   Adapter
 
 	roster      *roster.Roster
 	follower    *discovery.Follower
@@ -134,6 +136,7 @@
 	// rand.Read never returns an error.
 	_, _ = rand.Read(random)
 	e := &Edge{log: log, now: clock.Boot, adapter: adapter, metrics: metrics.New(), usageChanged: make(chan struct{}, 1), peerLoadReceived: make(chan struct{}, 1), pendingReports: map[string]balance.Report{}}
+	e.startedAt = e.now()
 	e.settings.Store(settings)
 	e.self = snapshot.Identity{
 		VM: settings.VM, Incarnation: hex.EncodeToString(random),
@@ -199,14 +202,24 @@
 	if err != nil {
 		return err
 	}
+	return e.serve(ctx, ports, reload)
+}
+
+// serve runs all components on the listening ports until ctx is cancelled or one
+// of them fails.
+func (e *Edge) serve(ctx context.Context, ports *ports, reload <-chan *Settings) error {
+	settings := e.settings.Load()
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
 	hops := &http.Server{Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog()}
+	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, hops) })
 	group.Go(func() error { return callers.Serve(ports.callers) })
 	group.Go(func() error { return background.IgnoreClosed(hops.Serve(ports.hops)) })
-	auxiliary := e.serveAuxiliary(group, ports)
+	for _, s := range e.serveAuxiliary(group, ports) {
+		group.Go(func() error { return background.CloseWhenDone(groupCtx, s) })
+	}
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.mesh.Serve(groupCtx, ports.control)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.mesh.Run(groupCtx)) })
 	for _, topic := range []discovery.Topic{discovery.Operators, discovery.Servers} {
@@ -224,14 +237,13 @@
 		"hops", settings.HopListen, "operators", settings.OperatorListen, "seeds", settings.Seeds, "capacity", settings.capacity(), "version", version.String())
 	e.handleReloads(ctx, groupCtx, reload)
 	if groupCtx.Err() != nil {
-		return group.Wait()
+		err := group.Wait()
+		e.log.Error("a component failed, stopping", "error", err)
+		return err
 	}
 	e.shutdown(callers, hops)
-	for _, s := range auxiliary {
-		_ = s.Close()
-	}
 	stop()
-	err = group.Wait()
+	err := group.Wait()
 	e.log.Info("stopped", "vm", e.self.VM, "incarnation", e.self.Incarnation)
 	return err
 }
@@ -260,6 +272,12 @@
 	e.log.Info("settings reloaded", "seeds", merged.Seeds, "grace", merged.Grace)
 }
 
+// registryAge returns the time since the registry's last response, or since the
+// start of this process if there was none.
+func (e *Edge) registryAge(now clock.Instant) time.Duration {
+	return now.Sub(max(e.follower.ConfirmedAt(), e.startedAt))
+}
+
 func (e *Edge) updateGauges(now clock.Instant) {
 	s := e.metrics.Scope
 	s.Gauge("members").Update(float64(len(e.mesh.Members())))
@@ -268,7 +286,7 @@
 	s.Gauge("open_hop_connections").Update(float64(e.gatewayPool.OpenConnections()))
 	if c := e.follower.Current(); c != nil {
 		s.Gauge("configuration_version").Update(float64(c.Table.Version))
-		s.Gauge("registry_age_seconds").Update(now.Sub(e.follower.ConfirmedAt()).Seconds())
+		s.Gauge("registry_age_seconds").Update(e.registryAge(now).Seconds())
 	}
 }
 
--- /dev/null
+++ b/internal/edge/failure_test.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/discovery"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/relay"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// silentAdapter is a platform whose registry is unavailable.
+type silentAdapter struct{}
+
+func (silentAdapter) FetchReport(context.Context, *roster.Server) (Report, error) {
+	return Report{}, discovery.ErrUnavailable.New("no server")
+}
+func (silentAdapter) Registry() discovery.Registry { return silentAdapter{} }
+func (silentAdapter) Protocol() relay.Protocol     { return nil }
+func (silentAdapter) ReadyHandler(func() bool) http.Handler {
+	return http.NotFoundHandler()
+}
+func (silentAdapter) DirectoryHandler(func(string, string, string) []string, time.Duration) http.Handler {
+	return http.NotFoundHandler()
+}
+func (silentAdapter) List(context.Context, discovery.Topic, time.Duration) ([]discovery.Change, revision.Revision, error) {
+	return nil, 0, discovery.ErrUnavailable.New("silent")
+}
+func (silentAdapter) Watch(context.Context, discovery.Topic, revision.Revision, time.Duration) ([]discovery.Change, revision.Revision, error) {
+	return nil, 0, discovery.ErrUnavailable.New("silent")
+}
+func (silentAdapter) Decode([]byte) (*ingress.Table, error) {
+	return nil, discovery.ErrUnavailable.New("silent")
+}
+
+// newSilentEdge returns a process on ports chosen by the kernel.
+func newSilentEdge() *Edge {
+	const anyPort = "127.0.0.1:0"
+	return New(&Settings{
+		VM: "vm-1", Region: "r", FailureDomain: "d", CallerListen: anyPort, ReadyListen: anyPort, ControlListen: anyPort,
+		DirectoryListen: anyPort, HopListen: anyPort, OperatorListen: anyPort, Grace: time.Second,
+	}, silentAdapter{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+// TestFailedComponentEndsTheProcess covers a listener that fails while the process
+// runs: serve must return the error instead of waiting for its other servers.
+func TestFailedComponentEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	e := newSilentEdge()
+	open, err := listenAll(e.settings.Load(), e.log)
+	is.NoErr(err)
+	done := make(chan error, 1)
+	go func() { done <- e.serve(context.Background(), open, nil) }()
+	time.Sleep(100 * time.Millisecond)
+	_ = open.control.Close()
+	select {
+	case err := <-done:
+		is.True(err != nil)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the process still runs 5 s after a component failed")
+	}
+}
+
+func TestRegistryAgeCountsFromTheStartWithoutAnyResponse(t *testing.T) {
+	is := is.New(t)
+	e := newSilentEdge()
+	is.True(e.startedAt > 0)
+	is.Equal(e.registryAge(e.startedAt.Add(3*time.Second)), 3*time.Second)
+	is.True(clock.Instant(0) == e.follower.ConfirmedAt())
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -83,7 +83,8 @@
 	// Revision is the registry's revision of the configuration, and Era the era of
 	// that revision; both are 0 if another VM sent the configuration.
 	Revision, Era uint64
-	// RegistryAgeMs is the time in milliseconds since the registry last answered.
+	// RegistryAgeMs is the time in milliseconds since the registry last answered,
+	// or since the start of the process if it never has.
 	RegistryAgeMs int64
 	Members       []mesh.Member
 	Servers       []serverState
@@ -109,7 +110,7 @@
 	now := e.now()
 	s := processState{
 		VM: e.self.VM, Incarnation: e.self.Incarnation, Ready: e.ready.Load(), Leaving: e.leaving.Load(),
-		Members: e.mesh.Members(), RegistryAgeMs: now.Sub(e.follower.ConfirmedAt()).Milliseconds(),
+		Members: e.mesh.Members(), RegistryAgeMs: e.registryAge(now).Milliseconds(),
 	}
 	if c := e.follower.Current(); c != nil {
 		s.Configuration, s.Revision, s.Era = c.Table.Version, c.Revision.Number(), c.Revision.Era()
--- a/internal/filter/booking/lookup.go
+++ b/internal/filter/booking/lookup.go
@@ -71,7 +71,7 @@
 }
 
 func (f *Filter) lookupOwn(ctx context.Context, req *pipeline.Request, key booking.Key, w pipeline.Response) *verdict.Refusal {
-	record, decision := f.table.Find(key)
+	record, decision := f.table.Find(key, req.Team)
 	switch {
 	case decision == booking.Evicted:
 		return refuseEvicted()
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -155,9 +155,11 @@
 // MayHaveRun.
 func transportRefusal(ctx context.Context, err error, wrote bool, to *snapshot.Member) *verdict.Refusal {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.Canceled):
+		return verdict.Ambiguous(verdict.CodeCancelled, "the caller went away", 0)
+	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		return deadlineRefusal("the deadline passed while another gateway worked on the request")
-	case ctx.Err() != nil, errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled):
 		return verdict.Ambiguous(verdict.CodeCancelled, "the caller went away", 0)
 	}
 	refusal := verdict.Ambiguous(verdict.CodeOwnerUnreachable, "the gateway "+to.VM+" could not be reached", retryAfterFailure)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,7 @@
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	group, groupCtx := errgroup.WithContext(backgroundCtx)
+	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, forward, operators) })
 	group.Go(func() error { return callers.Serve(g.listeners.callers) })
 	group.Go(func() error { return serveForward(forward, g.listeners.forward) })
 	group.Go(func() error { return background.IgnoreClosed(operators.Serve(g.listeners.operators)) })
@@ -183,7 +184,9 @@
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
-		return group.Wait()
+		err := group.Wait()
+		g.log.Error("a component failed, stopping", "error", err)
+		return err
 	}
 	err := g.shutdown(callers, forward)
 	_ = operators.Close()
