Hundreds of VMs: cached rankings, fewer registry reads, cheaper membership ticks

Change: rankings are kept while the set of VMs is the same; the view is built from members kept in order, with the exchange instead of each tick; links are updated every 0.9 s in a large fleet. Registry readers state in their heartbeats that their reads succeed; the other VMs then read the servers each 15 s, and each 2 s as soon as that stops. Removals found by a list or after the grace time are published too.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -44,6 +44,12 @@
 	// reader of its region. It normally receives the readers' records sooner;
 	// without them the pause is well within the operators' bound of 5 s.
 	nonReaderBatchPause = 2 * time.Second
+	// coveredBatchPause replaces nonReaderBatchPause for the backend servers while
+	// a registry reader of the region states that its reads succeed. It is below
+	// the time for which the registry keeps its history. The coverage is checked
+	// each coverageInterval.
+	coveredBatchPause = 15 * time.Second
+	coverageInterval  = time.Second
 	// recoveryPeriod is the time after a list during which every VM of a large
 	// fleet uses largeBatchPause: entries that expired while the registry was
 	// unavailable are added again one by one.
@@ -131,6 +137,9 @@
 	// RegistryReader whether this VM is one of the few of its region that read
 	// the registry at short intervals.
 	LargeFleet, RegistryReader func() bool
+	// RegistryCovered reports whether a registry reader of the region has stated
+	// just now that its reads succeed. Nil means that none does.
+	RegistryCovered func() bool
 }
 
 // Configuration is a configuration in force.
@@ -150,6 +159,8 @@
 	current     atomic.Pointer[Configuration]
 	mu          sync.Mutex // guards unavailable and serializes configuration changes
 	unavailable map[Topic]bool
+	// reading holds, by topic, whether the last read succeeded.
+	reading map[Topic]*atomic.Bool
 	// failedLists holds, by topic, the number of failed lists since the last
 	// successful one.
 	failedLists map[Topic]*atomic.Int32
@@ -171,6 +182,7 @@
 	return &Follower{
 		Config: config, unavailable: map[Topic]bool{},
 		failedLists: map[Topic]*atomic.Int32{Servers: {}, Operators: {}},
+		reading:     map[Topic]*atomic.Bool{Servers: {}, Operators: {}},
 		calls:       scope.Counter("calls"), failures: scope.Counter("failures"),
 		listDuration: scope.Histogram("list_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 	}
@@ -205,6 +217,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		f.reading[topic].Store(false)
 		if errorx.IsOfType(err, ErrHistoryGone) {
 			f.Log.Warn("registry history truncated or registry restored, listing again", "topic", topic, "reason", err)
 			continue
@@ -236,9 +249,11 @@
 	f.listDuration.RecordDuration(f.Now().Sub(started))
 	f.markAvailable(topic)
 	f.applyList(topic, changes, at)
+	f.reading[topic].Store(true)
 	for {
 		wait, pause := f.intervals()
 		background.Sleep(ctx, pause)
+		f.sleepWhileCovered(ctx, topic, coveredBatchPause-pause)
 		if ctx.Err() != nil {
 			return true, ctx.Err()
 		}
@@ -275,6 +290,23 @@
 	}
 }
 
+// sleepWhileCovered waits up to d while a registry reader of the region reads the
+// backend servers on behalf of this VM, which is not one itself.
+func (f *Follower) sleepWhileCovered(ctx context.Context, topic Topic, d time.Duration) {
+	if topic != Servers || f.RegistryCovered == nil || !f.LargeFleet() {
+		return
+	}
+	for end := f.Now().Add(d); ctx.Err() == nil && f.Now() < end && !f.RegistryReader() && f.RegistryCovered(); {
+		background.Sleep(ctx, coverageInterval)
+	}
+}
+
+// ReadsRegistry reports whether this VM reads the registry on behalf of its region
+// and its last reads of all topics succeeded.
+func (f *Follower) ReadsRegistry() bool {
+	return f.RegistryReader() && f.reading[Servers].Load() && f.reading[Operators].Load()
+}
+
 // markUnavailable records that a call for the topic failed.
 func (f *Follower) markUnavailable(topic Topic, err error) {
 	f.failures.Inc(1)
@@ -320,12 +352,25 @@
 		f.apply(c, roster.Listed)
 	}
 	if topic == Servers {
-		f.Roster.ApplyServerList(servers, at, f.Now())
+		f.publishRemovals(f.Roster.ApplyServerList(servers, at, f.Now()))
 		return
 	}
-	f.Roster.ApplyEvacuationList(domains, at, f.Now())
+	for _, domain := range f.Roster.ApplyEvacuationList(domains, at, f.Now()) {
+		f.publish(gossip.KindEvacuation, domain, at, false)
+	}
+}
+
+// publishRemovals publishes removals that no change of the registry reported.
+func (f *Follower) publishRemovals(all []roster.Removed) {
+	for _, r := range all {
+		f.publish(gossip.KindServer, r.Key.ID, r.Revision, serverRecord{Started: r.Key.Started})
+	}
 }
 
+// Expire removes the servers that did not reappear after a registry outage or
+// restore. It is called a few times per second.
+func (f *Follower) Expire(now clock.Instant) { f.publishRemovals(f.Roster.Expire(now)) }
+
 // apply applies a change from the registry and publishes it to the other VMs if it
 // is new.
 func (f *Follower) apply(c Change, source roster.Source) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,6 +154,7 @@
 		Capacity:  settings.capacity(),
 		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
 		Configuration: e.currentConfiguration,
+		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
 		OnLoad:        e.applyPeerLoad,
 		OnRecord:      func(r record) { e.follower.ApplyRecord(r) },
 		OnNewerConfiguration: func(version uint64, fetch func(context.Context) ([]byte, error)) {
@@ -163,6 +164,7 @@
 	e.follower = discovery.New(discovery.Config{
 		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
 		Scope: e.metrics.Scope, Publish: e.mesh.Publish, LargeFleet: e.mesh.LargeFleet, RegistryReader: e.mesh.IsRegistryReader,
+		RegistryCovered: e.mesh.RegistryCovered,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -32,7 +32,9 @@
 			time.Sleep(minPublishInterval)
 			continue
 		case <-e.peerLoadReceived:
-			e.applyPeerUsage(e.now())
+			if !e.mesh.LargeRegion() { // applied at a later tick there
+				e.applyPeerUsage(e.now())
+			}
 			continue
 		case <-ticker.C:
 		}
@@ -54,7 +56,7 @@
 			e.mesh.SetState(mesh.State{Ready: ready, Leaving: e.leaving.Load(), Closing: e.refusing.Load()})
 			e.log.Info("readiness changed", "ready", ready)
 		}
-		e.roster.Expire(now)
+		e.follower.Expire(now)
 		e.updateGauges(now)
 	}
 }
--- /dev/null
+++ b/internal/mesh/candidates.go
@@ -0,0 +1,81 @@
+package mesh
+
+import (
+	"slices"
+	"sync"
+)
+
+// maxCachedRankings bounds the cache of a candidates value. Servers that come and
+// go would fill it otherwise.
+const maxCachedRankings = 4096
+
+// candidate is a VM of this region in a ranking.
+type candidate struct {
+	vm, domain, hops string
+	capacity         float64
+}
+
+func candidateOf(o *Member) candidate {
+	return candidate{vm: o.VM, domain: o.FailureDomain, hops: o.Hops, capacity: o.Capacity}
+}
+
+func (c *candidate) rankKey(key, domain string) rankKey {
+	return rankKey{sameDomain: c.domain == domain, preference: preference(c.vm, c.capacity, key)}
+}
+
+// candidates is a set of VMs of this region, without this VM, that are ranked by
+// rendezvous hashing. The set doesn't change; rankings are computed once for each
+// key, because most VMs of a large region rank hundreds of servers several times
+// per second.
+type candidates struct {
+	list []candidate
+
+	mu       sync.Mutex
+	rankings map[rankingKey]ranking
+}
+
+type rankingKey struct{ key, domain string }
+
+// ranking is the result of rendezvous hashing for a key.
+type ranking struct {
+	// own is this VM's rank among the candidates, starting at 0.
+	own int
+	// best is the candidate that ranks first, if that is before this VM.
+	best candidate
+}
+
+// updated returns a set with the list: c itself if it has the same list, so that
+// its rankings are kept. The list is ordered by name.
+func (c *candidates) updated(list []candidate) *candidates {
+	if c != nil && slices.Equal(c.list, list) {
+		return c
+	}
+	return &candidates{list: list, rankings: map[rankingKey]ranking{}}
+}
+
+// rank returns the ranking of this VM, whose own rank key is own, for the key.
+// Candidates in the failure domain rank before the others.
+func (c *candidates) rank(key, domain string, own rankKey) ranking {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := rankingKey{key, domain}
+	if r, ok := c.rankings[k]; ok {
+		return r
+	}
+	r, best := ranking{}, own
+	for i := range c.list {
+		o := &c.list[i]
+		other := o.rankKey(key, domain)
+		if other.before(own) {
+			r.own++
+		}
+		if other.before(best) {
+			best, r.best = other, *o
+		}
+	}
+	if len(c.rankings) >= maxCachedRankings {
+		clear(c.rankings)
+	}
+	c.rankings[k] = r
+	return r
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,6 +41,9 @@
 	// largeExchangeTicks is the number of ticks between two exchanges with a
 	// peer in a large fleet.
 	largeExchangeTicks = 3
+	// largeLinkTicks is the number of ticks between two updates of the links of a
+	// large fleet, a multiple of largeExchangeTicks.
+	largeLinkTicks = 3 * largeExchangeTicks
 	// largeFleet is the minimum number of VMs of a large fleet.
 	largeFleet = 16
 	// summaryPublishers is the number of VMs of a region that publish summaries
@@ -48,6 +52,10 @@
 	// registryReaders is the number of VMs of a region of a large fleet that
 	// read the registry at short intervals.
 	registryReaders = 4
+	// registryCoverage is the age of a heartbeat up to which its VM counts as
+	// reading the registry: the interval of the heartbeats and the time that they
+	// take through a large fleet.
+	registryCoverage = 2500 * time.Millisecond
 	// activeFor is the time since a member's last heartbeat during which
 	// it still counts for shared allowances: a partitioned VM may still be
 	// sending requests.
@@ -88,6 +96,9 @@
 	// LastHeartbeat is the time at which its last heartbeat arrived.
 	LastHeartbeat clock.Instant `json:"Heard"`
 	Reachable     bool
+	// ReadsRegistry means that the VM stated in its last heartbeat that it reads
+	// the registry on behalf of its region, and that its reads succeed.
+	ReadsRegistry bool
 }
 
 // Addresses are the addresses on which a VM listens, as IP:port.
@@ -117,6 +128,9 @@
 	Seeds    []string
 	Now      clock.Clock
 	Log      *slog.Logger
+	// ReadsRegistry reports whether this VM reads the registry on behalf of its
+	// region, and its reads succeed. Nil means that it doesn't.
+	ReadsRegistry func() bool
 	// OnLoad is called for each load announcement of another VM of the region.
 	// It must not call the mesh, whose lock is held.
 	OnLoad func(Load)
@@ -143,6 +157,7 @@
 	store     *gossip.Store
 	version   uint64 // number of records written by this process
 	members   map[string]*Member
+	byName    []string                 // the names of the members in order, or nil to sort them again
 	usages    map[string]usageReport   // by VM
 	summaries map[string]summaryReport // by record name
 	links     map[string]*link
@@ -151,12 +166,16 @@
 	view      atomic.Pointer[memberView]
 }
 
-// memberView is an immutable view of the known members, replaced on each tick.
+// memberView is an immutable view of the known members, replaced when they are
+// updated.
 type memberView struct {
 	members     []Member
 	largeRegion bool
 	// share is this VM's fraction of the capacity of its region.
 	share float64
+	// The other VMs of the region that are reachable, also those of this VM's
+	// failure domain alone, that may be active, and that accept requests.
+	reachable, reachableInDomain, active, accepting *candidates
 }
 
 // usageReport is the usage of backend servers that another VM last announced.
@@ -183,7 +202,7 @@
 		// those of earlier ones.
 		versionBase: uint64(time.Now().UnixMilli()) << 16,
 	}
-	m.view.Store(&memberView{share: 1})
+	m.view.Store(m.viewOf(nil, 0, &memberView{}))
 	return m
 }
 
@@ -397,24 +416,51 @@
 		heartbeat, exchange = largeHeartbeatTicks, largeExchangeTicks
 	}
 	if n%heartbeat == 0 {
-		m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindHeartbeat, Name: m.Self.VM}, Version: m.nextVersion()})
+		m.store.Merge(gossip.Record{Key: gossip.Key{Kind: gossip.KindHeartbeat, Name: m.Self.VM}, Version: m.nextVersion(), Value: m.heartbeatValue()})
 	}
-	m.updateView()
-	m.updateLinks(ctx)
 	if n%exchange != 0 {
 		return
 	}
+	m.updateView()
+	if exchange == 1 || n%largeLinkTicks == 0 {
+		m.updateLinks(ctx)
+	}
 	for _, l := range m.links {
 		l.wake()
 	}
 }
 
+// heartbeatValue returns the value of this VM's heartbeats.
+func (m *Mesh) heartbeatValue() []byte {
+	if m.ReadsRegistry != nil && m.ReadsRegistry() {
+		return readsRegistry
+	}
+	return nil
+}
+
+// readsRegistry is the value of the heartbeat of a VM that reads the registry on
+// behalf of its region; other heartbeats have none.
+var readsRegistry = []byte{1}
+
+// RegistryCovered reports whether another VM of the region has stated just now
+// that it reads the registry on behalf of the region.
+func (m *Mesh) RegistryCovered() bool {
+	now := m.Now()
+	return slices.ContainsFunc(m.Members(), func(o Member) bool {
+		return o.ReadsRegistry && o.Region == m.Self.Region && now.Sub(o.LastHeartbeat) < registryCoverage
+	})
+}
+
 // updateView removes members without a recent heartbeat, updates which members
 // are reachable, and replaces the view. The caller holds the lock.
 func (m *Mesh) updateView() {
 	now := m.Now()
+	if len(m.byName) != len(m.members) {
+		m.byName = slices.Sorted(maps.Keys(m.members))
+	}
 	list := make([]Member, 0, len(m.members))
-	for vm, o := range m.members {
+	for _, vm := range m.byName {
+		o := m.members[vm]
 		sinceHeartbeat := now.Sub(o.LastHeartbeat)
 		if sinceHeartbeat > removeAfter {
 			m.remove(vm)
@@ -427,14 +473,14 @@
 		}
 		list = append(list, *o)
 	}
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
-	m.view.Store(m.viewOf(list, now))
+	m.view.Store(m.viewOf(list, now, m.view.Load()))
 }
 
 // remove deletes a member with its announcement, heartbeat and load. Its summaries
 // are kept; Regions ignores old ones. The caller holds the lock.
 func (m *Mesh) remove(vm string) {
 	delete(m.members, vm)
+	m.byName = nil
 	delete(m.usages, vm)
 	for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad} {
 		m.store.Delete(gossip.Key{Kind: kind, Name: vm})
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -35,10 +35,6 @@
 	return rankKey{sameDomain: m.Self.FailureDomain == domain, preference: preference(m.Self.VM, m.Capacity, key)}
 }
 
-func (o *Member) rankKey(key, domain string) rankKey {
-	return rankKey{sameDomain: o.FailureDomain == domain, preference: preference(o.VM, o.Capacity, key)}
-}
-
 // IsSummaryPublisher reports whether this VM publishes summaries of its region to
 // the other regions.
 func (m *Mesh) IsSummaryPublisher() bool { return m.reachableRank("summary", "") < summaryPublishers }
@@ -48,37 +44,24 @@
 func (m *Mesh) IsRegistryReader() bool { return m.reachableRank("registry", "") < registryReaders }
 
 // reachableRank returns this VM's rank for a key, starting at 0, among the
-// reachable VMs of its region, or of the failure domain if one is given.
+// reachable VMs of its region, or of its failure domain if that is given.
 func (m *Mesh) reachableRank(key, domain string) int {
-	own, rank := m.ownRankKey(key, domain), 0
-	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || !o.Reachable || domain != "" && o.FailureDomain != domain {
-			continue
-		}
-		if o.rankKey(key, domain).before(own) {
-			rank++
-		}
+	v := m.view.Load()
+	set := v.reachable
+	if domain != "" {
+		set = v.reachableInDomain
 	}
-	return rank
+	return set.rank(key, domain, m.ownRankKey(key, domain)).own
 }
 
 // ServerRank returns the number of VMs of the region that may send requests to a
 // backend server in the failure domain, this one included, and this VM's rank
 // among them, starting at 0. VMs in the server's failure domain rank first.
 func (m *Mesh) ServerRank(server, domain string) (vms, rank int) {
-	now := m.Now()
-	own := m.ownRankKey(server, domain)
-	vms = 1
-	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || !o.mayBeActive(now) {
-			continue
-		}
-		vms++
-		if o.rankKey(server, domain).before(own) {
-			rank++
-		}
-	}
-	if now.Sub(m.started) < startupPeriod {
+	active := m.view.Load().active
+	vms = len(active.list) + 1
+	rank = active.rank(server, domain, m.ownRankKey(server, domain)).own
+	if m.Now().Sub(m.started) < startupPeriod {
 		vms = max(vms, startupVMs)
 	}
 	return vms, rank
@@ -88,23 +71,38 @@
 // the VMs of its region that may be active.
 func (m *Mesh) CapacityShare() float64 { return m.view.Load().share }
 
-// viewOf returns the view of the given members.
-func (m *Mesh) viewOf(members []Member, now clock.Instant) *memberView {
-	own, reachable := capacityOrDefault(m.Capacity), 1
-	sum := own
+// viewOf returns the view of the given members, which are ordered by name. It keeps
+// the rankings of the view before for the sets of VMs that have not changed.
+func (m *Mesh) viewOf(members []Member, now clock.Instant, before *memberView) *memberView {
+	own := capacityOrDefault(m.Capacity)
+	sum, reachableVMs := own, 1
+	var reachable, reachableInDomain, active, accepting []candidate
 	for i := range members {
 		o := &members[i]
 		if o.Region != m.Self.Region {
 			continue
 		}
+		c := candidateOf(o)
 		if o.Reachable {
-			reachable++
+			reachableVMs++
+			reachable = append(reachable, c)
+			if o.FailureDomain == m.Self.FailureDomain {
+				reachableInDomain = append(reachableInDomain, c)
+			}
 		}
 		if o.mayBeActive(now) {
 			sum += capacityOrDefault(o.Capacity)
+			active = append(active, c)
+		}
+		if o.AcceptsRequests() {
+			accepting = append(accepting, c)
 		}
 	}
-	return &memberView{members: members, largeRegion: reachable > fullMeshLimit, share: own / sum}
+	return &memberView{
+		members: members, largeRegion: reachableVMs > fullMeshLimit, share: own / sum,
+		reachable: before.reachable.updated(reachable), reachableInDomain: before.reachableInDomain.updated(reachableInDomain),
+		active: before.active.updated(active), accepting: before.accepting.updated(accepting),
+	}
 }
 
 func capacityOrDefault(capacity float64) float64 {
@@ -145,14 +143,6 @@
 	if !m.LargeRegion() {
 		return "", ""
 	}
-	best := m.ownRankKey(server, domain)
-	for _, o := range m.Members() {
-		if o.Region != m.Self.Region || !o.AcceptsRequests() {
-			continue
-		}
-		if k := o.rankKey(server, domain); k.before(best) {
-			best, vm, address = k, o.VM, o.Hops
-		}
-	}
-	return vm, address
+	best := m.view.Load().accepting.rank(server, domain, m.ownRankKey(server, domain)).best
+	return best.vm, best.hops
 }
--- a/internal/mesh/ranks_test.go
+++ b/internal/mesh/ranks_test.go
@@ -21,27 +21,32 @@
 
 // fleetOf returns the mesh of each VM, by name, in which it knows all other VMs.
 func fleetOf(vms []vm) map[string]*Mesh {
-	now := clock.Instant(time.Hour)
 	fleet := map[string]*Mesh{}
 	for _, self := range vms {
-		m := New(Config{
-			Self:      snapshot.Identity{VM: self.name, Region: self.region, FailureDomain: self.domain},
-			Addresses: Addresses{Control: self.name}, Capacity: self.capacity,
-			Now: func() clock.Instant { return now }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
-		m.started = 0
-		for _, o := range vms {
-			if o != self {
-				m.members[o.name] = &Member{
-					Identity:  snapshot.Identity{VM: o.name, Region: o.region, FailureDomain: o.domain},
-					Addresses: Addresses{Control: o.name, Hops: o.name}, Capacity: o.capacity, Ready: true, LastHeartbeat: now,
-				}
+		fleet[self.name] = fleetFor(vms, self)
+	}
+	return fleet
+}
+
+// fleetFor returns the mesh of one of the VMs, in which it knows all others.
+func fleetFor(vms []vm, self vm) *Mesh {
+	now := clock.Instant(time.Hour)
+	m := New(Config{
+		Self:      snapshot.Identity{VM: self.name, Region: self.region, FailureDomain: self.domain},
+		Addresses: Addresses{Control: self.name}, Capacity: self.capacity,
+		Now: func() clock.Instant { return now }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	m.started = 0
+	for _, o := range vms {
+		if o != self {
+			m.members[o.name] = &Member{
+				Identity:  snapshot.Identity{VM: o.name, Region: o.region, FailureDomain: o.domain},
+				Addresses: Addresses{Control: o.name, Hops: o.name}, Capacity: o.capacity, Ready: true, LastHeartbeat: now,
 			}
 		}
-		m.updateView()
-		fleet[self.name] = m
 	}
-	return fleet
+	m.updateView()
+	return m
 }
 
 // largeRegions returns the VMs of 2 regions of 2 failure domains with 2 large and
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"strings"
@@ -29,7 +30,7 @@
 		m.applyMember(r, now)
 	case gossip.KindHeartbeat:
 		if o := m.members[r.Name]; o != nil {
-			o.LastHeartbeat = now
+			o.LastHeartbeat, o.ReadsRegistry = now, bytes.Equal(r.Value, readsRegistry)
 		}
 	case gossip.KindLoad:
 		var load Load
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -266,11 +266,18 @@
 	return removal{revision: rev, started: started}
 }
 
+// Removed is a server whose entry was removed at a revision.
+type Removed struct {
+	Key      ServerKey
+	Revision revision.Revision
+}
+
 // remove deletes an entry. The caller must hold r.mu, and publish.
-func (r *Roster) remove(old *Server, rev revision.Revision) {
+func (r *Roster) remove(old *Server, rev revision.Revision) Removed {
 	r.removed[old.ID] = r.removalOf(old.ID, rev, old.Started)
 	delete(r.servers, old.ID)
 	r.log.Info("backend server removed", "server", old.ID, "service", old.Service, "revision", rev)
+	return Removed{Key: old.Key(), Revision: rev}
 }
 
 // leaves reports whether the server is known to leave. The caller must hold r.mu.
@@ -294,17 +301,19 @@
 }
 
 // ApplyServerList applies a complete list of server IDs, read at the given
-// revision: entries that are not listed are removed.
-func (r *Roster) ApplyServerList(ids map[string]bool, rev revision.Revision, now clock.Instant) {
+// revision: entries that are not listed are removed. It returns the removed
+// servers.
+func (r *Roster) ApplyServerList(ids map[string]bool, rev revision.Revision, now clock.Instant) []Removed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var all []Removed
 	for id, old := range r.servers {
 		if ids[id] || old.Revision > rev {
 			continue
 		}
 		restored := old.Revision.Era() != rev.Era()
 		if r.leaves(old) || !restored && !r.recentOutage(now) {
-			r.remove(old, rev)
+			all = append(all, r.remove(old, rev))
 			continue
 		}
 		r.removed[id] = r.removalOf(id, rev, 0)
@@ -316,6 +325,7 @@
 	}
 	r.doubts.keepListed(ids)
 	r.publish()
+	return all
 }
 
 // SetEvacuated records whether a failure domain is being evacuated, and reports
@@ -349,8 +359,9 @@
 }
 
 // ApplyEvacuationList applies a complete list of evacuated failure domains:
-// evacuations that are not listed have ended.
-func (r *Roster) ApplyEvacuationList(domains map[string]bool, rev revision.Revision, now clock.Instant) {
+// evacuations that are not listed have ended. It returns the failure domains whose
+// evacuation ended.
+func (r *Roster) ApplyEvacuationList(domains map[string]bool, rev revision.Revision, now clock.Instant) []string {
 	r.mu.Lock()
 	var ended []string
 	for domain, state := range r.evacuations {
@@ -359,9 +370,7 @@
 		}
 	}
 	r.mu.Unlock()
-	for _, domain := range ended {
-		r.SetEvacuated(domain, false, rev, Listed, now)
-	}
+	return slices.DeleteFunc(ended, func(domain string) bool { return !r.SetEvacuated(domain, false, rev, Listed, now) })
 }
 
 // MarkLeaving records that an incarnation of a server announced in a response that
@@ -417,26 +426,26 @@
 
 // Expire removes the entries that did not reappear after a registry outage or
 // restore, settles doubts and forgets old announcements. It is called a few times
-// per second.
-func (r *Roster) Expire(now clock.Instant) {
+// per second, and returns the removed servers.
+func (r *Roster) Expire(now clock.Instant) []Removed {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLeaving(now)
 	if r.registryUnavailable {
-		return
+		return nil
 	}
-	changed := false
+	var all []Removed
 	for id, s := range r.servers {
 		if s.missing == 0 || now.Sub(max(s.missing, r.outageEnd)) < s.missingFor {
 			continue
 		}
-		r.remove(s, max(r.removed[id].revision, s.Revision))
-		changed = true
+		all = append(all, r.remove(s, max(r.removed[id].revision, s.Revision)))
 	}
-	if changed {
+	if len(all) > 0 {
 		r.publish()
 	}
 	r.settleDoubts(now)
+	return all
 }
 
 // forgetLeaving deletes the announcements of incarnations that are no longer
