--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -32,6 +32,7 @@
 	events        chan []Change
 	startTimeouts []time.Duration
 	lists         int
+	watches       int
 }
 
 func (f *fakeRegistry) List(_ context.Context, _ Topic, startTimeout time.Duration) ([]Change, revision.Revision, error) {
@@ -47,6 +48,7 @@
 
 func (f *fakeRegistry) Watch(ctx context.Context, _ Topic, after revision.Revision, wait time.Duration) ([]Change, revision.Revision, error) {
 	f.mu.Lock()
+	f.watches++
 	down, truncated := f.down, f.truncated
 	f.truncated = false
 	f.mu.Unlock()
@@ -103,9 +105,17 @@
 
 // follow runs a follower of the topic and then test, in a synctest bubble.
 func follow(t *testing.T, f *fakeRegistry, topic Topic, test func(t *testing.T, follower *Follower)) {
+	t.Helper()
+	followWith(t, f, topic, func(*Follower) {}, test)
+}
+
+// followWith is like follow; prepare changes the follower before it runs.
+func followWith(t *testing.T, f *fakeRegistry, topic Topic, prepare func(*Follower), test func(t *testing.T, follower *Follower)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f.events = make(chan []Change, 4)
 		follower := newFollower(f)
+		prepare(follower)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); _ = follower.Run(ctx, topic) }()
@@ -311,6 +321,66 @@
 	is.True(nonReaderPause <= 2*time.Second)
 }
 
+// TestCoveredVMsOfLargeFleetReadServersRarely covers 300 VMs, whose reads of the
+// registry would exceed its limit if all read the servers as often as the registry
+// readers do.
+func TestCoveredVMsOfLargeFleetReadServersRarely(t *testing.T) {
+	f := &fakeRegistry{entries: []Change{server("x", 3)}, revision: 3}
+	var covered atomic.Bool
+	covered.Store(true)
+	prepare := func(follower *Follower) {
+		follower.LargeFleet = func() bool { return true }
+		follower.RegistryReader = func() bool { return false }
+		follower.RegistryCovered = covered.Load
+	}
+	followWith(t, f, Servers, prepare, func(t *testing.T, _ *Follower) {
+		is := is.New(t)
+		calls := func(d time.Duration) int {
+			f.mu.Lock()
+			before := f.watches
+			f.mu.Unlock()
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				select {
+				case f.events <- []Change{server("y", 4)}: // the servers change all the time
+				default:
+				}
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.watches - before
+		}
+		time.Sleep(recoveryPeriod + largeWatchTimeout)
+		is.True(calls(time.Minute) <= 5)
+		covered.Store(false) // the readers' statements stop
+		is.True(calls(10*time.Second) >= 4)
+	})
+}
+
+func TestRemovalsFoundByAListArePublished(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(&fakeRegistry{})
+	var records []gossip.Record
+	f.Publish = func(r gossip.Record) { records = append(records, r) }
+	f.applyList(Servers, []Change{server("x", 3), server("y", 3)}, 3)
+	records = nil
+	f.applyList(Servers, []Change{server("x", 3)}, 9)
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Name, "y")
+	other := newFollower(&fakeRegistry{})
+	other.applyList(Servers, []Change{server("x", 3), server("y", 3)}, 3)
+	other.ApplyRecord(records[0])
+	is.True(other.Roster.View().Lookup("y") == nil)
+	// A server that is missing after an outage is removed later.
+	f.Roster.MarkRegistryUnavailable()
+	f.Roster.MarkRegistryAvailable(f.Now())
+	records = nil
+	f.applyList(Servers, nil, 12)
+	is.Equal(len(records), 0)
+	f.Expire(f.Now().Add(time.Minute))
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Name, "x")
+}
+
 // TestEachThirdFailedListHasLongerTimeout covers a registry that is unresponsive
 // while VMs start. Short timeouts detect its return soon; every third attempt waits
 // longer, so that a slow registry can respond too.
