Refuse at once by calibrated times to first byte; soak: restores, leaves, pauses

Change: the ratio of measured to expected times, by route and by region or cross-region, with the waits of those who left as lower bounds, corrects the time that is compared with the caller's patience.

Soak: restored registry, announced leaves, pauses from a random source of their own; faults reach replicas above id 200; executions of requests that no client sent are violations.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -235,6 +235,7 @@
 	// prefillSlowdownBits is the ratio of measured to expected prefill time, as
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
+	calibration         calibration
 	seed                maphash.Seed
 }
 
@@ -243,6 +244,7 @@
 	return &Balancer{
 		Region: region, Domain: domain, Bounds: bounds, Tuning: tuning, Fleet: fleet,
 		Prefixes: NewPrefixIndex(), seed: maphash.MakeSeed(),
+		calibration: calibration{ratios: map[calibrationKey]calibrationRatio{}},
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,8 +204,9 @@
 	// prefillTokens is the number of prompt tokens that the last backend server
 	// chosen by this VM was expected to prefill.
 	prefillTokens int
-	// estimate is the estimate behind the last plan.
-	estimate    balance.Estimate
+	// plan is the last plan, and plannedAt when it was made.
+	plan        balance.Plan
+	plannedAt   clock.Instant
 	lastOutcome *outcome
 	// destination is the backend server or VM of the last send.
 	destination string
@@ -281,7 +282,7 @@
 			return x.contextRefusal(ctx)
 		}
 		plan := x.choosePlan()
-		x.estimate = plan.Estimate
+		x.plan, x.plannedAt = plan, x.Now()
 		var out outcome
 		switch {
 		case plan.Server == nil && plan.Region == "":
@@ -329,12 +330,31 @@
 	if x.route.AbandonAfter > 0 {
 		maxWait = min(maxWait, x.route.AbandonAfter-x.Now().Sub(x.req.Arrived))
 	}
-	if x.sends == 0 && (plan.Server != nil || plan.Region != "") && plan.Estimate.TimeToFirstByte > maxWait {
-		return balance.Plan{Reason: "too-late", RetryAfter: plan.Estimate.TimeToFirstByte - maxWait, Estimate: plan.Estimate}
+	if x.sends > 0 || plan.Server == nil && plan.Region == "" {
+		return plan
+	}
+	if first := x.Balancer.CalibratedFirstByte(x.route.Name, &plan, x.Now()); first > maxWait {
+		return balance.Plan{Reason: "too-late", RetryAfter: first - maxWait, Estimate: plan.Estimate}
 	}
 	return plan
 }
 
+// recordFirstByte records the first byte of the response.
+func (x *transaction) recordFirstByte(now clock.Instant) {
+	if x.firstByteAt == 0 {
+		x.firstByteAt = now
+		x.Balancer.RecordFirstByte(x.route.Name, &x.plan, now.Sub(x.plannedAt), now)
+	}
+}
+
+// recordWait records how long the request waited for a first byte that it didn't
+// get, if that is longer than expected.
+func (x *transaction) recordWait() {
+	if waited := x.Now().Sub(x.plannedAt); x.plannedAt != 0 && x.firstByteAt == 0 && waited > x.plan.Estimate.TimeToFirstByte {
+		x.Balancer.RecordFirstByte(x.route.Name, &x.plan, waited, x.Now())
+	}
+}
+
 // mayRetry reports whether the request may be sent again after the outcome. If
 // so, and if a backend server may have received the request, it takes a retry
 // from the budget.
@@ -410,6 +430,7 @@
 // contextRefusal returns the refusal of a request whose context has ended. It
 // returns nil if the fallback response was relayed instead.
 func (x *transaction) contextRefusal(ctx context.Context) *verdict.Refusal {
+	x.recordWait()
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Ambiguous(verdict.CodeCancelled, "the caller went away", 0)
 	}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -83,7 +83,7 @@
 		"at", x.destination, "sends", x.sends, "ran", x.possibleRuns, "took", took, "first", x.timeToFirstByte(),
 		"waited", x.slotWait, "longestGap", x.longestGap, "events", x.events, "prompt", x.req.Demand.PromptTokens, "toRead", x.prefillTokens,
 		"document", x.req.Demand.LongSharedPrefixID(), "output", x.req.Demand.MaxOutputTokens, "hint", x.req.Demand.ExpectedOutputTokens,
-		"expectedFirst", x.estimate.TimeToFirstByte, "active", int(x.estimate.ActiveRequests), "backlog", x.estimate.PrefillBacklog, "reportAge", x.estimate.ReportAge,
+		"expectedFirst", x.plan.Estimate.TimeToFirstByte, "active", int(x.plan.Estimate.ActiveRequests), "backlog", x.plan.Estimate.PrefillBacklog, "reportAge", x.plan.Estimate.ReportAge,
 	}
 	if refusal == nil {
 		r.Metrics.total.RecordDuration(took)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -333,7 +333,7 @@
 	}
 	now := x.Now()
 	work.RecordFirstByte(now)
-	x.firstByteAt = now
+	x.recordFirstByte(now)
 	length := len(body)
 	if length == maxBufferedBytes {
 		length = -1
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -77,9 +77,7 @@
 // the gaps between events. The prefill time is measured only for the first send
 // of a request, and only if it did not wait for a prefill slot.
 func (x *transaction) recordEvents(s *streamSource, now clock.Instant, lastAt *clock.Instant, events int) {
-	if x.firstByteAt == 0 {
-		x.firstByteAt = now
-	}
+	x.recordFirstByte(now)
 	if s.work != nil {
 		if *lastAt == 0 && x.sends == 1 && x.slotWait == 0 {
 			x.Balancer.RecordPrefillTime(s.load, x.service, s.estimate, now.Sub(s.work.SentAt()), now)
--- a/soak/check.go
+++ b/soak/check.go
@@ -35,6 +35,11 @@
 	if served == 0 {
 		h.recordViolation("no request was served")
 	}
+	for id, list := range runs {
+		if !known[id] {
+			h.recordViolation("%s was executed, but no client sent it: %+v", id, list)
+		}
+	}
 	h.checkReplicas(runs)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
-	"fmt"
+	"cmp"
+	"maps"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -21,6 +23,59 @@
 	kinds[h.rng.IntN(len(kinds))]()
 }
 
+// injectRegistryFault injects one random fault of a platform whose registry may be
+// restored and whose replicas state in their responses that they leave or want a
+// pause. It draws from a source of its own, so that the other faults of a seed
+// stay the same.
+func (h *Harness) injectRegistryFault() {
+	kinds := []func(){h.restoreStore, h.announceLeave, h.requestPause}
+	kinds[h.registryRNG.IntN(len(kinds))]()
+}
+
+// restoreStore restores the registry from a copy that is up to 3 s old. Replicas
+// and operators write again what was lost about one heartbeat later.
+func (h *Harness) restoreStore() {
+	backup := h.Store.Copy()
+	age := time.Duration(200+h.registryRNG.IntN(2800)) * time.Millisecond
+	h.markUnplanned(age + 2*rewriteDelay)
+	time.AfterFunc(age, func() {
+		h.logFault("registry is restored from a copy of %v ago", age)
+		h.Store.Restore(backup)
+		time.AfterFunc(rewriteDelay, h.Store.Rewrite)
+	})
+}
+
+// rewriteDelay is the time after a restore in which what was lost is written again.
+const rewriteDelay = 1200 * time.Millisecond
+
+// announceLeave makes a replica state in its responses that it leaves. It drains
+// later, when a replacement has started.
+func (h *Harness) announceLeave() {
+	r := h.randomReplica()
+	if r == nil {
+		return
+	}
+	h.logFault("%s announces that it leaves", r.ID)
+	h.removeReplica(r)
+	h.replaceReplica(r)
+	r.SetFaults(platformtest.Faults{Leaving: true})
+	time.AfterFunc(time.Second, func() { h.Drain(r.ID) })
+}
+
+// requestPause makes a replica refuse requests for a while and state for how long.
+func (h *Harness) requestPause() {
+	r, length := h.randomReplica(), time.Duration(500+h.registryRNG.IntN(1500))*time.Millisecond
+	if r == nil {
+		return
+	}
+	values := []string{"0.5", "1", "2", "-1", "soon", "36000"}
+	value := values[h.registryRNG.IntN(len(values))]
+	h.logFault("%s refuses for %v with retry time %q", r.ID, length, value)
+	h.markUnplanned(length)
+	r.SetFaults(platformtest.Faults{Shed: true, RetryAfter: value})
+	time.AfterFunc(length, func() { r.SetFaults(platformtest.Faults{}) })
+}
+
 // randomDuration returns a random duration for a fault.
 func (h *Harness) randomDuration() time.Duration {
 	return time.Duration(300+h.rng.IntN(2500)) * time.Millisecond
@@ -128,18 +183,18 @@
 	time.AfterFunc(length, func() { p.storeProxy.SetMode(PassThrough) })
 }
 
-// randomReplica returns a running replica, or nil. It draws the IDs in numeric
+// randomReplica returns a running replica, or nil. It draws from the IDs in numeric
 // order, not in map order, so that the same seed selects the same replicas.
 func (h *Harness) randomReplica() *replica {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	maxID := h.lastID.Load()
-	for range 200 {
-		if r := h.replicas[fmt.Sprintf("i-%d", 1+h.rng.Int64N(max(1, min(maxID, 200))))]; r != nil && r.Replica != nil {
-			return r
-		}
+	ids := slices.SortedFunc(maps.Keys(h.replicas), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+	})
+	if len(ids) == 0 {
+		return nil
 	}
-	return nil
+	return h.replicas[ids[h.rng.IntN(len(ids))]]
 }
 
 func (h *Harness) degradeReplicaLink() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,9 @@
 	recoveryTimeout = 15 * time.Second
 	// clientsPerVM is the number of clients with open connections at each VM.
 	clientsPerVM = 3
+	// registryFaultShare is the number of faults of the registry or of replicas'
+	// announcements for each other fault.
+	registryFaultShare = 0.4
 	// meanThinkTime is the mean pause of a client between two requests.
 	meanThinkTime = 40 * time.Millisecond
 )
@@ -73,8 +76,8 @@
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng *rand.Rand
-	vms []*process
+	rng, registryRNG *rand.Rand
+	vms              []*process
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -104,7 +107,8 @@
 	defer d.Close()
 	h := &Harness{
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
-		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
+		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)),
+		replicas:    map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
 	}
 	defer h.stopAll()
 	if err := h.startAll(); err != nil {
@@ -122,6 +126,9 @@
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(config.MeanFaultInterval)))
 		h.injectFault()
+		if h.registryRNG.Float64() < registryFaultShare {
+			h.injectRegistryFault()
+		}
 	}
 	h.clearFaults()
 	h.checkRecovery()
@@ -305,8 +312,13 @@
 	for _, p := range h.vms {
 		served := h.waitFor(recoveryTimeout, func() bool {
 			id := fmt.Sprintf("q-%d", h.lastID.Add(1))
-			a := client.Do(context.Background(), p.CallerAddress, platformtest.PathSafe+"x", id, 2*time.Second, nil)
-			return a.Status == http.StatusOK
+			r := request{id: id, path: platformtest.PathSafe + "x", vm: p.Name, sentAt: time.Now()}
+			r.answer = client.Do(context.Background(), p.CallerAddress, r.path, id, 2*time.Second, nil)
+			r.endedAt = time.Now()
+			h.mu.Lock()
+			h.requests = append(h.requests, r)
+			h.mu.Unlock()
+			return r.answer.Status == http.StatusOK
 		})
 		if !served {
 			h.recordViolation("%s does not serve %v after the last fault: %s", p.Name, recoveryTimeout, lastLogLines(p))
