Running work of a server that is slow to report is kept; few hop targets; covered lists

A VM now sends to the results of six draws by capacity, and hop connections may be idle for 30 s. - After a truncated history all 295 VMs listed both topics at once; covered VMs now do within 5 to 15 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,7 +38,7 @@
 	// largeWatchTimeout and largeBatchPause replace watchTimeout and batchPause
 	// in a large fleet, because the registry limits the call rate of the fleet
 	// as a whole.
-	largeWatchTimeout = 15 * time.Second
+	largeWatchTimeout = 25 * time.Second
 	largeBatchPause   = 500 * time.Millisecond
 	// nonReaderBatchPause replaces largeBatchPause on a VM that is not a registry
 	// reader of its region. It normally receives the readers' records sooner;
@@ -50,6 +50,10 @@
 	// each coverageInterval.
 	coveredBatchPause = 15 * time.Second
 	coverageInterval  = time.Second
+	// coveredListDelay is the mean delay of a list after the registry truncated its
+	// history or was restored, while a registry reader states that its reads
+	// succeed.
+	coveredListDelay = 10 * time.Second
 	// recoveryPeriod is the time after a list during which every VM of a large
 	// fleet uses largeBatchPause: entries that expired while the registry was
 	// unavailable are added again one by one.
@@ -220,6 +224,8 @@
 		f.reading[topic].Store(false)
 		if errorx.IsOfType(err, ErrHistoryGone) {
 			f.Log.Warn("registry history truncated or registry restored, listing again", "topic", topic, "reason", err)
+			// All VMs' watches end at the same time.
+			f.sleepWhileCovered(ctx, time.Duration(float64(coveredListDelay)*(0.5+rand.Float64())))
 			continue
 		}
 		if progressed {
@@ -253,7 +259,9 @@
 	for {
 		wait, pause := f.intervals()
 		background.Sleep(ctx, pause)
-		f.sleepWhileCovered(ctx, topic, coveredBatchPause-pause)
+		if topic == Servers {
+			f.sleepWhileCovered(ctx, coveredBatchPause-pause)
+		}
 		if ctx.Err() != nil {
 			return true, ctx.Err()
 		}
@@ -291,9 +299,9 @@
 }
 
 // sleepWhileCovered waits up to d while a registry reader of the region reads the
-// backend servers on behalf of this VM, which is not one itself.
-func (f *Follower) sleepWhileCovered(ctx context.Context, topic Topic, d time.Duration) {
-	if topic != Servers || f.RegistryCovered == nil || !f.LargeFleet() {
+// registry on behalf of this VM, which is not one itself.
+func (f *Follower) sleepWhileCovered(ctx context.Context, d time.Duration) {
+	if f.RegistryCovered == nil || !f.LargeFleet() {
 		return
 	}
 	for end := f.Now().Add(d); ctx.Err() == nil && f.Now() < end && !f.RegistryReader() && f.RegistryCovered(); {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -356,6 +356,34 @@
 	})
 }
 
+// TestCoveredVMsOfLargeFleetSpreadTheirLists covers 300 VMs whose watches end at the
+// same time, as the registry truncates its history.
+func TestCoveredVMsOfLargeFleetSpreadTheirLists(t *testing.T) {
+	for _, covered := range []bool{true, false} {
+		f := &fakeRegistry{entries: []Change{server("x", 3)}, revision: 3}
+		prepare := func(follower *Follower) {
+			follower.LargeFleet = func() bool { return true }
+			follower.RegistryReader = func() bool { return false }
+			follower.RegistryCovered = func() bool { return covered }
+		}
+		followWith(t, f, Operators, prepare, func(t *testing.T, _ *Follower) {
+			is := is.New(t)
+			time.Sleep(time.Second)
+			f.update(func() { f.truncated = true })
+			f.events <- []Change{{Revision: 4, Domain: "a"}}
+			time.Sleep(coveredListDelay/2 - time.Second)
+			f.mu.Lock()
+			lists := f.lists
+			f.mu.Unlock()
+			is.Equal(lists == 1, covered) // the others list at once
+			time.Sleep(2 * coveredListDelay)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			is.Equal(f.lists, 2)
+		})
+	}
+}
+
 func TestRemovalsFoundByAListArePublished(t *testing.T) {
 	is := is.New(t)
 	f := newFollower(&fakeRegistry{})
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -51,15 +51,16 @@
 	s := &Server{http: server, idleTimeout: keepAlive + margin, conns: map[net.Conn]connState{}}
 	server.ConnState = s.trackConn
 	server.IdleTimeout = s.idleTimeout
-	server.Handler = withKeepAliveHeader(server.Handler, keepAlive)
+	server.Handler = WithKeepAliveHeader(server.Handler, keepAlive)
 	return s
 }
 
 // Close closes the listeners and all connections immediately.
 func (s *Server) Close() error { return s.http.Close() }
 
-// withKeepAliveHeader adds the Keep-Alive header to HTTP/1 responses.
-func withKeepAliveHeader(next http.Handler, keepAlive time.Duration) http.Handler {
+// WithKeepAliveHeader returns a handler that announces in the Keep-Alive header of
+// HTTP/1 responses for how long callers may reuse an idle connection.
+func WithKeepAliveHeader(next http.Handler, keepAlive time.Duration) http.Handler {
 	value := "timeout=" + strconv.Itoa(int(keepAlive/time.Second))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ProtoMajor == 1 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,9 @@
 	// connection. The server keeps it open keepAliveMargin longer.
 	keepAlive       = 2 * time.Second
 	keepAliveMargin = 500 * time.Millisecond
+	// hopKeepAlive is the announced time for which other VMs may reuse an idle
+	// connection for hops. A new one takes two round trips between regions.
+	hopKeepAlive = 30 * time.Second
 	// loadExchangeInterval is the time between two load exchanges with the
 	// other VMs of the region.
 	loadExchangeInterval = 100 * time.Millisecond
@@ -215,7 +218,10 @@
 	defer stop()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
-	hops := &http.Server{Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog()}
+	hops := &http.Server{
+		Handler: drain.WithKeepAliveHeader(e.hopRouter(), hopKeepAlive), ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: hopKeepAlive + keepAliveMargin, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog(),
+	}
 	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, hops) })
 	group.Go(func() error { return callers.Serve(ports.callers) })
 	group.Go(func() error { return background.IgnoreClosed(hops.Serve(ports.hops)) })
--- a/internal/mesh/candidates.go
+++ b/internal/mesh/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 )
 
@@ -9,7 +10,7 @@
 // go would fill it otherwise.
 const maxCachedRankings = 4096
 
-// candidate is a VM of this region in a ranking.
+// candidate is a VM in a ranking.
 type candidate struct {
 	vm, domain, hops string
 	capacity         float64
@@ -23,7 +24,7 @@
 	return rankKey{sameDomain: c.domain == domain, preference: preference(c.vm, c.capacity, key)}
 }
 
-// candidates is a set of VMs of this region, without this VM, that are ranked by
+// candidates is a set of VMs of one region, without this VM, that are ranked by
 // rendezvous hashing. The set doesn't change; rankings are computed once for each
 // key, because most VMs of a large region rank hundreds of servers several times
 // per second.
@@ -32,6 +33,8 @@
 
 	mu       sync.Mutex
 	rankings map[rankingKey]ranking
+	// targets is the result of hopTargets, or nil before the first call.
+	targets []candidate
 }
 
 type rankingKey struct{ key, domain string }
@@ -79,3 +82,31 @@
 	c.rankings[k] = r
 	return r
 }
+
+// hopTargets returns the candidates to which the VM self sends hops: the results of
+// draws, each in proportion to capacity, which differ from VM to VM. A candidate may
+// occur more than once. It returns nil if there are too few candidates for that.
+func (c *candidates) hopTargets(self string) []candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.targets == nil && len(c.list) > 2*hopTargetDraws {
+		for draw := range hopTargetDraws {
+			key := self + "#" + strconv.Itoa(draw)
+			c.targets = append(c.targets, *mostPreferredFor(c.list, key))
+		}
+	}
+	return c.targets
+}
+
+// mostPreferredFor returns the candidate that rendezvous hashing by capacity selects
+// for the key, or nil if there are no candidates.
+func mostPreferredFor(list []candidate, key string) *candidate {
+	highest := 0.0
+	var best *candidate
+	for i := range list {
+		if p := preference(list[i].vm, list[i].capacity, key); p > highest {
+			highest, best = p, &list[i]
+		}
+	}
+	return best
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -176,6 +176,8 @@
 	// The other VMs of the region that are reachable, also those of this VM's
 	// failure domain alone, that may be active, and that accept requests.
 	reachable, reachableInDomain, active, accepting *candidates
+	// others holds the VMs of each other region that accept requests.
+	others map[string]*candidates
 }
 
 // usageReport is the usage of backend servers that another VM last announced.
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -77,12 +77,16 @@
 	own := capacityOrDefault(m.Capacity)
 	sum, reachableVMs := own, 1
 	var reachable, reachableInDomain, active, accepting []candidate
+	others := map[string][]candidate{}
 	for i := range members {
 		o := &members[i]
+		c := candidateOf(o)
 		if o.Region != m.Self.Region {
+			if o.AcceptsRequests() {
+				others[o.Region] = append(others[o.Region], c)
+			}
 			continue
 		}
-		c := candidateOf(o)
 		if o.Reachable {
 			reachableVMs++
 			reachable = append(reachable, c)
@@ -98,11 +102,16 @@
 			accepting = append(accepting, c)
 		}
 	}
-	return &memberView{
+	view := &memberView{
 		members: members, largeRegion: reachableVMs > fullMeshLimit, share: own / sum,
 		reachable: before.reachable.updated(reachable), reachableInDomain: before.reachableInDomain.updated(reachableInDomain),
 		active: before.active.updated(active), accepting: before.accepting.updated(accepting),
+		others: map[string]*candidates{},
 	}
+	for region, list := range others {
+		view.others[region] = before.others[region].updated(list)
+	}
+	return view
 }
 
 func capacityOrDefault(capacity float64) float64 {
@@ -119,20 +128,28 @@
 // AcceptsRequests reports whether the VM is reachable and accepts requests.
 func (o *Member) AcceptsRequests() bool { return o.Reachable && o.Ready && !o.Leaving }
 
-// PickMember returns a VM of the region that accepts requests and its address for
-// hops, or empty strings if there is none. Over many keys each VM is chosen in
-// proportion to its capacity.
+// hopTargetDraws is the number of draws that select the VMs of another region to
+// which a VM sends hops, if that region has more than twice as many. With few
+// targets the connections stay in use: a new one takes two round trips between
+// regions before the first byte.
+const hopTargetDraws = 6
+
+// PickMember returns a VM of another region that accepts requests and its address
+// for hops, or empty strings if there is none. Over the requests of all VMs of this
+// region, each VM is chosen in proportion to its capacity.
 func (m *Mesh) PickMember(region, key string) (vm, address string) {
-	best := 0.0
-	for _, o := range m.Members() {
-		if o.Region != region || !o.AcceptsRequests() {
-			continue
-		}
-		if p := preference(o.VM, o.Capacity, key); p > best {
-			best, vm, address = p, o.VM, o.Hops
-		}
+	set := m.view.Load().others[region]
+	if set == nil {
+		return "", ""
+	}
+	if targets := set.hopTargets(m.Self.VM); targets != nil {
+		o := targets[spread.Mix(xxhash.Sum64String(key))%uint64(len(targets))]
+		return o.vm, o.hops
+	}
+	if o := mostPreferredFor(set.list, key); o != nil {
+		return o.vm, o.hops
 	}
-	return vm, address
+	return "", ""
 }
 
 // PrefillCoordinator returns the prefill coordinator of a backend server in the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,9 +115,9 @@
 
 // Peers selects the VMs to which requests are sent.
 type Peers interface {
-	// PickMember returns a VM of the region that accepts requests and its
-	// address, or "" if there is none. Requests are spread over the VMs by key,
-	// the request ID.
+	// PickMember returns a VM of another region that accepts requests and its
+	// address, or "" if there is none. Requests are spread over some of the VMs
+	// by key, the request ID.
 	PickMember(region, key string) (vm, address string)
 	// PrefillCoordinator returns the prefill coordinator of a backend server in
 	// the failure domain: the VM of this region that assigns the prefill slots
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -42,7 +42,7 @@
 }
 
 // watchServer returns a context that is cancelled when the backend server stops
-// answering polls, or when it serves other requests but not this one. The server
+// answering polls and requests, or when it serves other requests but not this one. The server
 // is not watched if the request could not be retried elsewhere.
 func (x *transaction) watchServer(ctx context.Context, plan *balance.Plan, sentAt clock.Instant) (context.Context, *serverWatch) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -64,7 +64,8 @@
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
-	case w.load.Unresponsive():
+	case w.load.Unresponsive() && !w.load.Progressing(now):
+		// A server that is only slow to answer polls goes on with its work.
 		w.cancel()
 		return
 	case w.hung(now) && w.x.budget.Allow(now):
