Calm engines are polled every other round

Change: an engine whose last report shows free slots and memory and no queue, which is not suspect and sends data, is polled twice a second.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -212,6 +212,16 @@
 	return l.missedPolls.Load() > 0 || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
 }
 
+// Calm reports whether the server is neither suspect nor busy: by its last report
+// nothing waits there and less than half of its slots and memory are in use, and
+// requests of this VM that are in progress there progress.
+func (l *Load) Calm(slots int, now clock.Instant) bool {
+	r := l.report.Load()
+	return r != nil && now.Sub(r.ReceivedAt) < maxReportAge && r.Queued == 0 &&
+		2*r.Running < slots && 2*r.MemoryUsed < r.MemoryTotal &&
+		!l.Suspected(now) && (l.active.Load() == 0 || l.Progressing(now))
+}
+
 // MarkSuspect marks the server as suspect for suspectDuration.
 func (l *Load) MarkSuspect(now clock.Instant) { l.suspectUntil.Store(int64(now.Add(suspectDuration))) }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -128,3 +128,45 @@
 	}
 	is.Equal(polls, rounds*suspectPollers+(vms-suspectPollers)*rounds/suspectPollRounds)
 }
+
+// TestCalmEngineIsPolledLess covers a day of light load: engines of which the last
+// report shows free capacity are polled half as often, and each busy, suspect or
+// silent one in every round.
+func TestCalmEngineIsPolledLess(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	server := &roster.Server{Entry: roster.Entry{ID: "writer0", Started: 1, Slots: 16}, Revision: 7}
+	calm := balance.Report{Running: 3, MemoryUsed: 10, MemoryTotal: 100, ReceivedAt: now}
+	busy, queueing, full, old := calm, calm, calm, calm
+	busy.Running, queueing.Queued, full.MemoryUsed, old.ReceivedAt = 9, 1, 60, now.Add(-time.Minute)
+	const rounds = 40
+	for name, c := range map[string]struct {
+		prepare func(l *balance.Load)
+		polls   int
+	}{
+		"no report": {func(*balance.Load) {}, rounds},
+		"calm":      {func(l *balance.Load) { l.RecordPollReport(calm) }, rounds / calmPollRounds},
+		"busy":      {func(l *balance.Load) { l.RecordPollReport(busy) }, rounds},
+		"queueing":  {func(l *balance.Load) { l.RecordPollReport(queueing) }, rounds},
+		"full":      {func(l *balance.Load) { l.RecordPollReport(full) }, rounds},
+		"old":       {func(l *balance.Load) { l.RecordPollReport(old) }, rounds},
+		"suspect":   {func(l *balance.Load) { l.RecordPollReport(calm); l.MarkSuspect(now) }, rounds},
+		"silent": {func(l *balance.Load) {
+			l.RecordPollReport(calm)
+			l.Begin(&balance.Demand{}, &balance.Estimate{}, now.Add(-time.Second)).RecordFirstByte(now.Add(-time.Second))
+		}, rounds},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := balance.New("n", "n-a", balance.Bounds{}, balance.DefaultTuning, nil)
+			c.prepare(b.Load(server.Key()))
+			p := &poller{balancer: b, now: func() clock.Instant { return now }, serverRank: func(string, string) (int, int) { return 7, 0 }}
+			polls := 0
+			for p.rounds = range rounds {
+				if p.shouldPoll(server) {
+					polls++
+				}
+			}
+			is.Equal(polls, c.polls)
+		})
+	}
+}
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -16,6 +16,9 @@
 	// interval gains little, as an engine's report is a few hundred milliseconds
 	// old when it is polled.
 	pollInterval = 250 * time.Millisecond
+	// calmPollRounds is the number of rounds between two polls of a calm engine by
+	// its first-ranked poller. Polls cost the engine's operators.
+	calmPollRounds = 2
 	// backupPollRounds is the number of rounds between two polls of an engine by
 	// a VM that is not the first-ranked poller of its region, for each VM of the
 	// region beyond the first.
@@ -115,12 +118,13 @@
 // shouldPoll reports whether this VM polls an engine in this round.
 func (p *poller) shouldPoll(s *roster.Server) bool {
 	vms, rank := p.serverRank(s.ID, s.FailureDomain)
-	if rank == 0 {
-		return true
-	}
+	load := p.balancer.Load(s.Key())
 	// The revision and the rank spread the polls of the VMs over the rounds.
 	offset := p.rounds + int(s.Revision.Number()) + rank
-	if !p.balancer.Load(s.Key()).Suspected(p.now()) {
+	if rank == 0 {
+		return offset%calmPollRounds == 0 || !load.Calm(s.Slots, p.now())
+	}
+	if !load.Suspected(p.now()) {
 		return offset%(backupPollRounds*max(1, vms-1)) == 0
 	}
 	return rank < suspectPollers || offset%suspectPollRounds == 0
