--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -123,6 +123,9 @@
 	if s.bytes > MaxStoreBytes || s.Len() == 0 {
 		t.Fatalf("store has %d records of %d bytes", s.Len(), s.bytes)
 	}
+	if stored := uint64(s.Len()); stored+s.Dropped() != 2*MaxRecords {
+		t.Fatalf("%d records stored and %d dropped of %d", stored, s.Dropped(), 2*MaxRecords)
+	}
 	s.Each(KindState, func(r Record) { s.Delete(r.Key) })
 	if s.bytes != 0 {
 		t.Fatalf("%d bytes after deleting all records", s.bytes)
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -90,6 +90,8 @@
 	log     []*entry // entries in the order of their changes; some are replaced or deleted
 	changes uint64   // number of changes so far
 	bytes   int      // size of names and values
+	// dropped is the number of records that were dropped because of a limit.
+	dropped uint64
 }
 
 // NewStore returns an empty store.
@@ -98,6 +100,10 @@
 // Len returns the number of records.
 func (s *Store) Len() int { return len(s.entries) }
 
+// Dropped returns the number of records that were dropped because the store has
+// MaxRecords records or MaxStoreBytes bytes.
+func (s *Store) Dropped() uint64 { return s.dropped }
+
 // Get returns the record with the key, if any.
 func (s *Store) Get(key Key) (Record, bool) {
 	e := s.entries[key]
@@ -119,9 +125,11 @@
 	if old != nil {
 		growth -= old.size()
 	} else if len(s.entries) >= MaxRecords {
+		s.dropped++
 		return false
 	}
 	if growth > 0 && s.bytes+growth > MaxStoreBytes {
+		s.dropped++
 		return false
 	}
 	s.bytes += growth
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,6 +44,9 @@
 	// largeLinkTicks is the number of ticks between two updates of the links of a
 	// large fleet, a multiple of largeExchangeTicks.
 	largeLinkTicks = 3 * largeExchangeTicks
+	// droppedLogTicks is the number of ticks between two log lines about dropped
+	// records, a multiple of largeExchangeTicks.
+	droppedLogTicks = 30
 	// largeFleet is the minimum number of VMs of a large fleet.
 	largeFleet = 16
 	// summaryPublishers is the number of VMs of a region that publish summaries
@@ -153,17 +156,19 @@
 	// records.
 	versionBase uint64
 
-	mu        sync.Mutex
-	store     *gossip.Store
-	version   uint64 // number of records written by this process
-	members   map[string]*Member
-	byName    []string                 // the names of the members in order, or nil to sort them again
-	usages    map[string]usageReport   // by VM
-	summaries map[string]summaryReport // by record name
-	links     map[string]*link
-	state     State
-	seeds     []string
-	view      atomic.Pointer[memberView]
+	mu      sync.Mutex
+	store   *gossip.Store
+	version uint64 // number of records written by this process
+	// loggedDropped is the number of dropped records that were logged.
+	loggedDropped uint64
+	members       map[string]*Member
+	byName        []string                 // the names of the members in order, or nil to sort them again
+	usages        map[string]usageReport   // by VM
+	summaries     map[string]summaryReport // by record name
+	links         map[string]*link
+	state         State
+	seeds         []string
+	view          atomic.Pointer[memberView]
 }
 
 // memberView is an immutable view of the known members, replaced when they are
@@ -427,6 +432,10 @@
 	if exchange == 1 || n%largeLinkTicks == 0 {
 		m.updateLinks(ctx)
 	}
+	if dropped := m.store.Dropped(); dropped > m.loggedDropped && n%droppedLogTicks == 0 {
+		m.Log.Warn("records dropped: the record store is full", "dropped", dropped-m.loggedDropped, "records", m.store.Len())
+		m.loggedDropped = dropped
+	}
 	for _, l := range m.links {
 		l.wake()
 	}
