--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -54,9 +54,9 @@
 	// history or was restored, while a registry reader states that its reads
 	// succeed.
 	coveredListDelay = 10 * time.Second
-	// recoveryPeriod is the time after a list during which every VM of a large
-	// fleet uses largeBatchPause: entries that expired while the registry was
-	// unavailable are added again one by one.
+	// recoveryPeriod is the time after a registry outage during which every VM of a
+	// large fleet uses largeBatchPause: entries that expired meanwhile are added
+	// again one by one.
 	recoveryPeriod = 6 * time.Second
 	// listStartTimeout bounds the wait for the start of the response to a list.
 	// A slow registry takes 1 s; with a longer wait, a call to an unresponsive
@@ -172,12 +172,12 @@
 	// nextFetch is the time of the earliest next one.
 	fetching  atomic.Bool
 	nextFetch atomic.Int64
-	// lastResponse is the time of the registry's last response, and lastList that of
-	// the last successful list.
-	lastResponse, lastList atomic.Int64
-	calls                  tally.Counter
-	failures               tally.Counter
-	listDuration           tally.Histogram
+	// lastResponse is the time of the registry's last response, and recoveredAt when
+	// it last became available again.
+	lastResponse, recoveredAt atomic.Int64
+	calls                     tally.Counter
+	failures                  tally.Counter
+	listDuration              tally.Histogram
 }
 
 // New returns a follower without a configuration.
@@ -291,7 +291,7 @@
 	switch {
 	case !f.LargeFleet():
 		return watchTimeout, batchPause
-	case f.RegistryReader(), f.Now().Sub(clock.Instant(f.lastList.Load())) < recoveryPeriod:
+	case f.RegistryReader(), f.recentlyRecovered():
 		return largeWatchTimeout, largeBatchPause
 	default:
 		return largeWatchTimeout, nonReaderBatchPause
@@ -315,6 +315,12 @@
 	return f.RegistryReader() && f.reading[Servers].Load() && f.reading[Operators].Load()
 }
 
+// recentlyRecovered reports whether a registry outage has ended just now.
+func (f *Follower) recentlyRecovered() bool {
+	at := clock.Instant(f.recoveredAt.Load())
+	return at != 0 && f.Now().Sub(at) < recoveryPeriod
+}
+
 // markUnavailable records that a call for the topic failed.
 func (f *Follower) markUnavailable(topic Topic, err error) {
 	f.failures.Inc(1)
@@ -333,7 +339,6 @@
 // markAvailable records that a list of the topic succeeded.
 func (f *Follower) markAvailable(topic Topic) {
 	f.lastResponse.Store(int64(f.Now()))
-	f.lastList.Store(int64(f.Now()))
 	f.mu.Lock()
 	before := f.unavailable[topic]
 	f.unavailable[topic] = false
@@ -342,6 +347,7 @@
 		f.Roster.MarkRegistryAvailable(f.Now())
 	}
 	if before {
+		f.recoveredAt.Store(int64(f.Now()))
 		f.Log.Info("registry available again", "topic", topic)
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -311,10 +311,14 @@
 	_, readerPause := f.intervals()
 	f.RegistryReader = func() bool { return false }
 	f.markAvailable(Servers)
+	_, startPause := f.intervals()
+	f.markUnavailable(Servers, ErrUnavailable.New("down"))
+	f.markAvailable(Servers)
 	_, recoveryPause := f.intervals()
 	is.Equal(recoveryPause, readerPause) // all VMs read often after an outage
-	f.lastList.Store(int64(f.Now().Add(-recoveryPeriod)))
+	f.recoveredAt.Store(int64(f.Now().Add(-recoveryPeriod)))
 	_, nonReaderPause := f.intervals()
+	is.Equal(startPause, nonReaderPause) // 300 VMs that start don't
 	is.True(readerPause < nonReaderPause)
 	// Without records from the readers a VM must still learn of changes within
 	// the operators' bound of 5 s.
