Large fleets: operators' changes are listed at once; watches stay within the history

Offers of other VMs didn't make up for it: a VM asks any of its peers, which mostly haven't the configuration yet, and then waited 2 s.

Change: only the list of the servers is delayed; a vain fetch waits 0.5 s; a watch and the pause before it take at most 17 s together.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,21 +38,24 @@
 	// largeWatchTimeout and largeBatchPause replace watchTimeout and batchPause
 	// in a large fleet, because the registry limits the call rate of the fleet
 	// as a whole.
-	largeWatchTimeout = 25 * time.Second
+	largeWatchTimeout = 15 * time.Second
 	largeBatchPause   = 500 * time.Millisecond
 	// nonReaderBatchPause replaces largeBatchPause on a VM that is not a registry
 	// reader of its region. It normally receives the readers' records sooner;
 	// without them the pause is well within the operators' bound of 5 s.
 	nonReaderBatchPause = 2 * time.Second
 	// coveredBatchPause replaces nonReaderBatchPause for the backend servers while
-	// a registry reader of the region states that its reads succeed. It is below
-	// the time for which the registry keeps its history. The coverage is checked
-	// each coverageInterval.
-	coveredBatchPause = 15 * time.Second
+	// a registry reader of the region states that its reads succeed. The coverage is
+	// checked each coverageInterval.
+	coveredBatchPause = 10 * time.Second
 	coverageInterval  = time.Second
-	// coveredListDelay is the mean delay of a list after the registry truncated its
-	// history or was restored, while a registry reader states that its reads
-	// succeed.
+	// minWatchTimeout is how long a watch waits at least. A watch after a long pause
+	// waits less than largeWatchTimeout, because the registry keeps its history for
+	// 20 s only and truncates it for a watch from an earlier revision.
+	minWatchTimeout = 2 * time.Second
+	// coveredListDelay is the mean delay of a list of the backend servers after the
+	// registry truncated its history or was restored, while a registry reader states
+	// that its reads succeed.
 	coveredListDelay = 10 * time.Second
 	// recoveryPeriod is the time after a registry outage during which every VM of a
 	// large fleet uses largeBatchPause: entries that expired meanwhile are added
@@ -73,10 +76,11 @@
 	// fetchTimeout bounds a request to another VM for its configuration.
 	fetchTimeout = 2 * time.Second
 	// minFetchInterval is the minimum time between two such requests, and
-	// vainFetchInterval that after one which brought nothing newer: an earlier
-	// release offers the registry's revision in place of the version.
+	// vainFetchInterval that after one which brought nothing newer: the VM that
+	// was asked may not have the configuration yet, and an earlier release offers
+	// the registry's revision in place of the version.
 	minFetchInterval  = 200 * time.Millisecond
-	vainFetchInterval = 2 * time.Second
+	vainFetchInterval = 500 * time.Millisecond
 )
 
 // Errors of a Registry.
@@ -224,8 +228,11 @@
 		f.reading[topic].Store(false)
 		if errorx.IsOfType(err, ErrHistoryGone) {
 			f.Log.Warn("registry history truncated or registry restored, listing again", "topic", topic, "reason", err)
-			// All VMs' watches end at the same time.
-			f.sleepWhileCovered(ctx, time.Duration(float64(coveredListDelay)*(0.5+rand.Float64())))
+			if topic == Servers {
+				// All VMs' watches end at the same time. The operators' changes are
+				// few and are read at once.
+				f.sleepWhileCovered(ctx, time.Duration(float64(coveredListDelay)*(0.5+rand.Float64())))
+			}
 			continue
 		}
 		if progressed {
@@ -258,6 +265,7 @@
 	f.reading[topic].Store(true)
 	for {
 		wait, pause := f.intervals()
+		received := f.Now()
 		background.Sleep(ctx, pause)
 		if topic == Servers {
 			f.sleepWhileCovered(ctx, coveredBatchPause-pause)
@@ -265,6 +273,7 @@
 		if ctx.Err() != nil {
 			return true, ctx.Err()
 		}
+		wait = max(minWatchTimeout, wait-max(0, f.Now().Sub(received)-pause))
 		f.calls.Inc(1)
 		changes, next, err := f.Registry.Watch(ctx, topic, at, wait)
 		if err != nil {
