Relay: log and count how streams end

This distinguishes an end of connection taken for the end of a stream, an unfinished event inside a complete body, and an end between two events. No decision depends on it yet.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -199,6 +199,11 @@
 	firstByteAt    clock.Instant
 	// longestGap is the longest time between two events so far.
 	longestGap time.Duration
+	// framing is how the end of the last stream was marked, and unfinishedBytes
+	// the number of bytes after its last complete event. The framing is "" if no
+	// stream was read to its end.
+	framing         upstream.Framing
+	unfinishedBytes int
 	// slotWait is the time spent waiting for prefill slots.
 	slotWait time.Duration
 	// prefillTokens is the number of prompt tokens that the last backend server
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
@@ -41,6 +43,11 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("sends").Inc(1)
 }
 
+// countStreamEnd counts a stream that was read to its end.
+func (m *Metrics) countStreamEnd(framing upstream.Framing, unfinished bool) {
+	m.scope.Tagged(map[string]string{"framing": string(framing), "unfinished": strconv.FormatBool(unfinished)}).Counter("stream_ends").Inc(1)
+}
+
 // recordSend counts a send. If the send failed, it also logs the estimate
 // behind the plan and the reason of the failure.
 func (x *transaction) recordSend(plan balance.Plan, out *outcome) {
@@ -81,7 +88,7 @@
 	args := []any{
 		"request", x.req.ID, "route", route, "configuration", version, "entry", x.req.Entry, "result", result,
 		"at", x.destination, "sends", x.sends, "ran", x.possibleRuns, "took", took, "first", x.timeToFirstByte(),
-		"waited", x.slotWait, "longestGap", x.longestGap, "events", x.events, "prompt", x.req.Demand.PromptTokens, "toRead", x.prefillTokens,
+		"waited", x.slotWait, "longestGap", x.longestGap, "events", x.events, "framing", x.framing, "unfinished", x.unfinishedBytes, "prompt", x.req.Demand.PromptTokens, "toRead", x.prefillTokens,
 		"document", x.req.Demand.LongSharedPrefixID(), "output", x.req.Demand.MaxOutputTokens, "hint", x.req.Demand.ExpectedOutputTokens,
 		"expectedFirst", x.plan.Estimate.TimeToFirstByte, "active", int(x.plan.Estimate.ActiveRequests), "backlog", x.plan.Estimate.PrefillBacklog, "reportAge", x.plan.Estimate.ReportAge,
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,6 +58,7 @@
 		switch {
 		case readErr == nil && len(pending) <= maxEventBytes:
 		case errors.Is(readErr, io.EOF):
+			x.recordStreamEnd(s, len(pending))
 			return x.finishStream(s, pending)
 		default:
 			s.Abort()
@@ -94,6 +95,12 @@
 	*lastAt = now
 }
 
+// recordStreamEnd records how a stream ended that was read to its end.
+func (x *transaction) recordStreamEnd(s *streamSource, unfinishedBytes int) {
+	x.framing, x.unfinishedBytes = s.Framing(), unfinishedBytes
+	x.Metrics.countStreamEnd(x.framing, unfinishedBytes > 0)
+}
+
 // writeEvents writes complete events to the caller, except those that were
 // relayed before. If the write fails, it returns the outcome and false.
 func (x *transaction) writeEvents(s *streamSource, events []byte) (outcome, bool) {
