Relay: a stream that ends inside an event was broken off

Cause: relayStream took the regular end of a response body for the end of the stream, and finishStream passed on the bytes after the last complete event. An answer with neither a length nor chunks ends with its connection, so that a run that is cut looks like one that is complete.

Evidence: both VMs of a cut request log result=served, so no abort was lost on the way.

Change: events are the unit of a stream, whatever its framing. A body that ends inside an event, or that has neither length nor chunks and no event at all, is a failed send: incomplete bytes are not passed on, the server's failure is recorded, a resumable stream continues at another server, and any other one is cut visibly. A response whose content type isn't text/event-stream has no events and is relayed by its framing (TestPlainResponseOnStreamRouteIsDeliveredWhole).

Open: an unframed stream that ends between two events can't be told from a complete one.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -128,7 +128,7 @@
 		x.weightsVersion = x.Protocol.Inbound(e.StatusCode, e.Header).WeightsVersion
 	}
 	source := &streamSource{Exchange: e}
-	if x.route.Kind == ingress.Stream {
+	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
 		return x.relayStream(ctx, source)
 	}
 	return x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -39,6 +41,7 @@
 		x.w.Flush()
 	}
 	var pending []byte
+	events := 0
 	buffer := make([]byte, streamBufferBytes)
 	lastAt := clock.Instant(0)
 	for {
@@ -48,32 +51,62 @@
 			pending = append(pending, buffer[:n]...)
 			complete := completeEventsLen(pending)
 			if complete > 0 {
-				x.recordEvents(s, now, &lastAt, countEvents(pending[:complete]))
+				n := countEvents(pending[:complete])
+				events += n
+				x.recordEvents(s, now, &lastAt, n)
 				if out, ok := x.writeEvents(s, pending[:complete]); !ok {
 					return out
 				}
 				pending = append(pending[:0], pending[complete:]...)
 			}
 		}
+		reason := ""
 		switch {
 		case readErr == nil && len(pending) <= maxEventBytes:
+			continue
+		case readErr == nil:
+			reason = "an event is too large"
 		case errors.Is(readErr, io.EOF):
 			x.recordStreamEnd(s, len(pending))
-			return x.finishStream(s, pending)
+			reason = x.truncation(s, events, len(pending))
 		default:
-			s.Abort()
-			reason := "an event is too large"
-			if readErr != nil {
-				reason = "stream broke off: " + readErr.Error()
-			}
-			if s.load != nil && ctx.Err() == nil {
-				s.load.RecordFailure(now)
-			}
-			return outcome{mayHaveArrived: true, reason: reason}
+			reason = "stream broke off: " + readErr.Error()
 		}
+		if reason == "" {
+			return x.finishStream(s)
+		}
+		s.Abort()
+		if s.load != nil && ctx.Err() == nil {
+			s.load.RecordFailure(now)
+		}
+		return outcome{mayHaveArrived: true, reason: reason}
 	}
 }
 
+// isEventStream reports whether a response on a stream route consists of events. A
+// response without a content type does.
+func isEventStream(h http.Header) bool {
+	value := h.Get("Content-Type")
+	if value == "" {
+		return true
+	}
+	// A parameter that can't be parsed leaves the media type set.
+	mediaType, _, _ := mime.ParseMediaType(value)
+	return mediaType == "text/event-stream"
+}
+
+// truncation returns why a stream whose body ended regularly is incomplete, or "" if
+// nothing shows that it is. A server that crashes may end a body like a complete one.
+func (x *transaction) truncation(s *streamSource, events, unfinishedBytes int) string {
+	switch {
+	case unfinishedBytes > 0:
+		return "stream ended inside an event, after " + strconv.Itoa(unfinishedBytes) + " bytes of it"
+	case events == 0 && x.lastEventID == "" && s.Framing() == upstream.FramedByClose:
+		return "stream without length or chunks ended before its first event"
+	}
+	return ""
+}
+
 // recordEvents records the arrival of events: the time of the first byte and
 // the gaps between events. The prefill time is measured only for the first send
 // of a request, and only if it did not wait for a prefill slot.
@@ -140,15 +173,8 @@
 	return out
 }
 
-// finishStream ends a stream whose body was read to its end. Rest is the data
-// after the last complete event.
-func (x *transaction) finishStream(s *streamSource, rest []byte) outcome {
-	if len(rest) > 0 {
-		if _, err := x.w.Write(rest); err != nil {
-			s.Abort()
-			return outcome{mayHaveArrived: true, final: true, reason: "caller left: " + err.Error()}
-		}
-	}
+// finishStream ends a stream whose body was read to its end.
+func (x *transaction) finishStream(s *streamSource) outcome {
 	s.Release()
 	if s.load != nil {
 		s.load.RecordSuccess()
