Unframed JSON that ends early is not delivered as complete

upstream.IsTruncated: JSON framed by close that isn't a JSON text was broken off. chestnut-edge records the server's failure and retries idempotent requests, chestnut-gateway refuses with may-have-run. Both new tests failed before: status 200 instead of 502, and no refusal. Other content types, and bodies above the buffer, show nothing and are passed on as before.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
@@ -64,7 +65,7 @@
 // that size that turns out to be truncated can still be refused.
 func relayBuffered(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, resp *http.Response, w pipeline.Response) *verdict.Refusal {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxAnswerBytes))
-	if err != nil {
+	if err != nil || len(data) < wire.MaxAnswerBytes && upstream.IsTruncated(resp, data) {
 		return interruptedRefusal(ctx)
 	}
 	w.Start(responseHead(resp, server))
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -332,6 +332,11 @@
 		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
 	}
 	now := x.Now()
+	if len(body) < maxBufferedBytes && upstream.IsTruncated(e.Response, body) {
+		e.Abort()
+		plan.Load.RecordFailure(now)
+		return outcome{mayHaveArrived: true, reason: "answer ended inside its JSON text, after " + strconv.Itoa(len(body)) + " bytes"}
+	}
 	work.RecordFirstByte(now)
 	x.recordFirstByte(now)
 	length := len(body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -101,7 +101,7 @@
 	switch {
 	case unfinishedBytes > 0:
 		return "stream ended inside an event, after " + strconv.Itoa(unfinishedBytes) + " bytes of it"
-	case events == 0 && x.lastEventID == "" && s.Framing() == upstream.FramedByClose:
+	case events == 0 && x.lastEventID == "" && upstream.FramingOf(s.Response) == upstream.FramedByClose:
 		return "stream without length or chunks ended before its first event"
 	}
 	return ""
@@ -130,7 +130,7 @@
 
 // recordStreamEnd records how a stream ended that was read to its end.
 func (x *transaction) recordStreamEnd(s *streamSource, unfinishedBytes int) {
-	x.framing, x.unfinishedBytes = s.Framing(), unfinishedBytes
+	x.framing, x.unfinishedBytes = upstream.FramingOf(s.Response), unfinishedBytes
 	x.Metrics.countStreamEnd(x.framing, unfinishedBytes > 0)
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -198,7 +198,7 @@
 			_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDrainBytes))
 		}
 	}
-	if !x.complete || x.Close || x.StrayResponses > 0 || !x.sent.Load() || x.conn.reader.Buffered() > 0 || x.Framing() == FramedByClose {
+	if !x.complete || x.Close || x.StrayResponses > 0 || !x.sent.Load() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
@@ -217,30 +217,6 @@
 	x.conn.close()
 }
 
-// Framing is how the end of a response body is marked.
-type Framing string
-
-// The kinds of framing.
-const (
-	FramedByLength Framing = "length"
-	FramedByChunks Framing = "chunks"
-	// FramedByClose means that the body ends with its connection. Its end doesn't
-	// show whether the server had sent the whole body.
-	FramedByClose Framing = "close"
-)
-
-// Framing returns how the end of the body is marked.
-func (x *Exchange) Framing() Framing {
-	switch {
-	case len(x.TransferEncoding) > 0:
-		return FramedByChunks
-	case x.ContentLength >= 0:
-		return FramedByLength
-	default:
-		return FramedByClose
-	}
-}
-
 // serverIdleTimeout returns how long the connection may be idle: the timeout in the
 // server's Keep-Alive header less idleMargin, or defaultIdleTimeout without one.
 func serverIdleTimeout(h http.Header) time.Duration {
