--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -58,9 +58,9 @@
 // complete.
 func (d *Demand) finalMemory() float64 { return float64(d.PromptTokens) + d.expectedOutput() }
 
-// sharedBlocks returns the blocks that other requests may share: all but the
+// SharedBlocks returns the blocks that other requests may share: all but the
 // last, which belongs to the request or its session.
-func (d *Demand) sharedBlocks() []PrefixBlock {
+func (d *Demand) SharedBlocks() []PrefixBlock {
 	if len(d.PrefixBlocks) == 0 {
 		return nil
 	}
@@ -70,7 +70,7 @@
 // sharedTokens returns the total size of the shared blocks.
 func (d *Demand) sharedTokens() int {
 	tokens := 0
-	for _, p := range d.sharedBlocks() {
+	for _, p := range d.SharedBlocks() {
 		tokens += p.Tokens
 	}
 	return tokens
@@ -86,7 +86,7 @@
 // longSharedPrefix returns the last shared block if it has at least
 // minLongPrefixTokens.
 func (d *Demand) longSharedPrefix() (PrefixBlock, bool) {
-	shared := d.sharedBlocks()
+	shared := d.SharedBlocks()
 	if len(shared) == 0 || shared[len(shared)-1].Tokens < minLongPrefixTokens {
 		return PrefixBlock{}, false
 	}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -49,7 +49,7 @@
 // affinityPenalty returns a score that makes all gateways prefer the same server
 // for a prefix that none is known to have cached.
 func (b *Balancer) affinityPenalty(q *Query, key roster.ServerKey, cached int) float64 {
-	shared := q.Demand.sharedBlocks()
+	shared := q.Demand.SharedBlocks()
 	if len(shared) == 0 {
 		return 0
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -250,3 +250,12 @@
 	}
 	return x.firstByteAt.Sub(x.req.Arrived)
 }
+
+// sinceFirstByte returns the time since the first byte of the response, or zero if
+// there is none.
+func (x *transaction) sinceFirstByte() time.Duration {
+	if x.firstByteAt == 0 {
+		return 0
+	}
+	return x.Now().Sub(x.firstByteAt)
+}
