Quarantine: requests with a prompt block that crashes servers are refused

Cause: nothing connected a crash with the prompts that the server was serving. Each VM saw a broken connection, took the server out and sent the request, or the next one with that block, to the next server.

Change: internal/quarantine. A VM whose send broke within a second of its first event asks the server's load report whether its process still runs; if not, the shared blocks of these prompts are suspects. A request that survives its first second clears its blocks of the crashes before it began. VMs exchange crashes and survivals (record kind 13). A block that 4 to 8 crashes at different times and addresses have in common, by the rate of crashes, and that no request has survived since, is quarantined on all VMs (kind 14) for 2 minutes, doubling to 32. Of several such blocks the one that explains most crashes with fewest requests goes first. Requests with it are refused at once as not run (503, code quarantined, with the remaining time). A survival releases it. A prompt that lost two servers before any event isn't sent to a third.

--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -67,6 +67,15 @@
 	return d.PrefixBlocks[:len(d.PrefixBlocks)-1]
 }
 
+// SharedBlockIDs returns the IDs of the shared blocks, or nil if there are none.
+func (d *Demand) SharedBlockIDs() []uint64 {
+	var ids []uint64
+	for _, b := range d.SharedBlocks() {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
+
 // sharedTokens returns the total size of the shared blocks.
 func (d *Demand) sharedTokens() int {
 	tokens := 0
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,8 +18,10 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
+	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -108,6 +110,7 @@
 	mesh        *mesh.Mesh
 	balancer    *balance.Balancer
 	relay       *relay.Relay
+	quarantine  *quarantine.Tracker
 	serverPool  *upstream.Pool
 	gatewayPool *upstream.Pool
 
@@ -159,7 +162,7 @@
 		Configuration: e.currentConfiguration,
 		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
 		OnLoad:        e.applyPeerLoad,
-		OnRecord:      func(r record) { e.follower.ApplyRecord(r) },
+		OnRecord:      e.applyRecord,
 		OnNewerConfiguration: func(version uint64, fetch func(context.Context) ([]byte, error)) {
 			e.follower.FetchNewer(version, fetch)
 		},
@@ -170,13 +173,17 @@
 		RegistryCovered: e.mesh.RegistryCovered,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
+	e.quarantine = quarantine.New(quarantine.Config{
+		VM: e.self.VM, Now: e.now, Log: e.log, Scope: e.metrics.Scope, Running: e.isRunning, Servers: e.engineCount,
+		PublishOwn: e.mesh.PublishOwn, Publish: e.mesh.Publish,
+	})
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
 	dials := e.metrics.Scope.Counter("dials")
 	e.serverPool.OnDial = func(error) { dials.Inc(1) }
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
-		Peers: e.mesh, Protocol: e.adapter.Protocol(), ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving,
 		Leaving:      e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
@@ -184,6 +191,42 @@
 	})
 }
 
+// applyRecord applies a record of another VM.
+func (e *Edge) applyRecord(r record) {
+	switch r.Kind {
+	case gossip.KindEvidence, gossip.KindQuarantine:
+		e.quarantine.ApplyRecord(r)
+	default:
+		e.follower.ApplyRecord(r)
+	}
+}
+
+// isRunning reports whether the process of an engine's incarnation still runs. An
+// engine that can't be reached counts as not running.
+func (e *Edge) isRunning(ctx context.Context, s *roster.Server) bool {
+	report, err := e.adapter.FetchReport(ctx, s)
+	if err != nil {
+		e.log.Info("engine did not answer after a broken request", "server", s.ID, "service", s.Service, "error", err)
+		return false
+	}
+	return report.Started == 0 || s.Started == 0 || report.Started == s.Started
+}
+
+// engineCount returns the number of known model engines.
+func (e *Edge) engineCount() int {
+	table := e.follower.Table()
+	if table == nil {
+		return 0
+	}
+	n := 0
+	for _, s := range e.roster.View().All() {
+		if service := table.Services[s.Service]; service != nil && service.Engine != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Edge) currentConfiguration() (uint64, []byte) {
 	if e.follower == nil {
 		return 0, nil
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -13,8 +13,8 @@
 
 // runLoadExchange exchanges loads with the other VMs of the region until ctx
 // ends. On each tick it also logs if the process was paused, and does the
-// periodic upkeep: connection pools, readiness, lapsed registry entries and
-// gauges.
+// periodic upkeep: connection pools, readiness, lapsed registry entries, the
+// quarantine and gauges.
 func (e *Edge) runLoadExchange(ctx context.Context) error {
 	ticker := time.NewTicker(loadExchangeInterval)
 	defer ticker.Stop()
@@ -57,6 +57,7 @@
 			e.log.Info("readiness changed", "ready", ready)
 		}
 		e.follower.Expire(now)
+		e.quarantine.Tick(now)
 		e.updateGauges(now)
 	}
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
@@ -87,7 +88,9 @@
 	// or since the start of the process if it never has.
 	RegistryAgeMs int64
 	Members       []mesh.Member
-	Servers       []serverState
+	// Quarantine holds the prompt blocks with which requests are refused.
+	Quarantine []quarantine.State
+	Servers    []serverState
 }
 
 // serverState is a backend server in the state dump.
@@ -110,7 +113,7 @@
 	now := e.now()
 	s := processState{
 		VM: e.self.VM, Incarnation: e.self.Incarnation, Ready: e.ready.Load(), Leaving: e.leaving.Load(),
-		Members: e.mesh.Members(), RegistryAgeMs: e.registryAge(now).Milliseconds(),
+		Members: e.mesh.Members(), Quarantine: e.quarantine.States(now), RegistryAgeMs: e.registryAge(now).Milliseconds(),
 	}
 	if c := e.follower.Current(); c != nil {
 		s.Configuration, s.Revision, s.Era = c.Table.Version, c.Revision.Number(), c.Revision.Era()
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -48,6 +48,11 @@
 	// is the server and the version the start of its process, in Unix
 	// milliseconds.
 	KindLeaving Kind = 12
+	// KindEvidence is what a VM saw of crashes of backend servers and of the prompts
+	// that may have caused them; the name is the VM.
+	KindEvidence Kind = 13
+	// KindQuarantine is the quarantine of a prompt block; the name is the block.
+	KindQuarantine Kind = 14
 )
 
 // Key identifies a record.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -236,6 +236,14 @@
 	m.store.Merge(r)
 }
 
+// PublishOwn distributes a value of a kind whose records only the VM of their name
+// writes, in place of the one that this VM published before.
+func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: m.Self.VM}, Version: m.nextVersion(), Value: value})
+}
+
 // Load is the load announcement that a VM sends to the others of its region. It is
 // encoded as an array: fields may only be added at the end.
 type Load struct {
@@ -285,6 +293,9 @@
 	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: m.nextVersion(), Value: data})
 }
 
+// ownedKinds are the kinds of records that only the VM of their name writes.
+var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence}
+
 // nextVersion returns the next version of this VM's records. The caller holds the
 // lock.
 func (m *Mesh) nextVersion() uint64 {
@@ -493,7 +504,7 @@
 	delete(m.members, vm)
 	m.byName = nil
 	delete(m.usages, vm)
-	for _, kind := range []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad} {
+	for _, kind := range ownedKinds {
 		m.store.Delete(gossip.Key{Kind: kind, Name: vm})
 	}
 }
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
@@ -17,7 +18,7 @@
 // apply merges a record received from a peer and reports whether it is a new one
 // for OnRecord. The caller holds the lock.
 func (m *Mesh) apply(r gossip.Record) bool {
-	if (r.Kind == gossip.KindMember || r.Kind == gossip.KindHeartbeat || r.Kind == gossip.KindLoad) && r.Name == m.Self.VM {
+	if r.Name == m.Self.VM && slices.Contains(ownedKinds, r.Kind) {
 		m.raiseVersions(r)
 		return false
 	}
--- /dev/null
+++ b/internal/quarantine/evidence_test.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// at returns an instant that is the given number of seconds after a fixed one.
+func at(seconds float64) clock.Instant {
+	return clock.Instant(time.Hour).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// fewest returns the least number of episodes.
+func fewest(uint64) int { return minEpisodes }
+
+// crashesAt adds a crash of one server after the other, one at each time, with the
+// prompts.
+func (e *evidence) crashesAt(times []float64, prompts ...[]uint64) {
+	for _, seconds := range times {
+		n := len(e.crashes)
+		var list []prompt
+		for _, blocks := range prompts {
+			list = addPrompt(list, blocks)
+		}
+		e.setCrash(roster.ServerKey{ID: fmt.Sprint("s", n)}, fmt.Sprint("address-", n%5), at(seconds), "vm", list)
+	}
+}
+
+// quarantinedAt returns the blocks that the evidence would quarantine at the time.
+func (e *evidence) quarantinedAt(seconds float64) []uint64 {
+	var blocks []uint64
+	for {
+		deadly := e.deadly(e.suspects(), at(seconds), fewest)
+		if len(deadly) == 0 {
+			return blocks
+		}
+		for _, s := range deadly {
+			blocks = append(blocks, s.block)
+			e.removeExplained(s.block)
+		}
+	}
+}
+
+func TestBlockCommonToCrashesIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	// Block 1 is in all prompts, 2 is in some without the deadly block 3.
+	e.crashesAt([]float64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2}, []uint64{1, 4})
+	is.Equal(e.quarantinedAt(9), nil) // three episodes
+	e.crashesAt([]float64{4}, []uint64{1, 2, 3}, []uint64{1, 2}, []uint64{1, 5})
+	is.Equal(e.quarantinedAt(4.4), nil) // not settled
+	is.Equal(e.quarantinedAt(4.6), []uint64{3})
+}
+
+func TestMoreEpisodesAreNeededIfMoreServersCrash(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.crashesAt([]float64{1, 6}, []uint64{7})
+	is.Equal(e.neededEpisodes(12, at(9)), minEpisodes)
+	e.crashesAt([]float64{7, 7.5, 8, 8.5}, []uint64{7})
+	is.Equal(e.neededEpisodes(200, at(9)), minEpisodes)
+	is.Equal(e.neededEpisodes(8, at(9)), 5)
+	is.Equal(e.neededEpisodes(1, at(9)), maxEpisodes)
+}
+
+func TestSurvivalClearsOnlyEarlierCrashes(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	e.crashesAt([]float64{1, 2, 3, 4}, []uint64{7})
+	e.addSurvival(7, at(0.5)) // began before the block was deadly
+	is.Equal(len(e.suspects()[7].times), 4)
+	e.addSurvival(7, at(2.5))
+	is.Equal(len(e.suspects()[7].times), 2)
+	is.Equal(e.quarantinedAt(9), nil)
+}
+
+func TestSimultaneousCrashesAreOneEpisode(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	e.crashesAt([]float64{1, 1.1, 1.2, 1.3, 1.4, 1.45}, []uint64{7}) // a region is lost
+	is.Equal(e.quarantinedAt(9), nil)
+}
+
+func TestServerThatCrashesRepeatedlyQuarantinesNothing(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	for n := range 6 {
+		// Each incarnation has another ID at the same address.
+		e.setCrash(roster.ServerKey{ID: fmt.Sprint("s", n)}, "address", at(float64(n)), "vm", addPrompt(nil, []uint64{7}))
+	}
+	is.Equal(e.quarantinedAt(9), nil)
+}
+
+func TestNothingIsQuarantinedIfNothingSurvives(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(0.5)
+	e.crashesAt([]float64{1, 2, 3, 4, 5}, []uint64{7, 8}, []uint64{7, 9})
+	is.Equal(e.quarantinedAt(9), nil)
+}
+
+func TestSeveralVMsAndRepeatedRecordsCountOneCrash(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	key := roster.ServerKey{ID: "s"}
+	for _, vm := range []string{"vm-1", "vm-2", "vm-1", "vm-2"} {
+		e.setCrash(key, "address", at(1), vm, addPrompt(nil, []uint64{7}))
+	}
+	is.Equal(len(e.suspects()[7].times), 1)
+	is.Equal(e.suspects()[7].requests, 2) // one of each VM
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	var list []prompt
+	for n := range 10 * maxPrompts {
+		list = addPrompt(list, make([]uint64, n%100))
+	}
+	is.True(len(list) <= maxPrompts)
+	for n := range 2 * maxCrashes {
+		e.crashesAt([]float64{float64(n)}, []uint64{uint64(n)})
+		e.addSurvival(uint64(n), at(float64(n)))
+	}
+	is.Equal(len(e.crashes), maxCrashes)
+	e.expire(at(1e6))
+	is.Equal(len(e.crashes)+len(e.survivedAt), 0)
+}
+
+func TestEvidenceRecordIsBounded(t *testing.T) {
+	is := is.New(t)
+	var crashes []*ownCrash
+	for n := range maxSentCrashes {
+		c := &ownCrash{server: roster.ServerKey{ID: fmt.Sprint("server-", n)}, at: at(float64(n))}
+		for k := range maxPrompts {
+			c.prompts = addPrompt(c.prompts, []uint64{1 << 60, uint64(n)<<50 + uint64(k), 1 << 61})
+		}
+		crashes = append(crashes, c)
+	}
+	value, err := encodeEvidence(crashes, nil, at(100))
+	is.NoErr(err)
+	is.True(len(value) <= maxEvidenceBytes)
+}
--- /dev/null
+++ b/internal/quarantine/records.go
@@ -0,0 +1,116 @@
+package quarantine
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
+)
+
+// Bounds on the record of one VM's evidence. It holds the newest: other VMs remember
+// what earlier records said.
+const (
+	maxSentCrashes   = 16
+	maxSentSurvivals = 64
+	maxEvidenceBytes = 4 << 10
+)
+
+// evidenceRecord is the value of a KindEvidence record: what the VM of its name saw.
+// It is encoded as an array: fields may only be added at the end.
+type evidenceRecord struct {
+	// Crashes are ordered by time, the newest last.
+	Crashes   []crashRecord
+	Survivals []survivalRecord
+}
+
+// crashRecord is the crash of a server. Ages are in milliseconds, as the clocks of
+// VMs differ.
+type crashRecord struct {
+	Server  string
+	Started int64
+	Address string
+	AgeMs   int64
+	Prompts []prompt
+}
+
+// survivalRecord is the last request with a block that survived.
+type survivalRecord struct {
+	Block uint64
+	AgeMs int64
+}
+
+// quarantineRecord is the value of a KindQuarantine record. Its name is the block in
+// hexadecimal.
+type quarantineRecord struct {
+	// RemainingMs is the remaining time in milliseconds; zero means released.
+	RemainingMs int64
+	// FirstCrashAgeMs is the time in milliseconds since the first crash on which the
+	// quarantine is based, and Times how often the block was quarantined.
+	FirstCrashAgeMs int64
+	Times           int
+}
+
+// ownCrash is a crash that this VM saw.
+type ownCrash struct {
+	server  roster.ServerKey
+	address string
+	at      clock.Instant
+	prompts []prompt
+}
+
+// ownSurvival is a survival that this VM saw.
+type ownSurvival struct {
+	block   uint64
+	beganAt clock.Instant
+}
+
+// encodeEvidence returns the value of the record of what this VM saw. It leaves out
+// the oldest crashes if the value would be too large.
+func encodeEvidence(crashes []*ownCrash, survivals []ownSurvival, now clock.Instant) ([]byte, error) {
+	var r evidenceRecord
+	for _, s := range survivals {
+		r.Survivals = append(r.Survivals, survivalRecord{Block: s.block, AgeMs: now.Sub(s.beganAt).Milliseconds()})
+	}
+	for _, c := range crashes {
+		r.Crashes = append(r.Crashes, crashRecord{
+			Server: c.server.ID, Started: c.server.Started, Address: c.address, AgeMs: now.Sub(c.at).Milliseconds(), Prompts: c.prompts,
+		})
+	}
+	for {
+		value, err := gossip.Encode(r)
+		if err != nil || len(value) <= maxEvidenceBytes || len(r.Crashes) <= 1 {
+			return value, err
+		}
+		r.Crashes = r.Crashes[1:]
+	}
+}
+
+// maxAgeMs bounds the ages that are taken from records.
+const maxAgeMs = int64(24 * time.Hour / time.Millisecond)
+
+// atAge returns the instant that was ageMs milliseconds ago. A negative age, which
+// no VM sends, counts as zero.
+func atAge(now clock.Instant, ageMs int64) clock.Instant {
+	return now.Add(-time.Duration(min(max(0, ageMs), maxAgeMs)) * time.Millisecond)
+}
+
+// appendBounded appends v and removes the first elements above the limit.
+func appendBounded[T any](list []T, v T, limit int) []T {
+	list = append(list, v)
+	return slices.Delete(list, 0, max(0, len(list)-limit))
+}
+
+func blockName(block uint64) string { return strconv.FormatUint(block, 16) }
+
+// parseBlockName returns the block of a KindQuarantine record. The error is
+// gossip.ErrMalformed.
+func parseBlockName(name string) (uint64, error) {
+	block, err := strconv.ParseUint(name, 16, 64)
+	if err != nil {
+		return 0, gossip.ErrMalformed.New("block %q", name)
+	}
+	return block, nil
+}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -90,7 +90,7 @@
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Server: server, AttemptsLeft: x.maxAttempts() - x.possibleRuns,
+		Entry: x.VM, Service: x.service.Name, Server: server, AttemptsLeft: x.attemptsLeft(),
 	}
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -147,9 +147,12 @@
 		if plan.Load != nil && refusal.Code == verdict.CodeNoBackend {
 			plan.Load.Exclude(x.Now())
 		}
-		return outcome{notRun: true, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
+		return outcome{notRun: true, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.possibleRuns = max(x.possibleRuns, 1)
+	if refusal.Code == verdict.CodeBackendFailed && len(x.blocks) > 0 {
+		x.lostUnanswered += ran
+	}
 	return outcome{mayHaveArrived: true, reason: string(refusal.Code) + " at " + x.destination}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/retry"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
@@ -34,6 +35,9 @@
 	// idempotentMaxIdle is the maximum idle time of a pooled connection that
 	// carries an idempotent request. The pool's own limits are stricter.
 	idempotentMaxIdle = time.Minute
+	// maxLostUnanswered is the number of sends of a prompt that broke before any
+	// event after which it is not sent again: it may be what crashes the servers.
+	maxLostUnanswered = 2
 	// minRemaining is the minimum time to the deadline for sending a request.
 	minRemaining = 20 * time.Millisecond
 	// retryAfterFailure is the time after which a caller may retry a failed
@@ -137,6 +141,8 @@
 	Balancer *balance.Balancer
 	Peers    Peers
 	Protocol Protocol
+	// Quarantine holds the prompt blocks with which requests are refused.
+	Quarantine *quarantine.Tracker
 	// ServerPool holds the connections to backend servers, and GatewayPool
 	// those to other VMs.
 	ServerPool  *upstream.Pool
@@ -184,6 +190,8 @@
 	w        pipeline.Response
 	budget   *retry.Window
 	deadline clock.Instant
+	// blocks are the shared blocks of the prompt.
+	blocks []uint64
 
 	// possibleRuns is the number of backend servers at which the request may
 	// have run, and sends the number of times it was sent.
@@ -197,6 +205,12 @@
 	weightsVersion string
 	fallback       *fallbackResponse
 	firstByteAt    clock.Instant
+	// answeredAt is when the first event of the last send arrived; zero before.
+	// Survived means that the send's survival was recorded.
+	answeredAt clock.Instant
+	survived   bool
+	// lostUnanswered is the number of sends with a prompt that broke before any event.
+	lostUnanswered int
 	// longestGap is the longest time between two events so far.
 	longestGap time.Duration
 	// framing is how the end of the last stream was marked, and unfinishedBytes
@@ -233,7 +247,7 @@
 // newTransaction determines the route, service, deadline and retry budget of
 // the request.
 func (r *Relay) newTransaction(req *Request, w pipeline.Response) (*transaction, *verdict.Refusal) {
-	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID}
+	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, blocks: req.Demand.SharedBlockIDs()}
 	if x.table == nil {
 		return x, verdict.Busy(verdict.CodeNoConfiguration, "no configuration is known yet", retryAfterFailure)
 	}
@@ -279,6 +293,15 @@
 	return limit
 }
 
+// attemptsLeft returns the number of backend servers that may still run the request.
+func (x *transaction) attemptsLeft() int {
+	left := x.maxAttempts() - x.possibleRuns
+	if x.lostUnanswered > 0 {
+		left = min(left, maxLostUnanswered-x.lostUnanswered)
+	}
+	return left
+}
+
 // serve tries backend servers and regions until the request is answered or may
 // not be retried.
 func (x *transaction) serve(ctx context.Context) *verdict.Refusal {
@@ -286,6 +309,9 @@
 		if ctx.Err() != nil {
 			return x.contextRefusal(ctx)
 		}
+		if refusal := x.quarantineRefusal(ctx); refusal != nil {
+			return refusal
+		}
 		plan := x.choosePlan()
 		x.plan, x.plannedAt = plan, x.Now()
 		var out outcome
@@ -311,6 +337,20 @@
 	}
 }
 
+// quarantineRefusal returns the refusal of a request whose prompt has a quarantined
+// block, or nil.
+func (x *transaction) quarantineRefusal(ctx context.Context) *verdict.Refusal {
+	_, remaining, found := x.Quarantine.Find(x.blocks, x.Now())
+	switch {
+	case !found:
+		return nil
+	case x.possibleRuns > 0 && x.lastOutcome != nil:
+		return x.failureRefusal(ctx, x.lastOutcome)
+	default:
+		return verdict.Busy(verdict.CodeQuarantined, "backend servers crash on a block of this prompt", remaining)
+	}
+}
+
 // choosePlan chooses the backend server or region for the next send.
 func (x *transaction) choosePlan() balance.Plan {
 	remaining := x.remaining()
@@ -368,7 +408,7 @@
 		return false
 	}
 	if !out.notRun {
-		if !x.route.Idempotent() || x.possibleRuns >= x.maxAttempts() {
+		if !x.route.Idempotent() || x.attemptsLeft() <= 0 {
 			return false
 		}
 	}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -67,16 +67,16 @@
 	x.Log.Warn("send failed", "request", x.req.ID, "route", x.route.Name, "service", x.service.Name,
 		"to", x.destination, "region", plan.Region, "notRun", out.notRun, "reason", out.reason,
 		"expectedFirst", plan.Estimate.TimeToFirstByte, "cold", plan.Cold, "ran", x.possibleRuns, "sends", x.sends,
-		"firstByteBefore", x.sinceFirstByte(), "blocks", blockIDs(x.req.Demand.SharedBlocks()), "lastEvent", x.lastEventID, "retriesLeft", x.budget.Remaining(x.Now()))
+		"firstByteBefore", x.sinceFirstByte(), "blocks", blockNames(x.blocks), "lastEvent", x.lastEventID, "retriesLeft", x.budget.Remaining(x.Now()))
 }
 
-// blockIDs returns the IDs of the blocks in hexadecimal, separated by commas.
-func blockIDs(blocks []balance.PrefixBlock) string {
-	ids := make([]string, len(blocks))
+// blockNames returns the blocks in hexadecimal, separated by commas.
+func blockNames(blocks []uint64) string {
+	names := make([]string, len(blocks))
 	for i, b := range blocks {
-		ids[i] = strconv.FormatUint(b.ID, 16)
+		names[i] = strconv.FormatUint(b, 16)
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(names, ",")
 }
 
 // recordResult counts and logs the result of a request. A nil refusal means
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -14,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
@@ -45,6 +47,9 @@
 	// final means that the request may not be sent again.
 	final  bool
 	reason string
+	// broke means that the connection to a backend server ended before the response
+	// was complete.
+	broke bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no requests of this VM.
@@ -97,13 +102,38 @@
 	x.sends++
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
+	parent := ctx
 	ctx, watch := x.watchServer(ctx, &plan, now)
 	defer watch.stop()
+	x.answeredAt, x.survived = 0, false
 	out := x.exchange(ctx, plan, work, watch)
 	out.retryGranted = watch.retryGranted.Load()
+	x.recordEnd(parent, s, work, &out)
 	return out
 }
 
+// recordEnd informs the quarantine of how a send to a backend server ended.
+func (x *transaction) recordEnd(ctx context.Context, s *roster.Server, work *balance.InFlight, out *outcome) {
+	switch {
+	case out.delivered:
+		x.recordSurvival(work.SentAt(), cmp.Or(x.answeredAt, work.SentAt()))
+	case out.broke && ctx.Err() == nil && !x.survived:
+		if x.answeredAt == 0 && len(x.blocks) > 0 {
+			x.lostUnanswered++
+		}
+		x.Quarantine.RecordBreak(s, x.blocks)
+	}
+}
+
+// recordSurvival informs the quarantine once that a backend server survives the
+// request, which was sent and whose response began at the given times.
+func (x *transaction) recordSurvival(sentAt, beganAt clock.Instant) {
+	if !x.survived && len(x.blocks) > 0 {
+		x.survived = true
+		x.Quarantine.RecordSurvival(x.blocks, sentAt, beganAt)
+	}
+}
+
 // exchange sends the request to the plan's server and relays the response.
 func (x *transaction) exchange(ctx context.Context, plan balance.Plan, work *balance.InFlight, watch *serverWatch) outcome {
 	exchange, err := x.ServerPool.Do(ctx, x.serverCall(plan))
@@ -124,6 +154,8 @@
 		return "ended before its turn"
 	case !x.Roster.View().IsUsable(plan.Server):
 		return "leaving"
+	case x.isQuarantined(now):
+		return "quarantined"
 	case !load.Admits(now):
 		return "paused"
 	case !load.Breaker.Allow(now):
@@ -135,6 +167,12 @@
 	return ""
 }
 
+// isQuarantined reports whether the prompt has a quarantined block.
+func (x *transaction) isQuarantined(now clock.Instant) bool {
+	_, _, found := x.Quarantine.Find(x.blocks, now)
+	return found
+}
+
 // waitForPrefillSlot reserves a prefill slot at the engine and waits for it if
 // the estimate requires that. It returns false if ctx ends during the wait.
 func (x *transaction) waitForPrefillSlot(ctx context.Context, plan *balance.Plan) bool {
@@ -213,7 +251,7 @@
 		return outcome{notRun: true, reason: err.Error()}
 	}
 	x.possibleRuns++
-	return outcome{mayHaveArrived: true, reason: err.Error()}
+	return outcome{mayHaveArrived: true, broke: true, reason: err.Error()}
 }
 
 // handleResponse relays a backend server's response, or returns why it is not
@@ -329,7 +367,7 @@
 func (x *transaction) relayBody(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.InFlight) outcome {
 	body, err := x.readBuffered(ctx, plan.Load, e)
 	if err != nil {
-		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
+		return outcome{mayHaveArrived: true, broke: true, reason: "answer broke off: " + err.Error()}
 	}
 	now := x.Now()
 	if len(body) < maxBufferedBytes && upstream.IsTruncated(e.Response, body) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -79,7 +80,7 @@
 		if s.load != nil && ctx.Err() == nil {
 			s.load.RecordFailure(now)
 		}
-		return outcome{mayHaveArrived: true, reason: reason}
+		return outcome{mayHaveArrived: true, broke: true, reason: reason}
 	}
 }
 
@@ -117,6 +118,11 @@
 			x.Balancer.RecordPrefillTime(s.load, x.service, s.estimate, now.Sub(s.work.SentAt()), now)
 		}
 		s.work.RecordFirstByte(now)
+		if x.answeredAt == 0 {
+			x.answeredAt = now
+		} else if now.Sub(x.answeredAt) >= quarantine.SurvivalTime {
+			x.recordSurvival(s.work.SentAt(), x.answeredAt)
+		}
 		s.watch.lastEventAt.Store(int64(now))
 	}
 	if *lastAt != 0 {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -84,6 +84,7 @@
 	CodeDuplicateHop     Code = "duplicate-hop"
 	CodeRevisionTooOld   Code = "revision-too-old"
 	CodeNoConfiguration  Code = "no-configuration"
+	CodeQuarantined      Code = "quarantined"
 )
 
 // Refusal is the error of a request without a complete response. It contains
