Soak: responses that end early, and prompts that crash replicas

The stand-in deployment has one deadly prompt block instead of a fault of each replica, so that replacements crash on it too.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,11 +24,11 @@
 }
 
 // injectRegistryFault injects one random fault of a platform whose registry may be
-// restored and whose replicas state in their responses that they leave or want a
-// pause. It draws from a source of its own, so that the other faults of a seed
-// stay the same.
+// restored, whose replicas state in their responses that they leave or want a pause
+// or end responses early, and whose prompts may crash replicas. It draws from a
+// source of its own, so that the other faults of a seed stay the same.
 func (h *Harness) injectRegistryFault() {
-	kinds := []func(){h.restoreStore, h.announceLeave, h.requestPause}
+	kinds := []func(){h.restoreStore, h.announceLeave, h.requestPause, h.endResponsesEarly, h.sendDeadlyPrompts}
 	kinds[h.registryRNG.IntN(len(kinds))]()
 }
 
@@ -76,6 +76,57 @@
 	time.AfterFunc(length, func() { r.SetFaults(platformtest.Faults{}) })
 }
 
+// endResponsesEarly makes a replica end responses early as if they were complete,
+// framed by chunks or by their connection.
+func (h *Harness) endResponsesEarly() {
+	r, length := h.randomReplica(), time.Duration(500+h.registryRNG.IntN(2000))*time.Millisecond
+	if r == nil {
+		return
+	}
+	f := platformtest.Faults{EndAfter: 1 + h.registryRNG.IntN(8), Unframed: h.registryRNG.IntN(2) == 0}
+	if f.Unframed {
+		f.EndEmpty, f.TruncateJSON = h.registryRNG.IntN(4) == 0, true
+	}
+	h.logFault("%s ends responses early for %v: %+v", r.ID, length, f)
+	h.markUnplanned(length)
+	r.SetFaults(f)
+	time.AfterFunc(length, func() { r.SetFaults(platformtest.Faults{}) })
+}
+
+const (
+	// deadlyBlock is the prompt block on which replicas crash, and deadlyShare the
+	// share of the streams that have it while they are sent.
+	deadlyBlock = "dead"
+	deadlyShare = 0.05
+)
+
+// sendDeadlyPrompts makes clients send some prompts on which replicas crash.
+func (h *Harness) sendDeadlyPrompts() {
+	length := time.Duration(1000+h.registryRNG.IntN(6000)) * time.Millisecond
+	h.logFault("clients send deadly prompts for %v", length)
+	h.markUnplanned(length)
+	h.deadly.Store(true)
+	time.AfterFunc(length, func() { h.deadly.Store(false) })
+}
+
+// replaceCrashed replaces a replica that crashed by itself.
+func (h *Harness) replaceCrashed(id string) {
+	h.mu.Lock()
+	r := h.replicas[id]
+	delete(h.replicas, id)
+	h.mu.Unlock()
+	if r == nil {
+		return // it was drained or replaced
+	}
+	h.logFault("%s crashed on a prompt", id)
+	h.markUnplanned(time.Second)
+	r.proxy.SetMode(Reset)
+	time.AfterFunc(time.Second, func() {
+		h.Remove(id)
+		h.replaceReplica(r)
+	})
+}
+
 // randomDuration returns a random duration for a fault.
 func (h *Harness) randomDuration() time.Duration {
 	return time.Duration(300+h.rng.IntN(2500)) * time.Millisecond
@@ -288,6 +339,7 @@
 		p.storeProxy.SetMode(PassThrough)
 		p.signal(syscall.SIGCONT, false)
 	}
+	h.deadly.Store(false)
 	h.mu.Lock()
 	for _, r := range h.replicas {
 		r.proxy.SetMode(PassThrough)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -86,6 +87,8 @@
 	faultLog   []string
 	started    time.Time
 	lastID     atomic.Int64 // shared by replicas and requests
+	// deadly means that some requests have the prompt block on which replicas crash.
+	deadly atomic.Bool
 	// unplannedUntil is the end of the latest unplanned fault; drains,
 	// evacuations, new configurations and shutdowns are planned.
 	unplannedUntil time.Time
@@ -111,6 +114,8 @@
 		replicas:    map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
 	}
 	defer h.stopAll()
+	d.SetDeadlyBlock(deadlyBlock)
+	d.SetOnCrash(h.replaceCrashed)
 	if err := h.startAll(); err != nil {
 		return nil, nil, err
 	}
@@ -297,7 +302,11 @@
 		if rng.Float64() < 0.05 {
 			time.AfterFunc(time.Duration(rng.IntN(100))*time.Millisecond, cancel)
 		}
-		r.answer = client.Do(requestCtx, p.CallerAddress, r.path+"x", r.id, platformtest.DefaultTimeout, nil)
+		var header http.Header
+		if h.deadly.Load() && rng.Float64() < deadlyShare && strings.Contains(r.path, "/stream/") {
+			header = http.Header{"Prefix-Hash": {"aa:200," + deadlyBlock + ":40," + r.id + ":160"}}
+		}
+		r.answer = client.Do(requestCtx, p.CallerAddress, r.path+"x", r.id, platformtest.DefaultTimeout, header)
 		cancel()
 		r.endedAt = time.Now()
 		h.mu.Lock()
