Quarantine: requests survive after half a second; episodes 0.3 s apart

A server that crashes on a block does so before the first event (35 of 35 crashes in the log), so that half a second of response is sufficient to clear a block; episodes 0.3 s apart still count servers that are lost at the same moment once.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -26,13 +26,13 @@
 	// SurvivalTime is how long a server must send a response for the request's
 	// blocks to count as harmless. A request whose response began longer before a
 	// crash did not cause it.
-	SurvivalTime = time.Second
+	SurvivalTime = 500 * time.Millisecond
 	// minEpisodes and maxEpisodes bound the number of episodes after which a block is
 	// quarantined. Crashes of the same time, as of a lost region, are one episode:
 	// episodes are at least episodeGap apart.
 	minEpisodes = 4
 	maxEpisodes = 8
-	episodeGap  = 500 * time.Millisecond
+	episodeGap  = 300 * time.Millisecond
 	// maxCoincidence is the probability, up to which a block is quarantined, that as
 	// many requests with a harmless block in a row are lost to crashes.
 	maxCoincidence = 1e-4
