Gossip: a value can't state more elements than it has bytes

A record of 7 bytes from another VM ended the process: the msgpack library allocates arrays by their stated length (its own limit doesn't take effect), and 268 GB were asked for. Found by FuzzRecords of internal/quarantine; the load and summary records of the mesh have arrays too. Decode now skips the value first, which fails on such a length without allocating. The new test failed before: 128 MB were allocated for 6 bytes.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -25,6 +25,14 @@
 
 // Decode decodes data written by Encode into v. The error is ErrMalformed.
 func Decode(data []byte, v any) error {
+	// The decoder allocates arrays by their stated length. Skipping the value first
+	// finds those that state more elements than there are bytes.
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(data))
+	if err := dec.Skip(); err != nil {
+		return ErrMalformed.New("%T: %v", v, err)
+	}
 	if err := msgpack.Unmarshal(data, v); err != nil {
 		return ErrMalformed.New("%T: %v", v, err)
 	}
