--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// boundedPrompts returns the prompts of a record within the limits that this VM keeps
+// to itself.
+func boundedPrompts(list []prompt) []prompt {
+	list = list[:min(len(list), maxPrompts)]
+	for i, p := range list {
+		list[i] = prompt{Blocks: p.Blocks[:min(len(p.Blocks), maxBlocks)], Requests: min(max(1, p.Requests), maxPromptRequests)}
+	}
+	return list
+}
+
+// maxPromptRequests bounds the requests with one prompt that a VM lost to a crash.
+const maxPromptRequests = 10_000
+
 // maxAgeMs bounds the ages that are taken from records.
 const maxAgeMs = int64(24 * time.Hour / time.Millisecond)
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -287,8 +287,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range e.Crashes {
-		prompts := c.Prompts[:min(len(c.Prompts), maxPrompts)]
-		t.mergeCrash(roster.ServerKey{ID: c.Server, Started: c.Started}, c.Address, atAge(now, c.AgeMs), r.Name, prompts)
+		t.mergeCrash(roster.ServerKey{ID: c.Server, Started: c.Started}, c.Address, atAge(now, c.AgeMs), r.Name, boundedPrompts(c.Prompts))
 	}
 	for _, s := range e.Survivals {
 		t.clear(s.Block, atAge(now, s.AgeMs))
