--- a/soak/soak.go
+++ b/soak/soak.go
@@ -304,7 +304,7 @@
 		}
 		var header http.Header
 		if h.deadly.Load() && rng.Float64() < deadlyShare && strings.Contains(r.path, "/stream/") {
-			header = http.Header{"Prefix-Hash": {"aa:200," + deadlyBlock + ":40," + r.id + ":160"}}
+			header = platformtest.Prompt(r.id, "aa:200,"+deadlyBlock+":40")
 		}
 		r.answer = client.Do(requestCtx, p.CallerAddress, r.path+"x", r.id, platformtest.DefaultTimeout, header)
 		cancel()
