--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -137,9 +137,9 @@
 	return true
 }
 
-// neededEpisodes returns the number of episodes after which a block is quarantined,
-// if there are so many servers. The more crashes there are, the more requests with
-// harmless blocks are lost by coincidence.
+// neededEpisodes returns the number of episodes after which a block is quarantined. It
+// rises with the rate of crashes per server, as more requests with harmless blocks are
+// then lost by coincidence.
 func (e *evidence) neededEpisodes(servers int, now clock.Instant) int {
 	n, first := 0, now
 	for _, c := range e.crashes {
@@ -155,7 +155,8 @@
 	return min(max(minEpisodes, int(math.Ceil(math.Log(maxCoincidence)/math.Log(lost)))), maxEpisodes)
 }
 
-// removeExplained removes the crashes that a quarantined block explains.
+// removeExplained removes the crashes in which a prompt with the block was lost, so
+// that they count against no other block of these prompts.
 func (e *evidence) removeExplained(block uint64) {
 	maps.DeleteFunc(e.crashes, func(_ roster.ServerKey, c *crash) bool { return c.contains(block) })
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -81,7 +81,7 @@
 	return f
 }
 
-// newVM returns the tracker of a VM that has just started.
+// newVM returns the tracker of VM i.
 func (f *fleet) newVM(i int) *Tracker {
 	version := uint64(f.now()) // above those of an earlier start
 	return New(Config{
@@ -235,8 +235,8 @@
 var smallFleet = size{vms: 6, servers: 12, rate: 10, maxDelay: 200 * time.Millisecond, steps: 200, seeds: 8}
 
 // Guards against requests of one kind that crash servers one after the other, in
-// fleets of up to 300 VMs before 200 servers: only the deadly block is quarantined,
-// in time, also on VMs that start later.
+// fleets of up to 300 VMs before 200 servers: only the deadly block is quarantined, on
+// all VMs and in time.
 func TestDeadlyBlockIsFoundInTimeAndNoOther(t *testing.T) {
 	for _, size := range []size{smallFleet, {vms: 300, servers: 200, rate: 60, maxDelay: 2 * time.Second, steps: 110, seeds: 1}} {
 		for seed := range size.seeds {
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -10,8 +10,8 @@
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
-// Bounds on the record of one VM's evidence. It holds the newest: other VMs remember
-// what earlier records said.
+// Bounds on the evidence record of one VM. Older crashes and survivals are left out, as
+// the other VMs have them from earlier records.
 const (
 	maxSentCrashes   = 16
 	maxSentSurvivals = 64
@@ -48,12 +48,12 @@
 	// RemainingMs is the remaining time in milliseconds; zero means released.
 	RemainingMs int64
 	// FirstCrashAgeMs is the time in milliseconds since the first crash on which the
-	// quarantine is based, and Times how often the block was quarantined.
+	// quarantine is based. Times is the number of quarantines in a row.
 	FirstCrashAgeMs int64
 	Times           int
 }
 
-// ownCrash is a crash that this VM saw.
+// ownCrash is a crash by which this VM lost requests.
 type ownCrash struct {
 	server  roster.ServerKey
 	address string
@@ -61,7 +61,7 @@
 	prompts []prompt
 }
 
-// ownSurvival is a survival that this VM saw.
+// ownSurvival is the survival of a request that this VM sent.
 type ownSurvival struct {
 	block   uint64
 	beganAt clock.Instant
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -42,7 +42,7 @@
 
 // Config holds what a Tracker needs.
 type Config struct {
-	// VM is this VM's name, under which its evidence is published.
+	// VM is the name of this VM and of its evidence record.
 	VM    string
 	Now   clock.Clock
 	Log   *slog.Logger
@@ -69,8 +69,8 @@
 // decision is the last decision on a block.
 type decision struct {
 	version uint64
-	// times is how often in a row the block was quarantined, and endsAt when the last
-	// quarantine ends or ended.
+	// times is the number of quarantines in a row, and endsAt when the last one ends or
+	// ended.
 	times  int
 	endsAt clock.Instant
 }
@@ -96,12 +96,14 @@
 	// recent holds when the last request of this VM with a block began that survived,
 	// also of blocks that are not suspected yet: other VMs report crashes late.
 	recent map[uint64]clock.Instant
-	// suspects is derived from the evidence. Changed means that it has to be again.
+	// suspects is derived from the evidence. Changed means that the evidence has changed
+	// since.
 	suspects  map[uint64]*suspect
 	changed   bool
 	checks    map[roster.ServerKey]*check
 	decisions map[uint64]decision
-	// What this VM saw, and whether it is not published yet.
+	// ownCrashes and ownSurvivals are this VM's observations. Unpublished means that
+	// they have changed since they were last sent to the other VMs.
 	ownCrashes   []*ownCrash
 	ownSurvivals []ownSurvival
 	unpublished  bool
@@ -155,8 +157,8 @@
 	}
 }
 
-// isSuspected reports whether a survival of the block matters. The caller holds the
-// lock.
+// isSuspected reports whether the block has crashes to be cleared of, or was
+// quarantined before. The caller holds the lock.
 func (t *Tracker) isSuspected(block uint64) bool {
 	return t.suspects[block] != nil || t.decisions[block].times > 0
 }
@@ -362,8 +364,8 @@
 	t.expire(now)
 	t.updateSuspects()
 	for len(t.suspects) > 0 {
-		first := t.evidence.neededEpisodes(t.Servers(), now)
-		deadly := t.evidence.deadly(t.suspects, now, func(block uint64) int { return t.neededEpisodes(block, first, now) })
+		unknownBlock := t.evidence.neededEpisodes(t.Servers(), now)
+		deadly := t.evidence.deadly(t.suspects, now, func(block uint64) int { return t.neededEpisodes(block, unknownBlock, now) })
 		if len(deadly) == 0 {
 			break
 		}
@@ -384,13 +386,14 @@
 	t.PublishOwn(gossip.KindEvidence, value)
 }
 
-// neededEpisodes returns the number of episodes after which a block is quarantined;
-// first is the number for a block that never was.
-func (t *Tracker) neededEpisodes(block uint64, first int, now clock.Instant) int {
+// neededEpisodes returns the number of episodes after which a block is quarantined:
+// one if it was quarantined before and no request with it survived since, else
+// unknownBlock.
+func (t *Tracker) neededEpisodes(block uint64, unknownBlock int, now clock.Instant) int {
 	if d := t.decisions[block]; d.times > 0 && now.Sub(d.endsAt) < rememberFor {
 		return 1
 	}
-	return first
+	return unknownBlock
 }
 
 // quarantine puts a block in quarantine on all VMs. The caller holds the lock.
@@ -431,8 +434,8 @@
 type State struct {
 	// Block is its ID in hexadecimal.
 	Block string
-	// RemainingMs is for how many milliseconds it stays quarantined, and Times how
-	// often in a row it was.
+	// RemainingMs is the remaining time of the quarantine in milliseconds. Times is the
+	// number of quarantines in a row, this one included.
 	RemainingMs int64
 	Times       int
 }
