--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/platform/platformtest"
@@ -32,6 +34,9 @@
 	Events                     int
 	EventInterval              time.Duration
 	Unframed                   bool
+	// PieceInterval, if above 0, is the pause between the pieces in which the body of a
+	// plain response is written.
+	PieceInterval time.Duration
 	// Record is the path of the file to which executions are appended.
 	Record string
 }
@@ -55,13 +60,26 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	replica, err := d.Start(s.ID, s.Service, s.Zone, s.Address)
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	replica, err := d.StartBehindProxy(s.ID, s.Service, s.Zone, func(string) (string, error) { return s.Address, nil })
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	replica.Events, replica.EventInterval = s.Events, s.EventInterval
 	replica.SetFaults(platformtest.Faults{Unframed: s.Unframed})
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+			if s.PieceInterval > 0 && !strings.HasPrefix(hr.URL.Path, "/-/") {
+				w = &pieceWriter{ResponseWriter: w, interval: s.PieceInterval}
+			}
+			replica.ServeHTTP(w, hr)
+		}))
+	}()
 	for written := 0; ; time.Sleep(20 * time.Millisecond) {
 		all := d.Executions.All()
 		for ; written < len(all); written++ {
@@ -70,6 +88,30 @@
 	}
 }
 
+// pieceWriter writes a body in bodyPieces pieces.
+type pieceWriter struct {
+	http.ResponseWriter
+	interval time.Duration
+}
+
+// bodyPieces is the number of pieces in which a pieceWriter writes a body.
+const bodyPieces = 4
+
+// Write implements http.ResponseWriter.
+func (w *pieceWriter) Write(p []byte) (int, error) {
+	for i := range bodyPieces {
+		piece := p[i*len(p)/bodyPieces : (i+1)*len(p)/bodyPieces]
+		if _, err := w.ResponseWriter.Write(piece); err != nil {
+			return 0, err
+		}
+		if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
+			return 0, err
+		}
+		time.Sleep(w.interval)
+	}
+	return len(p), nil
+}
+
 // startReplica starts a replica process, waits until it accepts connections, and
 // registers it.
 func (r *run) startReplica(s replicaSettings) (*replicaProcess, error) {
