Relay: log hops whose number of runs is unknown, and sends to cold servers

A counter and a log line name the hops without a count; a log line names each send to a cold server with the allowance and the age of the plan. No decision changes.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -79,11 +79,19 @@
 			return outcome{notRun: true, reason: err.Error()}
 		}
 		x.possibleRuns++
+		x.logUncountedRuns(err.Error())
 		return outcome{mayHaveArrived: true, reason: err.Error()}
 	}
 	return x.handleHopResponse(ctx, plan, exchange)
 }
 
+// logUncountedRuns logs that another VM did not state how often it sent the request.
+func (x *transaction) logUncountedRuns(reason string) {
+	x.Log.Warn("number of runs at another VM unknown", "request", x.req.ID, "vm", x.destination, "reason", reason,
+		"ran", x.possibleRuns, "maxAttempts", x.route.MaxAttempts)
+	x.Metrics.uncountedHops.Inc(1)
+}
+
 // hopCall returns the hop of the request to the VM at the address. Server is
 // the only backend server that may serve the request, or "".
 func (x *transaction) hopCall(address, server string) *upstream.Call {
@@ -114,6 +122,7 @@
 	if e.Header.Get(headerRan) == "" {
 		e.Abort()
 		x.possibleRuns++
+		x.logUncountedRuns("no count in the header")
 		return outcome{mayHaveArrived: true, reason: "the other VM failed"}
 	}
 	x.possibleRuns += max(1, ran)
@@ -129,7 +138,11 @@
 	}
 	source := &streamSource{Exchange: e}
 	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		return x.relayStream(ctx, source)
+		out := x.relayStream(ctx, source)
+		if out.broke {
+			x.logUncountedRuns(out.reason)
+		}
+		return out
 	}
 	return x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
 }
@@ -140,6 +153,7 @@
 	var refusal verdict.Refusal
 	if err := json.Unmarshal([]byte(value), &refusal); err != nil {
 		x.possibleRuns++
+		x.logUncountedRuns("unreadable refusal")
 		return outcome{mayHaveArrived: true, reason: "the other VM's refusal can't be read"}
 	}
 	x.possibleRuns += ran
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -26,16 +26,20 @@
 	firstByte  tally.Histogram
 	total      tally.Histogram
 	regionHops tally.Counter
+	// uncountedHops counts the hops of which it is unknown how often the other VM sent
+	// the request.
+	uncountedHops tally.Counter
 }
 
 // NewMetrics returns the metrics of requests, registered under the scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	s := scope.SubScope("request")
 	return &Metrics{
-		scope:      s,
-		firstByte:  s.Histogram("first_byte_seconds", latencyBuckets),
-		total:      s.Histogram("whole_seconds", latencyBuckets),
-		regionHops: s.Counter("region_hops"),
+		scope:         s,
+		firstByte:     s.Histogram("first_byte_seconds", latencyBuckets),
+		total:         s.Histogram("whole_seconds", latencyBuckets),
+		regionHops:    s.Counter("region_hops"),
+		uncountedHops: s.Counter("uncounted_hops"),
 	}
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -105,6 +105,10 @@
 		return outcome{notRun: true, reason: reason, pause: wait}
 	}
 	x.sends++
+	if plan.Cold {
+		x.Log.Info("sending to a cold backend server", "request", x.req.ID, "server", s.ID, "allowance", plan.Allowance,
+			"activeVMs", x.Peers.ActiveVMs(), "plannedBefore", now.Sub(x.plannedAt))
+	}
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
 	defer func() { work.End(x.Now()) }()
 	parent := ctx
