--- /dev/null
+++ b/internal/relay/hop_test.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+)
+
+// discardResponse implements pipeline.Response and discards what is written.
+type discardResponse struct{ started bool }
+
+func (d *discardResponse) Start(pipeline.Head)         { d.started = true }
+func (d *discardResponse) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discardResponse) Flush()                      {}
+func (d *discardResponse) Started() bool               { return d.started }
+
+// anyProtocol implements Protocol with messages that have no fields.
+type anyProtocol struct{}
+
+func (anyProtocol) Accept(*http.Request, clock.Instant) (*Request, error) { return &Request{}, nil }
+func (anyProtocol) Outbound(*Request, Outbound) http.Header               { return http.Header{} }
+func (anyProtocol) Inbound(int, http.Header) Inbound                      { return Inbound{} }
+func (anyProtocol) Demand(http.Header) balance.Demand                     { return balance.Demand{} }
+
+// hopTransaction returns a transaction of a route with the maximum number of
+// attempts.
+func hopTransaction(maxAttempts int) *transaction {
+	r := New(Config{
+		VM: "vm-1", Protocol: anyProtocol{}, Now: clock.Boot, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Metrics: NewMetrics(tally.NoopScope), GatewayPool: upstream.NewPool(clock.Boot, time.Second),
+	})
+	return &transaction{
+		Relay: r, req: &Request{ID: "q", Method: http.MethodPost, Target: "/", Header: http.Header{}}, w: &discardResponse{},
+		route:   &ingress.Route{Kind: ingress.Stream, Resumable: true, MaxAttempts: maxAttempts},
+		service: &ingress.Service{Name: "writer"}, deadline: clock.Boot().Add(5 * time.Second),
+	}
+}
+
+// lostHops are the ways in which another VM leaves open how often it ran a request.
+var lostHops = map[string]http.HandlerFunc{
+	"closes":             func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	"no count":           func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) },
+	"refusal unreadable": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(wire.HeaderRefusal, "{") },
+	"breaks off": func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRan, "1") // and further servers after the header
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	},
+}
+
+// Guards against the incident of issue 34 (BUDGET): of a hop that ended without a
+// readable count only one run was counted, although the other VM had been allowed
+// more, so that the request ran on more servers than its route allows.
+func TestRunsGrantedToLostHopCountAsUsed(t *testing.T) {
+	for name, handler := range lostHops {
+		for maxAttempts := 1; maxAttempts <= 4; maxAttempts++ {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				granted := 0
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					var head hopHead
+					data, err := base64.StdEncoding.DecodeString(r.Header.Get(headerHop))
+					is.NoErr(err)
+					is.NoErr(json.Unmarshal(data, &head))
+					granted = head.AttemptsLeft
+					handler(w, r)
+				}))
+				server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+				server.Start()
+				defer server.Close()
+				x := hopTransaction(maxAttempts)
+				out := x.sendToVM(t.Context(), balance.Plan{Region: "west"}, "vm-2", server.Listener.Addr().(*net.TCPAddr).String())
+				is.True(!out.delivered)
+				is.True(granted >= 1)
+				is.True(granted+max(0, x.attemptsLeft()) <= maxAttempts) // runs granted to the hop and runs left
+			})
+		}
+	}
+}
