Relay: count all runs that a lost hop was granted

Callers: a request ran on more servers than its route allows (BUDGET). Cause: a VM that forwards a request grants the attempts that are left, but counted one run if the hop ended without a result, and the runs until the response's header if a stream broke off. The other VM tries further servers after that. Class: an allowance that was handed on counts as unused if no answer tells. Change: what was granted counts as used unless the other VM says otherwise, and of several attempts one is kept back in case that VM is lost. Evidence: TestStreamRunsOnNoMoreServersThanItsRouteAllows failed before (5 runs, 3 allowed), as did 12 of 16 cases of TestRunsGrantedToLostHopCountAsUsed; both pass.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -70,35 +70,47 @@
 	if plan.Server != nil {
 		server = plan.Server.ID
 	}
+	granted := x.hopAttempts(server)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, server))
+	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, server, granted))
 	if err != nil {
 		x.GatewayPool.CloseIdle(address)
 		if errorx.IsOfType(err, upstream.ErrUnsent) {
 			return outcome{notRun: true, reason: err.Error()}
 		}
-		x.possibleRuns++
-		x.logUncountedRuns(err.Error())
+		x.countGrantedRuns(0, granted, err.Error())
 		return outcome{mayHaveArrived: true, reason: err.Error()}
 	}
-	return x.handleHopResponse(ctx, plan, exchange)
+	return x.handleHopResponse(ctx, plan, exchange, granted)
 }
 
-// logUncountedRuns logs that another VM did not state how often it sent the request.
-func (x *transaction) logUncountedRuns(reason string) {
+// hopAttempts returns the number of servers on which another VM may run the request:
+// one if the server is given. One of several attempts is kept in case the VM is lost.
+func (x *transaction) hopAttempts(server string) int {
+	if server != "" {
+		return 1
+	}
+	return max(1, x.attemptsLeft()-1)
+}
+
+// countGrantedRuns counts all runs that were granted to a hop, of which counted are
+// counted already: the other VM did not state how many there were.
+func (x *transaction) countGrantedRuns(counted, granted int, reason string) {
+	x.possibleRuns += max(0, granted-counted)
 	x.Log.Warn("number of runs at another VM unknown", "request", x.req.ID, "vm", x.destination, "reason", reason,
-		"ran", x.possibleRuns, "maxAttempts", x.route.MaxAttempts)
+		"granted", granted, "ran", x.possibleRuns, "maxAttempts", x.route.MaxAttempts)
 	x.Metrics.uncountedHops.Inc(1)
 }
 
 // hopCall returns the hop of the request to the VM at the address. Server is
-// the only backend server that may serve the request, or "".
-func (x *transaction) hopCall(address, server string) *upstream.Call {
+// the only backend server that may serve the request, or "", and attempts the number
+// of servers on which it may run.
+func (x *transaction) hopCall(address, server string, attempts int) *upstream.Call {
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Server: server, AttemptsLeft: x.attemptsLeft(),
+		Entry: x.VM, Service: x.service.Name, Server: server, AttemptsLeft: attempts,
 	}
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -112,20 +124,21 @@
 	}
 }
 
-// handleHopResponse relays the other VM's response or evaluates its refusal.
-func (x *transaction) handleHopResponse(ctx context.Context, plan balance.Plan, e *upstream.Exchange) outcome {
+// handleHopResponse relays the other VM's response or evaluates its refusal. Granted is
+// the number of servers on which the other VM may run the request.
+func (x *transaction) handleHopResponse(ctx context.Context, plan balance.Plan, e *upstream.Exchange, granted int) outcome {
 	ran, _ := strconv.Atoi(e.Header.Get(headerRan)) // zero if absent
 	if value := e.Header.Get(wire.HeaderRefusal); value != "" {
 		e.Release()
-		return x.handleHopRefusal(plan, value, ran)
+		return x.handleHopRefusal(plan, value, ran, granted)
 	}
 	if e.Header.Get(headerRan) == "" {
 		e.Abort()
-		x.possibleRuns++
-		x.logUncountedRuns("no count in the header")
+		x.countGrantedRuns(0, granted, "no count in the header")
 		return outcome{mayHaveArrived: true, reason: "the other VM failed"}
 	}
-	x.possibleRuns += max(1, ran)
+	ran = max(1, ran)
+	x.possibleRuns += ran
 	e.Header.Del(headerRan)
 	if plan.Server != nil {
 		x.recordStatements(plan.Server, x.Protocol.Inbound(e.StatusCode, e.Header))
@@ -136,24 +149,25 @@
 	if x.weightsVersion == "" {
 		x.weightsVersion = x.Protocol.Inbound(e.StatusCode, e.Header).WeightsVersion
 	}
-	source := &streamSource{Exchange: e}
+	var out outcome
 	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		out := x.relayStream(ctx, source)
-		if out.broke {
-			x.logUncountedRuns(out.reason)
-		}
-		return out
+		out = x.relayStream(ctx, &streamSource{Exchange: e})
+	} else {
+		out = x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
+	}
+	if !out.delivered && ran < granted {
+		// The header only counts the runs until it was sent.
+		x.countGrantedRuns(ran, granted, out.reason)
 	}
-	return x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
+	return out
 }
 
 // handleHopRefusal evaluates the refusal of another VM. Ran is the number of
-// backend servers at which the request may have run there.
-func (x *transaction) handleHopRefusal(plan balance.Plan, value string, ran int) outcome {
+// backend servers at which the request may have run there, of the granted number.
+func (x *transaction) handleHopRefusal(plan balance.Plan, value string, ran, granted int) outcome {
 	var refusal verdict.Refusal
 	if err := json.Unmarshal([]byte(value), &refusal); err != nil {
-		x.possibleRuns++
-		x.logUncountedRuns("unreadable refusal")
+		x.countGrantedRuns(0, granted, "unreadable refusal")
 		return outcome{mayHaveArrived: true, reason: "the other VM's refusal can't be read"}
 	}
 	x.possibleRuns += ran
