Relay: use a region again after one of its servers failed

Since one attempt is kept back for a hop that is lost, a VM of another region no longer tries all attempts itself. The region was excluded after the first failure, so a request failed if no other region had servers. It is now excluded only if it refused the request or its VM was lost. TestRegionIsTriedAgainAfterFailureOfItsServer failed in two of four cases before.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -58,7 +58,12 @@
 		return outcome{notRun: true, reason: "no VM in " + plan.Region}
 	}
 	x.Balancer.RecordCrossRegionSend(plan.Region, x.service.Name, &plan.Estimate, x.Now())
-	return x.sendToVM(ctx, plan, vm, address)
+	out := x.sendToVM(ctx, plan, vm, address)
+	if out.failedAtServer {
+		// Another server there may serve the request.
+		x.triedRegions = x.triedRegions[:len(x.triedRegions)-1]
+	}
+	return out
 }
 
 // sendToVM sends the request to another VM, which serves it or refuses it. If
@@ -159,6 +164,7 @@
 		// The header only counts the runs until it was sent.
 		x.countGrantedRuns(ran, granted, out.reason)
 	}
+	out.failedAtServer = out.broke
 	return out
 }
 
@@ -178,10 +184,11 @@
 		return outcome{notRun: true, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.possibleRuns = max(x.possibleRuns, 1)
-	if refusal.Code == verdict.CodeBackendFailed {
+	failedAtServer := refusal.Code == verdict.CodeBackendFailed
+	if failedAtServer {
 		x.lostUnanswered += ran
 	}
-	return outcome{mayHaveArrived: true, reason: string(refusal.Code) + " at " + x.destination}
+	return outcome{mayHaveArrived: true, failedAtServer: failedAtServer, reason: string(refusal.Code) + " at " + x.destination}
 }
 
 // HopHandler returns the HTTP handler for requests of other VMs.
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -19,6 +18,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
+	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
@@ -52,6 +52,55 @@
 	}
 }
 
+// onePeer implements Peers with one VM in each other region.
+type onePeer struct{ address string }
+
+func (p onePeer) PickMember(string, string) (vm, address string)         { return "vm-2", p.address }
+func (p onePeer) PrefillCoordinator(string, string) (vm, address string) { return "", "" }
+func (p onePeer) ActiveVMs() int                                         { return 2 }
+
+// Guards against requests that fail although attempts are left: a region in which a
+// server failed may be used again, but not one whose VM was lost.
+func TestRegionIsTriedAgainAfterFailureOfItsServer(t *testing.T) {
+	answers := map[string]struct {
+		handler http.HandlerFunc
+		tried   bool
+	}{
+		"server failed": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRan, "1")
+			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Ambiguous(verdict.CodeBackendFailed, "it failed", 0)))
+			w.WriteHeader(http.StatusBadGateway)
+		}, false},
+		"refused": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRan, "0")
+			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeOverloaded, "it is full", 0)))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, true},
+		"broke off": {lostHops["breaks off"], false},
+		"lost":      {lostHops["closes"], true},
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := hopTransaction(3)
+			server := quietServer(answer.handler)
+			defer server.Close()
+			x.Peers = onePeer{server.Listener.Addr().String()}
+			x.Balancer = balance.New("north", "north-a", balance.Bounds{}, balance.DefaultTuning, nil)
+			x.sendToRegion(t.Context(), balance.Plan{Region: "west"})
+			is.Equal(len(x.triedRegions) > 0, answer.tried)
+		})
+	}
+}
+
+// quietServer returns a running HTTP server that logs nothing.
+func quietServer(h http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.Start()
+	return server
+}
+
 // lostHops are the ways in which another VM leaves open how often it ran a request.
 var lostHops = map[string]http.HandlerFunc{
 	"closes":             func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
@@ -74,7 +123,7 @@
 			t.Run(name, func(t *testing.T) {
 				is := is.New(t)
 				granted := 0
-				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				server := quietServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					var head hopHead
 					data, err := base64.StdEncoding.DecodeString(r.Header.Get(headerHop))
 					is.NoErr(err)
@@ -82,11 +131,9 @@
 					granted = head.AttemptsLeft
 					handler(w, r)
 				}))
-				server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
-				server.Start()
 				defer server.Close()
 				x := hopTransaction(maxAttempts)
-				out := x.sendToVM(t.Context(), balance.Plan{Region: "west"}, "vm-2", server.Listener.Addr().(*net.TCPAddr).String())
+				out := x.sendToVM(t.Context(), balance.Plan{Region: "west"}, "vm-2", server.Listener.Addr().String())
 				is.True(!out.delivered)
 				is.True(granted >= 1)
 				is.True(granted+max(0, x.attemptsLeft()) <= maxAttempts) // runs granted to the hop and runs left
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -53,6 +53,9 @@
 	// broke means that the connection to a backend server ended before the response
 	// was complete.
 	broke bool
+	// failedAtServer means that the request reached a server through another VM and
+	// failed there.
+	failedAtServer bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no more requests of this VM.
