Balance: VMs that just started send nothing to cold servers

Callers: cold servers were flooded and crashed (FAILBACK). Cause: a VM that has just started knows no other VM. It assumed four and ranked itself first, so that each took the share of the first of four. Class: a share of something common is computed from a membership that isn't known yet. Change: until a VM and the others have had the time to learn of one another (startupPeriod), and while it has heard of none although it has seeds, its share of a cold server's rate is zero.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -210,6 +210,9 @@
 	// server, including this one, and this VM's rank among them for a server in
 	// the given failure domain.
 	ServerRank(server, failureDomain string) (vms, rank int)
+	// KnowsFleet reports whether the ranks of this VM are known. They are not right
+	// after its start.
+	KnowsFleet() bool
 	// LargeRegion reports whether this region has too many VMs for each to
 	// receive the others' load updates immediately.
 	LargeRegion() bool
@@ -518,6 +521,10 @@
 	if !cold {
 		return false, 0
 	}
+	if !b.Fleet.KnowsFleet() {
+		// VMs that start together would all take the share of the first.
+		return true, 0
+	}
 	vms, rank := b.Fleet.ServerRank(s.ID, s.FailureDomain)
 	rate := q.Service.ColdRequestsPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
 	return true, ColdAllowance(rate, vms, rank)
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -20,6 +20,7 @@
 type singleVM struct{ regions []RegionSummary }
 
 func (f *singleVM) ServerRank(string, string) (vms, rank int) { return 1, 0 }
+func (f *singleVM) KnowsFleet() bool                          { return true }
 func (f *singleVM) LargeRegion() bool                         { return false }
 func (f *singleVM) CapacityShare() float64                    { return 1 }
 func (f *singleVM) Regions(string) []RegionSummary            { return f.regions }
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
@@ -67,6 +69,20 @@
 	return vms, rank
 }
 
+// KnowsFleet reports whether this VM and the others have had the time to learn of one
+// another since it started, and it has heard of one or has no seed but itself. Before,
+// its rank among them is not known.
+func (m *Mesh) KnowsFleet() bool {
+	return m.Now().Sub(m.started) >= startupPeriod && (len(m.Members()) > 0 || !m.hasOtherSeeds())
+}
+
+// hasOtherSeeds reports whether a seed is the address of another VM.
+func (m *Mesh) hasOtherSeeds() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.seeds, func(seed string) bool { return seed != m.Addresses.Control })
+}
+
 // CapacityShare returns this VM's fraction, between 0 and 1, of the capacity of
 // the VMs of its region that may be active.
 func (m *Mesh) CapacityShare() float64 { return m.view.Load().share }
