Balance: decide at the time of sending whether a server is cold

Callers: a server that had become cold was flooded (FAILBACK). Cause: a plan held whether its server was cold. Requests that waited for their prefill slot were sent by a plan from before the change, without any bound. Class: a decision taken before a wait is applied after it. Change: the bound is taken with what is known when the request is sent. Elsewhere: the other checks of relay.admit already use the present view and load.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -198,8 +198,8 @@
 	// RetryAfter is the time until capacity is expected for a request that cannot
 	// be placed.
 	RetryAfter time.Duration
-	// Allowance is this VM's share of a cold server's rate. It applies only if
-	// Cold is true.
+	// Cold means that the server is cold when the plan is made, and Allowance is this
+	// VM's share of its rate then.
 	Cold      bool
 	Allowance int
 }
@@ -445,7 +445,7 @@
 			}
 			continue
 		}
-		cold, allowance := b.coldAllowance(q, s, load, view)
+		cold, allowance := b.coldAllowance(q.Service, s, load, view, q.Now)
 		if cold && !load.ColdLimiter.HasRoom(q.Now, allowance) {
 			best.Reason = reasonUnless(found, best.Reason, "servers-cold")
 			continue
@@ -509,15 +509,25 @@
 	return reason
 }
 
+// TakeFromColdRate counts a request to the server, and reports whether it may be sent:
+// if the server counts as cold now, within this VM's share of its rate.
+func (b *Balancer) TakeFromColdRate(service *ingress.Service, s *roster.Server, load *Load, view *roster.View, now clock.Instant) bool {
+	if latest := view.Lookup(s.ID); latest != nil && latest.Key() == s.Key() {
+		s = latest
+	}
+	cold, allowance := b.coldAllowance(service, s, load, view, now)
+	return load.ColdLimiter.Take(now, allowance, cold)
+}
+
 // coldAllowance reports whether the server counts as cold and, if so, how many
 // requests per second this VM may send to it.
-func (b *Balancer) coldAllowance(q *Query, s *roster.Server, load *Load, view *roster.View) (bool, int) {
-	if q.Service.ColdRequestsPerSecond <= 0 {
+func (b *Balancer) coldAllowance(service *ingress.Service, s *roster.Server, load *Load, view *roster.View, now clock.Instant) (bool, int) {
+	if service.ColdRequestsPerSecond <= 0 {
 		return false, 0
 	}
 	returned := view.EvacuationEndedAt(s.FailureDomain)
-	cold := q.Now < s.ColdUntil || q.Now < clock.Instant(load.coldUntil.Load()) ||
-		returned != 0 && q.Now.Sub(returned) < q.Service.ColdPeriod+returnMargin
+	cold := now < s.ColdUntil || now < clock.Instant(load.coldUntil.Load()) ||
+		returned != 0 && now.Sub(returned) < service.ColdPeriod+returnMargin
 	if !cold {
 		return false, 0
 	}
@@ -526,6 +536,6 @@
 		return true, 0
 	}
 	vms, rank := b.Fleet.ServerRank(s.ID, s.FailureDomain)
-	rate := q.Service.ColdRequestsPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
+	rate := service.ColdRequestsPerSecond*b.Bounds.ColdOverage + b.Bounds.ColdSlack
 	return true, ColdAllowance(rate, vms, rank)
 }
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -169,14 +169,13 @@
 // summarize returns the load of the servers that include selects.
 func (b *Balancer) summarize(service *ingress.Service, view *roster.View, now clock.Instant, include func(*Load, *roster.Server) bool) Summary {
 	s := Summary{Service: service.Name}
-	q := &Query{Now: now, Service: service}
 	slowdown, token := 0.0, 0.0
 	for _, server := range view.Usable(service.Name, b.Region) {
 		load := b.Load(server.Key())
 		if load.Unresponsive() || !load.Breaker.Ready(now) || load.noProgressFor(now) > unresponsiveAfter {
 			continue
 		}
-		if cold, _ := b.coldAllowance(q, server, load, view); cold || !include(load, server) {
+		if cold, _ := b.coldAllowance(service, server, load, view, now); cold || !include(load, server) {
 			continue
 		}
 		use := load.totalUsage(now)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -174,7 +174,7 @@
 		return "paused"
 	case !load.Breaker.Allow(now):
 		return "breaker"
-	case !load.ColdLimiter.Take(now, plan.Allowance, plan.Cold):
+	case !x.Balancer.TakeFromColdRate(x.service, plan.Server, load, x.Roster.View(), now):
 		load.Breaker.ReturnTrial(now)
 		return "cold"
 	case !x.Balancer.TakeFromLimit(plan.Server, load, now):
