Edge: a server whose connections broke is cold until its process is confirmed

Cause: VMs knew of the new process only from its new entry, or from their own poll. In a large region most VMs poll a server rarely, and use it again as soon as it accepts connections. Class: the end of a fault is taken for the end of its effects. Change: a lost connection leaves open whether the engine's process still runs. Its report is polled at once, and until one confirms the listed process the engine counts as cold. Reports that VMs pass on hold the start time of the process, so a restart is known to all VMs of the region with the first report. The cold start is counted from when the restart is first found, not from each report again.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -526,7 +526,9 @@
 		return false, 0
 	}
 	returned := view.EvacuationEndedAt(s.FailureDomain)
-	cold := now < s.ColdUntil || now < clock.Instant(load.coldUntil.Load()) ||
+	// A process that started again is cold before its new entry arrives.
+	mayHaveRestarted := service.Engine != nil && load.MayHaveRestarted()
+	cold := mayHaveRestarted || now < s.ColdUntil || now < clock.Instant(load.coldUntil.Load()) ||
 		returned != 0 && now.Sub(returned) < service.ColdPeriod+returnMargin
 	if !cold {
 		return false, 0
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -36,6 +36,9 @@
 	// MemoryUsed is the memory that can't be freed, of MemoryTotal, in tokens.
 	MemoryUsed, MemoryTotal int
 	ReceivedAt              clock.Instant
+	// Started is when the server's process started, in Unix milliseconds; zero means
+	// unknown.
+	Started int64
 }
 
 // Usage is the load that one gateway puts on a backend server.
@@ -113,8 +116,13 @@
 	// another VM reported that it does not respond.
 	suspectUntil atomic.Int64
 	// coldUntil is the instant until which the server counts as cold after a
-	// restart.
-	coldUntil atomic.Int64
+	// restart, and restartedAs the start time of the process that was found instead
+	// of the listed one, in Unix milliseconds; zero means none.
+	coldUntil   atomic.Int64
+	restartedAs atomic.Int64
+	// lostAt is when a connection to the server last broke or could not be opened, and
+	// confirmedAt the latest instant since which the listed process was seen running.
+	lostAt, confirmedAt atomic.Int64
 	// excludedUntil is the instant until which the server gets no new requests,
 	// because its prefill coordinator reported that it fails.
 	excludedUntil atomic.Int64
@@ -207,10 +215,10 @@
 func (l *Load) Unresponsive() bool { return l.missedPolls.Load() >= unresponsivePolls }
 
 // Suspected reports whether the server should be polled often: a poll got no
-// response, another VM suspects the server, or requests wait unusually long for a
+// response, a connection was lost, another VM suspects the server, or requests wait unusually long for a
 // first byte.
 func (l *Load) Suspected(now clock.Instant) bool {
-	return l.missedPolls.Load() > 0 || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
+	return l.missedPolls.Load() > 0 || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
 }
 
 // Calm reports whether the server is neither suspect nor busy: by its last report
@@ -247,8 +255,26 @@
 
 func (l *Load) excluded(now clock.Instant) bool { return now < clock.Instant(l.excludedUntil.Load()) }
 
-// MarkCold makes the server count as cold until the given instant.
-func (l *Load) MarkCold(until clock.Instant) { l.coldUntil.Store(int64(until)) }
+// RecordRestart records that another process runs in place of the listed one, which
+// started at the given time in Unix milliseconds. The server counts as cold for the
+// period since this was first found.
+func (l *Load) RecordRestart(started int64, now clock.Instant, coldPeriod time.Duration) {
+	l.ConfirmRunning(now)
+	if l.restartedAs.Swap(started) != started {
+		l.coldUntil.Store(int64(now.Add(coldPeriod)))
+	}
+}
+
+// MarkLost records that a connection to the server broke or could not be opened: its
+// process may have ended.
+func (l *Load) MarkLost(now clock.Instant) { storeMax(&l.lostAt, int64(now)) }
+
+// ConfirmRunning records that the listed process has run since the given instant.
+func (l *Load) ConfirmRunning(since clock.Instant) { storeMax(&l.confirmedAt, int64(since)) }
+
+// MayHaveRestarted reports whether a connection was lost and the server's process has
+// not been confirmed since.
+func (l *Load) MayHaveRestarted() bool { return l.lostAt.Load() > l.confirmedAt.Load() }
 
 // totalUsage is the usage of a server by all gateways.
 type totalUsage struct {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,7 @@
 	mesh        *mesh.Mesh
 	balancer    *balance.Balancer
 	relay       *relay.Relay
+	poller      *poller
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
 	serverPool  *upstream.Pool
@@ -187,12 +188,17 @@
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
 	dials := e.metrics.Scope.Counter("dials")
 	e.serverPool.OnDial = func(error) { dials.Inc(1) }
+	e.poller = &poller{
+		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
+		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, lost: make(chan *roster.Server, lostQueueLength), onFailure: e.queueSuspect,
+		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits,
+	}
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		ServerLeaves: e.follower.MarkLeaving,
-		Leaving:      e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
+		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.queueLost,
+		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
 		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
 	})
 }
@@ -322,12 +328,7 @@
 	for _, topic := range []discovery.Topic{discovery.Operators, discovery.Servers} {
 		group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.follower.Run(groupCtx, topic)) })
 	}
-	p := &poller{
-		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
-		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, onFailure: e.queueSuspect,
-		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits,
-	}
-	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, p.run(groupCtx)) })
+	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.poller.run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.runLoadExchange(groupCtx)) })
 	e.log.Info("started", "vm", e.self.VM, "incarnation", e.self.Incarnation, "region", e.self.Region,
 		"failureDomain", e.self.FailureDomain, "callers", settings.CallerListen, "control", settings.ControlListen,
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -116,7 +116,11 @@
 	for id, report := range load.Reports {
 		if s := view.Lookup(id); s != nil {
 			report.ReceivedAt = now
-			e.balancer.Load(s.Key()).RecordForwardedReport(report)
+			load := e.balancer.Load(s.Key())
+			load.RecordForwardedReport(report)
+			if service := e.poller.engineService(s); service != nil {
+				applyStart(load, service, s, report.Started, now)
+			}
 		}
 	}
 	notify(e.peerLoadReceived)
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -31,6 +31,9 @@
 	suspectPollRounds = 4
 	// pollTimeout bounds one poll.
 	pollTimeout = 400 * time.Millisecond
+	// lostQueueLength is the number of engines that may wait to be polled at once
+	// after a connection was lost.
+	lostQueueLength = 64
 	// restartColdMargin is how long an engine that was found to have restarted
 	// counts as cold beyond its service's cold start.
 	restartColdMargin = time.Second
@@ -39,9 +42,6 @@
 // Report is an engine's report of its own load.
 type Report struct {
 	balance.Report
-	// Started is when the engine's process started, in Unix milliseconds; zero
-	// means unknown.
-	Started int64
 	// Leaving means that the engine announced that it leaves.
 	Leaving bool
 	// RequestLimit is what the response says of the engine's request limit.
@@ -77,6 +77,9 @@
 	// requestLimits keeps the request limits that engines name.
 	requestLimits *serverlimit.Tracker
 
+	// lost receives engines to which a connection was lost, to be polled at once.
+	lost chan *roster.Server
+
 	mu       sync.Mutex
 	inFlight map[roster.ServerKey]bool
 	rounds   int
@@ -90,16 +93,52 @@
 func (p *poller) run(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
+	p.pollAll(ctx)
 	for {
-		p.pollAll(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case s := <-p.lost:
+			if service := p.engineService(s); service != nil {
+				p.startPoll(ctx, service, s)
+			}
 		case <-ticker.C:
+			p.pollAll(ctx)
 		}
 	}
 }
 
+// queueLost records that a connection to a server was lost, and has it polled at once.
+func (p *poller) queueLost(s *roster.Server) {
+	p.balancer.Load(s.Key()).MarkLost(p.now())
+	select {
+	case p.lost <- s:
+	default: // it is polled in the next round
+	}
+}
+
+// engineService returns the service of a model engine, or nil.
+func (p *poller) engineService(s *roster.Server) *ingress.Service {
+	table := p.table()
+	if table == nil {
+		return nil
+	}
+	if service := table.Services[s.Service]; service != nil && service.Engine != nil {
+		return service
+	}
+	return nil
+}
+
+// applyStart compares the start time of a report with that of the server's entry, and
+// reports whether the entry is that of an earlier process.
+func applyStart(load *balance.Load, service *ingress.Service, s *roster.Server, started int64, now clock.Instant) bool {
+	if started == 0 || s.Started == 0 || started == s.Started {
+		return false
+	}
+	load.RecordRestart(started, now, service.ColdPeriod+restartColdMargin)
+	return true
+}
+
 func (p *poller) pollAll(ctx context.Context) {
 	table := p.table()
 	if table == nil {
@@ -158,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	load := p.balancer.Load(s.Key())
-	wasUnresponsive := load.Unresponsive()
+	wasUnresponsive, began := load.Unresponsive(), p.now()
 	report, err := p.fetcher.FetchReport(ctx, s)
 	if err != nil {
 		load.RecordMissedPoll()
@@ -169,9 +208,9 @@
 		return
 	}
 	now := p.now()
-	restarted := report.Started != 0 && s.Started != 0 && report.Started != s.Started
-	if restarted {
-		load.MarkCold(now.Add(service.ColdPeriod + restartColdMargin))
+	restarted := applyStart(load, service, s, report.Started, now)
+	if !restarted {
+		load.ConfirmRunning(began)
 	}
 	if report.Leaving && !restarted {
 		p.onLeaving(s.Key())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,6 +161,9 @@
 	// ServerLeaves is called when an incarnation of a backend server announces that
 	// it leaves.
 	ServerLeaves func(roster.ServerKey)
+	// ServerLost is called when a connection to a backend server broke or could not be
+	// opened, so that its process may have ended.
+	ServerLost func(*roster.Server)
 	// Leaving reports whether this VM is shutting down, and Refusing whether
 	// it no longer accepts requests.
 	Leaving  func() bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -56,6 +56,8 @@
 	// failedAtServer means that the request reached a server through another VM and
 	// failed there.
 	failedAtServer bool
+	// unconnected means that no connection to the server could be used.
+	unconnected bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no more requests of this VM.
@@ -120,6 +122,9 @@
 	x.answeredAt, x.survived = 0, false
 	out := x.exchange(ctx, plan, work, watch)
 	out.retryGranted = watch.retryGranted.Load()
+	if parent.Err() == nil && (out.broke || out.unconnected) {
+		x.ServerLost(s)
+	}
 	x.recordEnd(parent, s, work, &out)
 	return out
 }
@@ -265,7 +270,7 @@
 		x.ServerPool.CloseIdle(plan.Server.Address)
 	}
 	if unsent {
-		return outcome{notRun: true, reason: err.Error()}
+		return outcome{notRun: true, unconnected: true, reason: err.Error()}
 	}
 	x.possibleRuns++
 	return outcome{mayHaveArrived: true, broke: true, reason: err.Error()}
