Relay: a send after a hop whose server refused is a retry

Cause: a VM that refuses a forwarded request states that it did not run, but not whether a server received it. The forwarding VM took that for a request that reached no server, and sent it on without taking a retry from the budget. Class: 'not run' read as 'not sent'. Change: the response of a hop states whether a server may have received the request.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -28,6 +28,9 @@
 	// headerRan carries the number of backend servers at which the request may
 	// have run, in the response.
 	headerRan = "Chestnut-Ran"
+	// headerArrived is set in the response if a backend server may have received the
+	// request, also one that refused it.
+	headerArrived = "Chestnut-Arrived"
 )
 
 // hopHead is the description of a request that a VM sends with a hop.
@@ -135,7 +138,7 @@
 	ran, _ := strconv.Atoi(e.Header.Get(headerRan)) // zero if absent
 	if value := e.Header.Get(wire.HeaderRefusal); value != "" {
 		e.Release()
-		return x.handleHopRefusal(plan, value, ran, granted)
+		return x.handleHopRefusal(plan, value, ran, granted, e.Header.Get(headerArrived) != "")
 	}
 	if e.Header.Get(headerRan) == "" {
 		e.Abort()
@@ -170,7 +173,8 @@
 
 // handleHopRefusal evaluates the refusal of another VM. Ran is the number of
 // backend servers at which the request may have run there, of the granted number.
-func (x *transaction) handleHopRefusal(plan balance.Plan, value string, ran, granted int) outcome {
+// Arrived means that one may have received it.
+func (x *transaction) handleHopRefusal(plan balance.Plan, value string, ran, granted int, arrived bool) outcome {
 	var refusal verdict.Refusal
 	if err := json.Unmarshal([]byte(value), &refusal); err != nil {
 		x.countGrantedRuns(0, granted, "unreadable refusal")
@@ -181,7 +185,7 @@
 		if plan.Load != nil && refusal.Code == verdict.CodeNoBackend {
 			plan.Load.Exclude(x.Now())
 		}
-		return outcome{notRun: true, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
+		return outcome{notRun: true, mayHaveArrived: arrived, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.possibleRuns = max(x.possibleRuns, 1)
 	failedAtServer := refusal.Code == verdict.CodeBackendFailed
@@ -201,23 +205,25 @@
 			return
 		}
 		out := NewWriter(w)
-		refusal, ran := r.handleHop(hr.Context(), req, out)
+		refusal, x := r.handleHop(hr.Context(), req, out)
 		if refusal == nil {
 			return
 		}
 		if out.Started() {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set(headerRan, strconv.Itoa(ran))
+		w.Header().Set(headerRan, strconv.Itoa(x.possibleRuns))
+		if x.arrived {
+			w.Header().Set(headerArrived, "1")
+		}
 		w.Header().Set(wire.HeaderRefusal, encodeRefusal(refusal))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(refusal.Status)
 	})
 }
 
-// handleHop serves a request of another VM. It also returns the number of
-// backend servers at which the request may have run.
-func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, int) {
+// handleHop serves a request of another VM and returns its final state.
+func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
 	x, refusal := r.newTransaction(req, out)
 	out.beforeHeader = func(h http.Header) { h.Set(headerRan, strconv.Itoa(max(1, x.possibleRuns))) }
 	if refusal == nil {
@@ -227,7 +233,7 @@
 		cancel()
 	}
 	r.recordResult(x, refusal)
-	return refusal, x.possibleRuns
+	return refusal, x
 }
 
 // readHop reads a request of another VM.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,8 +204,11 @@
 	// possibleRuns is the number of backend servers at which the request may
 	// have run, and sends the number of times it was sent.
 	possibleRuns, sends int
-	triedServers        []roster.ServerKey
-	triedRegions        []string
+	// arrived means that a backend server may have received the request, also one that
+	// refused it.
+	arrived      bool
+	triedServers []roster.ServerKey
+	triedRegions []string
 	// lastEventID is the ID of the last event that the caller received, and
 	// events the number of relayed events that have an ID.
 	lastEventID    string
@@ -332,6 +335,7 @@
 			out = x.sendToRegion(ctx, plan)
 		}
 		x.lastOutcome = &out
+		x.arrived = x.arrived || out.mayHaveArrived
 		x.recordSend(plan, &out)
 		if out.delivered {
 			return nil
