Relay: a VM that doesn't know the fleet has no retry slack

Callers: repeats piled up at servers under pressure (BUDGET). Cause: as with cold servers: a VM that has just started assumed four VMs and took a quarter of the fleet's slack; one that reached no seed took all of it. A process that replaced another had the whole share again in the same window. Change: no slack until the VM knows the fleet, and in the first window only the part that the process before it can't have used. The share of the VM's own requests that may be retried is as before.

--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -69,11 +69,11 @@
 	return vms, rank
 }
 
-// KnowsFleet reports whether this VM and the others have had the time to learn of one
-// another since it started, and it has heard of one or has no seed but itself. Before,
-// its rank among them is not known.
+// KnowsFleet reports whether this VM knows its rank among the others: they have had the
+// time to learn of one another since it started and it has heard of one, or it has no
+// seed but itself.
 func (m *Mesh) KnowsFleet() bool {
-	return m.Now().Sub(m.started) >= startupPeriod && (len(m.Members()) > 0 || !m.hasOtherSeeds())
+	return len(m.Members()) > 0 && m.Now().Sub(m.started) >= startupPeriod || !m.hasOtherSeeds()
 }
 
 // hasOtherSeeds reports whether a seed is the address of another VM.
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -13,7 +13,7 @@
 	retryShare = 0.17
 	// slackFraction is the fraction of the fleet's retry slack that is divided
 	// among the VMs. The remainder covers VMs that temporarily disagree on
-	// their number.
+	// their number, and those that start again.
 	slackFraction = 0.7
 )
 
@@ -26,10 +26,10 @@
 	services sync.Map // service name to *retry.Window
 }
 
-// forService returns the retry budget of a service, with the slack set to this
-// VM's share in a fleet of the given number of VMs.
-func (b *serviceBudgets) forService(service string, vms int) *retry.Window {
-	slack := b.slack * slackFraction / float64(max(1, vms))
+// forService returns the retry budget of a service, with the slack set to the given
+// fraction of that of the fleet.
+func (b *serviceBudgets) forService(service string, share float64) *retry.Window {
+	slack := b.slack * share
 	v, ok := b.services.Load(service)
 	if !ok {
 		v, _ = b.services.LoadOrStore(service, retry.NewWindow(b.window, slack))
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -58,6 +58,7 @@
 func (p onePeer) PickMember(string, string) (vm, address string)         { return "vm-2", p.address }
 func (p onePeer) PrefillCoordinator(string, string) (vm, address string) { return "", "" }
 func (p onePeer) ActiveVMs() int                                         { return 2 }
+func (p onePeer) KnowsFleet() bool                                       { return true }
 
 // Guards against requests that fail although attempts are left: a region in which a
 // server failed may be used again, but not one whose VM was lost.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -133,6 +133,9 @@
 	PrefillCoordinator(server, failureDomain string) (vm, address string)
 	// ActiveVMs returns the number of VMs that may be active, this one included.
 	ActiveVMs() int
+	// KnowsFleet reports whether this VM has had the time to learn of the others, and
+	// they of it.
+	KnowsFleet() bool
 }
 
 // Config is the configuration of a Relay.
@@ -181,11 +184,12 @@
 type Relay struct {
 	Config
 	budgets serviceBudgets
+	started clock.Instant
 }
 
 // New returns a Relay with the given configuration.
 func New(config Config) *Relay {
-	return &Relay{Config: config, budgets: serviceBudgets{slack: config.RetrySlack, window: config.RetryWindow}}
+	return &Relay{Config: config, budgets: serviceBudgets{slack: config.RetrySlack, window: config.RetryWindow}, started: config.Now()}
 }
 
 // transaction is the state of one request while it is served.
@@ -285,13 +289,27 @@
 	if end := r.ExitAt(); end != 0 && req.Entry == "" && x.deadline > end {
 		return x, verdict.Busy(verdict.CodeShuttingDown, "this VM ends before the request's deadline", retryAfterFailure)
 	}
-	x.budget = r.budgets.forService(name, r.Peers.ActiveVMs())
+	x.budget = r.budgets.forService(name, r.slackShare())
 	if req.Entry == "" {
 		x.budget.RecordRequest(retryShare, r.Now())
 	}
 	return x, nil
 }
 
+// slackShare returns this VM's fraction of the fleet's retry slack. It has none as long
+// as it doesn't know the fleet.
+func (r *Relay) slackShare() float64 {
+	if !r.Peers.KnowsFleet() {
+		return 0
+	}
+	fraction := slackFraction
+	if r.Now().Sub(r.started) < r.RetryWindow {
+		// The process before this one may have used its share in the same window.
+		fraction = 1 - slackFraction
+	}
+	return fraction / float64(max(1, r.Peers.ActiveVMs()))
+}
+
 // remaining returns the time to the deadline.
 func (x *transaction) remaining() time.Duration { return x.deadline.Sub(x.Now()) }
 
