Roster: records older than the last list don't restore what it doesn't have

Cause: after all VMs were killed, those that started again listed the registry without the server, and knew nothing of it. A VM that had been cut off came back at 9.6 s and sent its record of the server from before (revision 10 in the logs of edge-jeju-b-2 and -14), which was taken for news. Class: an absence that was read is not remembered, so older presence wins. Change: the revision of the last complete list is kept. A record that is not newer than it, of a server or an evacuation that is not known here, is ignored.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,11 +145,14 @@
 	removed     map[string]removal
 	evacuations map[string]evacuation
 	// leaving holds when an incarnation first announced that it leaves.
-	leaving             map[ServerKey]clock.Instant
-	doubts              doubts
-	registryUnavailable bool
-	outageEnd           clock.Instant // end of the last registry outage
-	view                atomic.Pointer[View]
+	leaving map[ServerKey]clock.Instant
+	doubts  doubts
+	// serverList and evacuationList are the revisions of the last complete lists. What
+	// is unknown here and not newer than the list has been removed.
+	serverList, evacuationList revision.Revision
+	registryUnavailable        bool
+	outageEnd                  clock.Instant // end of the last registry outage
+	view                       atomic.Pointer[View]
 }
 
 // removal is the removal of a server's entry. Started is the incarnation that was
@@ -202,6 +205,10 @@
 		r.applyOlderLeave(old, e, rev, now)
 		return false
 	}
+	if known == 0 && source == Listed && rev <= r.serverList {
+		r.log.Info("record of a backend server that is no longer listed", "server", e.ID, "revision", rev, "listed", r.serverList)
+		return false
+	}
 	if source == Listed && rev.Era() > known.Era() && contradicts(e, old, gone) {
 		r.doubts.addServer(e, rev, now, r.log)
 		return false
@@ -331,6 +338,7 @@
 		r.markMissing(old, grace, now)
 	}
 	r.doubts.keepListed(ids)
+	r.serverList = rev
 	r.publish()
 	return all
 }
@@ -342,7 +350,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, ok := r.evacuations[domain]
-	if ok && old.revision >= rev {
+	if ok && old.revision >= rev || !ok && source == Listed && rev <= r.evacuationList {
 		return false
 	}
 	if ok && source == Listed && rev.Era() > old.revision.Era() && old.active != on {
@@ -376,6 +384,7 @@
 			ended = append(ended, domain)
 		}
 	}
+	r.evacuationList = rev
 	r.mu.Unlock()
 	return slices.DeleteFunc(ended, func(domain string) bool { return !r.SetEvacuated(domain, false, rev, Listed, now) })
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -132,3 +132,31 @@
 	is.True(!r.View().IsUsable(old))
 	is.Equal(r.View().Lookup("x").ColdUntil, 4*second)
 }
+
+// Guards against DRAIN: a VM that was cut off while a server left sent its older record
+// of the server to VMs that had started since, which used the server until they listed
+// again.
+func TestRecordOlderThanTheLastListDoesNotRestoreServer(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 20, Listed, second)
+	r.ApplyServerList(map[string]bool{"x": true}, 30, second)
+	is.True(!r.Put(entry("y"), 10, Listed, 2*second)) // y had left before the list was read
+	is.Equal(usable(r), 1)
+	is.True(r.Put(entry("z"), 31, Listed, 2*second)) // z is newer than the list
+	is.True(r.Put(entry("x"), 40, Listed, 2*second))
+	is.Equal(usable(r), 2)
+}
+
+// Guards against a failure domain that gets no requests because of another VM's older
+// record of an evacuation that has ended.
+func TestRecordOlderThanTheLastListDoesNotRestoreEvacuation(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	r.Put(entry("x"), 5, Listed, second)
+	r.ApplyEvacuationList(map[string]bool{}, 30, second)
+	is.True(!r.SetEvacuated("a", true, 10, Listed, 2*second))
+	is.Equal(usable(r), 1)
+	is.True(r.SetEvacuated("a", true, 31, Listed, 2*second))
+	is.Equal(usable(r), 0)
+}
