--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -72,7 +72,7 @@
 // sendToVM sends the request to another VM, which serves it or refuses it. If
 // the plan names a backend server, the VM may use no other one.
 func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) outcome {
-	x.destination = vm
+	x.destination, x.softwareVersion = vm, ""
 	x.sends++
 	server := ""
 	if plan.Server != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,7 +59,10 @@
 	Demand balance.Demand
 	// LastEventID is the ID of the event after which a stream resumes, or "".
 	LastEventID string
-	Arrived     clock.Instant
+	// ResumedID is the ID of the caller's request that brought the first event of the
+	// stream to be resumed, or "".
+	ResumedID string
+	Arrived   clock.Instant
 	// Deadline is when the caller stops waiting; zero means never.
 	Deadline clock.Instant
 	// Entry is the VM that received the request from the caller, or "" at that
@@ -242,8 +245,9 @@
 	plan        balance.Plan
 	plannedAt   clock.Instant
 	lastOutcome *outcome
-	// destination is the backend server or VM of the last send.
-	destination string
+	// destination is the backend server or VM of the last send, and softwareVersion the
+	// version of that server's software, or "" for a VM.
+	destination, softwareVersion string
 }
 
 // Handle serves a request. If it returns a refusal after the response has
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -69,7 +69,7 @@
 		x.Metrics.countSend("failed")
 	}
 	x.Log.Warn("send failed", "request", x.req.ID, "route", x.route.Name, "service", x.service.Name,
-		"to", x.destination, "region", plan.Region, "notRun", out.notRun, "reason", out.reason,
+		"to", x.destination, "softwareVersion", x.softwareVersion, "region", plan.Region, "notRun", out.notRun, "reason", out.reason,
 		"expectedFirst", plan.Estimate.TimeToFirstByte, "cold", plan.Cold, "ran", x.possibleRuns, "sends", x.sends,
 		"firstByteBefore", x.sinceFirstByte(), "blocks", blockNames(x.traits.Blocks), "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "lastEvent", x.lastEventID, "retriesLeft", x.budget.Remaining(x.Now()))
 }
@@ -101,7 +101,7 @@
 	}
 	args := []any{
 		"request", x.req.ID, "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "route", route, "configuration", version, "entry", x.req.Entry, "result", result,
-		"at", x.destination, "sends", x.sends, "ran", x.possibleRuns, "took", took, "first", x.timeToFirstByte(),
+		"at", x.destination, "softwareVersion", x.softwareVersion, "resumes", x.req.ResumedID, "after", x.req.LastEventID, "sends", x.sends, "ran", x.possibleRuns, "took", took, "first", x.timeToFirstByte(),
 		"waited", x.slotWait, "longestGap", x.longestGap, "events", x.events, "framing", x.framing, "unfinished", x.unfinishedBytes, "prompt", x.req.Demand.PromptTokens, "toRead", x.prefillTokens,
 		"document", x.req.Demand.LongSharedPrefixID(), "output", x.req.Demand.MaxOutputTokens, "hint", x.req.Demand.ExpectedOutputTokens,
 		"expectedFirst", x.plan.Estimate.TimeToFirstByte, "active", int(x.plan.Estimate.ActiveRequests), "backlog", x.plan.Estimate.PrefillBacklog, "reportAge", x.plan.Estimate.ReportAge,
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -101,7 +101,7 @@
 func (x *transaction) sendToServer(ctx context.Context, plan balance.Plan) outcome {
 	s, load := plan.Server, plan.Load
 	x.triedServers = append(x.triedServers, s.Key())
-	x.destination, x.prefillTokens = s.ID, plan.Estimate.UncachedTokens
+	x.destination, x.softwareVersion, x.prefillTokens = s.ID, s.SoftwareVersion, plan.Estimate.UncachedTokens
 	started := x.waitForPrefillSlot(ctx, &plan)
 	now := x.Now()
 	if reason := x.admit(&plan, started, now); reason != "" {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -51,6 +51,8 @@
 	// Started is when the server's process started, in Unix milliseconds. A
 	// higher value under the same ID is another incarnation.
 	Started int64
+	// SoftwareVersion is the version of the server's software. Versions have no order.
+	SoftwareVersion string
 }
 
 // Server is a backend server as this process knows it. It is immutable.
@@ -241,7 +243,7 @@
 	}
 	r.servers[e.ID] = s
 	r.log.Info("backend server changed", "server", e.ID, "service", e.Service, "address", e.Address,
-		"failureDomain", e.FailureDomain, "draining", e.Draining, "coldFor", e.ColdFor, "leavesIn", e.LeavesIn,
+		"failureDomain", e.FailureDomain, "softwareVersion", e.SoftwareVersion, "draining", e.Draining, "coldFor", e.ColdFor, "leavesIn", e.LeavesIn,
 		"revision", rev)
 	r.publish()
 }
