Resume: streams go on at the software version that began them, or not at all

Cause: the version of a server's software was read by nothing. A stream that broke off went on at any server of its service, and a VM at which a client took a stream up knew neither where it began nor which request the client names. Class: servers of a service are taken for interchangeable in a state that only one kind of them made. Change: a stream is bound to the service and version of the server whose response begins. Retries, hops and other regions keep to it. Each VM knows the streams that it began (package resume) and sends them to the others while a service has, or may have had in the last 30 s, several versions, and when a response breaks off. A stream that no record names goes on only if the history shows that its service had one version; VMs vouch for one another's histories, and one that was cut off or has just started relies on none. Else the request is refused as not run, after waiting for a record that may still arrive.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -180,12 +180,20 @@
 	// Tried and TriedRegions are excluded from the choice.
 	Tried        []roster.ServerKey
 	TriedRegions []string
+	// SoftwareVersion, if set, excludes the servers of other versions of the software.
+	SoftwareVersion *string
 	// LocalOnly excludes other regions.
 	LocalOnly bool
 	// Random selects the sampled servers and breaks ties.
 	Random uint64
 }
 
+// permits reports whether the request may go on at the software version of a server. Of
+// a process that runs in place of the listed one the version is not known.
+func (q *Query) permits(s *roster.Server, load *Load) bool {
+	return q.SoftwareVersion == nil || s.SoftwareVersion == *q.SoftwareVersion && load.restartedAs.Load() == 0
+}
+
 // Plan is the decision for one request: it goes to Server, to Region or, with
 // neither, cannot be placed now.
 type Plan struct {
@@ -279,7 +287,7 @@
 	if q.LocalOnly {
 		return local
 	}
-	remote := b.chooseRegion(q, b.homeRegion(q, view))
+	remote := b.chooseRegion(q, view, b.homeRegion(q, view))
 	switch {
 	case remote.Region == "":
 		return local
@@ -435,6 +443,10 @@
 			continue
 		}
 		load := b.Load(s.Key())
+		if !q.permits(s, load) {
+			best.Reason = reasonUnless(found, best.Reason, "no-server-of-version")
+			continue
+		}
 		if load.Unresponsive() || load.excluded(q.Now) || !load.Breaker.Ready(q.Now) || load.noProgressFor(q.Now) > unresponsiveAfter {
 			best.Reason = reasonUnless(found, best.Reason, "servers-failing")
 			continue
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -93,12 +93,12 @@
 
 // chooseRegion returns the best of the other regions. The home region is expected
 // to have the prompt's shared blocks cached.
-func (b *Balancer) chooseRegion(q *Query, home string) Plan {
+func (b *Balancer) chooseRegion(q *Query, view *roster.View, home string) Plan {
 	best := Plan{Reason: "no-region"}
 	share := max(minCapacityShare, b.Fleet.CapacityShare())
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
-			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) {
+			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) || !b.hasPermitted(q, view, r.Region) {
 			continue
 		}
 		// This VM's share of the requests that servers with limits take now is used up.
@@ -117,6 +117,14 @@
 	return best
 }
 
+// hasPermitted reports whether a region has a server at whose software version the
+// request may go on.
+func (b *Balancer) hasPermitted(q *Query, view *roster.View, region string) bool {
+	return q.SoftwareVersion == nil || slices.ContainsFunc(view.Usable(q.Service.Name, region), func(s *roster.Server) bool {
+		return s.SoftwareVersion == *q.SoftwareVersion
+	})
+}
+
 // regionEstimate scores a region by its average server. The other VMs of this
 // region are assumed to send there as much as this one, in proportion to their
 // capacity.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -324,6 +324,9 @@
 	return f.RegistryReader() && f.reading[Servers].Load() && f.reading[Operators].Load()
 }
 
+// ReadsServers reports whether this VM's last read of the servers succeeded.
+func (f *Follower) ReadsServers() bool { return f.reading[Servers].Load() }
+
 // recentlyRecovered reports whether a registry outage has ended just now.
 func (f *Follower) recentlyRecovered() bool {
 	at := clock.Instant(f.recoveredAt.Load())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
+	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/serverlimit"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
@@ -113,6 +114,7 @@
 	balancer    *balance.Balancer
 	relay       *relay.Relay
 	poller      *poller
+	streams     *resume.Tracker
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
 	serverPool  *upstream.Pool
@@ -184,6 +186,10 @@
 	e.limits = serverlimit.New(serverlimit.Config{
 		Now: e.now, Log: e.log, Scope: e.metrics.Scope, Apply: e.applyRequestLimit, Publish: e.mesh.Publish,
 	})
+	e.streams = resume.New(resume.Config{
+		Now: e.now, Log: e.log, Scope: e.metrics.Scope, FirstStart: settings.FirstStart, View: e.roster.View,
+		RegistryRead: e.followsServers, Reachable: e.mesh.Reaches, AnyReachable: e.mesh.ReachesAny, PublishOwn: e.mesh.PublishOwnPart,
+	})
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
 	dials := e.metrics.Scope.Counter("dials")
@@ -195,7 +201,7 @@
 	}
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
-		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.queueLost,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
@@ -210,11 +216,20 @@
 		e.quarantine.ApplyRecord(r)
 	case gossip.KindRequestLimit:
 		e.limits.ApplyRecord(r)
+	case gossip.KindStreams, gossip.KindSoftwareVersions:
+		e.streams.ApplyRecord(r)
 	default:
 		e.follower.ApplyRecord(r)
 	}
 }
 
+// followsServers reports whether this VM learns of changes of the servers: from the
+// registry, or from VMs that read it on its behalf. One that reaches none of the others
+// may miss what these know.
+func (e *Edge) followsServers() bool {
+	return (e.follower.ReadsServers() || e.mesh.RegistryCovered()) && (e.mesh.ReachesAny() || len(e.mesh.Members()) == 0)
+}
+
 // applyRequestLimit sets the request limit of a server, in requests per second, and
 // reports whether the server is listed.
 func (e *Edge) applyRequestLimit(key roster.ServerKey, perSecond float64) bool {
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -14,7 +14,7 @@
 // runLoadExchange exchanges loads with the other VMs of the region until ctx
 // ends. On each tick it also logs if the process was paused, and does the
 // periodic upkeep: connection pools, readiness, lapsed registry entries, the
-// quarantine, request limits and gauges.
+// quarantine, request limits, streams and gauges.
 func (e *Edge) runLoadExchange(ctx context.Context) error {
 	ticker := time.NewTicker(loadExchangeInterval)
 	defer ticker.Stop()
@@ -59,6 +59,9 @@
 		e.follower.Expire(now)
 		e.quarantine.Tick(now)
 		e.limits.Tick(now)
+		if !e.mesh.LargeRegion() || n%largeRegionIntervals == 0 {
+			e.streams.Tick(now)
+		}
 		e.updateGauges(now)
 	}
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -40,6 +40,8 @@
 	HopListen, OperatorListen string
 	// Seeds holds control addresses of other VMs. They may be outdated.
 	Seeds []string
+	// FirstStart means that the whole fleet starts for the first time.
+	FirstStart bool
 	// RegistryAddress is the address of the platform's registry. The registry
 	// serves RegistryCallsPerSecond for all VMs together.
 	RegistryAddress        string
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -56,6 +56,11 @@
 	// KindRequestLimit is the request limit that a backend server names; the name is
 	// the server.
 	KindRequestLimit Kind = 15
+	// KindStreams is where streams began that a VM serves; the name is the VM, a slash
+	// and the part. KindSoftwareVersions is which versions of the servers' software a VM
+	// has seen lately; the name is the VM.
+	KindStreams          Kind = 16
+	KindSoftwareVersions Kind = 17
 )
 
 // Key identifies a record.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -238,10 +238,18 @@
 
 // PublishOwn distributes a value of a kind whose records only the VM of their name
 // writes, in place of the one that this VM published before.
-func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) {
+func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) { m.PublishOwnPart(kind, "", value) }
+
+// PublishOwnPart does the same for a kind of which a VM has several records, each with
+// a part of its own; "" is the VM's only record of the kind.
+func (m *Mesh) PublishOwnPart(kind gossip.Kind, part string, value []byte) {
+	name := m.Self.VM
+	if part != "" {
+		name += "/" + part
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: m.Self.VM}, Version: m.nextVersion(), Value: value})
+	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: m.nextVersion(), Value: value})
 }
 
 // Load is the load announcement that a VM sends to the others of its region. It is
@@ -294,7 +302,19 @@
 }
 
 // ownedKinds are the kinds of records that only the VM of their name writes.
-var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence}
+var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions}
+
+// ownerOf returns the VM that alone writes a record, or "" if any VM may.
+func ownerOf(r gossip.Record) string {
+	switch {
+	case r.Kind == gossip.KindStreams:
+		vm, _, _ := strings.Cut(r.Name, "/")
+		return vm
+	case slices.Contains(ownedKinds, r.Kind):
+		return r.Name
+	}
+	return ""
+}
 
 // nextVersion returns the next version of this VM's records. The caller holds the
 // lock.
@@ -507,6 +527,15 @@
 	for _, kind := range ownedKinds {
 		m.store.Delete(gossip.Key{Kind: kind, Name: vm})
 	}
+	var parts []gossip.Key
+	m.store.Each(gossip.KindStreams, func(r gossip.Record) {
+		if ownerOf(r) == vm {
+			parts = append(parts, r.Key)
+		}
+	})
+	for _, key := range parts {
+		m.store.Delete(key)
+	}
 }
 
 var _ peer.Handler = handler{}
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -69,6 +69,16 @@
 	return vms, rank
 }
 
+// Reaches reports whether another VM is reachable.
+func (m *Mesh) Reaches(vm string) bool {
+	return slices.ContainsFunc(m.Members(), func(o Member) bool { return o.VM == vm && o.Reachable })
+}
+
+// ReachesAny reports whether another VM is reachable.
+func (m *Mesh) ReachesAny() bool {
+	return slices.ContainsFunc(m.Members(), func(o Member) bool { return o.Reachable })
+}
+
 // KnowsFleet reports whether this VM knows its rank among the others: they have had the
 // time to learn of one another since it started and it has heard of one, or it has no
 // seed but itself.
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"slices"
 	"strings"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
@@ -18,9 +17,10 @@
 // apply merges a record received from a peer and reports whether it is a new one
 // for OnRecord. The caller holds the lock.
 func (m *Mesh) apply(r gossip.Record) bool {
-	if r.Name == m.Self.VM && slices.Contains(ownedKinds, r.Kind) {
+	if ownerOf(r) == m.Self.VM {
 		m.raiseVersions(r)
-		return false
+		// The streams that this VM began before it started again are not known here.
+		return r.Kind == gossip.KindStreams
 	}
 	if !m.store.Merge(r) {
 		return false
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
@@ -31,6 +32,9 @@
 	// headerArrived is set in the response if a backend server may have received the
 	// request, also one that refused it.
 	headerArrived = "Chestnut-Arrived"
+	// headerSoftwareVersion carries the version of the software of the server that began
+	// the stream, in the response.
+	headerSoftwareVersion = "Chestnut-Software-Version"
 )
 
 // hopHead is the description of a request that a VM sends with a hop.
@@ -48,8 +52,10 @@
 	Service     string `json:"service"`
 	// Server is the ID of the only backend server in the receiver's region
 	// that may serve the request, or "" if the receiver chooses.
-	Server       string `json:"server,omitempty"`
-	AttemptsLeft int    `json:"attempts"`
+	Server string `json:"server,omitempty"`
+	// Origin is where the stream began, if the request goes on with one.
+	Origin       *resume.Origin `json:"origin,omitempty"`
+	AttemptsLeft int            `json:"attempts"`
 }
 
 // sendToRegion sends the request to a VM of another region, which serves it
@@ -118,7 +124,7 @@
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Server: server, AttemptsLeft: attempts,
+		Entry: x.VM, Service: x.service.Name, Server: server, Origin: x.origin, AttemptsLeft: attempts,
 	}
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -147,7 +153,9 @@
 	}
 	ran = max(1, ran)
 	x.possibleRuns += ran
+	softwareVersion := e.Header.Get(headerSoftwareVersion)
 	e.Header.Del(headerRan)
+	e.Header.Del(headerSoftwareVersion)
 	if plan.Server != nil {
 		x.recordStatements(plan.Server, x.Protocol.Inbound(e.StatusCode, e.Header))
 	}
@@ -159,7 +167,7 @@
 	}
 	var out outcome
 	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		out = x.relayStream(ctx, &streamSource{Exchange: e})
+		out = x.relayStream(ctx, &streamSource{Exchange: e, softwareVersion: softwareVersion})
 	} else {
 		out = x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
 	}
@@ -225,7 +233,13 @@
 // handleHop serves a request of another VM and returns its final state.
 func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
 	x, refusal := r.newTransaction(req, out)
-	out.beforeHeader = func(h http.Header) { h.Set(headerRan, strconv.Itoa(max(1, x.possibleRuns))) }
+	out.beforeHeader = func(h http.Header) {
+		h.Set(headerRan, strconv.Itoa(max(1, x.possibleRuns)))
+		h.Del(headerSoftwareVersion)
+		if x.origin != nil {
+			h.Set(headerSoftwareVersion, x.origin.SoftwareVersion)
+		}
+	}
 	if refusal == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
@@ -261,7 +275,7 @@
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now, Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
-		Entry: head.Entry, Server: head.Server, Service: head.Service, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, Server: head.Server, Service: head.Service, Origin: head.Origin, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
+	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/retry"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/serverlimit"
@@ -73,6 +74,9 @@
 	Server string
 	// Service is the entry's choice among the route's services, or "".
 	Service string
+	// Origin is where the stream began that the request goes on with, as the entry
+	// knows it, or nil.
+	Origin *resume.Origin
 	// AttemptsLeft is the number of backend servers that may still run the
 	// request; zero means the route's maximum.
 	AttemptsLeft int
@@ -152,6 +156,8 @@
 	Protocol Protocol
 	// Quarantine holds the requests and prompt blocks that are refused.
 	Quarantine *quarantine.Tracker
+	// Streams keeps where streams began.
+	Streams *resume.Tracker
 	// ServerPool holds the connections to backend servers, and GatewayPool
 	// those to other VMs.
 	ServerPool  *upstream.Pool
@@ -221,8 +227,10 @@
 	lastEventID    string
 	events         int
 	weightsVersion string
-	fallback       *fallbackResponse
-	firstByteAt    clock.Instant
+	// origin is where the stream began, or nil. It goes on nowhere else.
+	origin      *resume.Origin
+	fallback    *fallbackResponse
+	firstByteAt clock.Instant
 	// answeredAt is when the first event of the last send arrived; zero before.
 	// Survived means that the send's survival was recorded.
 	answeredAt clock.Instant
@@ -256,9 +264,14 @@
 	x, refusal := r.newTransaction(req, w)
 	if refusal == nil {
 		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
-		refusal = x.serve(ctx)
+		if refusal = x.takeUp(ctx); refusal == nil {
+			refusal = x.serve(ctx)
+		}
 		cancel()
 	}
+	if refusal != nil && x.origin != nil {
+		r.Streams.BrokeOff(req.ID)
+	}
 	r.recordResult(x, refusal)
 	return refusal
 }
@@ -266,7 +279,7 @@
 // newTransaction determines the route, service, deadline and retry budget of
 // the request.
 func (r *Relay) newTransaction(req *Request, w pipeline.Response) (*transaction, *verdict.Refusal) {
-	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, traits: req.traits()}
+	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, origin: req.Origin, traits: req.traits()}
 	if x.table == nil {
 		return x, verdict.Busy(verdict.CodeNoConfiguration, "no configuration is known yet", retryAfterFailure)
 	}
@@ -278,10 +291,7 @@
 	if !slices.ContainsFunc(x.route.TrafficSplit, func(s ingress.WeightedService) bool { return s.Service == name }) {
 		name = x.route.PickService(rand.Float64())
 	}
-	x.service = x.table.Services[name]
-	if x.service == nil {
-		x.service = &ingress.Service{Name: name}
-	}
+	x.setService(name)
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -293,13 +303,21 @@
 	if end := r.ExitAt(); end != 0 && req.Entry == "" && x.deadline > end {
 		return x, verdict.Busy(verdict.CodeShuttingDown, "this VM ends before the request's deadline", retryAfterFailure)
 	}
-	x.budget = r.budgets.forService(name, r.slackShare())
 	if req.Entry == "" {
 		x.budget.RecordRequest(retryShare, r.Now())
 	}
 	return x, nil
 }
 
+// setService sets the service that serves the request.
+func (x *transaction) setService(name string) {
+	x.service = x.table.Services[name]
+	if x.service == nil {
+		x.service = &ingress.Service{Name: name}
+	}
+	x.budget = x.budgets.forService(name, x.slackShare())
+}
+
 // slackShare returns this VM's fraction of the fleet's retry slack. It has none as long
 // as it doesn't know the fleet.
 func (r *Relay) slackShare() float64 {
@@ -393,6 +411,9 @@
 		Bytes: len(x.req.Body), Remaining: remaining,
 		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", Random: rand.Uint64(),
 	}
+	if x.origin != nil {
+		q.SoftwareVersion = &x.origin.SoftwareVersion
+	}
 	if remaining < minRemaining {
 		return balance.Plan{Reason: "deadline"}
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -312,7 +312,7 @@
 		x.weightsVersion = in.WeightsVersion
 	}
 	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		return x.relayStream(ctx, &streamSource{Exchange: e, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
+		return x.relayStream(ctx, &streamSource{Exchange: e, softwareVersion: plan.Server.SoftwareVersion, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
 	}
 	return x.relayBody(ctx, plan, e, work)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,18 +25,24 @@
 )
 
 // streamSource is the origin of a stream: a backend server, or another VM. For
-// another VM, all but the exchange is nil.
+// another VM, all but the exchange and the version is nil.
 type streamSource struct {
 	*upstream.Exchange
-	load     *balance.Load
-	work     *balance.InFlight
-	estimate *balance.Estimate
-	watch    *serverWatch
+	// softwareVersion is the version of the software of the server.
+	softwareVersion string
+	load            *balance.Load
+	work            *balance.InFlight
+	estimate        *balance.Estimate
+	watch           *serverWatch
 }
 
 // relayStream relays complete events as they arrive. If the stream is
 // interrupted, x.lastEventID is the ID after which it can be resumed.
 func (x *transaction) relayStream(ctx context.Context, s *streamSource) outcome {
+	if !x.beginStream(s.softwareVersion) {
+		s.Abort()
+		return outcome{mayHaveArrived: true, reason: "answer of software version " + strconv.Quote(s.softwareVersion) + " to a stream of " + strconv.Quote(x.origin.SoftwareVersion)}
+	}
 	if !x.w.Started() {
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -85,6 +85,7 @@
 	CodeRevisionTooOld   Code = "revision-too-old"
 	CodeNoConfiguration  Code = "no-configuration"
 	CodeQuarantined      Code = "quarantined"
+	CodeUnknownStream    Code = "unknown-stream"
 )
 
 // Refusal is the error of a request without a complete response. It contains
