Soak: several software versions, kills of all VMs, and clients that take streams up

Releases replace a part of the engines by another version, and all VMs are killed at once; both are drawn from a source of their own. Clients follow streams over several requests at several VMs, cut some themselves, and name at times a request that took the stream up. Checked: no stream has events of two versions, and after the faults streams that break off go on at other VMs.

--- a/soak/check.go
+++ b/soak/check.go
@@ -42,6 +42,7 @@
 	}
 	h.checkReplicas(runs)
 	h.checkLimits(requests)
+	h.checkVersions()
 	h.checkDeadlyRequest(requests, runs)
 }
 
@@ -92,11 +93,12 @@
 	var events strings.Builder
 	want := platformtest.Body(r.id)
 	if strings.Contains(r.path, "/stream/") {
-		for n := 1; n <= 10; n++ {
+		for n := r.after + 1; n <= 10; n++ {
 			events.WriteString(platformtest.Event(r.id, n))
 		}
 		want = events.String()
 	}
+	r.answer.Body = platformtest.WithoutVersions(r.answer.Body)
 	switch {
 	case !r.answer.Complete && !strings.HasPrefix(want, r.answer.Body):
 		h.recordViolation("%s %s got a partial response that is not a prefix of the expected one: %q", r.id, r.path, r.answer.Body)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -77,14 +77,18 @@
 	answer          platformtest.Answer
 	// deadly means that replicas crash on the request.
 	deadly bool
+	// after is the number of events after which the request takes a stream up.
+	after int
 }
 
 // Harness is one run: the deployment, its processes and the observed results.
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng, registryRNG, statementRNG *rand.Rand
-	vms                            []*process
+	rng, registryRNG, statementRNG, versionRNG *rand.Rand
+	vms                                        []*process
+	seeds                                      []string
+	followed                                   followedStreams
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -128,7 +132,8 @@
 	h := &Harness{
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
-		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
+		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)),
+		replicas:   map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
 	}
 	defer h.stopAll()
 	d.SetDeadlyBlock(deadlyBlock)
@@ -146,6 +151,8 @@
 			seed := h.rng.Uint64()
 			clients.Go(func() { h.runClient(ctx, p, rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5))) })
 		}
+		seed := h.versionRNG.Uint64()
+		clients.Go(func() { h.followStreams(ctx, p, rand.New(rand.NewPCG(seed, 7))) })
 	}
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(config.MeanFaultInterval)))
@@ -153,9 +160,13 @@
 		if h.registryRNG.Float64() < registryFaultShare {
 			h.injectRegistryFault()
 		}
+		if h.versionRNG.Float64() < versionFaultShare {
+			h.injectVersionFault()
+		}
 	}
 	h.clearFaults()
 	h.checkRecovery()
+	h.checkSoundTakeUps()
 	cancel()
 	clients.Wait()
 	h.check()
@@ -174,12 +185,11 @@
 			return err
 		}
 	}
-	var seeds []string
 	for _, zone := range zones {
 		for i := range h.VMs {
 			p := &process{VM: platformtest.NewVM(fmt.Sprintf("%s-%d", zone, i+1), zone)}
 			if i == 0 {
-				seeds = append(seeds, p.ControlAddress)
+				h.seeds = append(h.seeds, p.ControlAddress)
 			}
 			h.vms = append(h.vms, p)
 		}
@@ -190,7 +200,7 @@
 			return err
 		}
 		p.settingsPath = filepath.Join(h.Dir, p.Name+".toml")
-		if err := os.WriteFile(p.settingsPath, []byte(h.Settings(p.VM, p.storeProxy.Address, seeds, grace)), 0o600); err != nil {
+		if err := h.writeSettings(p, true); err != nil {
 			return err
 		}
 		if p.logFile, err = os.Create(filepath.Join(h.Dir, p.Name+".log")); err != nil {
@@ -204,6 +214,9 @@
 		if !h.waitFor(recoveryTimeout, p.IsReady) {
 			return fmt.Errorf("%s is not ready after %v", p.Name, recoveryTimeout)
 		}
+		if err := h.writeSettings(p, false); err != nil {
+			return err
+		}
 	}
 	return nil
 }
