--- a/soak/versions.go
+++ b/soak/versions.go
@@ -31,18 +31,23 @@
 // injectVersionFault releases a software version to a part of the engines, or kills all
 // VMs at once. It draws from a source of its own.
 func (h *Harness) injectVersionFault() {
-	if h.versionRNG.Float64() < 0.6 {
-		h.release()
-		return
+	switch draw := h.versionRNG.Float64(); {
+	case draw < 0.5:
+		h.release(h.versionRNG.Float64(), maxDrainDelay+time.Second)
+	case draw < 0.75:
+		// The old version leaves while no VM runs.
+		h.killAllVMs()
+		h.release(1, 50*time.Millisecond)
+	default:
+		h.killAllVMs()
 	}
-	h.killAllVMs()
 }
 
-// release replaces engines of some zones, one after the other, by ones of another
-// version. Versions have no order: an earlier one may come back.
-func (h *Harness) release() {
+// release replaces a share of the engines by ones of another version. Those that leave
+// drain soon, and their entries are removed after the time. Versions have no order: an
+// earlier one may come back.
+func (h *Harness) release(share float64, removeAfter time.Duration) {
 	version := fmt.Sprint("v", 1+h.versionRNG.IntN(3))
-	share := h.versionRNG.Float64()
 	h.logFault("release of %s to %.0f%% of the engines", version, 100*share)
 	h.SetSoftwareVersion(version)
 	for _, r := range h.sortedReplicas() {
@@ -51,9 +56,8 @@
 		}
 		h.removeReplica(r)
 		h.replaceReplica(r)
-		leaving := r
-		time.AfterFunc(time.Duration(h.versionRNG.IntN(1500))*time.Millisecond, func() { h.Drain(leaving.ID) })
-		time.AfterFunc(maxDrainDelay+time.Second, func() { h.Remove(leaving.ID) })
+		time.AfterFunc(min(removeAfter/2, time.Duration(h.versionRNG.IntN(1500))*time.Millisecond), func() { h.Drain(r.ID) })
+		time.AfterFunc(removeAfter, func() { h.Remove(r.ID) })
 	}
 }
 
