Edge: the other VMs learn at once that a server doesn't listen

Cause: VMs whose own connections had not broken, as they had none in use, still took the server for warm until a report or its entry told them. A VM now announces a server at whose address no process listened, and the others have it confirmed before they use it without bound. An idle connection that the server closed early is taken for a lost one before it is replaced, and a bound on open connections no longer is.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -128,10 +128,12 @@
 	// pendingMu guards the suspects and reports for the next load announcement.
 	pendingMu       sync.Mutex
 	pendingSuspects []string
+	pendingLost     []string
 	pendingReports  map[string]balance.Report
-	// recentBlocks holds the cached blocks of the last few announcements to a
+	// recentBlocks and recentLost hold the items of the last few announcements to a
 	// large region. Only the load exchange goroutine uses it.
 	recentBlocks [][]balance.CachedBlock
+	recentLost   [][]string
 	// exitAt is when this process exits, on the boot-time clock; zero while it
 	// accepts requests of any duration.
 	exitAt atomic.Int64
@@ -196,14 +198,14 @@
 	e.serverPool.OnDial = func(error) { dials.Inc(1) }
 	e.poller = &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
-		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, lost: make(chan *roster.Server, lostQueueLength), onFailure: e.queueSuspect,
+		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, lost: make(chan *roster.Server, lostQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
 		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits,
 	}
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.queueLost,
+		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
 		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
 	})
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -85,18 +85,18 @@
 	return usage
 }
 
-// withRecentBlocks adds the cached blocks of the last few announcements to the new
-// ones. In a large region an announcement can be replaced by the next one before
-// all VMs have received it.
-func (e *Edge) withRecentBlocks(blocks []balance.CachedBlock) []balance.CachedBlock {
-	e.recentBlocks = append(e.recentBlocks, blocks)
-	e.recentBlocks = e.recentBlocks[max(0, len(e.recentBlocks)-blockUpdateRepeats):]
-	return slices.Concat(e.recentBlocks...)
+// withRecent adds an announcement's items to those of the last few and returns all of
+// them. In a large region an announcement can be replaced by the next one before all
+// VMs have received it.
+func withRecent[T any](recent *[][]T, items []T) []T {
+	*recent = append(*recent, items)
+	*recent = (*recent)[max(0, len(*recent)-announcementRepeats):]
+	return slices.Concat(*recent...)
 }
 
-// blockUpdateRepeats is the number of announcements that include a cached block:
-// the number of gossip steps within a failure domain.
-const blockUpdateRepeats = 4
+// announcementRepeats is the number of announcements that include an item: the number
+// of gossip steps within a failure domain.
+const announcementRepeats = 4
 
 const (
 	// minStallingPerSecond is the rate of stalling prompts per second, and
@@ -116,6 +116,11 @@
 			e.balancer.Load(s.Key()).MarkSuspect(now)
 		}
 	}
+	for _, id := range load.Lost {
+		if s := view.Lookup(id); s != nil && !e.balancer.Load(s.Key()).MayHaveRestarted() {
+			e.poller.queueLost(s)
+		}
+	}
 	for id, report := range load.Reports {
 		if s := view.Lookup(id); s != nil {
 			report.ReceivedAt = now
@@ -138,6 +143,15 @@
 	e.signalUsageChange()
 }
 
+// queueRefused queues a server at whose address no process listened for the next load
+// announcement, and triggers one.
+func (e *Edge) queueRefused(s *roster.Server) {
+	e.pendingMu.Lock()
+	e.pendingLost = append(e.pendingLost, s.ID)
+	e.pendingMu.Unlock()
+	e.signalUsageChange()
+}
+
 // queueReport queues a server's report for the other VMs of a large region.
 func (e *Edge) queueReport(server string, report balance.Report) {
 	e.pendingMu.Lock()
@@ -145,13 +159,14 @@
 	e.pendingReports[server] = report
 }
 
-// takePending returns the suspects and reports queued since the last call.
-func (e *Edge) takePending() ([]string, map[string]balance.Report) {
+// takePending returns the load announcement with the suspects, lost servers and reports
+// queued since the last call.
+func (e *Edge) takePending() mesh.Load {
 	e.pendingMu.Lock()
 	defer e.pendingMu.Unlock()
-	suspects, reports := e.pendingSuspects, e.pendingReports
-	e.pendingSuspects, e.pendingReports = nil, map[string]balance.Report{}
-	return suspects, reports
+	load := mesh.Load{Suspects: e.pendingSuspects, Lost: e.pendingLost, Reports: e.pendingReports}
+	e.pendingSuspects, e.pendingLost, e.pendingReports = nil, nil, map[string]balance.Report{}
+	return load
 }
 
 // signalUsageChange triggers a load announcement.
@@ -186,15 +201,17 @@
 	if table == nil {
 		return
 	}
-	suspects, reports := e.takePending()
-	load := mesh.Load{CachedBlocks: e.balancer.Prefixes.TakeUpdates(), Suspects: suspects}
+	load := e.takePending()
+	load.CachedBlocks = e.balancer.Prefixes.TakeUpdates()
 	if e.mesh.LargeRegion() {
-		load.Reports, load.Usage, load.CachedBlocks = reports, e.coordinatedUsage(now), e.withRecentBlocks(load.CachedBlocks)
-		if len(load.CachedBlocks)+len(load.Suspects)+len(load.Reports)+len(load.Usage) > 0 {
+		load.Usage = e.coordinatedUsage(now)
+		load.CachedBlocks, load.Lost = withRecent(&e.recentBlocks, load.CachedBlocks), withRecent(&e.recentLost, load.Lost)
+		if len(load.CachedBlocks)+len(load.Suspects)+len(load.Lost)+len(load.Reports)+len(load.Usage) > 0 {
 			e.mesh.SetLoad(load)
 		}
 		return
 	}
+	load.Reports = nil // each VM of a small region polls the servers itself
 	view, usage := e.roster.View(), map[string]balance.Usage{}
 	for name := range table.Services {
 		for _, s := range view.Usable(name, e.self.Region) {
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -5,11 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/serverlimit"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
 const (
@@ -72,6 +75,9 @@
 	// onFailure receives each engine that did not respond to a poll, to be announced
 	// to the other VMs.
 	onFailure func(s *roster.Server)
+	// onRefused receives each engine at whose address no process listened, to be
+	// announced to the other VMs.
+	onRefused func(s *roster.Server)
 	// onLeaving receives each engine that announced that it leaves.
 	onLeaving func(key roster.ServerKey)
 	// requestLimits keeps the request limits that engines name.
@@ -108,7 +114,16 @@
 	}
 }
 
-// queueLost records that a connection to a server was lost, and has it polled at once.
+// serverLost records that a connection to a server was lost, and has it polled at once.
+// The other VMs are told if no process listened at its address.
+func (p *poller) serverLost(s *roster.Server, refused bool) {
+	if load := p.balancer.Load(s.Key()); refused && !load.MayHaveRestarted() {
+		p.onRefused(s)
+	}
+	p.queueLost(s)
+}
+
+// queueLost records that a server may have restarted, and has it polled at once.
 func (p *poller) queueLost(s *roster.Server) {
 	p.balancer.Load(s.Key()).MarkLost(p.now())
 	select {
@@ -202,6 +217,9 @@
 	if err != nil {
 		load.RecordMissedPoll()
 		p.onFailure(s)
+		if errorx.IsOfType(err, upstream.ErrRefused) {
+			p.serverLost(s, true)
+		}
 		if load.Unresponsive() && !wasUnresponsive {
 			p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -265,6 +265,8 @@
 	CachedBlocks []balance.CachedBlock
 	// Suspects are servers that recently did not respond to a poll.
 	Suspects []string
+	// Lost are servers at whose addresses no process listened.
+	Lost []string
 }
 
 // SetLoad publishes this VM's load announcement to the VMs of its region.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -174,8 +174,8 @@
 	// it leaves.
 	ServerLeaves func(roster.ServerKey)
 	// ServerLost is called when a connection to a backend server broke or could not be
-	// opened, so that its process may have ended.
-	ServerLost func(*roster.Server)
+	// opened, so that its process may have ended. Refused means that none listens there.
+	ServerLost func(s *roster.Server, refused bool)
 	// Leaving reports whether this VM is shutting down, and Refusing whether
 	// it no longer accepts requests.
 	Leaving  func() bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -56,8 +56,9 @@
 	// failedAtServer means that the request reached a server through another VM and
 	// failed there.
 	failedAtServer bool
-	// unconnected means that no connection to the server could be used.
-	unconnected bool
+	// unconnected means that no connection to the server could be opened, and refused
+	// that no process listens at its address.
+	unconnected, refused bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no more requests of this VM.
@@ -103,6 +104,9 @@
 	x.triedServers = append(x.triedServers, s.Key())
 	x.destination, x.softwareVersion, x.prefillTokens = s.ID, s.SoftwareVersion, plan.Estimate.UncachedTokens
 	started := x.waitForPrefillSlot(ctx, &plan)
+	if x.ServerPool.LostIdle(s.Address) {
+		x.ServerLost(s, false)
+	}
 	now := x.Now()
 	if reason := x.admit(&plan, started, now); reason != "" {
 		load.ReleasePrefillSlot(plan.Estimate.PrefillTime, plan.Estimate.PrefillGap)
@@ -122,8 +126,8 @@
 	x.answeredAt, x.survived = 0, false
 	out := x.exchange(ctx, plan, work, watch)
 	out.retryGranted = watch.retryGranted.Load()
-	if parent.Err() == nil && (out.broke || out.unconnected) {
-		x.ServerLost(s)
+	if parent.Err() == nil && (out.broke || out.unconnected || out.refused) {
+		x.ServerLost(s, out.refused)
 	}
 	x.recordEnd(parent, s, work, &out)
 	return out
@@ -270,7 +274,8 @@
 		x.ServerPool.CloseIdle(plan.Server.Address)
 	}
 	if unsent {
-		return outcome{notRun: true, unconnected: true, reason: err.Error()}
+		refused := errorx.IsOfType(err, upstream.ErrRefused)
+		return outcome{notRun: true, unconnected: !errorx.IsOfType(err, upstream.ErrTooManyOpen), refused: refused, reason: err.Error()}
 	}
 	x.possibleRuns++
 	return outcome{mayHaveArrived: true, broke: true, reason: err.Error()}
