--- a/soak/versions.go
+++ b/soak/versions.go
@@ -18,10 +18,12 @@
 	// versionFaultShare is the number of releases of a software version and of kills of
 	// all VMs for each other fault.
 	versionFaultShare = 0.25
-	// maxTakeUps is how often a client takes up a stream that broke off, and cutShare the
-	// share of the streams whose connection the client cuts.
-	maxTakeUps = 4
-	cutShare   = 0.3
+	// maxTakeUps is how often a client takes up a stream that broke off, without the
+	// attempts that no VM answered, and takeUpPatience how long it tries. CutShare is
+	// the share of the requests whose connection the client cuts.
+	maxTakeUps     = 4
+	takeUpPatience = 4 * time.Second
+	cutShare       = 0.3
 	// soundTakeUps is the number of streams that are cut and taken up after the faults,
 	// of which minSoundShare must go on.
 	soundTakeUps  = 24
@@ -104,14 +106,17 @@
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(2*meanThinkTime)))
 		stream := &platformtest.Stream{}
 		h.followStream(client, p, stream, "", rng)
-		last := ""
-		for try := 0; try < maxTakeUps && !stream.Complete && len(stream.Events) > 0; try++ {
+		last, began := "", time.Now()
+		for try := 0; try < maxTakeUps && time.Since(began) < takeUpPatience && !stream.Complete && len(stream.Events) > 0; {
 			resumes := stream.BegunBy
 			if last != "" && rng.Float64() < 0.2 {
 				resumes = last
 			}
 			var answer platformtest.Answer
 			last, answer = h.followStream(client, h.vms[rng.IntN(len(h.vms))], stream, resumes, rng)
+			if answer.Status != 0 {
+				try++
+			}
 			if answer.Status != http.StatusOK {
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
 			}
