Upstream: the rest of a body is not waited for

Cause: the end of an exchange detached the connection from the request's context, and then read the rest of a body of up to 16 KiB without a bound. Class: a read outside the request's deadline. Change: the rest is read for at most 50 ms, and within the request's context. The body of a caller has until the request's deadline (408, not run), not 10 s in any case. Looked at besides, bounded by the request's context already: heads and bodies of servers and of other VMs, stray responses, large request bodies. Not bounded: a response that its caller doesn't read keeps its goroutine until the caller closes (the server is left by the deadline: TestCallerThatDoesNotReadHoldsNoServer). Evidence: TestReleaseDoesNotWaitForTheRestOfABody and TestServerThatWithholdsTheRestDoesNotHoldItsRequest did not end before; all pass, and TestCallerThatWithholdsItsBodyIsAnsweredByItsDeadline, which failed.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -4,9 +4,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
@@ -67,13 +69,18 @@
 	control := http.NewResponseController(w)
 	// Every connection of a net/http server supports deadlines, so the errors
 	// are ignored.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeFor(req, now)))
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, limits.MaxBodyBytes))
 	_ = control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		refusal := verdict.Busy(verdict.CodeDeadline, "the body did not arrive in time", 0)
+		refusal.Status = http.StatusRequestTimeout
+		return nil, refusal
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read: "+err.Error())
@@ -81,6 +88,15 @@
 	return req, nil
 }
 
+// bodyTimeFor returns how long the caller may take to send the body of a request that
+// arrived now: until its deadline at most.
+func bodyTimeFor(req *Request, now clock.Instant) time.Duration {
+	if req.Deadline == 0 {
+		return bodyTimeout
+	}
+	return min(bodyTimeout, max(0, req.Deadline.Sub(now)))
+}
+
 // headerBytes returns the size of the header in its HTTP/1.1 form.
 func headerBytes(h http.Header) int {
 	n := 0
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,6 +26,8 @@
 	// maxDrainBytes bounds the unread rest of a response that is read and discarded
 	// so that the connection can be reused.
 	maxDrainBytes = 16 << 10
+	// maxDrainTime bounds the time of that. Usually the rest has arrived already.
+	maxDrainTime = 50 * time.Millisecond
 )
 
 // Call is a request to be sent.
@@ -188,16 +190,11 @@
 // sent and its response read completely, and the connection can serve another
 // request; otherwise it is closed.
 func (x *Exchange) Release() {
+	x.drain()
 	if !x.stopCancel() {
 		x.conn.close()
 		return
 	}
-	if !x.complete && !x.failed {
-		// Reading a short rest of the body allows the connection to be reused.
-		if x.ContentLength >= 0 && x.ContentLength <= maxDrainBytes {
-			_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDrainBytes))
-		}
-	}
 	if !x.complete || x.Close || x.StrayResponses > 0 || !x.sent.Load() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
@@ -211,6 +208,21 @@
 	x.conn.pool.putIdle(x.conn)
 }
 
+// drain reads a short rest of the body, so that the connection can be reused. A server
+// that withholds it is not waited for.
+func (x *Exchange) drain() {
+	if x.complete || x.failed || x.ContentLength < 0 || x.ContentLength > maxDrainBytes {
+		return
+	}
+	if err := x.conn.SetReadDeadline(time.Now().Add(maxDrainTime)); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDrainBytes))
+	if err := x.conn.SetReadDeadline(time.Time{}); err != nil {
+		x.failed = true
+	}
+}
+
 // Abort ends the exchange and closes the connection immediately.
 func (x *Exchange) Abort() {
 	x.stopCancel()
