Relay: the sender's configuration version travels with a hop

Cause: a hop named the service, but not the version by which it was chosen, and a service that the receiver's table doesn't give to the route was replaced silently. Class: a stale process acts. Change: a receiver that is behind waits up to 400 ms for the sender's version, and then refuses as not run; the sender tries another VM of the region. A receiver that is ahead serves by its own, newer version, as before. Servers that the sender knows and the receiver doesn't were refused already (no-server). Not looked at: limits.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
@@ -50,6 +51,8 @@
 	RemainingMs int64  `json:"remainingMs"`
 	Entry       string `json:"entry"`
 	Service     string `json:"service"`
+	// Configuration is the version of the sender's configuration.
+	Configuration uint64 `json:"configuration,omitempty"`
 	// Server is the ID of the only backend server in the receiver's region
 	// that may serve the request, or "" if the receiver chooses.
 	Server string `json:"server,omitempty"`
@@ -62,14 +65,18 @@
 // with its own backend servers or refuses it.
 func (x *transaction) sendToRegion(ctx context.Context, plan balance.Plan) outcome {
 	x.triedRegions = append(x.triedRegions, plan.Region)
-	vm, address := x.Peers.PickMember(plan.Region, x.req.ID)
+	key := x.req.ID
+	if x.sends > 0 {
+		key += "#" + strconv.Itoa(x.sends) // another VM, if there is one
+	}
+	vm, address := x.Peers.PickMember(plan.Region, key)
 	if address == "" {
 		return outcome{notRun: true, reason: "no VM in " + plan.Region}
 	}
 	x.Balancer.RecordCrossRegionSend(plan.Region, x.service.Name, &plan.Estimate, x.Now())
 	out := x.sendToVM(ctx, plan, vm, address)
-	if out.failedAtServer {
-		// Another server there may serve the request.
+	if out.failedAtServer || out.behind {
+		// Another server or VM there may serve the request.
 		x.triedRegions = x.triedRegions[:len(x.triedRegions)-1]
 	}
 	return out
@@ -124,7 +131,7 @@
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Server: server, Origin: x.origin, AttemptsLeft: attempts,
+		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server, Origin: x.origin, AttemptsLeft: attempts,
 	}
 	data, err := json.Marshal(head)
 	if err != nil {
@@ -190,10 +197,11 @@
 	}
 	x.possibleRuns += ran
 	if refusal.Verdict == verdict.NotRun {
-		if plan.Load != nil && refusal.Code == verdict.CodeNoBackend {
+		behind := refusal.Code == verdict.CodeRevisionTooOld
+		if plan.Load != nil && (behind || refusal.Code == verdict.CodeNoBackend) {
 			plan.Load.Exclude(x.Now())
 		}
-		return outcome{notRun: true, mayHaveArrived: arrived, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
+		return outcome{behind: behind, notRun: true, mayHaveArrived: arrived, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.possibleRuns = max(x.possibleRuns, 1)
 	failedAtServer := refusal.Code == verdict.CodeBackendFailed
@@ -232,7 +240,11 @@
 
 // handleHop serves a request of another VM and returns its final state.
 func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
-	x, refusal := r.newTransaction(req, out)
+	refusal := r.awaitConfiguration(ctx, req)
+	x := &transaction{Relay: r, req: req, w: out}
+	if refusal == nil {
+		x, refusal = r.newTransaction(req, out)
+	}
 	out.beforeHeader = func(h http.Header) {
 		h.Set(headerRan, strconv.Itoa(max(1, x.possibleRuns)))
 		h.Del(headerSoftwareVersion)
@@ -250,6 +262,27 @@
 	return refusal, x
 }
 
+// awaitConfiguration waits until this VM has the configuration by which another VM
+// forwarded the request, or a newer one. A VM that stood still may not have it yet. It
+// returns a refusal if that takes too long.
+func (r *Relay) awaitConfiguration(ctx context.Context, req *Request) *verdict.Refusal {
+	for end := r.Now().Add(configurationWait); ; background.Sleep(ctx, configurationCheckInterval) {
+		if table := r.Table(); table != nil && table.Version >= req.Configuration {
+			return nil
+		}
+		if ctx.Err() != nil || r.Now() >= min(end, req.Deadline) {
+			return verdict.Busy(verdict.CodeRevisionTooOld, "this VM's configuration is older than that of the sender", jitter(retryAfterFailure))
+		}
+	}
+}
+
+const (
+	// configurationWait bounds the wait for the sender's configuration, and
+	// configurationCheckInterval is the time between two looks.
+	configurationWait          = 400 * time.Millisecond
+	configurationCheckInterval = 10 * time.Millisecond
+)
+
 // readHop reads a request of another VM.
 func (r *Relay) readHop(w http.ResponseWriter, hr *http.Request) (*Request, error) {
 	data, err := base64.StdEncoding.DecodeString(hr.Header.Get(headerHop))
@@ -275,7 +308,7 @@
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now, Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
-		Entry: head.Entry, Server: head.Server, Service: head.Service, Origin: head.Origin, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
 
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,6 +49,7 @@
 	return &transaction{
 		Relay: r, req: &Request{ID: "q", Method: http.MethodPost, Target: "/", Header: http.Header{}}, w: &discardResponse{},
 		route:   &ingress.Route{Kind: ingress.Stream, Resumable: true, MaxAttempts: maxAttempts},
+		table:   ingress.NewTable(7, nil, nil, ingress.Limits{}),
 		service: &ingress.Service{Name: "writer"}, deadline: clock.Boot().Add(5 * time.Second),
 	}
 }
@@ -77,6 +79,11 @@
 			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeOverloaded, "it is full", 0)))
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, true},
+		"behind": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRan, "0")
+			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeRevisionTooOld, "it is behind", 0)))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, false},
 		"broke off": {lostHops["breaks off"], false},
 		"lost":      {lostHops["closes"], true},
 	}
@@ -123,22 +130,49 @@
 		for maxAttempts := 1; maxAttempts <= 4; maxAttempts++ {
 			t.Run(name, func(t *testing.T) {
 				is := is.New(t)
-				granted := 0
+				var granted atomic.Int64
 				server := quietServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					var head hopHead
 					data, err := base64.StdEncoding.DecodeString(r.Header.Get(headerHop))
 					is.NoErr(err)
 					is.NoErr(json.Unmarshal(data, &head))
-					granted = head.AttemptsLeft
+					granted.Store(int64(head.AttemptsLeft))
 					handler(w, r)
 				}))
 				defer server.Close()
 				x := hopTransaction(maxAttempts)
 				out := x.sendToVM(t.Context(), balance.Plan{Region: "west"}, "vm-2", server.Listener.Addr().String())
 				is.True(!out.delivered)
-				is.True(granted >= 1)
-				is.True(granted+max(0, x.attemptsLeft()) <= maxAttempts) // runs granted to the hop and runs left
+				is.True(granted.Load() >= 1)
+				is.True(int(granted.Load())+max(0, x.attemptsLeft()) <= maxAttempts) // runs granted to the hop and runs left
 			})
 		}
 	}
 }
+
+// Guards against review/5 (CONFIG): a VM that stood still handled forwarded requests by
+// its older configuration. It waits for the sender's, and refuses if that doesn't come.
+func TestHopWaitsForTheConfigurationOfItsSender(t *testing.T) {
+	for name, test := range map[string]struct {
+		has     uint64
+		arrives time.Duration
+		refused bool
+	}{
+		"the same": {has: 7}, "ahead": {has: 9}, "behind": {has: 5, refused: true}, "catches up": {has: 5, arrives: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var table atomic.Pointer[ingress.Table]
+			table.Store(ingress.NewTable(test.has, nil, nil, ingress.Limits{}))
+			if test.arrives > 0 {
+				time.AfterFunc(test.arrives, func() { table.Store(ingress.NewTable(7, nil, nil, ingress.Limits{})) })
+			}
+			r := New(Config{Now: clock.Boot, Table: table.Load})
+			refusal := r.awaitConfiguration(t.Context(), &Request{Configuration: 7, Deadline: clock.Boot().Add(5 * time.Second)})
+			is.Equal(refusal != nil, test.refused)
+			if refusal != nil {
+				is.Equal(refusal.Verdict, verdict.NotRun)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,9 @@
 	// Origin is where the stream began that the request goes on with, as the entry
 	// knows it, or nil.
 	Origin *resume.Origin
+	// Configuration is the version of the configuration by which the entry forwarded the
+	// request, or zero.
+	Configuration uint64
 	// AttemptsLeft is the number of backend servers that may still run the
 	// request; zero means the route's maximum.
 	AttemptsLeft int
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -59,6 +59,8 @@
 	// unconnected means that no connection to the server could be opened, and refused
 	// that no process listens at its address.
 	unconnected, refused bool
+	// behind means that another VM refused as its configuration is older.
+	behind bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no more requests of this VM.
