Relay: a body that ends with its connection isn't complete if its server's process is gone

Cause: the end of the connection was taken for the end of the body. Change: at such an end the server's process is asked for. If it doesn't run, or gives no answer in 400 ms, the response broke off: a resumable stream goes on elsewhere, a safe request is repeated, others end as broken. Evidence: TestUnframedStreamOfKilledServerIsNotComplete fails without the check.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -205,7 +205,7 @@
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost,
+		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
 		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -179,6 +179,9 @@
 	// ServerLost is called when a connection to a backend server broke or could not be
 	// opened, so that its process may have ended. Refused means that none listens there.
 	ServerLost func(s *roster.Server, refused bool)
+	// IsRunning reports whether the process of a server's incarnation still runs. One that
+	// can't be reached counts as not running.
+	IsRunning func(ctx context.Context, s *roster.Server) bool
 	// Leaving reports whether this VM is shutting down, and Refusing whether
 	// it no longer accepts requests.
 	Leaving  func() bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -319,7 +319,7 @@
 		x.weightsVersion = in.WeightsVersion
 	}
 	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		return x.relayStream(ctx, &streamSource{Exchange: e, softwareVersion: plan.Server.SoftwareVersion, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
+		return x.relayStream(ctx, &streamSource{Exchange: e, server: plan.Server, softwareVersion: plan.Server.SoftwareVersion, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
 	}
 	return x.relayBody(ctx, plan, e, work)
 }
@@ -418,6 +418,11 @@
 		plan.Load.RecordFailure(now)
 		return outcome{mayHaveArrived: true, reason: "answer ended inside its JSON text, after " + strconv.Itoa(len(body)) + " bytes"}
 	}
+	if len(body) < maxBufferedBytes && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
+		e.Abort()
+		plan.Load.RecordFailure(now)
+		return outcome{mayHaveArrived: true, broke: true, reason: "answer without length or chunks ended with its server's process"}
+	}
 	work.RecordFirstByte(now)
 	x.recordFirstByte(now)
 	length := len(body)
@@ -426,7 +431,9 @@
 	}
 	x.w.Start(pipeline.Head{Status: e.StatusCode, Header: endToEndHeader(e.Header, length)})
 	if _, err = x.w.Write(body); err == nil && length < 0 {
-		_, err = io.Copy(x.w, e)
+		if _, err = io.Copy(x.w, e); err == nil && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
+			err = errEndedWithServer
+		}
 	}
 	if err != nil {
 		e.Abort()
@@ -440,6 +447,9 @@
 	return outcome{delivered: true, mayHaveArrived: true}
 }
 
+// errEndedWithServer means that a body ended with its server's process.
+var errEndedWithServer = errorx.ExternalError.New("the answer ended with its server's process")
+
 // hopByHopHeaders are the header fields that apply to a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -22,12 +23,15 @@
 	streamBufferBytes = 8 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 128 << 10
+	// runningCheckTimeout bounds the check whether a server's process still runs.
+	runningCheckTimeout = 400 * time.Millisecond
 )
 
 // streamSource is the origin of a stream: a backend server, or another VM. For
 // another VM, all but the exchange and the version is nil.
 type streamSource struct {
 	*upstream.Exchange
+	server *roster.Server
 	// softwareVersion is the version of the software of the server.
 	softwareVersion string
 	load            *balance.Load
@@ -75,7 +79,7 @@
 			reason = "an event is too large"
 		case errors.Is(readErr, io.EOF):
 			x.recordStreamEnd(s, len(pending))
-			reason = x.truncation(s, events, len(pending))
+			reason = x.truncation(ctx, s, events, len(pending))
 		default:
 			reason = "stream broke off: " + readErr.Error()
 		}
@@ -104,16 +108,29 @@
 
 // truncation returns why a stream whose body ended regularly is incomplete, or "" if
 // nothing shows that it is. A server that crashes may end a body like a complete one.
-func (x *transaction) truncation(s *streamSource, events, unfinishedBytes int) string {
+func (x *transaction) truncation(ctx context.Context, s *streamSource, events, unfinishedBytes int) string {
 	switch {
 	case unfinishedBytes > 0:
 		return "stream ended inside an event, after " + strconv.Itoa(unfinishedBytes) + " bytes of it"
 	case events == 0 && upstream.FramingOf(s.Response) == upstream.FramedByClose:
 		return "stream without length or chunks ended before its first event"
+	case s.server != nil && x.endedWithServer(ctx, s.server, s.Response):
+		return "stream without length or chunks ended with its server's process"
 	}
 	return ""
 }
 
+// endedWithServer reports whether a body that is framed by close may have ended because
+// the server's process did.
+func (x *transaction) endedWithServer(ctx context.Context, s *roster.Server, resp *http.Response) bool {
+	if upstream.FramingOf(resp) != upstream.FramedByClose {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, runningCheckTimeout)
+	defer cancel()
+	return !x.IsRunning(ctx, s)
+}
+
 // recordEvents records the arrival of events: the time of the first byte and
 // the gaps between events. The prefill time is measured only for the first send
 // of a request, and only if it did not wait for a prefill slot.
