--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -88,11 +90,24 @@
 	if err := x.readHead(call); err != nil {
 		stop()
 		c.close()
-		return nil, ErrBroken.New("answer: %v", err)
+		return nil, ErrBroken.New("answer: %s", describeReadError(err))
 	}
 	return x, nil
 }
 
+// describeReadError describes why a response could not be read, without what the server
+// sent: that may belong to another request.
+func describeReadError(err error) string {
+	var netErr net.Error
+	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errStray) {
+		return err.Error()
+	}
+	return "malformed response"
+}
+
+// errStray means that a server sent too many, or too long, responses to other requests.
+var errStray = errors.New("answers of other requests")
+
 // write sends the request. A large body is written in the background; sent becomes
 // true when it has been written completely.
 func (c *conn) write(call *Call) (sent *atomic.Bool, err error) {
@@ -161,10 +176,10 @@
 			return nil
 		}
 		if x.StrayResponses++; x.StrayResponses > maxStrayResponses {
-			return errors.New("answers of other requests")
+			return errStray
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
-			return errors.New("an answer of another request that does not end")
+			return fmt.Errorf("%w, one of which does not end", errStray)
 		}
 		x.conn.limit.N = maxHeadBytes
 	}
--- a/internal/upstream/release_test.go
+++ b/internal/upstream/release_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,23 @@
 	is.Equal(p.OpenConnections(), 1)
 	is.True(p.takeIdle(l.Addr().String(), time.Minute) != nil)
 }
+
+// Guards against a 502 that quotes what a server sent, which may be another caller's.
+func TestErrorsDoNotQuoteWhatAServerSent(t *testing.T) {
+	for _, sent := range []string{"secret of another caller\r\n\r\n", "HTTP/1.1 secret\r\n\r\n", "HTTP/1.1 200 OK\r\nsecret of another\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: secret\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: secret\r\n\r\n"} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			if conn, err := l.Accept(); err == nil {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = fmt.Fprint(conn, sent)
+				_ = conn.Close()
+			}
+		}()
+		_, err = NewPool(clock.Boot, time.Second).Do(t.Context(), &Call{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h"})
+		is.True(err != nil)
+		is.True(!strings.Contains(err.Error(), "secret"))
+		_ = l.Close()
+	}
+}
