chestnut-edge: take SIGHUP from the start

The handler is now the first thing that main does. Before that the runtime starts, which no code of the program can shorten; there is no test of these milliseconds.

--- a/cmd/chestnut-edge/main.go
+++ b/cmd/chestnut-edge/main.go
@@ -40,6 +40,9 @@
 }
 
 func main() {
+	// A SIGHUP that comes before this ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	var f flags
 	kong.Parse(&f,
 		kong.Name("chestnut-edge"),
@@ -47,10 +50,10 @@
 		kong.Vars{"version": version.String(), "settings": platform.DefaultSettingsPath},
 		command.UsageExit(command.ExitSettings),
 	)
-	os.Exit(run(&f))
+	os.Exit(run(&f, hangup))
 }
 
-func run(f *flags) int {
+func run(f *flags, hangup <-chan os.Signal) int {
 	settings, err := platform.LoadSettings(f.Settings, f.OperatorPort)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-edge:", err)
@@ -65,20 +68,18 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	process := edge.New(settings, platform.New(settings, log), log)
-	if err := process.Run(ctx, watchSettings(ctx, f, log)); err != nil {
+	if err := process.Run(ctx, watchSettings(ctx, f, hangup, log)); err != nil {
 		log.Error("failed", "error", err)
 		return command.ExitFailure
 	}
 	return 0
 }
 
-// watchSettings reloads the settings file on SIGHUP and when the file has
+// watchSettings reloads the settings file on a signal of hangup and when the file has
 // changed, and sends the settings to the returned channel. If the new settings
 // are invalid, it logs the error and the current settings stay in effect.
-func watchSettings(ctx context.Context, f *flags, log *slog.Logger) <-chan *edge.Settings {
+func watchSettings(ctx context.Context, f *flags, hangup <-chan os.Signal, log *slog.Logger) <-chan *edge.Settings {
 	changed := make(chan *edge.Settings)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		ticker := time.NewTicker(settingsPollInterval)
 		defer ticker.Stop()
