--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -52,6 +54,8 @@
 	// hopKeepAlive is the announced time for which other VMs may reuse an idle
 	// connection for hops. A new one takes two round trips between regions.
 	hopKeepAlive = 30 * time.Second
+	// resetTime is the time in which a connection to a process that ends is reset.
+	resetTime = 10 * time.Millisecond
 	// loadExchangeInterval is the time between two load exchanges with the
 	// other VMs of the region.
 	loadExchangeInterval = 100 * time.Millisecond
@@ -253,8 +257,8 @@
 			e.log.Info("backend server accepts no connections after a broken request", "server", s.ID, "service", s.Service, "error", err)
 			return false
 		}
-		_ = conn.Close() // nothing was sent
-		return true
+		defer func() { _ = conn.Close() }() // nothing was sent
+		return staysOpen(conn)
 	}
 	report, err := e.adapter.FetchReport(ctx, s)
 	if err != nil {
@@ -264,6 +268,16 @@
 	return report.Started == 0 || s.Started == 0 || report.Started == s.Started
 }
 
+// staysOpen reports whether a connection is not reset at once. The listener of a process
+// that is being killed may accept one after its other connections have ended.
+func staysOpen(conn net.Conn) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(resetTime)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // isEngine reports whether a server is a model engine.
 func (e *Edge) isEngine(s *roster.Server) bool {
 	table := e.follower.Table()
