Mesh: a VM knows the fleet only if no new VM was heard of lately

On a machine that slow, three seconds don't suffice for VMs to hear of one another. A VM now also waits until it has heard of no new one for 2 s.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -83,6 +83,9 @@
 	// arrived.
 	startupVMs    = 4
 	startupPeriod = 3 * time.Second
+	// joinPeriod is the time after a VM was heard of for the first time in which more may
+	// follow, as on a busy machine.
+	joinPeriod = 2 * time.Second
 )
 
 // Member is another VM of the fleet, as known to this one.
@@ -170,6 +173,8 @@
 	state                          State
 	seeds                          []string
 	view                           atomic.Pointer[memberView]
+	// lastJoin is when a VM was last heard of for the first time; zero is never.
+	lastJoin atomic.Int64
 }
 
 // memberView is an immutable view of the known members, replaced when they are
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -80,10 +80,12 @@
 }
 
 // KnowsFleet reports whether this VM knows its rank among the others: they have had the
-// time to learn of one another since it started and it has heard of one, or it has no
-// seed but itself.
+// time to learn of one another since it started, it has heard of one, and of no new one
+// lately; or it has no seed but itself.
 func (m *Mesh) KnowsFleet() bool {
-	return len(m.Members()) > 0 && m.Now().Sub(m.started) >= startupPeriod || !m.hasOtherSeeds()
+	now, joined := m.Now(), clock.Instant(m.lastJoin.Load())
+	settled := joined != 0 && now.Sub(joined) >= joinPeriod && now.Sub(m.started) >= startupPeriod
+	return settled && len(m.Members()) > 0 || !m.hasOtherSeeds()
 }
 
 // hasOtherSeeds reports whether a seed is the address of another VM.
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -65,6 +65,7 @@
 	if o == nil {
 		o = &Member{}
 		m.members[r.Name] = o
+		m.lastJoin.Store(int64(now))
 	}
 	newIncarnation := o.Incarnation != a.Incarnation
 	if newIncarnation || o.Leaving != a.Leaving || o.Ready != a.Ready || o.Closing != a.Closing {
