Edge: only a refused connection leaves open whether a server's process ended

Change: only an address at which no process listens counts; polls and sends find that, and VMs tell one another. The look at idle connections is gone.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -120,8 +120,7 @@
 	// of the listed one, in Unix milliseconds; zero means none.
 	coldUntil   atomic.Int64
 	restartedAs atomic.Int64
-	// lostAt is when a connection to the server last broke or could not be opened, and
-	// confirmedAt the latest instant since which the listed process was seen running.
+	// lostAt is when no process last listened at the server's address, and confirmedAt the latest instant since which the listed process was seen running.
 	lostAt, confirmedAt atomic.Int64
 	// excludedUntil is the instant until which the server gets no new requests,
 	// because its prefill coordinator reported that it fails.
@@ -215,7 +214,7 @@
 func (l *Load) Unresponsive() bool { return l.missedPolls.Load() >= unresponsivePolls }
 
 // Suspected reports whether the server should be polled often: a poll got no
-// response, a connection was lost, another VM suspects the server, or requests wait unusually long for a
+// response, no process listened at its address, another VM suspects the server, or requests wait unusually long for a
 // first byte.
 func (l *Load) Suspected(now clock.Instant) bool {
 	return l.missedPolls.Load() > 0 || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
@@ -265,15 +264,14 @@
 	}
 }
 
-// MarkLost records that a connection to the server broke or could not be opened: its
-// process may have ended.
+// MarkLost records that no process listened at the server's address.
 func (l *Load) MarkLost(now clock.Instant) { storeMax(&l.lostAt, int64(now)) }
 
 // ConfirmRunning records that the listed process has run since the given instant.
 func (l *Load) ConfirmRunning(since clock.Instant) { storeMax(&l.confirmedAt, int64(since)) }
 
-// MayHaveRestarted reports whether a connection was lost and the server's process has
-// not been confirmed since.
+// MayHaveRestarted reports whether no process listened at the server's address, and its
+// listed process has not been confirmed since.
 func (l *Load) MayHaveRestarted() bool { return l.lostAt.Load() > l.confirmedAt.Load() }
 
 // totalUsage is the usage of a server by all gateways.
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -35,7 +35,7 @@
 	// pollTimeout bounds one poll.
 	pollTimeout = 400 * time.Millisecond
 	// lostQueueLength is the number of engines that may wait to be polled at once
-	// after a connection was lost.
+	// after no process listened at their addresses.
 	lostQueueLength = 64
 	// restartColdMargin is how long an engine that was found to have restarted
 	// counts as cold beyond its service's cold start.
@@ -83,7 +83,7 @@
 	// requestLimits keeps the request limits that engines name.
 	requestLimits *serverlimit.Tracker
 
-	// lost receives engines to which a connection was lost, to be polled at once.
+	// lost receives engines at whose addresses no process listened, to be polled at once.
 	lost chan *roster.Server
 
 	mu       sync.Mutex
@@ -114,10 +114,10 @@
 	}
 }
 
-// serverLost records that a connection to a server was lost, and has it polled at once.
-// The other VMs are told if no process listened at its address.
-func (p *poller) serverLost(s *roster.Server, refused bool) {
-	if load := p.balancer.Load(s.Key()); refused && !load.MayHaveRestarted() {
+// serverLost records that no process listened at a server's address, tells the other VMs,
+// and has the server polled at once.
+func (p *poller) serverLost(s *roster.Server) {
+	if !p.balancer.Load(s.Key()).MayHaveRestarted() {
 		p.onRefused(s)
 	}
 	p.queueLost(s)
@@ -218,7 +218,7 @@
 		load.RecordMissedPoll()
 		p.onFailure(s)
 		if errorx.IsOfType(err, upstream.ErrRefused) {
-			p.serverLost(s, true)
+			p.serverLost(s)
 		}
 		if load.Unresponsive() && !wasUnresponsive {
 			p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,9 +176,8 @@
 	// ServerLeaves is called when an incarnation of a backend server announces that
 	// it leaves.
 	ServerLeaves func(roster.ServerKey)
-	// ServerLost is called when a connection to a backend server broke or could not be
-	// opened, so that its process may have ended. Refused means that none listens there.
-	ServerLost func(s *roster.Server, refused bool)
+	// ServerLost is called when no process listens at the address of a backend server.
+	ServerLost func(s *roster.Server)
 	// IsRunning reports whether the process of a server's incarnation still runs. One that
 	// can't be reached counts as not running.
 	IsRunning func(ctx context.Context, s *roster.Server) bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -56,9 +56,8 @@
 	// failedAtServer means that the request reached a server through another VM and
 	// failed there.
 	failedAtServer bool
-	// unconnected means that no connection to the server could be opened, and refused
-	// that no process listens at its address.
-	unconnected, refused bool
+	// refused means that no process listens at the server's address.
+	refused bool
 	// behind means that another VM refused as its configuration is older.
 	behind bool
 	// retryAfter is the time after which capacity is expected.
@@ -106,9 +105,6 @@
 	x.triedServers = append(x.triedServers, s.Key())
 	x.destination, x.softwareVersion, x.prefillTokens = s.ID, s.SoftwareVersion, plan.Estimate.UncachedTokens
 	started := x.waitForPrefillSlot(ctx, &plan)
-	if x.ServerPool.LostIdle(s.Address) {
-		x.ServerLost(s, false)
-	}
 	now := x.Now()
 	if reason := x.admit(&plan, started, now); reason != "" {
 		load.ReleasePrefillSlot(plan.Estimate.PrefillTime, plan.Estimate.PrefillGap)
@@ -128,8 +124,8 @@
 	x.answeredAt, x.survived = 0, false
 	out := x.exchange(ctx, plan, work, watch)
 	out.retryGranted = watch.retryGranted.Load()
-	if parent.Err() == nil && (out.broke || out.unconnected || out.refused) {
-		x.ServerLost(s, out.refused)
+	if out.refused {
+		x.ServerLost(s)
 	}
 	x.recordEnd(parent, s, work, &out)
 	return out
@@ -277,7 +273,7 @@
 	}
 	if unsent {
 		refused := errorx.IsOfType(err, upstream.ErrRefused)
-		return outcome{notRun: true, unconnected: !errorx.IsOfType(err, upstream.ErrTooManyOpen), refused: refused, reason: err.Error()}
+		return outcome{notRun: true, refused: refused, reason: err.Error()}
 	}
 	x.possibleRuns++
 	return outcome{mayHaveArrived: true, broke: true, reason: err.Error()}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -44,8 +44,6 @@
 	Errors = errorx.NewNamespace("upstream").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 	// ErrUnsent means that no byte of the request was sent.
 	ErrUnsent = Errors.NewType("unsent", errorx.Temporary())
-	// ErrTooManyOpen is an ErrUnsent: the bound on open connections is reached.
-	ErrTooManyOpen = ErrUnsent.NewSubtype("too_many_open")
 	// ErrRefused is an ErrUnsent: no process listens at the address.
 	ErrRefused = ErrUnsent.NewSubtype("refused")
 	// ErrBroken means that the exchange failed after bytes may have been sent.
@@ -124,19 +122,6 @@
 	}
 }
 
-// LostIdle reports whether the idle connection to the address that would be used next
-// was closed by the other side before its idle timeout.
-func (p *Pool) LostIdle(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return false
-	}
-	c := list[len(list)-1]
-	return p.Now().Sub(c.idleSince) <= c.idleTimeout && !c.isReusable()
-}
-
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -149,7 +134,7 @@
 	p.mu.Lock()
 	if maxOpen > 0 && p.open[address] >= maxOpen {
 		p.mu.Unlock()
-		return nil, ErrTooManyOpen.New("%d connections to %s are open", maxOpen, address)
+		return nil, ErrUnsent.New("%d connections to %s are open", maxOpen, address)
 	}
 	p.open[address]++
 	p.mu.Unlock()
