--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -218,8 +218,8 @@
 	// server, including this one, and this VM's rank among them for a server in
 	// the given failure domain.
 	ServerRank(server, failureDomain string) (vms, rank int)
-	// KnowsFleet reports whether the ranks of this VM are known. They are not right
-	// after its start.
+	// KnowsFleet reports whether this VM knows its rank. It doesn't shortly after its
+	// start.
 	KnowsFleet() bool
 	// LargeRegion reports whether this region has too many VMs for each to
 	// receive the others' load updates immediately.
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -120,7 +120,8 @@
 	// of the listed one, in Unix milliseconds; zero means none.
 	coldUntil   atomic.Int64
 	restartedAs atomic.Int64
-	// lostAt is when no process last listened at the server's address, and confirmedAt the latest instant since which the listed process was seen running.
+	// lostAt is when no process last listened at the server's address, and confirmedAt
+	// the latest instant since which the listed process was seen running.
 	lostAt, confirmedAt atomic.Int64
 	// excludedUntil is the instant until which the server gets no new requests,
 	// because its prefill coordinator reported that it fails.
@@ -214,8 +215,8 @@
 func (l *Load) Unresponsive() bool { return l.missedPolls.Load() >= unresponsivePolls }
 
 // Suspected reports whether the server should be polled often: a poll got no
-// response, no process listened at its address, another VM suspects the server, or requests wait unusually long for a
-// first byte.
+// response, no process listened at its address, another VM suspects the server, or
+// requests wait unusually long for a first byte.
 func (l *Load) Suspected(now clock.Instant) bool {
 	return l.missedPolls.Load() > 0 || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
 }
--- a/internal/gossip/session.go
+++ b/internal/gossip/session.go
@@ -125,7 +125,7 @@
 		return nil, ErrMalformed.New("more than %d names on a connection", MaxNames)
 	}
 	for _, name := range delta.Names {
-		// Of a name that is too long only the fact is kept.
+		// A name that is too long is cut, but stays recognizable as too long.
 		d.names = append(d.names, name[:min(len(name), MaxNameBytes+1)])
 	}
 	records := make([]Record, 0, len(delta.Records))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -246,8 +246,8 @@
 // writes, in place of the one that this VM published before.
 func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) { m.PublishOwnPart(kind, "", value) }
 
-// PublishOwnPart does the same for a kind of which a VM has several records, each with
-// a part of its own; "" is the VM's only record of the kind.
+// PublishOwnPart is PublishOwn for a kind of which a VM has several records, each with a
+// part of its own; "" is the VM's only record of the kind.
 func (m *Mesh) PublishOwnPart(kind gossip.Kind, part string, value []byte) {
 	name := m.Self.VM
 	if part != "" {
