Logging: Close returns although the writer is stuck and the queue is full

Cause: Close put an end mark into the queue and waited for the writer with one timer.

Change: closing is a channel of its own; the writer then writes what is queued and ends. Close has one wait.

Result: TestCloseEndsAlthoughTheWriterIsStuckAndTheQueueFull failed before (Close had not returned after a minute of synctest's time) and passes.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -37,6 +37,7 @@
 	info      *rate.Limiter
 	warn      *rate.Limiter
 	dropped   [2]atomic.Int64 // index 0: below warn; 1: warn and above
+	closing   chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 }
@@ -45,7 +46,7 @@
 // the sink behind the logger, which must be closed to flush the queued lines.
 func NewBounded(w io.Writer, level slog.Leveler) (*slog.Logger, *Bounded) {
 	b := &Bounded{
-		out: w, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{}),
+		out: w, lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{}),
 		info: rate.NewLimiter(infoPerSecond, infoPerSecond*burstSeconds),
 		warn: rate.NewLimiter(warnPerSecond, warnPerSecond*burstSeconds),
 	}
@@ -56,16 +57,10 @@
 // Close flushes the queued lines, for at most the given time, and stops the sink.
 // Lines logged later are not written.
 func (b *Bounded) Close(wait time.Duration) {
-	timeout := time.After(wait)
-	b.closeOnce.Do(func() {
-		select {
-		case b.lines <- nil:
-		case <-timeout:
-		}
-	})
+	b.closeOnce.Do(func() { close(b.closing) })
 	select {
 	case <-b.done:
-	case <-timeout:
+	case <-time.After(wait):
 	}
 }
 
@@ -76,18 +71,27 @@
 	for {
 		select {
 		case line := <-b.lines:
-			if line == nil {
-				b.reportDropped()
-				return
-			}
-			// A write error loses the line but must not affect requests.
-			_, _ = b.out.Write(line)
+			b.write(line)
 		case <-ticker.C:
 			b.reportDropped()
+		case <-b.closing:
+			b.flush()
+			return
 		}
 	}
 }
 
+// flush writes the lines that are queued now.
+func (b *Bounded) flush() {
+	for range len(b.lines) {
+		b.write(<-b.lines)
+	}
+	b.reportDropped()
+}
+
+// write writes a line. A write error loses the line but must not affect requests.
+func (b *Bounded) write(line []byte) { _, _ = b.out.Write(line) }
+
 // reportDropped writes the number of lines dropped since the last report, if any.
 func (b *Bounded) reportDropped() {
 	info, warn := b.dropped[0].Swap(0), b.dropped[1].Swap(0)
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -75,3 +76,39 @@
 	is.True(strings.Contains(out.String(), "msg=x vm=a error=EOF"))
 	is.True(!strings.Contains(out.String(), "hidden"))
 }
+
+// Guards against issue 35: a process whose standard output isn't read didn't end, as
+// Close waited for a timeout that had already passed.
+func TestCloseEndsAlthoughTheWriterIsStuckAndTheQueueFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		log, sink := NewBounded(writerFunc(func(p []byte) (int, error) {
+			<-release
+			return len(p), nil
+		}), slog.LevelInfo)
+		for range maxQueuedLines + 2 {
+			log.Info("a line")
+			log.Warn("a line")
+			time.Sleep(time.Second / infoPerSecond)
+		}
+		is.True(sink.Dropped() > 0) // the queue is full
+		closed := make(chan struct{})
+		go func() {
+			sink.Close(time.Second)
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(time.Minute):
+			t.Error("Close did not return")
+		}
+		close(release)
+		synctest.Wait()
+	})
+}
+
+// writerFunc is a function that writes.
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
