Edge: close the connections for reports of servers that have gone

Cause: the pool of connections for polling reports closed an idle connection only when it was taken again for the same address.

Change: the poller has expired connections closed in each round, as is done for the pools of requests.

--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -21,6 +21,8 @@
 // silentAdapter is a platform whose registry is unavailable.
 type silentAdapter struct{}
 
+func (silentAdapter) CloseExpired() {}
+
 func (silentAdapter) FetchReport(context.Context, *roster.Server) (Report, error) {
 	return Report{}, discovery.ErrUnavailable.New("no server")
 }
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -54,6 +54,9 @@
 // ReportFetcher requests the load reports of backend servers.
 type ReportFetcher interface {
 	FetchReport(ctx context.Context, server *roster.Server) (Report, error)
+	// CloseExpired closes connections that were not used for long, such as those to
+	// servers that are gone. It is called several times per second.
+	CloseExpired()
 }
 
 // poller polls the load reports of the region's model engines.
@@ -109,6 +112,7 @@
 				p.startPoll(ctx, service, s)
 			}
 		case <-ticker.C:
+			p.fetcher.CloseExpired()
 			p.pollAll(ctx)
 		}
 	}
