Relay: hops keep bytes that aren't UTF-8

Cause: the head of a hop is JSON, and encoding/json replaces bytes that aren't UTF-8.

Change: if a text of the request isn't UTF-8, each byte of the request's texts is sent as a rune, and the head says so. Other hops are as before, so that VMs of both programs understand each other for them.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -59,6 +59,9 @@
 	// Origin is where the stream began, if the request goes on with one.
 	Origin       *resume.Origin `json:"origin,omitempty"`
 	AttemptsLeft int            `json:"attempts"`
+	// BytesAsRunes means that each byte of the caller's texts is a rune here, as JSON
+	// holds no text that isn't UTF-8.
+	BytesAsRunes bool `json:"bytesAsRunes,omitempty"`
 }
 
 // sendToRegion sends the request to a VM of another region, which serves it
@@ -133,6 +136,7 @@
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server, Origin: x.origin, AttemptsLeft: attempts,
 	}
+	head.encodeBytes()
 	data, err := json.Marshal(head)
 	if err != nil {
 		// Unreachable: every field of a hopHead can be encoded.
@@ -293,6 +297,9 @@
 	if err := json.Unmarshal(data, &head); err != nil {
 		return nil, err
 	}
+	if err := head.decodeBytes(); err != nil {
+		return nil, err
+	}
 	if head.ID == "" || head.Entry == "" || head.Method == "" || head.Target == "" {
 		return nil, errorx.IllegalArgument.New("hop without id, entry, method or target")
 	}
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -176,3 +176,36 @@
 		})
 	}
 }
+
+// Guards against issue 35: bytes of targets and header fields that aren't UTF-8 were
+// replaced in requests that a VM forwarded to another.
+func TestHopKeepsBytesThatAreNotUTF8(t *testing.T) {
+	for name, text := range map[string]string{
+		"ASCII": "plain", "UTF-8": "n\u00e4her \u2026", "Latin-1": "n\xe4her", "any bytes": "\x80\xff\xc3(\xed\xa0\x80", "replacement character": "\ufffd\xff",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := hopTransaction(2)
+			x.req.Target, x.req.Path = "/a/"+text+"?q="+text, "/a/"+text
+			x.req.Host, x.req.ID, x.lastEventID = "h"+text, "id"+text, text
+			x.req.Header = http.Header{"X-Text": {text, "second"}, "Accept": {"*/*"}}
+			call := x.hopCall("127.0.0.1:1", "", 1)
+			hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
+			hr.Header = call.Header
+			got, err := x.readHop(httptest.NewRecorder(), hr)
+			is.NoErr(err)
+			is.Equal(got.Target, x.req.Target)
+			is.Equal(got.Path, x.req.Path)
+			is.Equal(got.Host, x.req.Host)
+			is.Equal(got.ID, x.req.ID)
+			is.Equal(got.LastEventID, text)
+			is.Equal(got.Header, x.req.Header)
+		})
+	}
+}
+
+func TestHopWithRunesThatAreNoBytesIsMalformed(t *testing.T) {
+	is := is.New(t)
+	head := hopHead{Target: "/\u0100", BytesAsRunes: true}
+	is.True(head.decodeBytes() != nil)
+}
