Discovery: forget servers that have been gone for ten minutes

Cause: the records of removed servers, and of what they had announced, were kept for good by each VM and sent to each new one.

Change: ten minutes after a removal a VM drops the server's records and its own note of the removal. Instead, a record that isn't newer than a forgotten removal restores nothing, as it is with the last list.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -139,8 +139,9 @@
 	Now      clock.Clock
 	Log      *slog.Logger
 	Scope    tally.Scope
-	// Publish distributes a record to the other VMs.
+	// Publish distributes a record to the other VMs, and Forget drops records here.
 	Publish func(gossip.Record)
+	Forget  func(keys ...gossip.Key)
 	// LargeFleet reports whether many VMs share the registry's rate limit, and
 	// RegistryReader whether this VM is one of the few of its region that read
 	// the registry at short intervals.
@@ -172,6 +173,7 @@
 	// failedLists holds, by topic, the number of failed lists since the last
 	// successful one.
 	failedLists map[Topic]*atomic.Int32
+	removals    removals
 	// fetching is true during a request to another VM for its configuration, and
 	// nextFetch is the time of the earliest next one.
 	fetching  atomic.Bool
@@ -190,6 +192,7 @@
 	return &Follower{
 		Config: config, unavailable: map[Topic]bool{},
 		failedLists: map[Topic]*atomic.Int32{Servers: {}, Operators: {}},
+		removals:    removals{at: map[string]clock.Instant{}},
 		reading:     map[Topic]*atomic.Bool{Servers: {}, Operators: {}},
 		calls:       scope.Counter("calls"), failures: scope.Counter("failures"),
 		listDuration: scope.Histogram("list_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
@@ -394,8 +397,18 @@
 }
 
 // Expire removes the servers that did not reappear after a registry outage or
-// restore. It is called a few times per second.
-func (f *Follower) Expire(now clock.Instant) { f.publishRemovals(f.Roster.Expire(now)) }
+// restore, and forgets those that have been gone for long. It is called a few times per
+// second.
+func (f *Follower) Expire(now clock.Instant) {
+	f.publishRemovals(f.Roster.Expire(now))
+	for _, id := range f.removals.takeExpired(now) {
+		if !f.Roster.Forget(id) {
+			continue // it is listed again
+		}
+		f.Forget(gossip.Key{Kind: gossip.KindServer, Name: id}, gossip.Key{Kind: gossip.KindLeaving, Name: id},
+			gossip.Key{Kind: gossip.KindRequestLimit, Name: id})
+	}
+}
 
 // apply applies a change from the registry and publishes it to the other VMs if it
 // is new.
@@ -442,6 +455,9 @@
 
 // publish encodes a value and publishes it as a record to the other VMs.
 func (f *Follower) publish(kind gossip.Kind, name string, rev revision.Revision, value any) {
+	if record, ok := value.(serverRecord); ok && record.Entry == nil {
+		f.removals.add(name, f.Now())
+	}
 	data, err := gossip.Encode(value)
 	if err != nil {
 		f.Log.Error("encoding record failed", "kind", kind, "name", name, "error", err)
@@ -463,6 +479,7 @@
 			return
 		}
 		if record.Entry == nil {
+			f.removals.add(r.Name, now)
 			f.Roster.Remove(r.Name, rev, record.Started, now)
 		} else if record.Entry.ID == r.Name {
 			f.Roster.Put(*record.Entry, rev, roster.Listed, now)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -97,7 +97,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	return New(Config{
 		Registry: f, Roster: roster.New(log), Now: clock.Synthetic(), Log: log, Scope: tally.NoopScope,
-		Publish: func(gossip.Record) {}, LargeFleet: func() bool { return false }, RegistryReader: func() bool { return true },
+		Publish: func(gossip.Record) {}, Forget: func(...gossip.Key) {}, LargeFleet: func() bool { return false }, RegistryReader: func() bool { return true },
 	})
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,7 +181,7 @@
 	})
 	e.follower = discovery.New(discovery.Config{
 		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
-		Scope: e.metrics.Scope, Publish: e.mesh.Publish, LargeFleet: e.mesh.LargeFleet, RegistryReader: e.mesh.IsRegistryReader,
+		Scope: e.metrics.Scope, Publish: e.mesh.Publish, Forget: e.mesh.Forget, LargeFleet: e.mesh.LargeFleet, RegistryReader: e.mesh.IsRegistryReader,
 		RegistryCovered: e.mesh.RegistryCovered,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -242,6 +242,16 @@
 	m.store.Merge(r)
 }
 
+// Forget drops records from this VM's store. Another VM that still has them may send them
+// again.
+func (m *Mesh) Forget(keys ...gossip.Key) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, key := range keys {
+		m.store.Delete(key)
+	}
+}
+
 // PublishOwn distributes a value of a kind whose records only the VM of their name
 // writes, in place of the one that this VM published before.
 func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) { m.PublishOwnPart(kind, "", value) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -466,6 +466,20 @@
 	return all
 }
 
+// Forget drops the removal of a server that isn't listed, and reports whether it isn't.
+// From then on a record of the server that is not newer than the removal restores it no
+// more than one that is not newer than the last list.
+func (r *Roster) Forget(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.servers[id] != nil {
+		return false
+	}
+	r.serverList = max(r.serverList, r.removed[id].revision)
+	delete(r.removed, id)
+	return true
+}
+
 // forgetLeaving deletes the announcements of incarnations that are no longer
 // listed, after leavingMemory. The caller must hold r.mu.
 func (r *Roster) forgetLeaving(now clock.Instant) {
