Relay: streams taken up are refused only if their server can't begin in time

Cause: before a request is sent for the first time, it is refused if its first byte is expected later than its caller waits. What is expected is corrected by how long other requests of the route waited, mostly at servers that had just crashed or were cut off. A stream that its caller takes up again may go on at few servers, has little time left and a caller that has a part of the response, but was refused by the same measure. The class: a figure learned from other requests decides about one to which it doesn't apply; a request that was already sent once is exempt for this reason.

Change: a take-up is refused as too late only by its own estimate and deadline.

Result: TestStreamTakenUpIsNotRefusedForTheWaitOfOthers failed before and passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -438,7 +438,13 @@
 	if x.sends > 0 || plan.Server == nil && plan.Region == "" {
 		return plan
 	}
-	if first := x.Balancer.CalibratedFirstByte(x.route.Name, &plan, x.Now()); first > maxWait {
+	first := x.Balancer.CalibratedFirstByte(x.route.Name, &plan, x.Now())
+	if x.origin != nil {
+		// The caller has a part of the response already, and only some of the servers
+		// may go on with it. The wait of other requests says little about them.
+		first, maxWait = plan.Estimate.TimeToFirstByte, remaining
+	}
+	if first > maxWait {
 		return balance.Plan{Reason: "too-late", RetryAfter: first - maxWait, Estimate: plan.Estimate}
 	}
 	return plan
