Relay: a negative number of runs stated by another VM gives no attempts back

Cause: the number in the header of a hop's response was added to the runs as it came. A VM that states a negative one made its sender allow more servers than the route does. No VM of ours sends such a number.

Change: the number counts from zero up.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -152,7 +152,7 @@
 // handleHopResponse relays the other VM's response or evaluates its refusal. Granted is
 // the number of servers on which the other VM may run the request.
 func (x *transaction) handleHopResponse(ctx context.Context, plan balance.Plan, e *upstream.Exchange, granted int) outcome {
-	ran, _ := strconv.Atoi(e.Header.Get(headerRan)) // zero if absent
+	ran := statedRuns(e.Header)
 	if value := e.Header.Get(wire.HeaderRefusal); value != "" {
 		e.Release()
 		return x.handleHopRefusal(plan, value, ran, granted, e.Header.Get(headerArrived) != "")
@@ -190,6 +190,16 @@
 	return out
 }
 
+// statedRuns returns the number of backend servers at which another VM states that the
+// request may have run; zero if it states none.
+func statedRuns(h http.Header) int {
+	ran, err := strconv.Atoi(h.Get(headerRan))
+	if err != nil {
+		return 0
+	}
+	return max(0, ran)
+}
+
 // handleHopRefusal evaluates the refusal of another VM. Ran is the number of
 // backend servers at which the request may have run there, of the granted number.
 // Arrived means that one may have received it.
