--- a/internal/serverlimit/tracker_test.go
+++ b/internal/serverlimit/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -182,3 +183,24 @@
 	}
 	is.Equal(len(v.servers), maxServers)
 }
+
+// No record of another VM ends the process or sets a limit that isn't a rate.
+func FuzzRecord(f *testing.F) {
+	for _, limit := range []limitRecord{{Started: 5, PerSecond: 2.5}, {Started: -1, PerSecond: 1e308}, {PerSecond: math.Inf(1)}} {
+		data, err := gossip.Encode(limit)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint64(7), data)
+	}
+	f.Fuzz(func(t *testing.T, version uint64, value []byte) {
+		v := newVM()
+		v.ApplyRecord(gossip.Record{Key: gossip.Key{Kind: gossip.KindRequestLimit, Name: "a"}, Version: version, Value: value})
+		v.Tick(v.now)
+		for key, limit := range v.limits {
+			if !(limit >= 0) || math.IsInf(limit, 0) {
+				t.Errorf("limit of %v: %v", key, limit)
+			}
+		}
+	})
+}
