--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -466,9 +466,9 @@
 	return all
 }
 
-// Forget drops the removal of a server that isn't listed, and reports whether it isn't.
-// From then on a record of the server that is not newer than the removal restores it no
-// more than one that is not newer than the last list.
+// Forget drops the removal of a server, unless the server is listed again, and reports
+// whether it did. From then on no record that isn't newer than the removal restores a
+// server that is unknown here.
 func (r *Roster) Forget(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -12,8 +12,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 )
 
-// Whatever bytes a server sends, an exchange ends by its deadline and its connection is
-// not kept for another request unless the response was complete.
+// Whatever bytes a server sends, an exchange ends when the server closes the connection.
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
