Relay: only an event stream with a new event goes on with a stream

Cause: whether a response is relayed as a stream was decided from its own header alone. A 2xx of another content type went to relayBody, which started the response a second time, wrote the text after the events and ended the response as delivered; a response without events that ended regularly (204, no length, empty chunks) ended it too. The same code ran for hops, so the VM that took the request had the fault even where another VM sent to the servers. Class: a response in progress is completed by one that was not checked to go on with it.

Once the caller has a part of a response, only a 200 with an event stream may follow, its first new event must have an ID, and its end counts only after a new event. Blocks without any field of an event (text, JSON, the head of another response) are never relayed. A stream with events that have no ID isn't continued. A hop states that the caller has a part, so that the VM at the servers goes on elsewhere by itself. Writer.Start panics if it is called twice, which aborts the response.

Ruled out: refusals and failures (4xx, 5xx) after the start; both programs check that the response has started first. chestnut-gateway never continues a stream.

An empty event stream isn't taken as the end, although a server with nothing to add may send one: the caller's stream breaks off, and may be taken up by its caller.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -13,7 +13,6 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
-	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -57,8 +56,10 @@
 	// that may serve the request, or "" if the receiver chooses.
 	Server string `json:"server,omitempty"`
 	// Origin is where the stream began, if the request goes on with one.
-	Origin       *resume.Origin `json:"origin,omitempty"`
-	AttemptsLeft int            `json:"attempts"`
+	Origin *resume.Origin `json:"origin,omitempty"`
+	// Continues means that the caller has a part of the response already.
+	Continues    bool `json:"continues,omitempty"`
+	AttemptsLeft int  `json:"attempts"`
 	// BytesAsRunes means that each byte of the caller's texts is a rune here, as JSON
 	// holds no text that isn't UTF-8.
 	BytesAsRunes bool `json:"bytesAsRunes,omitempty"`
@@ -134,7 +135,7 @@
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server, Origin: x.origin, AttemptsLeft: attempts,
+		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
 	}
 	head.encodeBytes()
 	data, err := json.Marshal(head)
@@ -173,20 +174,13 @@
 	if e.StatusCode >= http.StatusMultipleChoices {
 		return x.handleFailure(ctx, balance.Plan{Load: &balance.Load{}, Region: plan.Region}, e, Inbound{Signed: true})
 	}
-	if x.weightsVersion == "" {
-		x.weightsVersion = x.Protocol.Inbound(e.StatusCode, e.Header).WeightsVersion
-	}
-	var out outcome
-	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		out = x.relayStream(ctx, &streamSource{Exchange: e, softwareVersion: softwareVersion})
-	} else {
-		out = x.relayBody(ctx, balance.Plan{Load: &balance.Load{}}, e, (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now()))
-	}
+	work := (&balance.Load{}).Begin(&x.req.Demand, &plan.Estimate, x.Now())
+	out := x.relaySuccess(ctx, balance.Plan{Load: &balance.Load{}}, &streamSource{Exchange: e, softwareVersion: softwareVersion}, x.Protocol.Inbound(e.StatusCode, e.Header), work)
 	if !out.delivered && ran < granted {
 		// The header only counts the runs until it was sent.
 		x.countGrantedRuns(ran, granted, out.reason)
 	}
-	out.failedAtServer = out.broke
+	out.failedAtServer = out.broke || out.answered
 	return out
 }
 
@@ -325,7 +319,7 @@
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now, Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
-		Entry: head.Entry, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,8 @@
 	// Origin is where the stream began that the request goes on with, as the entry
 	// knows it, or nil.
 	Origin *resume.Origin
+	// Continues means that the entry has sent a part of the response to the caller.
+	Continues bool
 	// Configuration is the version of the configuration by which the entry forwarded the
 	// request, or zero.
 	Configuration uint64
@@ -232,6 +234,9 @@
 	lastEventID    string
 	events         int
 	weightsVersion string
+	// relayedUnnumbered means that the caller received an event without an ID, so that it
+	// is unknown what would have to follow.
+	relayedUnnumbered bool
 	// origin is where the stream began, or nil. It goes on nowhere else.
 	origin      *resume.Origin
 	fallback    *fallbackResponse
@@ -470,7 +475,7 @@
 // so, and if a backend server may have received the request, it takes a retry
 // from the budget.
 func (x *transaction) mayRetry(out *outcome) bool {
-	if x.sends >= maxSends || out.final {
+	if x.sends >= maxSends || out.final || x.continues() && !x.mayGoOn() {
 		return false
 	}
 	if !out.notRun {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -311,13 +311,26 @@
 	if !success {
 		return x.handleFailure(ctx, plan, e, in)
 	}
+	source := &streamSource{Exchange: e, server: plan.Server, softwareVersion: plan.Server.SoftwareVersion, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch}
+	return x.relaySuccess(ctx, plan, source, in, work)
+}
+
+// relaySuccess relays a successful response of a backend server or of another VM.
+func (x *transaction) relaySuccess(ctx context.Context, plan balance.Plan, s *streamSource, in Inbound, work *balance.InFlight) outcome {
+	if reason := x.continuationFault(s.Exchange); reason != "" {
+		s.Abort()
+		if s.load != nil {
+			s.load.RecordErrorResponse(x.Now())
+		}
+		return outcome{mayHaveArrived: true, answered: true, reason: reason}
+	}
 	if x.weightsVersion == "" {
 		x.weightsVersion = in.WeightsVersion
 	}
-	if x.route.Kind == ingress.Stream && isEventStream(e.Header) {
-		return x.relayStream(ctx, &streamSource{Exchange: e, server: plan.Server, softwareVersion: plan.Server.SoftwareVersion, load: plan.Load, work: work, estimate: &plan.Estimate, watch: watch})
+	if x.route.Kind == ingress.Stream && isEventStream(s.Header) {
+		return x.relayStream(ctx, s)
 	}
-	return x.relayBody(ctx, plan, e, work)
+	return x.relayBody(ctx, plan, s.Exchange, work)
 }
 
 // recordStatements records what a backend server's response states about the server
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -38,6 +38,11 @@
 	work            *balance.InFlight
 	estimate        *balance.Estimate
 	watch           *serverWatch
+	// continues means that the stream goes on with a response of which the caller has a
+	// part, and newEvents is the number of its events with an ID that were not relayed
+	// before.
+	continues bool
+	newEvents int
 }
 
 // relayStream relays complete events as they arrive. If the stream is
@@ -47,6 +52,7 @@
 		s.Abort()
 		return outcome{mayHaveArrived: true, reason: "answer of software version " + strconv.Quote(s.softwareVersion) + " to a stream of " + strconv.Quote(x.origin.SoftwareVersion)}
 	}
+	s.continues = x.continues()
 	if !x.w.Started() {
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
@@ -58,6 +64,7 @@
 	for {
 		n, readErr := s.Read(buffer)
 		now := x.Now()
+		reason := ""
 		if n > 0 {
 			pending = append(pending, buffer[:n]...)
 			complete := completeEventsLen(pending)
@@ -65,14 +72,16 @@
 				n := countEvents(pending[:complete])
 				events += n
 				x.recordEvents(s, now, &lastAt, n)
-				if out, ok := x.writeEvents(s, pending[:complete]); !ok {
+				unsent, fault := x.selectEvents(s, pending[:complete])
+				if out, ok := x.writeEvents(s, unsent); !ok {
 					return out
 				}
+				reason = fault
 				pending = append(pending[:0], pending[complete:]...)
 			}
 		}
-		reason := ""
 		switch {
+		case reason != "":
 		case readErr == nil && len(pending) <= maxEventBytes:
 			continue
 		case readErr == nil:
@@ -112,6 +121,9 @@
 	switch {
 	case unfinishedBytes > 0:
 		return "stream ended inside an event, after " + strconv.Itoa(unfinishedBytes) + " bytes of it"
+	case s.continues && s.newEvents == 0:
+		// The end of the stream is known only from a response with the end in it.
+		return "stream that should go on ended before its first new event"
 	case events == 0 && upstream.FramingOf(s.Response) == upstream.FramedByClose:
 		return "stream without length or chunks ended before its first event"
 	case s.server != nil && x.endedWithServer(ctx, s.server, s.Response):
@@ -163,14 +175,13 @@
 	x.Metrics.countStreamEnd(x.framing, unfinishedBytes > 0)
 }
 
-// writeEvents writes complete events to the caller, except those that were
-// relayed before. If the write fails, it returns the outcome and false.
+// writeEvents writes complete events to the caller. If the write fails, it returns the
+// outcome and false.
 func (x *transaction) writeEvents(s *streamSource, events []byte) (outcome, bool) {
-	unsent := x.skipRelayed(events)
-	if len(unsent) == 0 {
+	if len(events) == 0 {
 		return outcome{}, true
 	}
-	if _, err := x.w.Write(unsent); err != nil {
+	if _, err := x.w.Write(events); err != nil {
 		s.Abort()
 		return outcome{mayHaveArrived: true, final: true, reason: "caller left: " + err.Error()}, false
 	}
@@ -178,16 +189,21 @@
 	return outcome{}, true
 }
 
-// skipRelayed returns the events without those whose numeric IDs are not above
-// x.lastEventID, and advances x.lastEventID. Events without an ID are kept.
-func (x *transaction) skipRelayed(events []byte) []byte {
+// selectEvents returns the events without those whose numeric IDs are not above
+// x.lastEventID, and advances x.lastEventID. Events without an ID are kept. If one of
+// the events may not be relayed, it returns those before it and the reason.
+func (x *transaction) selectEvents(s *streamSource, events []byte) (out []byte, fault string) {
 	last, known := parseNumericID(x.lastEventID)
-	out := events[:0:0]
+	out = events[:0:0]
 	for len(events) > 0 {
 		n := firstEventLen(events)
 		event := events[:n]
 		events = events[n:]
 		id, ok := eventID(event)
+		kind := kindOfBlock(event)
+		if fault = s.eventFault(kind, ok); fault != "" {
+			break
+		}
 		if ok {
 			value, isNumber := parseNumericID(id)
 			if isNumber && known && value <= last {
@@ -196,10 +212,12 @@
 			x.lastEventID = id
 			last, known = value, isNumber
 			x.events++
+			s.newEvents++
 		}
+		x.relayedUnnumbered = x.relayedUnnumbered || kind == blockEvent && !ok
 		out = append(out, event...)
 	}
-	return out
+	return out, fault
 }
 
 // finishStream ends a stream whose body was read to its end.
@@ -255,11 +273,12 @@
 	return n
 }
 
-// eventID returns the ID of an event and whether it has one.
+// eventID returns the ID of an event and whether it has one that isn't empty.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
+			id := string(bytes.TrimSpace(value))
+			return id, id != ""
 		}
 	}
 	return "", false
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -22,6 +22,10 @@
 
 // Start implements pipeline.Response.
 func (w *Writer) Start(head pipeline.Head) {
+	if w.started {
+		// The server aborts the response, so that the caller doesn't get two as one.
+		panic("relay: a response follows in one that has started")
+	}
 	w.started = true
 	header := w.rw.Header()
 	maps.Copy(header, head.Header)
