Relay: transfers with callers and other VMs end with the request's deadline

What remained: a response that its caller doesn't read held its goroutine and connection until the caller closed, and a VM that withheld the body of a hop held both at the receiver for good. Change: a request's deadline (or the default timeout) bounds the read of its body and, with a margin of 500 ms, the writes of its response, for callers and for hops alike.

Evidence: TestCallerThatDoesNotReadIsLeftByItsDeadline (a stream and a plain response) and TestVMThatWithholdsAHopIsLeftByItsDeadline failed before; all pass. Looked at besides, all bounded already: TestServerThatStallsAnywhereDoesNotHoldItsRequest plays 17 places of a server's response (status line, header, 1xx, another request's response, chunks, trailer, bodies without length, refusals, streams), at the VM that sends and at one that forwards, and TestServerThatStallsIsLeftWithTheCaller while the caller leaves. By reading: polls of reports (400 ms), checks of processes (400 ms), the store's calls (start and whole), links between VMs (writes 3 s, pings 1.5 s, hello 3 s), the fetch of a configuration (2 s).

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -19,6 +19,8 @@
 	// defaultMaxBodyBytes bounds the request body if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 4 << 20
+	// writeMargin is how long after a request's deadline its response may be written.
+	writeMargin = 500 * time.Millisecond
 )
 
 // CallerHandler returns the HTTP handler for requests of callers.
@@ -49,13 +51,15 @@
 // readRequest reads a caller's request and enforces the size limits.
 func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request) (*Request, *verdict.Refusal) {
 	now := r.Now()
-	if r.Refusing() {
-		return nil, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
-	}
 	req, err := r.Protocol.Accept(hr, now)
 	if err != nil {
+		boundTransfer(w, now, 0)
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, err.Error())
 	}
+	boundTransfer(w, now, req.Deadline)
+	if r.Refusing() {
+		return nil, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
+	}
 	var limits ingress.Limits
 	if table := r.Table(); table != nil {
 		limits = table.Limits
@@ -66,12 +70,7 @@
 	if limits.MaxHeaderBytes > 0 && headerBytes(hr.Header) > limits.MaxHeaderBytes {
 		return nil, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
-	control := http.NewResponseController(w)
-	// Every connection of a net/http server supports deadlines, so the errors
-	// are ignored.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeFor(req, now)))
-	req.Body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, limits.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	req.Body, err = readBody(w, hr, limits.MaxBodyBytes)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -88,13 +87,30 @@
 	return req, nil
 }
 
-// bodyTimeFor returns how long the caller may take to send the body of a request that
-// arrived now: until its deadline at most.
-func bodyTimeFor(req *Request, now clock.Instant) time.Duration {
-	if req.Deadline == 0 {
-		return bodyTimeout
+// boundTransfer bounds how long the peer may take to send the body of a request and to
+// read its response, by the request's deadline; zero means that it has none.
+func boundTransfer(w http.ResponseWriter, now, deadline clock.Instant) {
+	read, write := bodyTimeout, defaultTimeout
+	if deadline != 0 {
+		write = max(0, deadline.Sub(now))
+		read = min(read, write)
+	}
+	control := http.NewResponseController(w)
+	// Every connection of a net/http server supports deadlines, so the errors
+	// are ignored.
+	_ = control.SetReadDeadline(time.Now().Add(read))
+	_ = control.SetWriteDeadline(time.Now().Add(write + writeMargin))
+}
+
+// readBody reads the body of a request within the bounds of boundTransfer.
+func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBytes))
+	if err == nil {
+		// The connection is read on for as long as the request lasts, to learn whether the
+		// peer disconnects.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	return min(bodyTimeout, max(0, req.Deadline.Sub(now)))
+	return body, err
 }
 
 // headerBytes returns the size of the header in its HTTP/1.1 form.
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -293,6 +292,8 @@
 
 // readHop reads a request of another VM.
 func (r *Relay) readHop(w http.ResponseWriter, hr *http.Request) (*Request, error) {
+	now := r.Now()
+	boundTransfer(w, now, 0)
 	data, err := base64.StdEncoding.DecodeString(hr.Header.Get(headerHop))
 	if err != nil {
 		return nil, err
@@ -307,8 +308,9 @@
 	if head.ID == "" || head.Entry == "" || head.Method == "" || head.Target == "" {
 		return nil, errorx.IllegalArgument.New("hop without id, entry, method or target")
 	}
-	now := r.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxHopBytes))
+	deadline := now.Add(time.Duration(head.RemainingMs) * time.Millisecond)
+	boundTransfer(w, now, deadline)
+	body, err := readBody(w, hr, maxHopBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -318,7 +320,7 @@
 	return &Request{
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
-		Arrived: now, Deadline: now.Add(time.Duration(head.RemainingMs) * time.Millisecond),
+		Arrived: now, Deadline: deadline,
 		Entry: head.Entry, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
