Relay: a refusal doesn't wait for a body that nobody reads

Cause: the HTTP server reads the rest of a body before it responds, unless the connection is to be closed; no deadline was set by then. Change: such responses close the connection, and their transfer is bounded; the auxiliary ports bound reads and writes by 10 s.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -23,6 +23,10 @@
 // contains the caller's header in base64.
 const maxHopHeaderBytes = 2*maxHeaderBytes + 16<<10
 
+// auxiliaryTimeout bounds the transfer of a request and of its response on the ports for
+// readiness, the directory and operators.
+const auxiliaryTimeout = 10 * time.Second
+
 type record = gossip.Record
 
 func (e *Edge) callerServer() *http.Server {
@@ -55,13 +59,27 @@
 		if s.listener == nil {
 			continue
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute, ErrorLog: e.httpLog()}
+		server := &http.Server{
+			Handler: closeAfterBody(s.handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: auxiliaryTimeout,
+			WriteTimeout: auxiliaryTimeout, IdleTimeout: time.Minute, ErrorLog: e.httpLog(),
+		}
 		servers = append(servers, server)
 		group.Go(func() error { return background.IgnoreClosed(server.Serve(s.listener)) })
 	}
 	return servers
 }
 
+// closeAfterBody returns a handler that closes the connection after a request with a body,
+// which next doesn't read. Otherwise the HTTP server would wait for it before it responds.
+func closeAfterBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // maxDirectoryTTL returns the configured TTL bound, or entryTTL if there is none.
 func (e *Edge) maxDirectoryTTL() time.Duration {
 	if ttl := e.settings.Load().MaxDirectoryTTL; ttl > 0 {
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -54,10 +54,12 @@
 	req, err := r.Protocol.Accept(hr, now)
 	if err != nil {
 		boundTransfer(w, now, 0)
+		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, err.Error())
 	}
 	boundTransfer(w, now, req.Deadline)
 	if r.Refusing() {
+		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
 	}
 	var limits ingress.Limits
@@ -68,6 +70,7 @@
 		limits.MaxBodyBytes = defaultMaxBodyBytes
 	}
 	if limits.MaxHeaderBytes > 0 && headerBytes(hr.Header) > limits.MaxHeaderBytes {
+		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
 	req.Body, err = readBody(w, hr, limits.MaxBodyBytes)
@@ -113,6 +116,14 @@
 	return body, err
 }
 
+// closeAfterUnreadBody has the connection closed after the response to a request whose
+// body is not read. Otherwise the HTTP server would wait for it before it responds.
+func closeAfterUnreadBody(w http.ResponseWriter, hr *http.Request) {
+	if hr.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // headerBytes returns the size of the header in its HTTP/1.1 form.
 func headerBytes(h http.Header) int {
 	n := 0
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -224,6 +224,7 @@
 		req, err := r.readHop(w, hr)
 		if err != nil {
 			r.Log.Warn("hop refused", "remote", hr.RemoteAddr, "error", err)
+			closeAfterUnreadBody(w, hr)
 			http.Error(w, "malformed hop", http.StatusBadRequest)
 			return
 		}
