--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -108,6 +108,10 @@
 // errStray means that a server sent too many, or too long, responses to other requests.
 var errStray = errors.New("answers of other requests")
 
+// errNoResponse means that a server sent a status that neither is a response's nor
+// precedes one.
+var errNoResponse = errors.New("status of no response")
+
 // write sends the request. A large body is written in the background; sent becomes
 // true when it has been written completely.
 func (c *conn) write(call *Call) (sent *atomic.Bool, err error) {
@@ -167,7 +171,10 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
+		switch {
+		case resp.StatusCode < http.StatusContinue, resp.StatusCode == http.StatusSwitchingProtocols:
+			return errNoResponse
+		case resp.StatusCode < http.StatusOK:
 			continue
 		}
 		x.conn.limit.N = math.MaxInt64
