Relay: an empty body without length or chunks isn't a whole one

Cause: a body that ends with its connection counted as whole if its server's process still runs, also if nothing of it had come. Change: such a body counts as truncated (502, or a retry of a request that may be repeated), except for HEAD. A sound server that answers with no body has a length, or 204.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -425,7 +425,7 @@
 	if len(body) < maxBufferedBytes && upstream.IsTruncated(e.Response, body) {
 		e.Abort()
 		plan.Load.RecordFailure(now)
-		return outcome{mayHaveArrived: true, reason: "answer ended inside its JSON text, after " + strconv.Itoa(len(body)) + " bytes"}
+		return outcome{mayHaveArrived: true, reason: "answer without length or chunks ended early, after " + strconv.Itoa(len(body)) + " bytes"}
 	}
 	if len(body) < maxBufferedBytes && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
 		e.Abort()
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -33,9 +33,12 @@
 
 // IsTruncated reports whether a response body that was read to its end is known to
 // be incomplete. A server that crashes may end a body that is framed by close; only
-// the content can show that. Bodies other than JSON show nothing.
+// the content can show that. Bodies other than JSON show nothing, unless they are empty.
 func IsTruncated(resp *http.Response, body []byte) bool {
-	return FramingOf(resp) == FramedByClose && isJSON(resp.Header) && !json.Valid(body)
+	if FramingOf(resp) != FramedByClose || resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return false
+	}
+	return len(body) == 0 || isJSON(resp.Header) && !json.Valid(body)
 }
 
 // isJSON reports whether the content type is JSON.
