Resume: a VM out of touch asks the registry before it relies on its only version

Cause: a VM goes on with a stream that it doesn't know at the only version that it knows of the service. That it may have missed one showed only once its watch of the registry had failed (a silent one ends after up to 17 s), or it reached no other VM (1.5 s, and never if it still reached its own region). A VM that woke up from standing still took what it knew before for current until its next tick. Class: knowledge of unknown age taken as current. Change: such a VM goes on at its only version at once only if it has heard from all others just now (0.5 s in a small fleet). Otherwise it first reads the changes of the servers that its watch has not returned, in a call of its own that begins after the request came; requests that come together share it. If the call fails, the take-up is refused as not run, as before while the registry can't be read. Evidence: TestVMOutOfTouchAsksTheRegistryBeforeItReliesOnItsOnlyVersion went on at v1 before. What remains: a version that joins, writes and loses a stream within 0.5 s after a VM was cut off from all others.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -184,6 +184,9 @@
 	calls                     tally.Counter
 	failures                  tally.Counter
 	listDuration              tally.Histogram
+	// serversAt is the revision up to which the servers were read, or nil.
+	serversAt atomic.Pointer[revision.Revision]
+	unseen    unseenReads
 }
 
 // New returns a follower without a configuration.
@@ -265,6 +268,7 @@
 	f.listDuration.RecordDuration(f.Now().Sub(started))
 	f.markAvailable(topic)
 	f.applyList(topic, changes, at)
+	f.markRead(topic, at)
 	f.reading[topic].Store(true)
 	for {
 		wait, pause := f.intervals()
@@ -287,6 +291,14 @@
 			f.apply(c, roster.Event)
 		}
 		at = max(at, next)
+		f.markRead(topic, at)
+	}
+}
+
+// markRead records that the changes of a topic up to the revision are known.
+func (f *Follower) markRead(topic Topic, at revision.Revision) {
+	if topic == Servers {
+		f.serversAt.Store(&at)
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -194,7 +194,8 @@
 	})
 	e.streams = resume.New(resume.Config{
 		Now: e.now, Log: e.log, Scope: e.metrics.Scope, FirstStart: settings.FirstStart, View: e.roster.View,
-		RegistryRead: e.followsServers, Reachable: e.mesh.Reaches, AnyReachable: e.mesh.ReachesAny, PublishOwn: e.mesh.PublishOwnPart,
+		RegistryRead: e.followsServers, Reachable: e.mesh.Reaches, AnyReachable: e.mesh.ReachesAny,
+		InTouch: e.mesh.HeardFromAll, UnseenVersions: e.unseenVersions, PublishOwn: e.mesh.PublishOwnPart,
 	})
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
@@ -236,6 +237,21 @@
 	return (e.follower.ReadsServers() || e.mesh.RegistryCovered()) && (e.mesh.ReachesAny() || len(e.mesh.Members()) == 0)
 }
 
+// unseenVersions returns where streams may have begun of which this VM doesn't know yet.
+func (e *Edge) unseenVersions(ctx context.Context) ([]resume.Origin, error) {
+	changes, err := e.follower.UnseenServers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var origins []resume.Origin
+	for _, c := range changes {
+		if c.Server != nil {
+			origins = append(origins, resume.Origin{Service: c.Server.Service, SoftwareVersion: c.Server.SoftwareVersion})
+		}
+	}
+	return origins, nil
+}
+
 // applyRequestLimit sets the request limit of a server, in requests per second, and
 // reports whether the server is listed.
 func (e *Edge) applyRequestLimit(key roster.ServerKey, perSecond float64) bool {
--- a/internal/mesh/candidates_test.go
+++ b/internal/mesh/candidates_test.go
@@ -96,3 +96,30 @@
 	now = now.Add(registryCoverage)
 	is.True(!m.RegistryCovered()) // it is silent
 }
+
+// A VM that was cut off, or stood still, has not heard from all others just now, although
+// it still counts them as reachable.
+func TestVMHasHeardFromAllOnlyIfAllHeartbeatsAreFresh(t *testing.T) {
+	is := is.New(t)
+	m := newLargeMesh()
+	now := m.Now()
+	m.Config.Now = func() clock.Instant { return now }
+	for _, o := range m.members {
+		o.LastHeartbeat = now
+	}
+	m.updateView()
+	is.True(m.HeardFromAll())
+	now = now.Add(m.unreachableTimeout() / 2)
+	is.True(!m.HeardFromAll())
+	is.True(m.ReachesAny())
+	for _, o := range m.members {
+		o.LastHeartbeat = now
+	}
+	silent := m.members["east-b-07"]
+	silent.LastHeartbeat = now.Add(-m.unreachableTimeout() / 2)
+	m.updateView()
+	is.True(!m.HeardFromAll())
+	silent.Closing = true
+	m.updateView()
+	is.True(m.HeardFromAll()) // it has shut down
+}
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -79,6 +79,19 @@
 	return slices.ContainsFunc(m.Members(), func(o Member) bool { return o.Reachable })
 }
 
+// HeardFromAll reports whether a heartbeat of each other VM has arrived just now. One that
+// has shut down doesn't count.
+func (m *Mesh) HeardFromAll() bool {
+	now, limit := m.Now(), m.unreachableTimeout()/freshFraction
+	return !slices.ContainsFunc(m.Members(), func(o Member) bool {
+		return !o.Closing && now.Sub(o.LastHeartbeat) > limit
+	})
+}
+
+// freshFraction is the part of the time until a member counts as unreachable in which its
+// last heartbeat arrived just now.
+const freshFraction = 3
+
 // KnowsFleet reports whether this VM knows its rank among the others: they have had the
 // time to learn of one another since it started, it has heard of one, and of no new one
 // lately; or it has no seed but itself.
--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -62,6 +62,11 @@
 	// Reachable reports whether another VM is reachable, and AnyReachable whether one is.
 	Reachable    func(vm string) bool
 	AnyReachable func() bool
+	// InTouch reports whether this VM has heard from all others just now. Otherwise it
+	// relies on the only version that it knows only after UnseenVersions, which returns
+	// the origins that the registry lists, or did meanwhile, and that this VM has not read.
+	InTouch        func() bool
+	UnseenVersions func(ctx context.Context) ([]Origin, error)
 	// PublishOwn distributes a part of what this VM alone writes.
 	PublishOwn func(kind gossip.Kind, part string, value []byte)
 }
@@ -135,8 +140,17 @@
 // another VM's record may still arrive, it waits for it until ctx ends. Fallback is the
 // service that is used if the stream isn't known, but had no choice of versions.
 func (t *Tracker) Find(ctx context.Context, requestID, fallback string) (Origin, bool) {
+	asked := false
 	for end := t.Now().Add(recordWait); ; {
-		if origin, ok := t.find(requestID, fallback); ok {
+		origin, ok, known := t.find(requestID, fallback)
+		if ok && !known && !t.InTouch() {
+			// Versions may have appeared that only the others know.
+			confirmed := !asked && t.confirm(ctx)
+			asked = true
+			origin, ok, known = t.find(requestID, fallback)
+			ok = ok && (known || confirmed)
+		}
+		if ok {
 			return origin, true
 		}
 		if ctx.Err() != nil || requestID == "" || t.Now() >= end || !t.AnyReachable() {
@@ -147,16 +161,40 @@
 	}
 }
 
-func (t *Tracker) find(requestID, fallback string) (Origin, bool) {
+// find returns where a stream began or, if that isn't known, the only version of the
+// fallback service. Ok is false if there is neither.
+func (t *Tracker) find(requestID, fallback string) (origin Origin, ok, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.streams[hashOf(requestID)]; ok {
-		return s.origin, true
+		return s.origin, true, true
 	}
 	now := t.Now()
 	t.observe(now)
 	version, ok := t.history.only(fallback, now)
-	return Origin{fallback, version}, ok
+	return Origin{fallback, version}, ok, false
+}
+
+// confirm adds the versions that this VM may have missed to the history. It reports
+// whether it could ask for them.
+func (t *Tracker) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	missed, err := t.UnseenVersions(ctx)
+	if err != nil {
+		t.Scope.Counter("unconfirmed").Inc(1)
+		t.Log.Warn("can't confirm the software versions of the services", "error", err)
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range missed {
+		if goneAt, seen := t.history.services[o.Service][o.SoftwareVersion]; !seen || goneAt != 0 {
+			t.history.set(o.Service, o.SoftwareVersion, t.Now())
+		}
+	}
+	t.Scope.Counter("confirmed").Inc(1)
+	return true
 }
 
 // observe brings the history up to date. The caller holds the lock.
--- a/internal/resume/tracker_test.go
+++ b/internal/resume/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -39,6 +40,11 @@
 	roster *roster.Roster
 	cut    bool
 	blind  bool
+	// outOfTouch means that the VM has not heard from another one just now, and unseen are
+	// the versions that the registry would tell it of; nil means that it can't be asked.
+	outOfTouch bool
+	unseen     []string
+	asked      int
 }
 
 func newFleet() *fleet {
@@ -55,6 +61,18 @@
 		RegistryRead: func() bool { return !m.blind },
 		Reachable:    func(vm string) bool { return f.vms[vm] != nil && !f.vms[vm].cut && !m.cut },
 		AnyReachable: func() bool { return false }, // so that nothing waits
+		InTouch:      func() bool { return !m.outOfTouch },
+		UnseenVersions: func(context.Context) ([]Origin, error) {
+			m.asked++
+			if m.unseen == nil {
+				return nil, errors.New("the registry can't be reached")
+			}
+			var origins []Origin
+			for _, version := range m.unseen {
+				origins = append(origins, Origin{"writer", version})
+			}
+			return origins, nil
+		},
 		PublishOwn: func(kind gossip.Kind, part string, value []byte) {
 			f.sent++
 			if !m.cut {
@@ -260,3 +278,30 @@
 		m.Find(context.Background(), "x", "writer")
 	})
 }
+
+// Guards against the first report of issue 38 (ORDER): a VM was cut off from the others, or
+// stood still, while servers of a new version joined, and went on with streams from there
+// at the only version that it knew.
+func TestVMOutOfTouchAsksTheRegistryBeforeItReliesOnItsOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	a, b := f.start("a", true, "v1"), f.start("b", true, "v1")
+	f.run(40 * time.Second)
+	is.Equal(b.found("lost"), "v1")
+	is.Equal(b.asked, 0) // in touch
+	b.cut, b.outOfTouch = true, true
+	a.list(f, "v1", "v2")
+	a.Begin("s", Origin{"writer", "v2"})
+	a.BrokeOff("s")
+	f.run(time.Second)
+	is.Equal(b.found("s"), "") // cut off from the registry too
+	b.unseen = []string{}
+	is.Equal(b.found("lost"), "v1") // nothing has changed
+	b.unseen = []string{"v1"}
+	is.Equal(b.found("lost"), "v1") // a new server of that version
+	b.unseen = []string{"v2"}
+	is.Equal(b.found("s"), "")
+	asked := b.asked
+	is.Equal(b.found("s"), "") // from now on the version is known
+	is.Equal(b.asked, asked)
+}
