Resume: a take-up whose caller left is known once its stream is

Cause, read before and now shown by a test: the VM that had taken that request waited for another VM's record of the stream, gave up with the caller, and forgot the request, so that no VM could tell where it belongs. Evidence: TestTakeUpWhoseCallerLeftIsKnownOnceItsStreamIs, which controls the order, failed before.

--- a/internal/relay/takeup.go
+++ b/internal/relay/takeup.go
@@ -25,6 +25,10 @@
 	}
 	origin, known := x.Streams.Find(ctx, x.req.ResumedID, x.service.Name)
 	if !known {
+		if ctx.Err() != nil {
+			// The caller may name this request when it takes the stream up elsewhere.
+			x.Streams.FindLater(x.req.ID, x.req.ResumedID, x.service.Name)
+		}
 		return verdict.Busy(verdict.CodeUnknownStream, "it is not known at which software version the stream began", jitter(retryUnknownStream))
 	}
 	if !slices.ContainsFunc(x.route.TrafficSplit, func(s ingress.WeightedService) bool { return s.Service == origin.Service }) {
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -1,13 +1,17 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
@@ -46,3 +50,46 @@
 	x.deadline = x.Now().Add(x.Balancer.Choose(&balance.Query{Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand, Remaining: time.Second}, x.Roster.View()).Estimate.TimeToFirstByte / 2)
 	is.Equal(x.choosePlan().Reason, "too-late") // not even an idle server begins in time
 }
+
+// Guards against TestStreamTakenUpByRequestWithoutEventsKeepsItsSoftwareVersion failing for
+// a race (LOST): a take-up whose caller left while it waited for the record of its stream
+// was forgotten, so that no VM knew the request that the caller named next.
+func TestTakeUpWhoseCallerLeftIsKnownOnceItsStreamIs(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	records := make(chan gossip.Record, 8)
+	streams := func(publish func(kind gossip.Kind, part string, value []byte)) *resume.Tracker {
+		return resume.New(resume.Config{
+			Now: func() clock.Instant { return now }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			View: roster.New(slog.New(slog.DiscardHandler)).View, RegistryRead: func() bool { return true },
+			Reachable: func(string) bool { return true }, AnyReachable: func() bool { return true },
+			InTouch: func() bool { return true }, PublishOwn: publish,
+		})
+	}
+	other := streams(func(kind gossip.Kind, part string, value []byte) {
+		if kind == gossip.KindStreams {
+			records <- gossip.Record{Key: gossip.Key{Kind: kind, Name: "vm-2/" + part}, Value: value}
+		}
+	})
+	x := hopTransaction(2)
+	x.Streams = streams(func(gossip.Kind, string, []byte) {})
+	x.req.ID, x.req.ResumedID, x.req.LastEventID = "b", "a", "4"
+	x.route.TrafficSplit = []ingress.WeightedService{{Service: "writer", Weight: 1}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // the caller has left
+	is.True(x.takeUp(ctx) != nil)
+
+	other.Begin("a", resume.Origin{Service: "writer", SoftwareVersion: "v1"})
+	other.BrokeOff("a")
+	other.Tick(now)
+	x.Streams.ApplyRecord(<-records)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // so that nothing is waited for
+		if origin, known := x.Streams.Find(ctx, "b", "writer"); known {
+			is.Equal(origin.SoftwareVersion, "v1")
+			return
+		}
+	}
+	t.Error("the request that took the stream up isn't known")
+}
--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -161,6 +161,18 @@
 	}
 }
 
+// FindLater records where the stream began to which a request belongs, once that is known,
+// although its caller has left: the caller may name the request at another VM. ResumedID
+// and fallback are as for Find.
+func (t *Tracker) FindLater(requestID, resumedID, fallback string) {
+	go func() {
+		if origin, ok := t.Find(context.Background(), resumedID, fallback); ok {
+			t.Begin(requestID, origin)
+			t.BrokeOff(requestID)
+		}
+	}()
+}
+
 // find returns where a stream began or, if that isn't known, the only version of the
 // fallback service. Ok is false if there is neither.
 func (t *Tracker) find(requestID, fallback string) (origin Origin, ok, known bool) {
