Edge: a server that is down is polled at its interval, not without a pause

Cause: a poll that found no process listening queued the next poll of the same server at once, so that each VM that polls it (all of its region, once one had told them) dialled it without a pause for as long as it was down. Change: only a request that was refused has the server polled at once; a refused poll marks the server and tells the other VMs, as before. TestServerThatIsDownIsPolledAtItsInterval failed before.

--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -121,10 +121,18 @@
 // serverLost records that no process listened at a server's address, tells the other VMs,
 // and has the server polled at once.
 func (p *poller) serverLost(s *roster.Server) {
-	if !p.balancer.Load(s.Key()).MayHaveRestarted() {
+	p.markRefused(s)
+	p.queueLost(s)
+}
+
+// markRefused records that no process listened at a server's address, and tells the other
+// VMs once.
+func (p *poller) markRefused(s *roster.Server) {
+	load := p.balancer.Load(s.Key())
+	if !load.MayHaveRestarted() {
 		p.onRefused(s)
 	}
-	p.queueLost(s)
+	load.MarkLost(p.now())
 }
 
 // queueLost records that a server may have restarted, and has it polled at once.
@@ -222,7 +230,7 @@
 		load.RecordMissedPoll()
 		p.onFailure(s)
 		if errorx.IsOfType(err, upstream.ErrRefused) {
-			p.serverLost(s)
+			p.markRefused(s)
 		}
 		if load.Unresponsive() && !wasUnresponsive {
 			p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
