--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,6 +91,21 @@
 	h.markUnplanned(length)
 	r.SetFaults(f)
 	time.AfterFunc(length, func() { r.SetFaults(platformtest.Faults{}) })
+	h.continueOddly(r, length)
+}
+
+// continueOddly makes half of the other replicas answer requests that go on with a stream
+// by what is no stream.
+func (h *Harness) continueOddly(broken *replica, length time.Duration) {
+	for _, r := range h.sortedReplicas() {
+		odd := platformtest.OddContinuation(h.continuationRNG.IntN(2 * int(platformtest.OddContinuations)))
+		if r == broken || odd >= platformtest.OddContinuations {
+			continue
+		}
+		h.logFault("%s continues streams oddly for %v: %d", r.ID, length, odd)
+		r.SetOddContinuation(odd)
+		time.AfterFunc(length, func() { r.SetOddContinuation(platformtest.SoundContinuation) })
+	}
 }
 
 const (
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,10 +85,10 @@
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng, registryRNG, statementRNG, versionRNG *rand.Rand
-	vms                                        []*process
-	seeds                                      []string
-	followed                                   followedStreams
+	rng, registryRNG, statementRNG, versionRNG, continuationRNG *rand.Rand
+	vms                                                         []*process
+	seeds                                                       []string
+	followed                                                    followedStreams
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -132,8 +132,8 @@
 	h := &Harness{
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
-		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)),
-		replicas:   map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
+		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)), continuationRNG: rand.New(rand.NewPCG(config.Seed, 8)),
+		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
 	}
 	defer h.stopAll()
 	d.SetDeadlyBlock(deadlyBlock)
