--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,20 +91,18 @@
 	h.markUnplanned(length)
 	r.SetFaults(f)
 	time.AfterFunc(length, func() { r.SetFaults(platformtest.Faults{}) })
-	h.continueOddly(r, length)
 }
 
-// continueOddly makes half of the other replicas answer requests that go on with a stream
-// by what is no stream.
-func (h *Harness) continueOddly(broken *replica, length time.Duration) {
+// continueOddly makes some replicas answer requests that go on with a stream by what is no
+// stream, until they are replaced.
+func (h *Harness) continueOddly() {
 	for _, r := range h.sortedReplicas() {
 		odd := platformtest.OddContinuation(h.continuationRNG.IntN(2 * int(platformtest.OddContinuations)))
-		if r == broken || odd >= platformtest.OddContinuations {
+		if odd == platformtest.SoundContinuation || odd >= platformtest.OddContinuations {
 			continue
 		}
-		h.logFault("%s continues streams oddly for %v: %d", r.ID, length, odd)
+		h.logFault("%s continues streams oddly: %d", r.ID, odd)
 		r.SetOddContinuation(odd)
-		time.AfterFunc(length, func() { r.SetOddContinuation(platformtest.SoundContinuation) })
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -142,6 +142,7 @@
 		return nil, nil, err
 	}
 	h.nameLimits()
+	h.continueOddly()
 	h.chooseDeadlyRequest()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
