Relay: writes of requests without a deadline are bounded by their route's timeout

The bound of cut responses to requests that state no deadline at the default timeout of 30 s, also on routes with a longer one. Reasons of failed continuations no longer quote the content type that a server sent.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -29,7 +29,7 @@
 	case e.StatusCode != http.StatusOK:
 		return "status " + strconv.Itoa(e.StatusCode) + " can't go on with an event stream"
 	case !isEventStream(e.Header):
-		return "content type " + strconv.Quote(e.Header.Get("Content-Type")) + " can't go on with an event stream"
+		return "a body of another type can't go on with an event stream"
 	}
 	return ""
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -57,13 +57,14 @@
 		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, err.Error())
 	}
-	boundTransfer(w, now, req.Deadline)
+	table := r.Table()
+	boundTransfer(w, now, latestEnd(req, table, now))
 	if r.Refusing() {
 		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
 	}
 	var limits ingress.Limits
-	if table := r.Table(); table != nil {
+	if table != nil {
 		limits = table.Limits
 	}
 	if limits.MaxBodyBytes <= 0 {
@@ -90,6 +91,18 @@
 	return req, nil
 }
 
+// latestEnd returns the deadline of a request or, if it states none, the end of its route's
+// timeout; zero if there is no route.
+func latestEnd(req *Request, table *ingress.Table, now clock.Instant) clock.Instant {
+	if req.Deadline != 0 || table == nil {
+		return req.Deadline
+	}
+	if route := table.Match(req.Host, req.Path); route != nil {
+		return now.Add(timeoutOf(route))
+	}
+	return 0
+}
+
 // boundTransfer bounds how long the peer may take to send the body of a request and to
 // read its response, by the request's deadline; zero means that it has none.
 func boundTransfer(w http.ResponseWriter, now, deadline clock.Instant) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -302,11 +302,7 @@
 		name = x.route.PickService(rand.Float64())
 	}
 	x.setService(name)
-	timeout := x.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	x.deadline = req.Arrived.Add(timeout)
+	x.deadline = req.Arrived.Add(timeoutOf(x.route))
 	if req.Deadline != 0 {
 		x.deadline = min(x.deadline, req.Deadline)
 	}
@@ -319,6 +315,14 @@
 	return x, nil
 }
 
+// timeoutOf returns how long a request of the route may take.
+func timeoutOf(route *ingress.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return route.Timeout
+}
+
 // setService sets the service that serves the request.
 func (x *transaction) setService(name string) {
 	x.service = x.table.Services[name]
--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -4,7 +4,8 @@
 //
 // Each VM knows the streams that it began. It sends them to the other VMs while a
 // service has, or may have had, several versions. Else the only version is enough to
-// go on with a stream that isn't known. The package opens no sockets and takes the
+// go on with a stream that isn't known, as long as the VM hears from the others or the
+// registry confirms that it missed none. The package opens no sockets and takes the
 // clock as a parameter.
 package resume
 
