Balance: a cold server's allowance isn't renewed by its new entry

Callers' requests beyond what a cold server tolerates make it crash. A server that starts again under its ID is found by its report first, and used under the key of the incarnation before, with this VM's share of the cold rate.

The limiter of cold requests is kept by server ID across incarnations, and dropped once it has been idle for its window and the server is unlisted.

TestServerThatStartedAgainHasOneAllowance failed before (5 more requests at the same instant, and 700 ms later) and passes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -240,9 +240,12 @@
 	Fleet    Fleet
 	Prefixes *PrefixIndex
 
-	loads       sync.Map // roster.ServerKey to *Load
-	durations   sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
-	regionSends sync.Map // region and service to *recentSends
+	loads sync.Map // roster.ServerKey to *Load
+	// coldLimiters are by server ID, because an incarnation may be used before its
+	// entry arrives, under the key of the one before.
+	coldLimiters sync.Map // server ID to *ColdLimiter
+	durations    sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
+	regionSends  sync.Map // region and service to *recentSends
 	// prefillSlowdownBits is the ratio of measured to expected prefill time, as
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
@@ -265,12 +268,13 @@
 	if l, ok := b.loads.Load(key); ok {
 		return l.(*Load)
 	}
-	l, _ := b.loads.LoadOrStore(key, &Load{})
+	limiter, _ := b.coldLimiters.LoadOrStore(key.ID, &ColdLimiter{})
+	l, _ := b.loads.LoadOrStore(key, &Load{coldLimiter: limiter.(*ColdLimiter)})
 	return l.(*Load)
 }
 
 // RemoveUnlisted deletes the load records of servers that are not in the view.
-func (b *Balancer) RemoveUnlisted(v *roster.View) {
+func (b *Balancer) RemoveUnlisted(v *roster.View, now clock.Instant) {
 	b.loads.Range(func(key, _ any) bool {
 		k := key.(roster.ServerKey)
 		if s := v.Lookup(k.ID); s == nil || s.Started != k.Started {
@@ -278,6 +282,12 @@
 		}
 		return true
 	})
+	b.coldLimiters.Range(func(id, limiter any) bool {
+		if v.Lookup(id.(string)) == nil && limiter.(*ColdLimiter).idle(now) {
+			b.coldLimiters.Delete(id)
+		}
+		return true
+	})
 }
 
 // Choose returns the best of this region's backend servers and the other
@@ -458,7 +468,7 @@
 			continue
 		}
 		cold, allowance := b.coldAllowance(q.Service, s, load, view, q.Now)
-		if cold && !load.ColdLimiter.HasRoom(q.Now, allowance) {
+		if cold && !load.coldLimiter.HasRoom(q.Now, allowance) {
 			best.Reason = reasonUnless(found, best.Reason, "servers-cold")
 			continue
 		}
@@ -528,7 +538,7 @@
 		s = latest
 	}
 	cold, allowance := b.coldAllowance(service, s, load, view, now)
-	return load.ColdLimiter.Take(now, allowance, cold)
+	return load.coldLimiter.Take(now, allowance, cold)
 }
 
 // coldAllowance reports whether the server counts as cold and, if so, how many
--- a/internal/balance/cold_limiter.go
+++ b/internal/balance/cold_limiter.go
@@ -45,6 +45,14 @@
 	return len(l.sent) < allowance
 }
 
+// idle reports whether no request was counted within the window.
+func (l *ColdLimiter) idle(now clock.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	return len(l.sent) == 0
+}
+
 // expire removes requests that have left the window. The caller holds the lock.
 func (l *ColdLimiter) expire(now clock.Instant) {
 	i := 0
--- a/internal/balance/cold_limiter_test.go
+++ b/internal/balance/cold_limiter_test.go
@@ -1,12 +1,16 @@
 package balance
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
 func TestColdAllowancesStayWithinBound(t *testing.T) {
@@ -52,3 +56,42 @@
 		}
 	})
 }
+
+// Guards against FAILBACK on levendula-szov (issue 42): a cold server that had started
+// again under its ID got the whole allowance twice in one second, before and after its
+// new entry arrived.
+func TestServerThatStartedAgainHasOneAllowance(t *testing.T) {
+	for name, entryDelay := range map[string]time.Duration{"at once": 0, "later": 700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const allowance = 5 // of 6.75 requests per second, one VM
+			b := New("n", "n-a", Bounds{ColdOverage: 1.5, ColdSlack: 3}, DefaultTuning, &rankFleet{vms: 1})
+			service := &ingress.Service{Name: "writer", ColdRequestsPerSecond: 2.5, ColdPeriod: 3 * time.Second, Engine: &ingress.Engine{}}
+			now := clock.Instant(time.Hour)
+			servers := roster.New(slog.New(slog.DiscardHandler))
+			entry := roster.Entry{ID: "writer0", Service: "writer", Region: "n", FailureDomain: "n-a", Started: 1000}
+			take := func() int {
+				s := servers.View().Lookup(entry.ID)
+				n := 0
+				for range 20 {
+					if b.TakeFromColdRate(service, s, b.Load(s.Key()), servers.View(), now) {
+						n++
+					}
+				}
+				return n
+			}
+			servers.Put(entry, 1, roster.Event, now)
+			b.Load(roster.ServerKey{ID: entry.ID, Started: 1000}).RecordRestart(2000, now, service.ColdPeriod)
+			is.Equal(take(), allowance)
+
+			now = now.Add(entryDelay)
+			entry.Started, entry.ColdFor = 2000, service.ColdPeriod
+			servers.Put(entry, 2, roster.Event, now)
+			b.RemoveUnlisted(servers.View(), now)
+			is.Equal(take(), 0)
+
+			now = now.Add(coldWindow)
+			is.Equal(take(), allowance)
+		})
+	}
+}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -75,9 +75,10 @@
 // Load is this process's load record of one incarnation of a backend server.
 type Load struct {
 	Breaker     breaker.Breaker
-	ColdLimiter ColdLimiter
 	Pause       Pause
 	RateLimiter RateLimiter
+	// coldLimiter is shared by all incarnations of the server.
+	coldLimiter *ColdLimiter
 
 	active, memory atomic.Int64
 	// prefillUntil is the instant at which all prompts that are known here to have
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -183,7 +183,7 @@
 			}
 		}
 	}
-	p.balancer.RemoveUnlisted(view)
+	p.balancer.RemoveUnlisted(view, p.now())
 }
 
 // shouldPoll reports whether this VM polls an engine in this round.
