Edge: the check after a broken request records that its server restarted

After a broken request, the check whether the engine still runs fetches its report. Its start time was compared for the quarantine only: the balancer went on taking the new process for the warm one until the next poll, up to a second later, although this VM knew better. Also a report that the engine leaves, or its request limit, was dropped.

Polls and the check now apply a report by the same function. TestServerFoundRestartedAfterBrokenRequestIsCold failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -267,7 +267,8 @@
 // can't be reached counts as not running. A plain server has no report, so that it
 // counts as running if it accepts connections.
 func (e *Edge) isRunning(ctx context.Context, s *roster.Server) bool {
-	if !e.isEngine(s) {
+	service := e.poller.engineService(s)
+	if service == nil {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address)
 		if err != nil {
 			e.log.Info("backend server accepts no connections after a broken request", "server", s.ID, "service", s.Service, "error", err)
@@ -276,12 +277,13 @@
 		defer func() { _ = conn.Close() }() // nothing was sent
 		return staysOpen(conn)
 	}
+	began := e.now()
 	report, err := e.adapter.FetchReport(ctx, s)
 	if err != nil {
 		e.log.Info("engine did not answer after a broken request", "server", s.ID, "service", s.Service, "error", err)
 		return false
 	}
-	return report.Started == 0 || s.Started == 0 || report.Started == s.Started
+	return !e.poller.record(service, s, report, began)
 }
 
 // staysOpen reports whether a connection is not reset at once. The listener of a process
@@ -294,16 +296,6 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// isEngine reports whether a server is a model engine.
-func (e *Edge) isEngine(s *roster.Server) bool {
-	table := e.follower.Table()
-	if table == nil {
-		return false
-	}
-	service := table.Services[s.Service]
-	return service != nil && service.Engine != nil
-}
-
 // serverCount returns the number of known servers of a service.
 func (e *Edge) serverCount(service string) int {
 	n := 0
@@ -319,7 +311,7 @@
 func (e *Edge) engineCount() int {
 	n := 0
 	for _, s := range e.roster.View().All() {
-		if e.isEngine(s) {
+		if e.poller.engineService(s) != nil {
 			n++
 		}
 	}
--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
@@ -79,3 +80,31 @@
 	is.Equal(e.registryAge(e.startedAt.Add(3*time.Second)), 3*time.Second)
 	is.True(clock.Instant(0) == e.follower.ConfirmedAt())
 }
+
+// restartedFetcher is a platform on which each engine's process started at started, in
+// Unix milliseconds.
+type restartedFetcher struct {
+	silentAdapter
+	started int64
+}
+
+func (f restartedFetcher) FetchReport(context.Context, *roster.Server) (Report, error) {
+	return Report{Report: balance.Report{Started: f.started}}, nil
+}
+
+// Guards against FAILBACK on levendula-szov (issue 42): the check after a broken request
+// found that its server had started again under its ID, and the server was still used as
+// a warm one until the next poll.
+func TestServerFoundRestartedAfterBrokenRequestIsCold(t *testing.T) {
+	is := is.New(t)
+	e := newSilentEdge()
+	e.adapter = restartedFetcher{started: 2000}
+	service := &ingress.Service{Name: "writer", Engine: &ingress.Engine{Slots: 4}, ColdRequestsPerSecond: 2.5, ColdPeriod: time.Minute}
+	table := ingress.NewTable(1, nil, []*ingress.Service{service}, ingress.Limits{})
+	e.poller.table = func() *ingress.Table { return table }
+	e.roster.Put(roster.Entry{ID: "i-1", Service: "writer", Address: "10.0.0.1:1", FailureDomain: "d", Region: "r", Slots: 4, Started: 1000}, 1, roster.Event, e.now())
+	s := e.roster.View().Lookup("i-1")
+	is.True(e.balancer.TakeFromColdRate(service, s, e.balancer.Load(s.Key()), e.roster.View(), e.now())) // warm
+	is.Equal(e.isRunning(t.Context(), s), false)
+	is.Equal(e.balancer.TakeFromColdRate(service, s, e.balancer.Load(s.Key()), e.roster.View(), e.now()), false) // the service allows none
+}
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -237,21 +237,26 @@
 		}
 		return
 	}
-	now := p.now()
-	restarted := applyStart(load, service, s, report.Started, now)
-	if !restarted {
-		load.ConfirmRunning(began)
-	}
-	if report.Leaving && !restarted {
-		p.onLeaving(s.Key())
+	p.record(service, s, report, began)
+	if wasUnresponsive {
+		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service, "started", report.Started)
 	}
+}
+
+// record applies an engine's report, which was requested at the instant began, and
+// returns whether it is that of a later process than the listed one.
+func (p *poller) record(service *ingress.Service, s *roster.Server, report Report, began clock.Instant) (restarted bool) {
+	now, load := p.now(), p.balancer.Load(s.Key())
+	restarted = applyStart(load, service, s, report.Started, now)
 	if !restarted {
+		load.ConfirmRunning(began)
 		p.requestLimits.Record(s, report.RequestLimit, serverlimit.FromReport)
+		if report.Leaving {
+			p.onLeaving(s.Key())
+		}
 	}
 	report.ReceivedAt = now
 	load.RecordPollReport(report.Report)
 	p.onReport(s.ID, report.Report)
-	if wasUnresponsive {
-		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service, "started", report.Started)
-	}
+	return restarted
 }
