--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -125,6 +125,9 @@
 	defaultEngineMs = 1500
 	// durationSmoothing is the weight of a new service time.
 	durationSmoothing = 0.05
+	// peerHopMs is added to the score of a server that is reached through another VM of
+	// the region.
+	peerHopMs = 10
 	// coldPenaltyMs is added to the score of a cold server.
 	coldPenaltyMs = 100
 	// contentionPenaltyMs is the score of one more request at an engine that is
@@ -182,8 +185,9 @@
 	TriedRegions []string
 	// SoftwareVersion, if set, excludes the servers of other versions of the software.
 	SoftwareVersion *string
-	// LocalOnly excludes other regions.
-	LocalOnly bool
+	// LocalOnly excludes other regions, and OwnLinksOnly servers that only other VMs
+	// of this region reach.
+	LocalOnly, OwnLinksOnly bool
 	// Random selects the sampled servers and breaks ties.
 	Random uint64
 }
@@ -194,8 +198,9 @@
 	return q.SoftwareVersion == nil || s.SoftwareVersion == *q.SoftwareVersion && load.restartedAs.Load() == 0
 }
 
-// Plan is the decision for one request: it goes to Server, to Region or, with
-// neither, cannot be placed now.
+// Plan is the decision for one request: it goes to Server, to a VM of Region or, with
+// neither, cannot be placed now. Region is this VM's own region if another VM there
+// reaches servers that this one doesn't.
 type Plan struct {
 	Server   *roster.Server
 	Load     *Load
@@ -218,6 +223,15 @@
 	// server, including this one, and this VM's rank among them for a server in
 	// the given failure domain.
 	ServerRank(server, failureDomain string) (vms, rank int)
+	// ReachedByPeer reports whether another VM of this region that accepts requests
+	// reaches a backend server.
+	ReachedByPeer(server string) bool
+	// CutOff reports whether no VM of a region that accepts requests reaches a backend
+	// server there.
+	CutOff(region, server string) bool
+	// ShareDelay is how long this VM uses no share of a server's rate after its lost link
+	// to the server was restored: the others may still use that share.
+	ShareDelay() time.Duration
 	// KnowsFleet reports whether this VM knows its rank. It doesn't shortly after its
 	// start.
 	KnowsFleet() bool
@@ -294,6 +308,9 @@
 // regions.
 func (b *Balancer) Choose(q *Query, view *roster.View) Plan {
 	local := b.chooseLocal(q, view)
+	if peer := b.choosePeer(q, view); peer.Region != "" && (local.Server == nil || peer.Estimate.Score < local.Estimate.Score) {
+		local = peer
+	}
 	if q.LocalOnly {
 		return local
 	}
@@ -301,7 +318,7 @@
 	switch {
 	case remote.Region == "":
 		return local
-	case local.Server == nil:
+	case local.Server == nil && local.Region == "":
 		return remote
 	case remote.Estimate.Score+toMs(b.Tuning.CrossRegionMargin) < local.Estimate.Score:
 		return remote
@@ -327,6 +344,35 @@
 	return b.bestServer(q, view, servers, cached, best)
 }
 
+// choosePeer returns a plan to send the request to another VM of this region, with the
+// estimate of the best server that such a VM reaches and this one doesn't. The region of
+// the plan is "" if there is none.
+func (b *Balancer) choosePeer(q *Query, view *roster.View) Plan {
+	var best Plan
+	if q.OwnLinksOnly || !q.Route.Permits(b.Region) || slices.Contains(q.TriedRegions, b.Region) {
+		return best
+	}
+	var cached map[roster.ServerKey]int
+	for _, s := range view.Usable(q.Service.Name, b.Region) {
+		load := b.Load(s.Key())
+		if !load.Link.Lost() || !b.Fleet.ReachedByPeer(s.ID) || !q.permits(s, load) || slices.Contains(q.Tried, s.Key()) {
+			continue
+		}
+		if isCold(q.Service, s, load, view, q.Now) {
+			continue
+		}
+		if cached == nil {
+			cached = b.Prefixes.cachedTokens(q.Demand.PrefixBlocks, q.Now)
+		}
+		e := b.estimate(q, s, load, cached[s.Key()])
+		e.Score += peerHopMs
+		if best.Region == "" || e.Score < best.Estimate.Score {
+			best = Plan{Region: b.Region, Estimate: e}
+		}
+	}
+	return best
+}
+
 // sample returns some servers at random, those that have the prompt's long
 // shared prefix cached, and the prefix's home servers. Many VMs that scored all
 // servers by the same outdated reports would all choose the same server.
@@ -387,7 +433,7 @@
 		if !q.Route.Permits(region) {
 			continue
 		}
-		servers := float64(len(view.Usable(q.Service.Name, region)))
+		servers := float64(b.countReached(view.Usable(q.Service.Name, region)))
 		if score := spread.RendezvousScore(hashPair(prefix.ID, region), servers); score > best {
 			best, home = score, region
 		}
@@ -395,6 +441,17 @@
 	return home
 }
 
+// countReached returns how many of a region's servers are reached by a VM there.
+func (b *Balancer) countReached(servers []*roster.Server) int {
+	n := 0
+	for _, s := range servers {
+		if !b.Fleet.CutOff(s.Region, s.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 // homeServers returns the home servers of a long shared prefix in order of
 // preference. VMs that know the same servers agree on the result.
 func homeServers(servers []*roster.Server, prefix uint64) []*roster.Server {
@@ -457,7 +514,7 @@
 			best.Reason = reasonUnless(found, best.Reason, "no-server-of-version")
 			continue
 		}
-		if load.Unresponsive() || load.excluded(q.Now) || !load.Breaker.Ready(q.Now) || load.noProgressFor(q.Now) > unresponsiveAfter {
+		if load.Link.Lost() || load.excluded(q.Now) || !load.Breaker.Ready(q.Now) || load.noProgressFor(q.Now) > unresponsiveAfter {
 			best.Reason = reasonUnless(found, best.Reason, "servers-failing")
 			continue
 		}
@@ -501,7 +558,7 @@
 	if !load.Admits(now) {
 		return ReasonPaused, max(rampStep, load.Pause.Remaining(now))
 	}
-	if wait := load.RateLimiter.Wait(now, b.limitShare(s, load)); wait > 0 {
+	if wait := load.RateLimiter.Wait(now, b.limitShare(s, load, now)); wait > 0 {
 		return ReasonLimited, max(minLimitWait, wait)
 	}
 	return "", 0
@@ -510,19 +567,28 @@
 // TakeFromLimit counts a request against this VM's share of a server's request
 // limit, and reports whether it may be sent.
 func (b *Balancer) TakeFromLimit(s *roster.Server, load *Load, now clock.Instant) bool {
-	return load.RateLimiter.Take(now, b.limitShare(s, load))
+	return load.RateLimiter.Take(now, b.limitShare(s, load, now))
 }
 
 // limitShare returns this VM's share of a server's request limit.
-func (b *Balancer) limitShare(s *roster.Server, load *Load) LimitShare {
+func (b *Balancer) limitShare(s *roster.Server, load *Load, now clock.Instant) LimitShare {
 	perSecond := load.RateLimiter.Limit()
 	if perSecond == 0 {
 		return unlimited
 	}
+	if !b.hasShare(load, now) {
+		return LimitShare{}
+	}
 	vms, rank := b.Fleet.ServerRank(s.ID, s.FailureDomain)
 	return ShareOfLimit(perSecond, vms, rank)
 }
 
+// hasShare reports whether this VM may use its share of a server's rate. While it has
+// lost its link to the server, the others use that share.
+func (b *Balancer) hasShare(load *Load, now clock.Instant) bool {
+	return load.Link.Settled(b.Fleet.ShareDelay(), now)
+}
+
 // reasonUnless returns current if a server was found, else reason.
 func reasonUnless(found bool, current, reason string) string {
 	if found {
@@ -541,21 +607,26 @@
 	return load.coldLimiter.Take(now, allowance, cold)
 }
 
-// coldAllowance reports whether the server counts as cold and, if so, how many
-// requests per second this VM may send to it.
-func (b *Balancer) coldAllowance(service *ingress.Service, s *roster.Server, load *Load, view *roster.View, now clock.Instant) (bool, int) {
+// isCold reports whether the server counts as cold.
+func isCold(service *ingress.Service, s *roster.Server, load *Load, view *roster.View, now clock.Instant) bool {
 	if service.ColdRequestsPerSecond <= 0 {
-		return false, 0
+		return false
 	}
 	returned := view.EvacuationEndedAt(s.FailureDomain)
-	// A process that started again is cold before its new entry arrives.
-	mayHaveRestarted := service.Engine != nil && load.MayHaveRestarted()
-	cold := mayHaveRestarted || now < s.ColdUntil || now < clock.Instant(load.coldUntil.Load()) ||
+	// A process that started again is cold before its new entry arrives. Over a lost link,
+	// a refused connection doesn't show that the process ended.
+	mayHaveRestarted := service.Engine != nil && load.MayHaveRestarted() && !load.Link.Lost()
+	return mayHaveRestarted || now < s.ColdUntil || now < clock.Instant(load.coldUntil.Load()) ||
 		returned != 0 && now.Sub(returned) < service.ColdPeriod+returnMargin
-	if !cold {
+}
+
+// coldAllowance reports whether the server counts as cold and, if so, how many
+// requests per second this VM may send to it.
+func (b *Balancer) coldAllowance(service *ingress.Service, s *roster.Server, load *Load, view *roster.View, now clock.Instant) (bool, int) {
+	if !isCold(service, s, load, view, now) {
 		return false, 0
 	}
-	if !b.Fleet.KnowsFleet() {
+	if !b.Fleet.KnowsFleet() || !b.hasShare(load, now) {
 		// VMs that start together would all take the share of the first.
 		return true, 0
 	}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -33,9 +33,11 @@
 	if load.full(q.Now) {
 		e.Score += fullPenaltyMs
 	}
-	e.Score += errorPenaltyMs * load.errorShare.value()
-	if stalled := load.noProgressFor(q.Now); stalled > e.TimeToFirstByte {
-		e.Score += toMs(stalled)
+	if !load.Link.Lost() { // else what happened on the link says little about the server
+		e.Score += errorPenaltyMs * load.errorShare.value()
+		if stalled := load.noProgressFor(q.Now); stalled > e.TimeToFirstByte {
+			e.Score += toMs(stalled)
+		}
 	}
 	e.Score *= 1 + noise*spread.Unit(q.Random^maphash.String(b.seed, s.ID))
 	return e
--- /dev/null
+++ b/internal/balance/link_test.go
@@ -0,0 +1,158 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+// peerFleet is the Fleet of a VM whose region has another VM that reaches all servers but
+// unreached ones.
+type peerFleet struct {
+	singleVM
+	unreached, cutOff map[string]bool
+}
+
+func (f *peerFleet) ReachedByPeer(server string) bool { return !f.unreached[server] }
+func (f *peerFleet) CutOff(region, server string) bool {
+	return f.cutOff[region+"/"+server]
+}
+
+func lose(l *Load, now clock.Instant) {
+	for range unresponsivePolls {
+		l.Link.RecordPoll(false, now)
+	}
+}
+
+func TestLinkIsLostAfterFailuresInARow(t *testing.T) {
+	is := is.New(t)
+	var l Link
+	l.RecordDial(false, 1)
+	is.True(l.Doubtful() && !l.Lost())
+	l.RecordPoll(true, 2) // over an open connection
+	l.RecordDial(false, 3)
+	is.True(l.Lost())
+	l.RecordPoll(true, 4)
+	is.True(l.Lost() && l.NeedsDial())
+	is.True(!l.Settled(0, 4))
+	l.RecordDial(true, 5)
+	is.True(!l.Lost() && !l.Doubtful())
+	is.True(!l.Settled(time.Second, 6))
+	is.True(l.Settled(time.Second, clock.Instant(5).Add(time.Second+1)))
+}
+
+// Guards against RECOVER (issue 42): a VM that had lost its links had no use for those of
+// the other VMs of its region.
+func TestRequestForUnreachedServerGoesThroughPeer(t *testing.T) {
+	b, r := newTestBalancer(3, 1)
+	fleet := &peerFleet{unreached: map[string]bool{}}
+	b.Fleet = fleet
+	now := clock.Instant(time.Hour)
+	d := newDemand(1, 600, 0, 300)
+	load := func(id string) *Load { return b.Load(r.View().Lookup(id).Key()) }
+	for _, id := range []string{"writer0", "writer1", "writer2"} {
+		lose(load(id), now)
+	}
+	choose := func(edit func(q *Query)) Plan {
+		q := streamQuery(now, d)
+		if edit != nil {
+			edit(q)
+		}
+		return b.Choose(q, r.View())
+	}
+	t.Run("all links lost", func(t *testing.T) {
+		is := is.New(t)
+		plan := choose(nil)
+		is.Equal(plan.Server, nil)
+		is.Equal(plan.Region, "home")
+	})
+	t.Run("only over own links", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(choose(func(q *Query) { q.OwnLinksOnly = true }).Reason, "servers-failing")
+	})
+	t.Run("peer was tried", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(choose(func(q *Query) { q.TriedRegions = []string{"home"} }).Reason, "servers-failing")
+	})
+	t.Run("no peer reaches them", func(t *testing.T) {
+		is := is.New(t)
+		fleet.unreached = map[string]bool{"writer0": true, "writer1": true, "writer2": true}
+		is.Equal(choose(nil).Reason, "servers-failing")
+		fleet.unreached = map[string]bool{}
+	})
+	t.Run("a refused connection doesn't make them cold", func(t *testing.T) {
+		is := is.New(t)
+		load("writer0").MarkLost(now)
+		load("writer1").MarkLost(now)
+		load("writer2").MarkLost(now)
+		is.Equal(choose(nil).Region, "home")
+	})
+	t.Run("own link is as good", func(t *testing.T) {
+		is := is.New(t)
+		load("writer2").ConfirmRunning(now)
+		load("writer2").RecordPollReport(Report{ReceivedAt: now, MemoryTotal: 444_000})
+		is.Equal(choose(nil).Server.ID, "writer2")
+	})
+	t.Run("own link leads to a busy server", func(t *testing.T) {
+		is := is.New(t)
+		for range 64 {
+			load("writer2").Begin(d, &Estimate{}, now)
+		}
+		is.Equal(choose(nil).Region, "home")
+	})
+}
+
+// Guards against FAILBACK by VMs that divide the rate of a cold server while one of them
+// has lost its link and another has taken over its share.
+func TestRestoredLinkHasNoShareAtFirst(t *testing.T) {
+	is := is.New(t)
+	b, r := newTestBalancer(1, 0)
+	s := r.View().Lookup("writer0")
+	load := b.Load(s.Key())
+	now := clock.Instant(time.Hour)
+	load.RateLimiter.SetLimit(5)
+	load.RecordRestart(2, now, time.Minute)
+	is.True(b.TakeFromColdRate(engineService, s, load, r.View(), now))
+	is.True(b.TakeFromLimit(s, load, now))
+	lose(load, now)
+	is.True(!b.TakeFromColdRate(engineService, s, load, r.View(), now))
+	is.True(!b.TakeFromLimit(s, load, now))
+	load.Link.RecordPoll(true, now)
+	is.True(!b.TakeFromColdRate(engineService, s, load, r.View(), now))
+	is.True(!b.TakeFromLimit(s, load, now))
+	now = now.Add(b.Fleet.ShareDelay() + 1)
+	is.True(b.TakeFromColdRate(engineService, s, load, r.View(), now))
+	_, wait := b.AdmissionDelay(s, load, now) // the share begins to fill
+	is.True(wait <= time.Second)
+	is.True(b.TakeFromLimit(s, load, now.Add(wait)))
+}
+
+// Guards against prefixes whose home is a region of which no VM reaches the servers.
+func TestHomeRegionCountsServersThatAreReached(t *testing.T) {
+	is := is.New(t)
+	b, r := newTestBalancer(2, 0)
+	fleet := &peerFleet{cutOff: map[string]bool{}}
+	b.Fleet = fleet
+	q := streamQuery(clock.Instant(time.Hour), newDemand(1, 400, 5000, 300))
+	is.Equal(b.homeRegion(q, r.View()), "home")
+	fleet.cutOff = map[string]bool{"home/writer0": true, "home/writer1": true}
+	is.Equal(b.homeRegion(q, r.View()), "")
+}
+
+// Guards against a region that seems to have no servers as the VM that reports for it has
+// lost its links.
+func TestSummaryCountsServersThatPeersReach(t *testing.T) {
+	is := is.New(t)
+	b, r := newTestBalancer(2, 0)
+	fleet := &peerFleet{unreached: map[string]bool{"writer1": true}}
+	b.Fleet = fleet
+	now := clock.Instant(time.Hour)
+	is.Equal(b.Summarize(engineService, r.View(), now).Servers, 2)
+	for _, s := range r.View().All() {
+		lose(b.Load(s.Key()), now)
+	}
+	is.Equal(b.Summarize(engineService, r.View(), now).Servers, 1)
+}
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -75,6 +75,7 @@
 // Load is this process's load record of one incarnation of a backend server.
 type Load struct {
 	Breaker     breaker.Breaker
+	Link        Link
 	Pause       Pause
 	RateLimiter RateLimiter
 	// coldLimiter is shared by all incarnations of the server.
@@ -108,8 +109,6 @@
 	// latestStarted is when the latest-sent of the requests that got their first
 	// byte was sent.
 	latestStarted atomic.Int64
-	// missedPolls counts unanswered polls since the last answered one.
-	missedPolls atomic.Int32
 	// fullUntil is the instant until which the server counts as full.
 	fullUntil  atomic.Int64
 	errorShare smoothedShare
@@ -196,7 +195,7 @@
 
 // RecordPollReport records the server's response to a poll by this VM.
 func (l *Load) RecordPollReport(r Report) {
-	l.missedPolls.Store(0)
+	l.Link.RecordPoll(true, r.ReceivedAt)
 	l.RecordForwardedReport(r)
 }
 
@@ -208,18 +207,11 @@
 	l.otherRequests.Store(math.Float64bits(max(0, float64(r.Running+r.Queued)-own)))
 }
 
-// RecordMissedPoll records that the server did not respond to a poll. It returns
-// the number of unanswered polls in a row.
-func (l *Load) RecordMissedPoll() int32 { return l.missedPolls.Add(1) }
-
-// Unresponsive reports whether several polls in a row got no response.
-func (l *Load) Unresponsive() bool { return l.missedPolls.Load() >= unresponsivePolls }
-
-// Suspected reports whether the server should be polled often: a poll got no
-// response, no process listened at its address, another VM suspects the server, or
+// Suspected reports whether the server should be polled often: the link is doubtful,
+// no process listened at its address, another VM suspects the server, or
 // requests wait unusually long for a first byte.
 func (l *Load) Suspected(now clock.Instant) bool {
-	return l.missedPolls.Load() > 0 || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
+	return l.Link.Doubtful() || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
 }
 
 // Calm reports whether the server is neither suspect nor busy: by its last report
@@ -243,10 +235,6 @@
 	suspectAfter = 600 * time.Millisecond
 )
 
-// unresponsivePolls is the number of unanswered polls in a row after which a
-// server gets no new requests.
-const unresponsivePolls = 2
-
 // Exclude keeps new requests from the server for excludeDuration, because another
 // VM reported that it fails.
 func (l *Load) Exclude(now clock.Instant) { l.excludedUntil.Store(int64(now.Add(excludeDuration))) }
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -20,6 +20,9 @@
 type singleVM struct{ regions []RegionSummary }
 
 func (f *singleVM) ServerRank(string, string) (vms, rank int) { return 1, 0 }
+func (f *singleVM) ReachedByPeer(string) bool                 { return false }
+func (f *singleVM) CutOff(string, string) bool                { return false }
+func (f *singleVM) ShareDelay() time.Duration                 { return time.Second }
 func (f *singleVM) KnowsFleet() bool                          { return true }
 func (f *singleVM) LargeRegion() bool                         { return false }
 func (f *singleVM) CapacityShare() float64                    { return 1 }
@@ -234,7 +237,7 @@
 	}
 	unresponsive := b.Load(r.View().Lookup("writer1").Key())
 	for range unresponsivePolls {
-		unresponsive.RecordMissedPoll()
+		unresponsive.Link.RecordPoll(false, now)
 	}
 	is.Equal(b.Choose(streamQuery(now, d), r.View()).Reason, "servers-failing")
 }
@@ -245,12 +248,12 @@
 	is := is.New(t)
 	l := &Load{}
 	for range unresponsivePolls {
-		l.RecordMissedPoll()
+		l.Link.RecordPoll(false, 1)
 	}
 	l.RecordForwardedReport(Report{Running: 3, ReceivedAt: 1})
-	is.True(l.Unresponsive())
+	is.True(l.Link.Lost())
 	l.RecordPollReport(Report{Running: 3, ReceivedAt: 1})
-	is.True(!l.Unresponsive())
+	is.True(!l.Link.Lost())
 }
 
 // TestSlowServerGetsFewerRequests covers a server that is several times slower than
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -42,7 +42,8 @@
 // RegionSummary is a region's Summary as received by this VM.
 type RegionSummary struct {
 	Region string
-	// Members is the number of the region's reachable VMs.
+	// Members is the number of the region's VMs that accept requests and reach a server
+	// of the service.
 	Members int
 	// RoundTrip is the network round-trip time to the region.
 	RoundTrip time.Duration
@@ -174,16 +175,25 @@
 	return s
 }
 
+// serves reports whether this VM or another one of the region can send requests to a
+// server now.
+func (b *Balancer) serves(s *roster.Server, load *Load, now clock.Instant) bool {
+	if load.Link.Lost() {
+		return b.Fleet.ReachedByPeer(s.ID)
+	}
+	return load.Breaker.Ready(now) && load.noProgressFor(now) <= unresponsiveAfter
+}
+
 // summarize returns the load of the servers that include selects.
 func (b *Balancer) summarize(service *ingress.Service, view *roster.View, now clock.Instant, include func(*Load, *roster.Server) bool) Summary {
 	s := Summary{Service: service.Name}
 	slowdown, token := 0.0, 0.0
 	for _, server := range view.Usable(service.Name, b.Region) {
 		load := b.Load(server.Key())
-		if load.Unresponsive() || !load.Breaker.Ready(now) || load.noProgressFor(now) > unresponsiveAfter {
+		if !b.serves(server, load, now) {
 			continue
 		}
-		if cold, _ := b.coldAllowance(service, server, load, view, now); cold || !include(load, server) {
+		if isCold(service, server, load, view, now) || !include(load, server) {
 			continue
 		}
 		use := load.totalUsage(now)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,11 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -54,8 +51,6 @@
 	// hopKeepAlive is the announced time for which other VMs may reuse an idle
 	// connection for hops. A new one takes two round trips between regions.
 	hopKeepAlive = 30 * time.Second
-	// resetTime is the time in which a connection to a process that ends is reset.
-	resetTime = 10 * time.Millisecond
 	// loadExchangeInterval is the time between two load exchanges with the
 	// other VMs of the region.
 	loadExchangeInterval = 100 * time.Millisecond
@@ -138,6 +133,9 @@
 	// large region. Only the load exchange goroutine uses it.
 	recentBlocks [][]balance.CachedBlock
 	recentLost   [][]string
+	// announcedUnreached are the servers that this VM last announced not to reach; nil
+	// before the first announcement. Only the load exchange goroutine uses it.
+	announcedUnreached []string
 	// exitAt is when this process exits, on the boot-time clock; zero while it
 	// accepts requests of any duration.
 	exitAt atomic.Int64
@@ -173,6 +171,7 @@
 		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
 		Configuration: e.currentConfiguration,
 		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
+		Servers:       e.usableServers,
 		OnLoad:        e.applyPeerLoad,
 		OnRecord:      e.applyRecord,
 		OnNewerConfiguration: func(version uint64, fetch func(context.Context) ([]byte, error)) {
@@ -198,19 +197,22 @@
 		InTouch: e.mesh.HeardFromAll, UnseenVersions: e.unseenVersions, PublishOwn: e.mesh.PublishOwnPart,
 	})
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
+	if settings.ServerDialer != nil {
+		e.serverPool.Dialer = settings.ServerDialer
+	}
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
 	dials := e.metrics.Scope.Counter("dials")
 	e.serverPool.OnDial = func(error) { dials.Inc(1) }
 	e.poller = &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
-		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, lost: make(chan *roster.Server, lostQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
+		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, probe: e.serverPool.Probe, urgent: make(chan *roster.Server, urgentQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
 		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits,
 	}
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
-		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, IsRunning: e.isRunning,
+		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
 		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
 	})
@@ -269,13 +271,11 @@
 func (e *Edge) isRunning(ctx context.Context, s *roster.Server) bool {
 	service := e.poller.engineService(s)
 	if service == nil {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address)
-		if err != nil {
+		if err := e.serverPool.Probe(ctx, s.Address); err != nil {
 			e.log.Info("backend server accepts no connections after a broken request", "server", s.ID, "service", s.Service, "error", err)
 			return false
 		}
-		defer func() { _ = conn.Close() }() // nothing was sent
-		return staysOpen(conn)
+		return true
 	}
 	began := e.now()
 	report, err := e.adapter.FetchReport(ctx, s)
@@ -286,14 +286,21 @@
 	return !e.poller.record(service, s, report, began)
 }
 
-// staysOpen reports whether a connection is not reset at once. The listener of a process
-// that is being killed may accept one after its other connections have ended.
-func staysOpen(conn net.Conn) bool {
-	if err := conn.SetReadDeadline(time.Now().Add(resetTime)); err != nil {
-		return false
+// usableServers returns the IDs of a service's servers in a region that may receive
+// requests, or of all services' if service is "".
+func (e *Edge) usableServers(service, region string) []string {
+	view := e.roster.View()
+	list := view.All()
+	if service != "" {
+		list = view.Usable(service, region)
+	}
+	var ids []string
+	for _, s := range list {
+		if s.Region == region && view.IsUsable(s) {
+			ids = append(ids, s.ID)
+		}
 	}
-	_, err := conn.Read(make([]byte, 1))
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	return ids
 }
 
 // serverCount returns the number of known servers of a service.
@@ -419,6 +426,7 @@
 	s := e.metrics.Scope
 	s.Gauge("members").Update(float64(len(e.mesh.Members())))
 	s.Gauge("backend_servers").Update(float64(len(e.roster.View().All())))
+	s.Gauge("unreached_servers").Update(float64(len(e.announcedUnreached)))
 	s.Gauge("open_server_connections").Update(float64(e.serverPool.OpenConnections()))
 	s.Gauge("open_hop_connections").Update(float64(e.gatewayPool.OpenConnections()))
 	if c := e.follower.Current(); c != nil {
@@ -427,6 +435,30 @@
 	}
 }
 
+// soundEntries returns this VM and the other VMs, without those that accept requests but
+// reach few of their region's servers if another VM there reaches more.
+func (e *Edge) soundEntries(self mesh.Member) []mesh.Member {
+	all := append([]mesh.Member{self}, e.mesh.Members()...)
+	sound, regions := make([]bool, len(all)), map[string]bool{}
+	for i := range all {
+		reach := all[i].Reach()
+		if i == 0 {
+			reach = e.mesh.OwnReach()
+		}
+		sound[i] = reach.IsComplete() || reach.IsSound(e.usableServers("", all[i].Region))
+		if sound[i] && all[i].AcceptsRequests() {
+			regions[all[i].Region] = true
+		}
+	}
+	var list []mesh.Member
+	for i, m := range all {
+		if sound[i] || !m.AcceptsRequests() || !regions[m.Region] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // entries returns the directory's addresses for a caller. It returns none while
 // this VM has never been ready, as it then knows too few of the other VMs.
 func (e *Edge) entries(host, region, domain string) []string {
@@ -442,7 +474,7 @@
 		Ready: e.ready.Load(), Leaving: e.leaving.Load(), Closing: e.refusing.Load(), Reachable: true,
 		Capacity: e.settings.Load().capacity(),
 	}
-	list, inRegion := selectEntries(self, e.mesh.Members(), at)
+	list, inRegion := selectEntries(e.soundEntries(self), at)
 	if !inRegion {
 		e.log.Info("directing callers to another region", "host", host, "region", region, "restricted", at.restricted, "homes", at.homes, "entries", list)
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -58,7 +58,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			list, _ := selectEntries(test.members[0], test.members[1:], test.at)
+			list, _ := selectEntries(test.members, test.at)
 			is.Equal(strings.Join(list, " "), test.want)
 		})
 	}
@@ -84,12 +84,12 @@
 func TestDirectoryRepeatsVMsByCapacity(t *testing.T) {
 	is := is.New(t)
 	size := func(capacity float64) func(*mesh.Member) { return func(m *mesh.Member) { m.Capacity = capacity } }
-	list, _ := selectEntries(member("large", "n", "n-a", size(800)), []mesh.Member{
-		member("small", "n", "n-a", size(100)), member("medium", "n", "n-a", size(250)),
+	list, _ := selectEntries([]mesh.Member{
+		member("large", "n", "n-a", size(800)), member("small", "n", "n-a", size(100)), member("medium", "n", "n-a", size(250)),
 	}, callerLocation{region: "n", domain: "n-a"})
 	is.Equal(strings.Join(list, " "), "large small medium large large large large large large large medium")
 	// If the capacity of any VM is unknown, each VM is listed once.
-	list, _ = selectEntries(member("large", "n", "n-a", size(800)), []mesh.Member{member("other", "n", "n-a", nil)}, callerLocation{region: "n", domain: "n-a"})
+	list, _ = selectEntries([]mesh.Member{member("large", "n", "n-a", size(800)), member("other", "n", "n-a", nil)}, callerLocation{region: "n", domain: "n-a"})
 	is.Equal(strings.Join(list, " "), "large other")
 }
 
@@ -100,7 +100,7 @@
 		others = append(others, member(fmt.Sprint("small", i), "n", "n-a", func(m *mesh.Member) { m.Capacity = 10 }))
 	}
 	self := member("large", "n", "n-a", func(m *mesh.Member) { m.Capacity = 1000 })
-	list, _ := selectEntries(self, others, callerLocation{region: "n", domain: "n-a"})
+	list, _ := selectEntries(append([]mesh.Member{self}, others...), callerLocation{region: "n", domain: "n-a"})
 	is.Equal(len(list), maxEntries)
 	for _, o := range others {
 		is.True(slices.Contains(list, o.Callers))
--- a/internal/edge/entries.go
+++ b/internal/edge/entries.go
@@ -32,15 +32,15 @@
 	restricted     bool
 }
 
-// selectEntries returns the caller addresses of the VMs that a caller may use:
+// selectEntries returns the caller addresses of those of the members that a caller may use:
 // those of its failure domain, or else of its region. A caller whose region has
 // none is directed to the home regions of its host, then, if the host is
 // restricted, to VMs of these regions or its own that are shutting down but still
 // accept requests, and last to any VM that accepts requests. inRegion reports
 // whether the caller's region has a VM that accepts requests.
-func selectEntries(self mesh.Member, others []mesh.Member, at callerLocation) (list []string, inRegion bool) {
+func selectEntries(members []mesh.Member, at callerLocation) (list []string, inRegion bool) {
 	var sameDomain, sameRegion, inHomeRegions, shuttingDown, all []mesh.Member
-	for _, m := range append([]mesh.Member{self}, others...) {
+	for _, m := range members {
 		if m.Reachable && m.Leaving && !m.Closing && (m.Region == at.region || slices.Contains(at.homes, m.Region)) {
 			shuttingDown = append(shuttingDown, m)
 		}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -56,6 +56,9 @@
 			e.mesh.SetState(mesh.State{Ready: ready, Leaving: e.leaving.Load(), Closing: e.refusing.Load()})
 			e.log.Info("readiness changed", "ready", ready)
 		}
+		if !e.mesh.LargeRegion() || n%largeRegionIntervals == 0 {
+			e.announceReach()
+		}
 		e.follower.Expire(now)
 		e.quarantine.Tick(now)
 		e.limits.Tick(now)
@@ -169,6 +172,28 @@
 	return load
 }
 
+// announceReach tells the other VMs which servers of the region this VM doesn't reach, if
+// that has changed.
+func (e *Edge) announceReach() {
+	unreached := []string{}
+	for _, s := range e.roster.View().All() {
+		if s.Region == e.self.Region && e.balancer.Load(s.Key()).Link.Lost() {
+			unreached = append(unreached, s.ID)
+		}
+	}
+	if e.announcedUnreached != nil && slices.Equal(unreached, e.announcedUnreached) {
+		return
+	}
+	if len(unreached)+len(e.announcedUnreached) > 0 {
+		e.log.Info("links to backend servers changed", "unreached", len(unreached), "before", len(e.announcedUnreached), "servers", unreached[:min(len(unreached), maxLoggedServers)])
+	}
+	e.announcedUnreached = unreached
+	e.mesh.SetUnreached(unreached)
+}
+
+// maxLoggedServers bounds the servers that are named in a log line.
+const maxLoggedServers = 10
+
 // signalUsageChange triggers a load announcement.
 func (e *Edge) signalUsageChange() { notify(e.usageChanged) }
 
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -34,9 +35,8 @@
 	suspectPollRounds = 4
 	// pollTimeout bounds one poll.
 	pollTimeout = 400 * time.Millisecond
-	// lostQueueLength is the number of engines that may wait to be polled at once
-	// after no process listened at their addresses.
-	lostQueueLength = 64
+	// urgentQueueLength is the number of servers that may wait to be checked at once.
+	urgentQueueLength = 64
 	// restartColdMargin is how long an engine that was found to have restarted
 	// counts as cold beyond its service's cold start.
 	restartColdMargin = time.Second
@@ -59,15 +59,18 @@
 	CloseExpired()
 }
 
-// poller polls the load reports of the region's model engines.
+// poller polls the load reports of the region's model engines, and checks the links to
+// servers that may be out of reach.
 type poller struct {
 	region   string
 	table    func() *ingress.Table
 	roster   *roster.Roster
 	balancer *balance.Balancer
 	fetcher  ReportFetcher
-	now      clock.Clock
-	log      logger
+	// probe reports whether an address accepts new connections.
+	probe func(ctx context.Context, address string) error
+	now   clock.Clock
+	log   logger
 
 	// serverRank returns the number of VMs that poll a server in a failure domain
 	// and this VM's rank among them; rank 0 polls in every round.
@@ -86,8 +89,9 @@
 	// requestLimits keeps the request limits that engines name.
 	requestLimits *serverlimit.Tracker
 
-	// lost receives engines at whose addresses no process listened, to be polled at once.
-	lost chan *roster.Server
+	// urgent receives servers to be checked at once: no process listened at their
+	// addresses, or a connection to them failed.
+	urgent chan *roster.Server
 
 	mu       sync.Mutex
 	inFlight map[roster.ServerKey]bool
@@ -107,10 +111,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case s := <-p.lost:
-			if service := p.engineService(s); service != nil {
-				p.startPoll(ctx, service, s)
-			}
+		case s := <-p.urgent:
+			p.startCheck(ctx, s)
 		case <-ticker.C:
 			p.fetcher.CloseExpired()
 			p.pollAll(ctx)
@@ -135,12 +137,17 @@
 	load.MarkLost(p.now())
 }
 
-// queueLost records that a server may have restarted, and has it polled at once.
+// queueLost records that a server may have restarted, and has it checked at once.
 func (p *poller) queueLost(s *roster.Server) {
 	p.balancer.Load(s.Key()).MarkLost(p.now())
+	p.queueCheck(s)
+}
+
+// queueCheck has a server checked at once.
+func (p *poller) queueCheck(s *roster.Server) {
 	select {
-	case p.lost <- s:
-	default: // it is polled in the next round
+	case p.urgent <- s:
+	default: // it is checked in the next round
 	}
 }
 
@@ -174,12 +181,9 @@
 	view := p.roster.View()
 	p.rounds++
 	for name, service := range table.Services {
-		if service.Engine == nil {
-			continue
-		}
 		for _, s := range view.Usable(name, p.region) {
-			if p.shouldPoll(s) {
-				p.startPoll(ctx, service, s)
+			if service.Engine != nil && p.shouldPoll(s) || service.Engine == nil && p.balancer.Load(s.Key()).Suspected(p.now()) {
+				p.startCheck(ctx, s)
 			}
 		}
 	}
@@ -201,9 +205,9 @@
 	return rank < suspectPollers || offset%suspectPollRounds == 0
 }
 
-// startPoll polls one engine in the background, unless an earlier poll of it is
-// still in flight.
-func (p *poller) startPoll(ctx context.Context, service *ingress.Service, s *roster.Server) {
+// startCheck checks one server in the background, unless an earlier check of it is still
+// in flight.
+func (p *poller) startCheck(ctx context.Context, s *roster.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.inFlight[s.Key()] {
@@ -216,31 +220,61 @@
 			delete(p.inFlight, s.Key())
 			p.mu.Unlock()
 		}()
-		p.poll(ctx, service, s)
+		p.check(ctx, s)
 	}()
 }
 
-func (p *poller) poll(ctx context.Context, service *ingress.Service, s *roster.Server) {
+// check polls an engine, and opens a connection to a server whose link only that can show
+// to work. A plain server has no report.
+func (p *poller) check(ctx context.Context, s *roster.Server) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	load := p.balancer.Load(s.Key())
-	wasUnresponsive, began := load.Unresponsive(), p.now()
+	wasLost, began := load.Link.Lost(), p.now()
+	service := p.engineService(s)
+	var err error
+	if service != nil {
+		err = p.poll(ctx, service, s, wasLost)
+	}
+	if service == nil || load.Link.NeedsDial() {
+		err = errors.Join(err, p.dial(ctx, s, began))
+	}
+	switch lost := load.Link.Lost(); {
+	case lost && !wasLost:
+		p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
+	case !lost && wasLost:
+		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service)
+	}
+}
+
+// dial records whether a server accepts a new connection.
+func (p *poller) dial(ctx context.Context, s *roster.Server, began clock.Instant) error {
+	load := p.balancer.Load(s.Key())
+	err := p.probe(ctx, s.Address)
+	load.Link.RecordDial(err == nil, p.now())
+	if err == nil && p.engineService(s) == nil {
+		load.ConfirmRunning(began)
+	}
+	return err
+}
+
+// poll fetches an engine's report. One that is known to be out of reach is not announced
+// again to the other VMs.
+func (p *poller) poll(ctx context.Context, service *ingress.Service, s *roster.Server, wasLost bool) error {
+	load, began := p.balancer.Load(s.Key()), p.now()
 	report, err := p.fetcher.FetchReport(ctx, s)
 	if err != nil {
-		load.RecordMissedPoll()
-		p.onFailure(s)
+		load.Link.RecordPoll(false, p.now())
+		if !wasLost {
+			p.onFailure(s)
+		}
 		if errorx.IsOfType(err, upstream.ErrRefused) {
 			p.markRefused(s)
 		}
-		if load.Unresponsive() && !wasUnresponsive {
-			p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
-		}
-		return
+		return err
 	}
 	p.record(service, s, report, began)
-	if wasUnresponsive {
-		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service, "started", report.Started)
-	}
+	return nil
 }
 
 // record applies an engine's report, which was requested at the instant began, and
--- a/internal/edge/poller_test.go
+++ b/internal/edge/poller_test.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
+	"github.com/chestnutspring/chestnutspring/internal/serverlimit"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -61,7 +63,7 @@
 		p := &poller{
 			region: "r", table: func() *ingress.Table { return table }, roster: servers,
 			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, nil), fetcher: fetcher,
-			now: clock.Synthetic(), log: slog.New(slog.DiscardHandler), inFlight: map[roster.ServerKey]bool{}, lost: make(chan *roster.Server, lostQueueLength),
+			now: clock.Synthetic(), log: slog.New(slog.DiscardHandler), inFlight: map[roster.ServerKey]bool{}, urgent: make(chan *roster.Server, urgentQueueLength),
 			serverRank: func(string, string) (int, int) { return 1, 0 },
 			onFailure:  func(*roster.Server) {}, onRefused: func(*roster.Server) { refused.Add(1) },
 		}
@@ -81,3 +83,74 @@
 		time.Sleep(pollTimeout) // until the polls have ended
 	})
 }
+
+// linkFetcher fails all polls and probes while the link is cut.
+type linkFetcher struct {
+	cut           atomic.Bool
+	polls, probes atomic.Int32
+}
+
+func (f *linkFetcher) result() error {
+	if f.cut.Load() {
+		return upstream.ErrNoConnection.New("the link is cut")
+	}
+	return nil
+}
+
+func (f *linkFetcher) FetchReport(context.Context, *roster.Server) (Report, error) {
+	f.polls.Add(1)
+	return Report{}, f.result()
+}
+
+func (f *linkFetcher) probe(context.Context, string) error {
+	f.probes.Add(1)
+	return f.result()
+}
+
+func (f *linkFetcher) CloseExpired() {}
+
+// Guards against RECOVER (issue 42): a link to a plain server, which isn't polled, was found
+// lost and restored only by requests.
+func TestLinkToPlainServerIsCheckedWhileItIsDoubtful(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		servers := roster.New(slog.New(slog.DiscardHandler))
+		servers.Put(roster.Entry{ID: "desk-1", Service: "desk", Address: "10.0.0.1:1", FailureDomain: "a", Region: "r", Slots: 4, Started: 1}, 1, roster.Event, clock.Boot())
+		servers.Put(roster.Entry{ID: "writer-1", Service: "writer", Address: "10.0.0.2:1", FailureDomain: "a", Region: "r", Slots: 4, Started: 1}, 2, roster.Event, clock.Boot())
+		table := ingress.NewTable(1, nil, []*ingress.Service{{Name: "desk"}, {Name: "writer", Engine: &ingress.Engine{Slots: 4}}}, ingress.Limits{})
+		fetcher, announced := &linkFetcher{}, atomic.Int32{}
+		p := &poller{
+			region: "r", table: func() *ingress.Table { return table }, roster: servers,
+			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, nil), fetcher: fetcher, probe: fetcher.probe,
+			now: clock.Synthetic(), log: slog.New(slog.DiscardHandler), inFlight: map[roster.ServerKey]bool{}, urgent: make(chan *roster.Server, urgentQueueLength),
+			serverRank: func(string, string) (int, int) { return 1, 0 },
+			onFailure:  func(*roster.Server) { announced.Add(1) }, onRefused: func(*roster.Server) {}, onReport: func(string, balance.Report) {},
+			requestLimits: serverlimit.New(serverlimit.Config{Now: clock.Synthetic(), Scope: tally.NoopScope}),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = p.run(ctx) }()
+		desk, writer := servers.View().Lookup("desk-1"), servers.View().Lookup("writer-1")
+		link := &p.balancer.Load(desk.Key()).Link
+		time.Sleep(time.Second)
+		is.Equal(fetcher.probes.Load(), int32(0)) // a link that works is not probed
+
+		fetcher.cut.Store(true)
+		link.RecordDial(false, p.now()) // by a request
+		p.queueCheck(desk)
+		synctest.Wait()
+		is.True(link.Lost())
+		time.Sleep(5 * time.Second)
+		is.True(p.balancer.Load(writer.Key()).Link.Lost())
+		is.True(announced.Load() <= 2) // not again and again while it is lost
+
+		fetcher.cut.Store(false)
+		time.Sleep(2 * pollInterval)
+		is.True(!link.Lost() && !p.balancer.Load(writer.Key()).Link.Lost())
+		probes := fetcher.probes.Load()
+		time.Sleep(time.Second)
+		is.Equal(fetcher.probes.Load(), probes)
+		cancel()
+		<-done
+	})
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -145,7 +145,7 @@
 		load := e.balancer.Load(server.Key())
 		s.Servers = append(s.Servers, serverState{
 			Server: server, Revision: server.Revision.Number(), Era: server.Revision.Era(),
-			Leaving: view.Leaving(server), PausedMs: load.Pause.Remaining(now).Milliseconds(), RequestLimit: load.RateLimiter.Limit(), OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Unresponsive(), BreakerOpen: load.Breaker.IsOpen(),
+			Leaving: view.Leaving(server), PausedMs: load.Pause.Remaining(now).Milliseconds(), RequestLimit: load.RateLimiter.Limit(), OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Link.Lost(), BreakerOpen: load.Breaker.IsOpen(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
 // Errors of this package.
@@ -62,6 +63,8 @@
 	// Cores is the VM's share of a processor core and LinkMbps the rate of its
 	// network link in Mbit/s; zero means unknown.
 	Cores, LinkMbps float64
+	// ServerDialer opens the connections to backend servers; nil means the system's.
+	ServerDialer upstream.Dialer
 }
 
 const (
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -61,6 +61,9 @@
 	// has seen lately; the name is the VM.
 	KindStreams          Kind = 16
 	KindSoftwareVersions Kind = 17
+	// KindReach is which backend servers of its region a VM doesn't reach; the name is
+	// the VM.
+	KindReach Kind = 18
 )
 
 // Key identifies a record.
--- a/internal/mesh/candidates.go
+++ b/internal/mesh/candidates.go
@@ -14,10 +14,13 @@
 type candidate struct {
 	vm, domain, hops string
 	capacity         float64
+	// without are the backend servers for which the VM is no candidate.
+	without *serverSet
 }
 
+// candidateOf returns the member as a candidate for the servers that it reaches.
 func candidateOf(o *Member) candidate {
-	return candidate{vm: o.VM, domain: o.FailureDomain, hops: o.Hops, capacity: o.Capacity}
+	return candidate{vm: o.VM, domain: o.FailureDomain, hops: o.Hops, capacity: o.Capacity, without: o.reach.unreached}
 }
 
 func (c *candidate) rankKey(key, domain string) rankKey {
@@ -41,8 +44,9 @@
 
 // ranking is the result of rendezvous hashing for a key.
 type ranking struct {
-	// own is this VM's rank among the candidates, starting at 0.
-	own int
+	// own is this VM's rank among the candidates, starting at 0, and candidates their
+	// number.
+	own, candidates int
 	// best is the candidate that ranks first, if that is before this VM.
 	best candidate
 }
@@ -68,6 +72,10 @@
 	r, best := ranking{}, own
 	for i := range c.list {
 		o := &c.list[i]
+		if o.without.contains(key) {
+			continue
+		}
+		r.candidates++
 		other := o.rankKey(key, domain)
 		if other.before(own) {
 			r.own++
@@ -110,3 +118,25 @@
 	}
 	return best
 }
+
+// reaching returns the candidates that reach one or more of the servers, with their
+// capacity reduced to the part of the servers that they reach: those in the failure
+// domain, if it is given and there are any.
+func (c *candidates) reaching(servers []string, domain string) []candidate {
+	var all, near []candidate
+	for _, o := range c.list {
+		share := o.without.reached(servers)
+		if share == 0 {
+			continue
+		}
+		o.capacity = capacityOrDefault(o.capacity) * share
+		all = append(all, o)
+		if o.domain == domain {
+			near = append(near, o)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -102,6 +102,7 @@
 	// LastHeartbeat is the time at which its last heartbeat arrived.
 	LastHeartbeat clock.Instant `json:"Heard"`
 	Reachable     bool
+	reach         reach
 	// ReadsRegistry means that the VM stated in its last heartbeat that it reads
 	// the registry on behalf of its region, and that its reads succeed.
 	ReadsRegistry bool
@@ -137,6 +138,9 @@
 	// ReadsRegistry reports whether this VM reads the registry on behalf of its
 	// region, and its reads succeed. Nil means that it doesn't.
 	ReadsRegistry func() bool
+	// Servers returns the IDs of the backend servers of a service in a region that may
+	// receive requests, or of all services if service is "". Nil means that none are known.
+	Servers func(service, region string) []string
 	// OnLoad is called for each load announcement of another VM of the region.
 	// It must not call the mesh, whose lock is held.
 	OnLoad func(Load)
@@ -172,7 +176,9 @@
 	links                          map[string]*link
 	state                          State
 	seeds                          []string
-	view                           atomic.Pointer[memberView]
+	// unreached are the backend servers that this VM announced not to reach.
+	unreached *serverSet
+	view      atomic.Pointer[memberView]
 	// lastJoin is when a VM was last heard of for the first time; zero is never.
 	lastJoin atomic.Int64
 }
@@ -184,11 +190,15 @@
 	largeRegion bool
 	// share is this VM's fraction of the capacity of its region.
 	share float64
+	// unreached are the backend servers that this VM doesn't reach.
+	unreached *serverSet
 	// The other VMs of the region that are reachable, also those of this VM's
 	// failure domain alone, that may be active, and that accept requests.
 	reachable, reachableInDomain, active, accepting *candidates
 	// others holds the VMs of each other region that accept requests.
 	others map[string]*candidates
+	// cutOff holds the servers of each region that no VM there reaches.
+	cutOff map[string]*serverSet
 }
 
 // usageReport is the usage of backend servers that another VM last announced.
@@ -320,7 +330,7 @@
 }
 
 // ownedKinds are the kinds of records that only the VM of their name writes.
-var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions}
+var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions, gossip.KindReach}
 
 // ownerOf returns the VM that alone writes a record, or "" if any VM may.
 func ownerOf(r gossip.Record) string {
@@ -396,8 +406,10 @@
 func (m *Mesh) Regions(service string) []balance.RegionSummary {
 	now := m.Now()
 	byRegion := map[string]*balance.RegionSummary{}
-	for _, o := range m.Members() {
-		if o.Region == m.Self.Region || !o.AcceptsRequests() {
+	members := m.Members()
+	for i := range members {
+		o := &members[i]
+		if o.Region == m.Self.Region || !o.AcceptsRequests() || o.reach.unreached.len() > 0 && o.reach.unreached.reached(m.serversOf(service, o.Region)) == 0 {
 			continue
 		}
 		r := byRegion[o.Region]
@@ -429,6 +441,14 @@
 	return out
 }
 
+// serversOf returns the backend servers of a service in a region.
+func (m *Mesh) serversOf(service, region string) []string {
+	if m.Servers == nil {
+		return nil
+	}
+	return m.Servers(service, region)
+}
+
 // PeerUsage returns the total usage of each backend server by the other VMs of
 // the region.
 func (m *Mesh) PeerUsage() map[string]balance.Usage {
@@ -536,6 +556,11 @@
 			o.Reachable = reachable
 			m.Log.Info("member reachability changed", "member", vm, "incarnation", o.Incarnation, "reachable", reachable, "sinceHeartbeat", sinceHeartbeat)
 		}
+		if reachable {
+			o.reach.release(m.ShareDelay(), now)
+		} else {
+			o.reach.released = nil // its links may work again
+		}
 		list = append(list, *o)
 	}
 	m.view.Store(m.viewOf(list, now, m.view.Load()))
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -87,7 +87,7 @@
 	waitFor(t, "announcement of readiness", func() bool { m := c.lookup("b"); return m != nil && m.Ready })
 	b.SetState(State{Leaving: true})
 	waitFor(t, "announcement of the shutdown", func() bool { m := c.lookup("b"); return m != nil && m.Leaving })
-	vm, _ := c.PickMember("north", "request")
+	vm, _ := c.PickMember("north", "writer", "request")
 	is.Equal(vm, "") // no VM in north is ready
 }
 
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -39,7 +39,22 @@
 
 // IsSummaryPublisher reports whether this VM publishes summaries of its region to
 // the other regions.
-func (m *Mesh) IsSummaryPublisher() bool { return m.reachableRank("summary", "") < summaryPublishers }
+// VMs that reach more of the region's servers know more of their loads.
+func (m *Mesh) IsSummaryPublisher() bool {
+	v := m.view.Load()
+	own, rank := v.unreached.len(), 0
+	ownKey := m.ownRankKey(summaryKey, "")
+	for i := range v.reachable.list {
+		c := &v.reachable.list[i]
+		if n := c.without.len(); n < own || n == own && c.rankKey(summaryKey, "").before(ownKey) {
+			rank++
+		}
+	}
+	return rank < summaryPublishers
+}
+
+// summaryKey is the key by which the publishers of summaries are ranked.
+const summaryKey = "summary"
 
 // IsRegistryReader reports whether this VM reads the registry at short intervals
 // on behalf of the VMs of its region.
@@ -58,11 +73,11 @@
 
 // ServerRank returns the number of VMs of the region that may send requests to a
 // backend server in the failure domain, this one included, and this VM's rank
-// among them, starting at 0. VMs in the server's failure domain rank first.
+// among them, starting at 0. VMs in the server's failure domain rank first. A VM that
+// announced that it doesn't reach the server counts until ShareDelay has passed.
 func (m *Mesh) ServerRank(server, domain string) (vms, rank int) {
-	active := m.view.Load().active
-	vms = len(active.list) + 1
-	rank = active.rank(server, domain, m.ownRankKey(server, domain)).own
+	r := m.view.Load().active.rank(server, domain, m.ownRankKey(server, domain))
+	vms, rank = r.candidates+1, r.own
 	if m.Now().Sub(m.started) < startupPeriod {
 		vms = max(vms, startupVMs)
 	}
@@ -137,7 +152,9 @@
 		}
 		if o.mayBeActive(now) {
 			sum += capacityOrDefault(o.Capacity)
-			active = append(active, c)
+			sharing := c
+			sharing.without = o.reach.released
+			active = append(active, sharing)
 		}
 		if o.AcceptsRequests() {
 			accepting = append(accepting, c)
@@ -147,7 +164,7 @@
 		members: members, largeRegion: reachableVMs > fullMeshLimit, share: own / sum,
 		reachable: before.reachable.updated(reachable), reachableInDomain: before.reachableInDomain.updated(reachableInDomain),
 		active: before.active.updated(active), accepting: before.accepting.updated(accepting),
-		others: map[string]*candidates{},
+		others: map[string]*candidates{}, unreached: m.unreached, cutOff: m.cutOffServers(members),
 	}
 	for region, list := range others {
 		view.others[region] = before.others[region].updated(list)
@@ -175,14 +192,26 @@
 // regions before the first byte.
 const hopTargetDraws = 6
 
-// PickMember returns a VM of another region that accepts requests and its address
-// for hops, or empty strings if there is none. Over the requests of all VMs of this
-// region, each VM is chosen in proportion to its capacity.
-func (m *Mesh) PickMember(region, key string) (vm, address string) {
-	set := m.view.Load().others[region]
+// PickMember returns a VM of a region that accepts requests and reaches backend servers
+// of the service, and its address for hops, or empty strings if there is none. Over the
+// requests of all VMs of this region, each VM is chosen in proportion to its capacity and
+// to the part of the servers that it reaches. Of this VM's own region, VMs of its failure
+// domain go first.
+func (m *Mesh) PickMember(region, service, key string) (vm, address string) {
+	v := m.view.Load()
+	set := v.others[region]
+	if region == m.Self.Region {
+		set = v.accepting
+	}
 	if set == nil {
 		return "", ""
 	}
+	if slices.ContainsFunc(set.list, func(c candidate) bool { return c.without != nil }) {
+		if o := mostPreferredFor(set.reaching(m.serversOf(service, region), m.ownDomainIn(region)), key); o != nil {
+			return o.vm, o.hops
+		}
+		return "", ""
+	}
 	if targets := set.hopTargets(m.Self.VM); targets != nil {
 		o := targets[spread.Mix(xxhash.Sum64String(key))%uint64(len(targets))]
 		return o.vm, o.hops
@@ -193,6 +222,14 @@
 	return "", ""
 }
 
+// ownDomainIn returns this VM's failure domain if it is in the region, or "".
+func (m *Mesh) ownDomainIn(region string) string {
+	if region != m.Self.Region {
+		return ""
+	}
+	return m.Self.FailureDomain
+}
+
 // PrefillCoordinator returns the prefill coordinator of a backend server in the
 // failure domain (the VM through which long prompts reach the server) and its
 // address for hops. Both are empty if this VM is the coordinator, or if the region
--- a/internal/mesh/ranks_test.go
+++ b/internal/mesh/ranks_test.go
@@ -153,7 +153,7 @@
 		}
 		targets := map[string]bool{}
 		for i := range 400 {
-			vm, address := m.PickMember("west", fmt.Sprint(name, "-request", i))
+			vm, address := m.PickMember("west", "writer", fmt.Sprint(name, "-request", i))
 			is.Equal(fleet[vm].Self.Region, "west")
 			is.Equal(address, vm)
 			targets[vm] = true
@@ -174,7 +174,7 @@
 	m := newLargeMesh()
 	targets, received := map[string]int{}, map[string]int{}
 	for i := range 1000 {
-		vm, _ := m.PickMember("west", fmt.Sprint("request-", i))
+		vm, _ := m.PickMember("west", "writer", fmt.Sprint("request-", i))
 		targets[vm]++
 	}
 	is.True(len(targets) > hopTargetDraws/2 && len(targets) <= hopTargetDraws)
@@ -188,7 +188,7 @@
 	m.members[gone].Ready = false
 	m.updateView()
 	for i := range 1000 {
-		vm, _ := m.PickMember("west", fmt.Sprint("request-", i))
+		vm, _ := m.PickMember("west", "writer", fmt.Sprint("request-", i))
 		is.True(vm != gone)
 		received[vm]++
 	}
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -33,6 +33,8 @@
 		if o := m.members[r.Name]; o != nil {
 			o.LastHeartbeat, o.ReadsRegistry = now, bytes.Equal(r.Value, readsRegistry)
 		}
+	case gossip.KindReach:
+		m.applyReach(r, now)
 	case gossip.KindLoad:
 		var load Load
 		if m.decode(r, &load) {
@@ -78,6 +80,7 @@
 	o.Leaving, o.Ready, o.Closing = a.Leaving, a.Ready, a.Closing
 	if newIncarnation {
 		o.LastHeartbeat = now
+		o.reach = reach{}
 	}
 }
 
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -18,8 +18,9 @@
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
-// The protocol between VMs: a hop forwards a request to a VM of another region
-// or to the prefill coordinator of a backend server.
+// The protocol between VMs: a hop forwards a request to a VM of another region, to one
+// of the same region that reaches other backend servers, or to the prefill coordinator of
+// a backend server.
 const (
 	// PathHop is the path at which a VM accepts requests of other VMs.
 	PathHop = "/peer/v1/hop"
@@ -54,6 +55,9 @@
 	// Server is the ID of the only backend server in the receiver's region
 	// that may serve the request, or "" if the receiver chooses.
 	Server string `json:"server,omitempty"`
+	// OwnLinksOnly means that the receiver may not send the request to another VM of its
+	// region for that VM's links.
+	OwnLinksOnly bool `json:"ownLinksOnly,omitempty"`
 	// Origin is where the stream began, if the request goes on with one.
 	Origin *resume.Origin `json:"origin,omitempty"`
 	// Continues means that the caller has a part of the response already.
@@ -64,19 +68,22 @@
 	BytesAsRunes bool `json:"bytesAsRunes,omitempty"`
 }
 
-// sendToRegion sends the request to a VM of another region, which serves it
-// with its own backend servers or refuses it.
+// sendToRegion sends the request to a VM of another region, or to one of this region that
+// reaches other backend servers. It serves the request with the servers of its region or
+// refuses it.
 func (x *transaction) sendToRegion(ctx context.Context, plan balance.Plan) outcome {
 	x.triedRegions = append(x.triedRegions, plan.Region)
 	key := x.req.ID
 	if x.sends > 0 {
 		key += "#" + strconv.Itoa(x.sends) // another VM, if there is one
 	}
-	vm, address := x.Peers.PickMember(plan.Region, key)
+	vm, address := x.Peers.PickMember(plan.Region, x.service.Name, key)
 	if address == "" {
 		return outcome{notRun: true, reason: "no VM in " + plan.Region}
 	}
-	x.Balancer.RecordCrossRegionSend(plan.Region, x.service.Name, &plan.Estimate, x.Now())
+	if plan.Region != x.Region {
+		x.Balancer.RecordCrossRegionSend(plan.Region, x.service.Name, &plan.Estimate, x.Now())
+	}
 	out := x.sendToVM(ctx, plan, vm, address)
 	if out.failedAtServer || out.behind {
 		// Another server or VM there may serve the request.
@@ -90,14 +97,10 @@
 func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) outcome {
 	x.destination, x.softwareVersion = vm, ""
 	x.sends++
-	server := ""
-	if plan.Server != nil {
-		server = plan.Server.ID
-	}
-	granted := x.hopAttempts(server)
+	granted := x.hopAttempts(plan.Server != nil)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, server, granted))
+	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, plan, granted))
 	if err != nil {
 		x.GatewayPool.CloseIdle(address)
 		if errorx.IsOfType(err, upstream.ErrUnsent) {
@@ -111,8 +114,8 @@
 
 // hopAttempts returns the number of servers on which another VM may run the request:
 // one if the server is given. One of several attempts is kept in case the VM is lost.
-func (x *transaction) hopAttempts(server string) int {
-	if server != "" {
+func (x *transaction) hopAttempts(serverGiven bool) int {
+	if serverGiven {
 		return 1
 	}
 	return max(1, x.attemptsLeft()-1)
@@ -127,14 +130,19 @@
 	x.Metrics.uncountedHops.Inc(1)
 }
 
-// hopCall returns the hop of the request to the VM at the address. Server is
-// the only backend server that may serve the request, or "", and attempts the number
-// of servers on which it may run.
-func (x *transaction) hopCall(address, server string, attempts int) *upstream.Call {
+// hopCall returns the hop of the request to the VM at the address. If the plan names a
+// server, no other one may serve the request. Attempts is the number of servers on which
+// it may run.
+func (x *transaction) hopCall(address string, plan balance.Plan, attempts int) *upstream.Call {
+	server := ""
+	if plan.Server != nil {
+		server = plan.Server.ID
+	}
 	head := hopHead{
 		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
-		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
+		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
+		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
 	}
 	head.encodeBytes()
 	data, err := json.Marshal(head)
@@ -322,7 +330,7 @@
 		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now, Deadline: deadline,
-		Entry: head.Entry, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
 
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -57,7 +57,7 @@
 // onePeer implements Peers with one VM in each other region.
 type onePeer struct{ address string }
 
-func (p onePeer) PickMember(string, string) (vm, address string)         { return "vm-2", p.address }
+func (p onePeer) PickMember(string, string, string) (vm, address string) { return "vm-2", p.address }
 func (p onePeer) PrefillCoordinator(string, string) (vm, address string) { return "", "" }
 func (p onePeer) ActiveVMs() int                                         { return 2 }
 func (p onePeer) KnowsFleet() bool                                       { return true }
@@ -189,7 +189,7 @@
 			x.req.Target, x.req.Path = "/a/"+text+"?q="+text, "/a/"+text
 			x.req.Host, x.req.ID, x.lastEventID = "h"+text, "id"+text, text
 			x.req.Header = http.Header{"X-Text": {text, "second"}, "Accept": {"*/*"}}
-			call := x.hopCall("127.0.0.1:1", "", 1)
+			call := x.hopCall("127.0.0.1:1", balance.Plan{}, 1)
 			hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
 			hr.Header = call.Header
 			got, err := x.readHop(httptest.NewRecorder(), hr)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,6 +69,9 @@
 	// Entry is the VM that received the request from the caller, or "" at that
 	// VM itself. A request with an entry is not sent to another region again.
 	Entry string
+	// OwnLinksOnly means that the request is not sent to another VM of the region
+	// that reaches more backend servers.
+	OwnLinksOnly bool
 	// Server is the ID of the backend server that the sending VM chose, or "".
 	// If set, the request may be sent to no other server.
 	Server string
@@ -134,10 +137,10 @@
 
 // Peers selects the VMs to which requests are sent.
 type Peers interface {
-	// PickMember returns a VM of another region that accepts requests and its
-	// address, or "" if there is none. Requests are spread over some of the VMs
-	// by key, the request ID.
-	PickMember(region, key string) (vm, address string)
+	// PickMember returns another VM of a region that accepts requests and reaches
+	// backend servers of the service, and its address, or "" if there is none.
+	// Requests are spread over some of the VMs by key, the request ID.
+	PickMember(region, service, key string) (vm, address string)
 	// PrefillCoordinator returns the prefill coordinator of a backend server in
 	// the failure domain: the VM of this region that assigns the prefill slots
 	// there. The address is "" if that is this VM or if the region uses no
@@ -180,6 +183,9 @@
 	ServerLeaves func(roster.ServerKey)
 	// ServerLost is called when no process listens at the address of a backend server.
 	ServerLost func(s *roster.Server)
+	// LinkFailed is called when the connection to a backend server could not be opened,
+	// or broke before a response, so that the link is checked.
+	LinkFailed func(s *roster.Server)
 	// IsRunning reports whether the process of a server's incarnation still runs. One that
 	// can't be reached counts as not running.
 	IsRunning func(ctx context.Context, s *roster.Server) bool
@@ -423,7 +429,7 @@
 	q := &balance.Query{
 		Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand,
 		Bytes: len(x.req.Body), Remaining: remaining,
-		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", Random: rand.Uint64(),
+		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", OwnLinksOnly: x.req.OwnLinksOnly, Random: rand.Uint64(),
 	}
 	if x.origin != nil {
 		q.SoftwareVersion = &x.origin.SoftwareVersion
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -161,6 +161,9 @@
 	if err != nil {
 		return x.handleSendError(ctx, plan, err)
 	}
+	if !exchange.Reused() {
+		plan.Load.Link.RecordDial(true, x.Now())
+	}
 	x.Balancer.RecordSend(&x.req.Demand, plan.Server.Key(), work.SentAt())
 	return x.handleResponse(ctx, plan, exchange, work, watch)
 }
@@ -177,6 +180,8 @@
 		return "leaving"
 	case x.isQuarantined(now):
 		return "quarantined"
+	case load.Link.Lost():
+		return "out of reach"
 	case !load.Admits(now):
 		return "paused"
 	case !load.Breaker.Allow(now):
@@ -270,6 +275,10 @@
 	if ctx.Err() == nil {
 		plan.Load.RecordFailure(x.Now())
 		x.ServerPool.CloseIdle(plan.Server.Address)
+		if errorx.IsOfType(err, upstream.ErrNoConnection) {
+			plan.Load.Link.RecordDial(false, x.Now())
+		}
+		x.LinkFailed(plan.Server)
 	}
 	if unsent {
 		refused := errorx.IsOfType(err, upstream.ErrRefused)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -64,7 +64,7 @@
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
-	case w.load.Unresponsive() && !w.load.Progressing(now):
+	case w.load.Link.Lost() && !w.load.Progressing(now):
 		// A server that is only slow to answer polls goes on with its work.
 		w.cancel()
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,8 @@
 	// keepAliveProbeInterval is the interval of the TCP keep-alive probes that
 	// detect a dead connection.
 	keepAliveProbeInterval = time.Second
+	// resetTime is the time in which a connection to a process that ends is reset.
+	resetTime = 10 * time.Millisecond
 	// userTimeout bounds how long sent bytes may go unacknowledged. It covers
 	// several retransmissions over a lossy link.
 	userTimeout = 3 * time.Second
@@ -44,17 +47,31 @@
 	Errors = errorx.NewNamespace("upstream").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 	// ErrUnsent means that no byte of the request was sent.
 	ErrUnsent = Errors.NewType("unsent", errorx.Temporary())
-	// ErrRefused is an ErrUnsent: no process listens at the address.
-	ErrRefused = ErrUnsent.NewSubtype("refused")
+	// ErrNoConnection is an ErrUnsent: the attempt to connect failed.
+	ErrNoConnection = ErrUnsent.NewSubtype("no_connection")
+	// ErrRefused is an ErrNoConnection: no process listens at the address.
+	ErrRefused = ErrNoConnection.NewSubtype("refused")
 	// ErrBroken means that the exchange failed after bytes may have been sent.
 	ErrBroken = Errors.NewType("broken")
 )
 
+// Dialer opens connections. The error of a refused one wraps syscall.ECONNREFUSED.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// NewDialer returns the dialer of a pool whose connection setup takes at most timeout.
+func NewDialer(timeout time.Duration) Dialer {
+	return &net.Dialer{
+		Timeout: timeout, Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveProbeInterval, Interval: keepAliveProbeInterval, Count: 2},
+	}
+}
+
 // Pool is a pool of connections to many addresses.
 type Pool struct {
-	// DialTimeout bounds connection setup.
-	DialTimeout time.Duration
-	Now         clock.Clock
+	Dialer Dialer
+	Now    clock.Clock
 	// OnDial, if set, is called after each attempt to connect.
 	OnDial func(err error)
 
@@ -78,9 +95,9 @@
 	closeOnce   sync.Once
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool whose connection setup takes at most dialTimeout.
 func NewPool(now clock.Clock, dialTimeout time.Duration) *Pool {
-	return &Pool{DialTimeout: dialTimeout, Now: now, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
 // OpenConnections returns the number of connections to all addresses, including
@@ -129,7 +146,7 @@
 }
 
 // dial opens a connection unless maxOpen connections to the address are open; zero
-// means no bound. Its error is ErrUnsent.
+// means no bound. Its error is ErrUnsent, and ErrNoConnection if the attempt failed.
 func (p *Pool) dial(ctx context.Context, address string, maxOpen int) (*conn, error) {
 	p.mu.Lock()
 	if maxOpen > 0 && p.open[address] >= maxOpen {
@@ -138,11 +155,7 @@
 	}
 	p.open[address]++
 	p.mu.Unlock()
-	dialer := net.Dialer{
-		Timeout: p.DialTimeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveProbeInterval, Interval: keepAliveProbeInterval, Count: 2},
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if p.OnDial != nil {
 		p.OnDial(err)
 	}
@@ -151,7 +164,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, ErrRefused.New("%v", err)
 		}
-		return nil, ErrUnsent.New("%v", err)
+		return nil, ErrNoConnection.New("%v", err)
 	}
 	c := &conn{Conn: raw, pool: p, address: address}
 	c.limit = &io.LimitedReader{R: raw}
@@ -159,6 +172,24 @@
 	return c, nil
 }
 
+// Probe opens a connection to the address and closes it again. Its error is
+// ErrNoConnection if the address accepts none, or resets it at once: the listener of a
+// process that is being killed may accept one after its other connections have ended.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address, 0)
+	if err != nil {
+		return err
+	}
+	defer c.close() // nothing was sent
+	if err := c.SetReadDeadline(time.Now().Add(resetTime)); err != nil {
+		return ErrNoConnection.New("%v", err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrNoConnection.New("connection closed at once: %v", err)
+	}
+	return nil
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
