Balance: servers that fall over for refusals get no more than they have room for

What callers saw: servers that say that they fall over when they refuse too many requests in a second did so at once, and with them what they ran.

Cause: nothing read the field. VMs sent each server more than it could hold and learned of its queue by refusals. The class: load is bounded by the other side's refusals, though a refusal has a price there.

Change: the adapter decodes the field; internal/serverlimit, which now keeps limits of servers or of services, exchanges it by service, as a server that fell is back under another ID. Each VM has a part of a server's slots by rank. It may use more, while slots are free, for as many requests as it may cause refusals, and stops for a second once it has caused its part of them. Requests without room wait for up to a quarter of their latency objective and are then refused with a time to return.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -258,8 +258,12 @@
 	// coldLimiters are by server ID, because an incarnation may be used before its
 	// entry arrives, under the key of the one before.
 	coldLimiters sync.Map // server ID to *ColdLimiter
-	durations    sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
-	regionSends  sync.Map // region and service to *recentSends
+	// fallsAt holds at how many refusals in a second the servers of a service fall over.
+	// It is replaced whole, and nil if no servers say that they do.
+	fallsAt     atomic.Pointer[map[string]int]
+	fallsAtLock sync.Mutex
+	durations   sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
+	regionSends sync.Map // region and service to *recentSends
 	// prefillSlowdownBits is the ratio of measured to expected prefill time, as
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
@@ -546,11 +550,15 @@
 const (
 	ReasonPaused  = "servers-paused"
 	ReasonLimited = "servers-limited"
+	// ReasonNoRoom means that servers which fall over for refusals may have no room.
+	ReasonNoRoom = "servers-full"
 )
 
 // Postponed reports whether the request can't be placed because servers ask for
 // fewer requests.
-func (p *Plan) Postponed() bool { return p.Reason == ReasonPaused || p.Reason == ReasonLimited }
+func (p *Plan) Postponed() bool {
+	return p.Reason == ReasonPaused || p.Reason == ReasonLimited || p.Reason == ReasonNoRoom
+}
 
 // AdmissionDelay returns the reason why a server wants no more requests of this VM now,
 // and the time until it does, or "".
@@ -561,6 +569,9 @@
 	if wait := load.RateLimiter.Wait(now, b.limitShare(s, load, now)); wait > 0 {
 		return ReasonLimited, max(minLimitWait, wait)
 	}
+	if !b.hasRoom(s, load, now) {
+		return ReasonNoRoom, roomWait
+	}
 	return "", 0
 }
 
--- a/internal/balance/cold_limiter.go
+++ b/internal/balance/cold_limiter.go
@@ -66,11 +66,5 @@
 // server tolerates. Rank is the VM's rank among the region's VMs for this
 // server; the shares of all ranks add up to the total.
 func ColdAllowance(perSecond float64, vms, rank int) int {
-	total := int(perSecond * (1 - coldReserve))
-	vms = max(1, vms)
-	share := total / vms
-	if rank < total%vms {
-		share++
-	}
-	return share
+	return partOf(int(perSecond*(1-coldReserve)), vms, rank)
 }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -78,6 +78,7 @@
 	Link        Link
 	Pause       Pause
 	RateLimiter RateLimiter
+	Room        Room
 	// coldLimiter is shared by all incarnations of the server.
 	coldLimiter *ColdLimiter
 
@@ -403,8 +404,12 @@
 	sentAt  clock.Instant
 	started bool
 	ended   bool
+	ticket  *Ticket
 }
 
+// Hold ties the request's ticket to it.
+func (f *InFlight) Hold(t *Ticket) { f.ticket = t }
+
 // Begin records that a request is sent to the server.
 func (l *Load) Begin(d *Demand, e *Estimate, now clock.Instant) *InFlight {
 	f := &InFlight{load: l, sentAt: now, memory: int64(d.finalMemory()), prefill: int64(e.PrefillTime)}
@@ -432,6 +437,7 @@
 
 // RecordRefused records that the server refused the request.
 func (f *InFlight) RecordRefused(now clock.Instant) {
+	f.ticket.Refuse(now)
 	f.load.progressAt.Store(int64(now))
 	if !f.started {
 		f.start()
@@ -451,6 +457,7 @@
 		return
 	}
 	f.ended = true
+	f.ticket.End()
 	if !f.started {
 		f.start()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,6 +116,7 @@
 	streams     *resume.Tracker
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
+	brittle     *serverlimit.Tracker
 	serverPool  *upstream.Pool
 	gatewayPool *upstream.Pool
 
@@ -189,7 +190,16 @@
 		PublishOwn: e.mesh.PublishOwn, Publish: e.mesh.Publish,
 	})
 	e.limits = serverlimit.New(serverlimit.Config{
-		Now: e.now, Log: e.log, Scope: e.metrics.Scope, Apply: e.applyRequestLimit, Publish: e.mesh.Publish,
+		Kind: gossip.KindRequestLimit, Name: "request limit of a backend server",
+		Now: e.now, Log: e.log, Scope: e.metrics.Scope.SubScope("server_limit"), Apply: e.applyRequestLimit, Publish: e.mesh.Publish,
+	})
+	e.brittle = serverlimit.New(serverlimit.Config{
+		Kind: gossip.KindBrittle, Name: "number of refusals at which servers of a service fall over",
+		Now: e.now, Log: e.log, Scope: e.metrics.Scope.SubScope("brittle"), Publish: e.mesh.Publish,
+		Apply: func(key roster.ServerKey, refusals float64) bool {
+			e.balancer.SetFallsAt(key.ID, int(refusals))
+			return e.serverCount(key.ID) > 0
+		},
 	})
 	e.streams = resume.New(resume.Config{
 		Now: e.now, Log: e.log, Scope: e.metrics.Scope, FirstStart: settings.FirstStart, View: e.roster.View,
@@ -206,11 +216,11 @@
 	e.poller = &poller{
 		region: e.self.Region, table: e.follower.Table, roster: e.roster, balancer: e.balancer,
 		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, probe: e.serverPool.Probe, urgent: make(chan *roster.Server, urgentQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
-		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits,
+		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits, brittle: e.brittle,
 	}
 	e.relay = relay.New(relay.Config{
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
-		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
@@ -225,6 +235,8 @@
 		e.quarantine.ApplyRecord(r)
 	case gossip.KindRequestLimit:
 		e.limits.ApplyRecord(r)
+	case gossip.KindBrittle:
+		e.brittle.ApplyRecord(r)
 	case gossip.KindStreams, gossip.KindSoftwareVersions:
 		e.streams.ApplyRecord(r)
 	default:
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -62,6 +62,7 @@
 		e.follower.Expire(now)
 		e.quarantine.Tick(now)
 		e.limits.Tick(now)
+		e.brittle.Tick(now)
 		if !e.mesh.LargeRegion() || n%largeRegionIntervals == 0 {
 			e.streams.Tick(now)
 		}
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -49,6 +49,8 @@
 	Leaving bool
 	// RequestLimit is what the response says of the engine's request limit.
 	RequestLimit serverlimit.Statement
+	// FallsAt is what the response says of the refusals at which the engine falls over.
+	FallsAt serverlimit.Statement
 }
 
 // ReportFetcher requests the load reports of backend servers.
@@ -88,6 +90,8 @@
 	onLeaving func(key roster.ServerKey)
 	// requestLimits keeps the request limits that engines name.
 	requestLimits *serverlimit.Tracker
+	// brittle keeps at how many refusals in a second the servers of services fall over.
+	brittle *serverlimit.Tracker
 
 	// urgent receives servers to be checked at once: no process listened at their
 	// addresses, or a connection to them failed.
@@ -284,7 +288,8 @@
 	restarted = applyStart(load, service, s, report.Started, now)
 	if !restarted {
 		load.ConfirmRunning(began)
-		p.requestLimits.Record(s, report.RequestLimit, serverlimit.FromReport)
+		p.requestLimits.Record(serverlimit.OfServer(s), report.RequestLimit, serverlimit.FromReport)
+		p.brittle.Record(serverlimit.OfService(s.Service), report.FallsAt, serverlimit.FromReport)
 		if report.Leaving {
 			p.onLeaving(s.Key())
 		}
--- a/internal/edge/poller_test.go
+++ b/internal/edge/poller_test.go
@@ -126,6 +126,7 @@
 			serverRank: func(string, string) (int, int) { return 1, 0 },
 			onFailure:  func(*roster.Server) { announced.Add(1) }, onRefused: func(*roster.Server) {}, onReport: func(string, balance.Report) {},
 			requestLimits: serverlimit.New(serverlimit.Config{Now: clock.Synthetic(), Scope: tally.NoopScope}),
+			brittle:       serverlimit.New(serverlimit.Config{Now: clock.Synthetic(), Scope: tally.NoopScope}),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -64,6 +64,9 @@
 	// KindReach is which backend servers of its region a VM doesn't reach; the name is
 	// the VM.
 	KindReach Kind = 18
+	// KindBrittle is at how many refusals in a second the servers of a service fall over;
+	// the name is the service.
+	KindBrittle Kind = 19
 )
 
 // Key identifies a record.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,10 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
@@ -119,6 +121,9 @@
 	RetryAfter string
 	// RequestLimit is what the response says of the server's request limit.
 	RequestLimit serverlimit.Statement
+	// FallsAt is what the response says of the number of refusals in a second at which
+	// the servers of the service fall over.
+	FallsAt serverlimit.Statement
 }
 
 // Protocol translates between requests and their form on the wire between the
@@ -178,6 +183,8 @@
 	UsageChanged func()
 	// RequestLimits keeps the request limits that backend servers name.
 	RequestLimits *serverlimit.Tracker
+	// Brittle keeps at how many refusals in a second the servers of services fall over.
+	Brittle *serverlimit.Tracker
 	// ServerLeaves is called when an incarnation of a backend server announces that
 	// it leaves.
 	ServerLeaves func(roster.ServerKey)
@@ -205,8 +212,10 @@
 // Relay serves requests.
 type Relay struct {
 	Config
-	budgets serviceBudgets
-	started clock.Instant
+	// roomWaiters is the number of requests that wait for room at a server.
+	roomWaiters atomic.Int32
+	budgets     serviceBudgets
+	started     clock.Instant
 }
 
 // New returns a Relay with the given configuration.
@@ -260,6 +269,8 @@
 	// stream was read to its end.
 	framing         upstream.Framing
 	unfinishedBytes int
+	// roomWait is the time spent waiting for room at a server that falls over for refusals.
+	roomWait time.Duration
 	// slotWait is the time spent waiting for prefill slots.
 	slotWait time.Duration
 	// prefillTokens is the number of prompt tokens that the last backend server
@@ -385,6 +396,9 @@
 		}
 		plan := x.choosePlan()
 		x.plan, x.plannedAt = plan, x.Now()
+		if plan.Reason == balance.ReasonNoRoom && x.waitForRoom(ctx) {
+			continue
+		}
 		var out outcome
 		switch {
 		case plan.Server == nil && plan.Region == "":
@@ -409,6 +423,30 @@
 	}
 }
 
+const (
+	// roomCheckInterval is the time between two looks for room at a server.
+	roomCheckInterval = 5 * time.Millisecond
+	// maxRoomWaitShare is the longest wait for room, as a fraction of the latency
+	// objective.
+	maxRoomWaitShare = 0.25
+	// maxRoomWaiters is the number of requests of this VM that may wait for room. A
+	// longer queue would not move on in time.
+	maxRoomWaiters = 32
+)
+
+// waitForRoom waits a moment for room at a server, and reports whether the request may look
+// again. One that has waited for too long, or behind too many others, is refused.
+func (x *transaction) waitForRoom(ctx context.Context) bool {
+	limit := time.Duration(maxRoomWaitShare * float64(x.route.LatencyObjective))
+	defer x.roomWaiters.Add(-1)
+	if x.roomWaiters.Add(1) > maxRoomWaiters || x.roomWait+roomCheckInterval > limit {
+		return false
+	}
+	x.roomWait += roomCheckInterval
+	background.Sleep(ctx, roomCheckInterval)
+	return ctx.Err() == nil
+}
+
 // quarantineRefusal returns the refusal of a request that is quarantined, or whose
 // prompt has a quarantined block, or nil.
 func (x *transaction) quarantineRefusal(ctx context.Context) *verdict.Refusal {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -106,7 +106,8 @@
 	x.destination, x.softwareVersion, x.prefillTokens = s.ID, s.SoftwareVersion, plan.Estimate.UncachedTokens
 	started := x.waitForPrefillSlot(ctx, &plan)
 	now := x.Now()
-	if reason := x.admit(&plan, started, now); reason != "" {
+	ticket, reason := x.admit(&plan, started, now)
+	if reason != "" {
 		load.ReleasePrefillSlot(plan.Estimate.PrefillTime, plan.Estimate.PrefillGap)
 		_, wait := x.Balancer.AdmissionDelay(s, load, now)
 		return outcome{notRun: true, reason: reason, pause: wait}
@@ -117,6 +118,7 @@
 			"activeVMs", x.Peers.ActiveVMs(), "plannedBefore", now.Sub(x.plannedAt))
 	}
 	work := load.Begin(&x.req.Demand, &plan.Estimate, now)
+	work.Hold(ticket)
 	defer func() { work.End(x.Now()) }()
 	parent := ctx
 	ctx, watch := x.watchServer(ctx, &plan, now)
@@ -168,10 +170,23 @@
 	return x.handleResponse(ctx, plan, exchange, work, watch)
 }
 
-// admit returns why the request may not be sent to the plan's server now, or "". The
-// view and the load may have changed since the plan was made. Started is false if
+// admit returns why the request may not be sent to the plan's server now, or "", and its
+// place among the requests for which the server has room. The view and the load may have changed since the plan was made. Started is false if
 // the request ended while it waited for its prefill slot.
-func (x *transaction) admit(plan *balance.Plan, started bool, now clock.Instant) string {
+func (x *transaction) admit(plan *balance.Plan, started bool, now clock.Instant) (*balance.Ticket, string) {
+	ticket, room := x.Balancer.TakeRoom(plan.Server, plan.Load, now)
+	if !room {
+		return nil, "no room"
+	}
+	if reason := x.refusalToSend(plan, started, now); reason != "" {
+		ticket.End()
+		return nil, reason
+	}
+	return ticket, ""
+}
+
+// refusalToSend returns why the request may not be sent to the plan's server now, or "".
+func (x *transaction) refusalToSend(plan *balance.Plan, started bool, now clock.Instant) string {
 	load := plan.Load
 	switch {
 	case !started:
@@ -349,7 +364,10 @@
 		x.ServerLeaves(s.Key())
 	}
 	if in.RequestLimit.Named || in.Signed {
-		x.RequestLimits.Record(s, in.RequestLimit, serverlimit.FromResponse)
+		x.RequestLimits.Record(serverlimit.OfServer(s), in.RequestLimit, serverlimit.FromResponse)
+	}
+	if in.FallsAt.Named || in.Signed {
+		x.Brittle.Record(serverlimit.OfService(s.Service), in.FallsAt, serverlimit.FromResponse)
 	}
 }
 
--- a/internal/serverlimit/tracker.go
+++ b/internal/serverlimit/tracker.go
@@ -1,7 +1,8 @@
-// Package serverlimit keeps the request limits that backend servers name in their
-// responses: how many requests per second a server takes from all VMs together, for
-// as long as it says so. The VMs exchange limits as records, so that one that gets
-// no responses of a server knows its limit too.
+// Package serverlimit keeps the limits that backend servers name in their responses, for
+// as long as they say so: how many requests per second a server takes from all VMs
+// together, or at how many refusals in a second the servers of a service fall over. The
+// VMs exchange limits as records, so that one that gets no responses of a server knows
+// its limit too.
 //
 // The package opens no sockets and takes the clock as a parameter. Package balance
 // divides the limits among the VMs.
@@ -23,7 +24,7 @@
 )
 
 const (
-	// maxServers bounds the server incarnations whose limits are kept.
+	// maxServers bounds the server incarnations, or services, whose limits are kept.
 	maxServers = 4096
 	// unlistedLifetime is how long the limit of an incarnation is kept that the
 	// registry doesn't list: other VMs may know a server earlier.
@@ -42,13 +43,30 @@
 	FromVM       Source = "vm"       // another VM's record
 )
 
+// Subject is what a limit is of: an incarnation of a server, or all servers of a service.
+type Subject struct {
+	Key     roster.ServerKey
+	Service string
+}
+
+// OfServer returns the subject of a limit of one server.
+func OfServer(s *roster.Server) Subject { return Subject{Key: s.Key(), Service: s.Service} }
+
+// OfService returns the subject of a limit of each server of a service.
+func OfService(name string) Subject {
+	return Subject{Key: roster.ServerKey{ID: name}, Service: name}
+}
+
 // Config holds what a Tracker needs.
 type Config struct {
+	// Kind is the kind of the records, and Name what the limits are in log lines.
+	Kind  gossip.Kind
+	Name  string
 	Now   clock.Clock
 	Log   *slog.Logger
 	Scope tally.Scope
-	// Apply applies the limit of a server, in requests per second; zero means none. It
-	// returns false if the registry doesn't list the incarnation.
+	// Apply applies the limit of a subject, in requests or refusals per second; zero means
+	// none. It returns false if the subject isn't known.
 	Apply func(key roster.ServerKey, perSecond float64) bool
 	// Publish distributes a record that any VM may write.
 	Publish func(gossip.Record)
@@ -81,20 +99,19 @@
 
 // New returns a tracker that knows no limits.
 func New(config Config) *Tracker {
-	config.Scope = config.Scope.SubScope("server_limit")
 	return &Tracker{Config: config, servers: map[roster.ServerKey]*server{}}
 }
 
-// Record records what a response of a server states. A malformed value changes
+// Record records what a response of a server states of the subject. A malformed value changes
 // nothing. A response to a request without a limit ends the one in force; a report
 // without one doesn't.
-func (t *Tracker) Record(s *roster.Server, statement Statement, source Source) {
+func (t *Tracker) Record(s Subject, statement Statement, source Source) {
 	if !statement.Named && (source == FromReport || t.known.Load() == 0) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.server(s.Key(), statement.Named)
+	known := t.server(s.Key, statement.Named)
 	if known == nil {
 		return
 	}
@@ -109,9 +126,9 @@
 	if perSecond == known.perSecond {
 		return
 	}
-	known.version = max(known.version, firstVersion(s.Started)) + 1
+	known.version = max(known.version, firstVersion(s.Key.Started)) + 1
 	known.unpublished = true
-	t.set(s.Key(), known, perSecond, source)
+	t.set(s.Key, known, perSecond, source)
 }
 
 // server returns the state of an incarnation, or nil if there is none or no room for
@@ -133,7 +150,7 @@
 
 // set sets and applies a limit. The caller holds the lock.
 func (t *Tracker) set(key roster.ServerKey, known *server, perSecond float64, source Source) {
-	t.Log.Info("request limit of a backend server changed", "server", key.ID, "started", key.Started,
+	t.Log.Info(t.Name+" changed", "server", key.ID, "started", key.Started,
 		"perSecond", perSecond, "before", known.perSecond, "source", source)
 	t.count("changed", source)
 	known.perSecond = perSecond
@@ -142,11 +159,11 @@
 
 // recordMalformed counts a value that can't be used, and logs it unless it is the
 // same as the last one. The caller holds the lock.
-func (t *Tracker) recordMalformed(s *roster.Server, known *server, value string, source Source) {
+func (t *Tracker) recordMalformed(s Subject, known *server, value string, source Source) {
 	t.count("malformed", source)
 	value = strconv.Quote(value[:min(len(value), maxLoggedBytes)])
 	if known.malformed != value {
-		t.Log.Warn("ignoring the request limit of a backend server: not a positive number", "server", s.ID, "service", s.Service,
+		t.Log.Warn("ignoring the "+t.Name+": not a positive number", "server", s.Key.ID, "service", s.Service,
 			"value", value, "inForce", known.perSecond, "source", source)
 	}
 	known.malformed = value
@@ -156,10 +173,11 @@
 	t.Scope.Tagged(map[string]string{"event": event, "source": string(source)}).Counter("statements").Inc(1)
 }
 
-// limitRecord is the value of a KindRequestLimit record. Its name is the server's
-// ID. It is encoded as an array: fields may only be added at the end.
+// limitRecord is the value of a record. Its name is the ID of the server, or the service.
+// It is encoded as an array: fields may only be added at the end.
 type limitRecord struct {
-	// Started is when the server's process started, in Unix milliseconds.
+	// Started is when the server's process started, in Unix milliseconds; zero for a
+	// service.
 	Started int64
 	// PerSecond is zero if the server names no limit any more.
 	PerSecond float64
@@ -177,7 +195,7 @@
 	return uint64(min(max(0, started), maxStarted)) << changeBits
 }
 
-// ApplyRecord applies a KindRequestLimit record of another VM.
+// ApplyRecord applies a record of another VM.
 func (t *Tracker) ApplyRecord(r gossip.Record) {
 	var value limitRecord
 	err := gossip.Decode(r.Value, &value)
@@ -227,8 +245,8 @@
 func (t *Tracker) publish(key roster.ServerKey, known *server) {
 	value, err := gossip.Encode(limitRecord{Started: key.Started, PerSecond: known.perSecond})
 	if err != nil {
-		t.Log.Error("encoding record failed", "kind", gossip.KindRequestLimit, "error", err)
+		t.Log.Error("encoding record failed", "kind", t.Kind, "error", err)
 		return
 	}
-	t.Publish(gossip.Record{Key: gossip.Key{Kind: gossip.KindRequestLimit, Name: key.ID}, Version: known.version, Value: value})
+	t.Publish(gossip.Record{Key: gossip.Key{Kind: t.Kind, Name: key.ID}, Version: known.version, Value: value})
 }
--- a/internal/serverlimit/tracker_test.go
+++ b/internal/serverlimit/tracker_test.go
@@ -28,6 +28,7 @@
 func newVM() *vm {
 	v := &vm{now: clock.Instant(time.Hour), limits: map[roster.ServerKey]float64{}, unlisted: map[roster.ServerKey]bool{}}
 	v.Tracker = New(Config{
+		Kind: gossip.KindRequestLimit, Name: "request limit of a backend server",
 		Now: func() clock.Instant { return v.now }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		Apply: func(key roster.ServerKey, perSecond float64) bool {
 			if v.unlisted[key] {
@@ -63,7 +64,7 @@
 		{named("7"), FromResponse, 7},
 		{Statement{}, FromResponse, 0},
 	} {
-		v.Record(s, step.statement, step.source)
+		v.Record(OfServer(s), step.statement, step.source)
 		is.Equal(v.limits[s.Key()], step.want)
 	}
 }
@@ -74,12 +75,12 @@
 	v, s := newVM(), serverOf("a", 5)
 	values := []string{"", " ", "0", "-1", "-0.5", "NaN", "Inf", "+Inf", "1e999", "many", "2,4", "3/s", "0x"}
 	for _, value := range values {
-		v.Record(s, named(value), FromResponse)
+		v.Record(OfServer(s), named(value), FromResponse)
 		is.Equal(v.limits[s.Key()], 0.0)
 	}
-	v.Record(s, named("2"), FromResponse)
+	v.Record(OfServer(s), named("2"), FromResponse)
 	for _, value := range values {
-		v.Record(s, named(value), FromResponse)
+		v.Record(OfServer(s), named(value), FromResponse)
 		is.Equal(v.limits[s.Key()], 2.0)
 	}
 }
@@ -90,10 +91,10 @@
 	is := is.New(t)
 	v, other := newVM(), newVM()
 	before, after := serverOf("a", 5), serverOf("a", 6)
-	v.Record(before, named("2"), FromResponse)
+	v.Record(OfServer(before), named("2"), FromResponse)
 	v.Tick(v.now)
 	is.Equal(v.limits[after.Key()], 0.0)
-	v.Record(after, named("3"), FromResponse)
+	v.Record(OfServer(after), named("3"), FromResponse)
 	v.Tick(v.now)
 	is.Equal(len(v.records), 2)
 	is.True(v.records[1].Version > v.records[0].Version)
@@ -119,7 +120,7 @@
 			to.ApplyRecord(r)
 		}
 		step := func(v *vm, statement Statement) {
-			v.Record(s, statement, FromResponse)
+			v.Record(OfServer(s), statement, FromResponse)
 			v.Tick(v.now)
 			for _, r := range v.records {
 				for _, to := range vms {
@@ -167,7 +168,7 @@
 	is := is.New(t)
 	v, s := newVM(), serverOf("a", 5)
 	v.unlisted[s.Key()] = true
-	v.Record(s, named("2"), FromResponse)
+	v.Record(OfServer(s), named("2"), FromResponse)
 	v.now = v.now.Add(unlistedLifetime / 2)
 	v.Tick(v.now)
 	is.Equal(v.limits[s.Key()], 0.0)
@@ -179,7 +180,7 @@
 	v.Tick(v.now)
 	is.Equal(len(v.servers), 0)
 	for i := range 2 * maxServers {
-		v.Record(serverOf(fmt.Sprint("s", i), 1), named("2"), FromResponse)
+		v.Record(OfServer(serverOf(fmt.Sprint("s", i), 1)), named("2"), FromResponse)
 	}
 	is.Equal(len(v.servers), maxServers)
 }
