--- a/internal/balance/room_test.go
+++ b/internal/balance/room_test.go
@@ -43,11 +43,10 @@
 		news    = 20 // steps until a VM knows of the others' requests
 	)
 	type request struct {
-		vm       *roomVM
-		ticket   *Ticket
-		arrives  int
-		ends     int
-		returned bool // the answer is back
+		vm      *roomVM
+		ticket  *Ticket
+		arrives int
+		ends    int
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		slots, fallsAt := rapid.IntRange(1, 12).Draw(t, "slots"), rapid.IntRange(1, 8).Draw(t, "falls at")
