Relay: a hop whose caller left is cancelled by a call of its own

Cause: the VM that took the request closes the hop's connection when its caller leaves. On a connection that has fallen silent the close doesn't arrive, and the other VM goes on until the deadline. Of the three hypotheses (a server's queue that holds requests past their deadline, a connection on which the cancellation can't arrive, a hop whose deadline isn't kept) the trace shows the second: the client left at 19.4 s, 4.8 s after it had sent the request and before its deadline; connections between VMs had gone silent at 19.0 s; the server answered at 21.1 s. The class: the end of a request is told on the same path that may have failed.

Change: a hop has an ID, and the VM that sent it cancels it over a new connection if its caller leaves before the response is complete.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -39,6 +39,7 @@
 func (e *Edge) hopRouter() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.PathHop, e.relay.HopHandler())
+	r.Method(http.MethodPost, relay.PathCancelHop, e.relay.CancelHopHandler())
 	return r
 }
 
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -24,7 +24,7 @@
 			return
 		}
 		x.req = req
-		hr.Header = x.hopCall("127.0.0.1:1", balance.Plan{}, 1).Header
+		hr.Header = x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1).Header
 		again, err := x.readHop(httptest.NewRecorder(), hr)
 		if err != nil || again.Target != req.Target || again.ID != req.ID {
 			t.Errorf("forwarded as %+v (%v) instead of %+v", again, err, req)
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -39,7 +39,9 @@
 
 // hopHead is the description of a request that a VM sends with a hop.
 type hopHead struct {
-	ID          string      `json:"id"`
+	ID string `json:"id"`
+	// Hop identifies this hop, so that it can be cancelled.
+	Hop         string      `json:"hop,omitempty"`
 	Host        string      `json:"host"`
 	Method      string      `json:"method"`
 	Target      string      `json:"target"`
@@ -94,13 +96,19 @@
 
 // sendToVM sends the request to another VM, which serves it or refuses it. If
 // the plan names a backend server, the VM may use no other one.
-func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) outcome {
+func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) (out outcome) {
 	x.destination, x.softwareVersion = vm, ""
 	x.sends++
-	granted := x.hopAttempts(plan.Server != nil)
+	granted, hop := x.hopAttempts(plan.Server != nil), x.hopID()
+	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, plan, granted))
+	defer func() {
+		if callerLeft(caller) && !out.notRun && !out.delivered {
+			x.cancelHop(address, hop)
+		}
+	}()
+	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, hop, plan, granted))
 	if err != nil {
 		x.GatewayPool.CloseIdle(address)
 		if errorx.IsOfType(err, upstream.ErrUnsent) {
@@ -130,16 +138,16 @@
 	x.Metrics.uncountedHops.Inc(1)
 }
 
-// hopCall returns the hop of the request to the VM at the address. If the plan names a
+// hopCall returns the hop of the request, with the given ID, to the VM at the address. If the plan names a
 // server, no other one may serve the request. Attempts is the number of servers on which
 // it may run.
-func (x *transaction) hopCall(address string, plan balance.Plan, attempts int) *upstream.Call {
+func (x *transaction) hopCall(address, hop string, plan balance.Plan, attempts int) *upstream.Call {
 	server := ""
 	if plan.Server != nil {
 		server = plan.Server.ID
 	}
 	head := hopHead{
-		ID: x.req.ID, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
+		ID: x.req.ID, Hop: hop, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
 		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
@@ -237,7 +245,9 @@
 			return
 		}
 		out := NewWriter(w)
-		refusal, x := r.handleHop(hr.Context(), req, out)
+		ctx, end := r.accepted.begin(hr.Context(), req.Hop)
+		defer end()
+		refusal, x := r.handleHop(ctx, req, out)
 		if refusal == nil {
 			return
 		}
@@ -327,7 +337,7 @@
 		head.Header = http.Header{}
 	}
 	return &Request{
-		ID: head.ID, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
+		ID: head.ID, Hop: head.Hop, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now, Deadline: deadline,
 		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -189,7 +189,7 @@
 			x.req.Target, x.req.Path = "/a/"+text+"?q="+text, "/a/"+text
 			x.req.Host, x.req.ID, x.lastEventID = "h"+text, "id"+text, text
 			x.req.Header = http.Header{"X-Text": {text, "second"}, "Accept": {"*/*"}}
-			call := x.hopCall("127.0.0.1:1", balance.Plan{}, 1)
+			call := x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1)
 			hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
 			hr.Header = call.Header
 			got, err := x.readHop(httptest.NewRecorder(), hr)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,7 +51,9 @@
 
 // Request is a request of a routed service.
 type Request struct {
-	ID   string
+	ID string
+	// Hop identifies the hop by which another VM sent the request, or is "".
+	Hop  string
 	Host string
 	// Target is the path with the query as the caller sent it, and Path the
 	// path without the query.
@@ -216,6 +218,11 @@
 	roomWaiters atomic.Int32
 	budgets     serviceBudgets
 	started     clock.Instant
+	// hopCount is the number of hops that were sent, and accepted holds those of other
+	// VMs that are being served.
+	hopCount        atomic.Uint64
+	accepted        acceptedHops
+	cancelsInFlight atomic.Int32
 }
 
 // New returns a Relay with the given configuration.
