Relay: a VM that is stopped refuses hops that outlast it

A caller's request whose deadline is after the exit was refused as not run late in the grace time; one that another VM forwarded was taken, passed on and cut at the exit. Usual forwarders know that the VM leaves and choose another; one that was cut off for a moment may not.

Change: the check holds for hops too, and the VM that forwarded the request may use another VM of that region.

TestStoppingVMTakesNoHopThatOutlastsIt and the case "shuts down" of TestRegionIsTriedAgainAfterFailureOfItsServer failed before.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -87,7 +87,7 @@
 		x.Balancer.RecordCrossRegionSend(plan.Region, x.service.Name, &plan.Estimate, x.Now())
 	}
 	out := x.sendToVM(ctx, plan, vm, address)
-	if out.failedAtServer || out.behind {
+	if out.failedAtServer || out.otherVM {
 		// Another server or VM there may serve the request.
 		x.triedRegions = x.triedRegions[:len(x.triedRegions)-1]
 	}
@@ -220,11 +220,12 @@
 	}
 	x.possibleRuns += ran
 	if refusal.Verdict == verdict.NotRun {
-		behind := refusal.Code == verdict.CodeRevisionTooOld
-		if plan.Load != nil && (behind || refusal.Code == verdict.CodeNoBackend) {
+		// Another VM there may serve the request.
+		otherVM := refusal.Code == verdict.CodeRevisionTooOld || refusal.Code == verdict.CodeShuttingDown
+		if plan.Load != nil && (otherVM || refusal.Code == verdict.CodeNoBackend) {
 			plan.Load.Exclude(x.Now())
 		}
-		return outcome{behind: behind, notRun: true, mayHaveArrived: arrived, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
+		return outcome{otherVM: otherVM, notRun: true, mayHaveArrived: arrived, final: refusal.Code == verdict.CodeQuarantined, reason: "refused by " + x.destination + ": " + refusal.Detail, retryAfter: refusal.RetryAfter}
 	}
 	x.possibleRuns = max(x.possibleRuns, 1)
 	failedAtServer := refusal.Code == verdict.CodeBackendFailed
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -84,6 +84,11 @@
 			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeRevisionTooOld, "it is behind", 0)))
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, false},
+		"shuts down": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRan, "0")
+			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeShuttingDown, "it ends before", 0)))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, false},
 		"broke off": {lostHops["breaks off"], false},
 		"lost":      {lostHops["closes"], true},
 	}
@@ -209,3 +214,29 @@
 	head := hopHead{Target: "/\u0100", BytesAsRunes: true}
 	is.True(head.decodeBytes() != nil)
 }
+
+// Guards against LOST (issue 42, a report of another operator): a VM that is stopped took
+// requests late in its grace time and cut them at the end of it. It still took those of
+// other VMs, without regard to their deadlines.
+func TestStoppingVMTakesNoHopThatOutlastsIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		deadline time.Duration
+		refused  bool
+	}{"ends in time": {deadline: time.Second}, "outlasts it": {deadline: 4 * time.Second, refused: true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := hopTransaction(1)
+			table := ingress.NewTable(1, []*ingress.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Minute, TrafficSplit: []ingress.WeightedService{{Service: "writer", Weight: 1}}}}, nil, ingress.Limits{})
+			x.Table = func() *ingress.Table { return table }
+			x.Peers = onePeer{}
+			now := clock.Boot()
+			x.ExitAt = func() clock.Instant { return now.Add(2 * time.Second) }
+			_, refusal := x.newTransaction(&Request{ID: "q", Host: "h", Path: "/", Entry: "vm-2", Arrived: now, Deadline: now.Add(test.deadline)}, &discardResponse{})
+			is.Equal(refusal != nil, test.refused)
+			if refusal != nil {
+				is.Equal(refusal.Verdict, verdict.NotRun)
+				is.Equal(refusal.Code, verdict.CodeShuttingDown)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -203,7 +203,7 @@
 	Leaving  func() bool
 	Refusing func() bool
 	// ExitAt returns the time at which this process exits, or zero while no
-	// exit is scheduled. A caller's request whose deadline is later is refused.
+	// exit is scheduled. A request whose deadline is later is refused.
 	ExitAt func() clock.Instant
 	// RetrySlack is the number of retries beyond the share of requests that a
 	// service tolerates from the whole fleet in each RetryWindow.
@@ -330,7 +330,7 @@
 	if req.Deadline != 0 {
 		x.deadline = min(x.deadline, req.Deadline)
 	}
-	if end := r.ExitAt(); end != 0 && req.Entry == "" && x.deadline > end {
+	if end := r.ExitAt(); end != 0 && x.deadline > end {
 		return x, verdict.Busy(verdict.CodeShuttingDown, "this VM ends before the request's deadline", retryAfterFailure)
 	}
 	if req.Entry == "" {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -58,8 +58,9 @@
 	failedAtServer bool
 	// refused means that no process listens at the server's address.
 	refused bool
-	// behind means that another VM refused as its configuration is older.
-	behind bool
+	// otherVM means that another VM refused for a reason of its own: its configuration is
+	// older, or it shuts down.
+	otherVM bool
 	// retryAfter is the time after which capacity is expected.
 	retryAfter time.Duration
 	// pause is for how long the backend server wants no more requests of this VM.
