Edge: servers behind a lost link don't count as crashed

A VM that doubts at least three, and half, of the region's other servers no longer takes one for crashed because it doesn't answer. Real crashes by a request hit one server after the other.

TestServersOutOfReachAreNotCrashed failed before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -278,9 +278,38 @@
 }
 
 // isRunning reports whether the process of a server's incarnation still runs. One that
-// can't be reached counts as not running. A plain server has no report, so that it
-// counts as running if it accepts connections.
+// can't be reached counts as not running, unless this VM has lost most of its links. A
+// plain server has no report, so that it counts as running if it accepts connections.
 func (e *Edge) isRunning(ctx context.Context, s *roster.Server) bool {
+	running := e.answers(ctx, s)
+	if lost, others := e.lostLinks(s); !running && lost >= minLostLinks && 2*lost >= others {
+		e.log.Info("backend server does not count as crashed: this VM has lost most of its links", "server", s.ID, "service", s.Service, "lost", lost, "others", others)
+		return true
+	}
+	return running
+}
+
+// minLostLinks is the minimum number of other servers that a VM doesn't reach if it has lost
+// its own links.
+const minLostLinks = 3
+
+// lostLinks returns how many of the region's other servers this VM doubts to reach, and
+// their number.
+func (e *Edge) lostLinks(s *roster.Server) (lost, others int) {
+	for _, o := range e.roster.View().All() {
+		if o.Region != e.self.Region || o.ID == s.ID {
+			continue
+		}
+		others++
+		if e.balancer.Load(o.Key()).Link.Doubtful() {
+			lost++
+		}
+	}
+	return lost, others
+}
+
+// answers reports whether the process of a server's incarnation answers this VM.
+func (e *Edge) answers(ctx context.Context, s *roster.Server) bool {
 	service := e.poller.engineService(s)
 	if service == nil {
 		if err := e.serverPool.Probe(ctx, s.Address); err != nil {
--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -108,3 +109,26 @@
 	is.Equal(e.isRunning(t.Context(), s), false)
 	is.Equal(e.balancer.TakeFromColdRate(service, s, e.balancer.Load(s.Key()), e.roster.View(), e.now()), false) // the service allows none
 }
+
+// Guards against a quarantine of requests that crashed no server: a VM that had lost its
+// links took all servers for crashed (seen in the plays of issue 42).
+func TestServersOutOfReachAreNotCrashed(t *testing.T) {
+	for name, test := range map[string]struct {
+		lost    int
+		running bool
+	}{"only this one": {0, false}, "two others": {2, false}, "half of the others": {4, true}, "all others": {8, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := newSilentEdge()
+			table := ingress.NewTable(1, nil, []*ingress.Service{{Name: "writer", Engine: &ingress.Engine{Slots: 4}}}, ingress.Limits{})
+			e.poller.table = func() *ingress.Table { return table }
+			for n := range 9 {
+				e.roster.Put(roster.Entry{ID: fmt.Sprint("i-", n), Service: "writer", Address: "10.0.0.1:1", FailureDomain: "d", Region: "r", Slots: 4, Started: 1000}, revision.Revision(n+1), roster.Event, e.now())
+			}
+			for n := range test.lost {
+				e.balancer.Load(roster.ServerKey{ID: fmt.Sprint("i-", n+1), Started: 1000}).Link.RecordPoll(false, e.now())
+			}
+			is.Equal(e.isRunning(t.Context(), e.roster.View().Lookup("i-0")), test.running)
+		})
+	}
+}
