Relay: a hop and a repeat count the time that the request has waited

A request that reached its entry VM at 14.35 s was forwarded at 16.6 s with an expected start in 2.6 s; its caller left at 19.15 s, 4.8 s after it had sent it.

Cause: the VM to which a request was forwarded took its arrival there for the arrival at the entry, and after a first send that had reached no server nothing was compared with the caller's patience.

Change: hops carry the time waited, and a request that no server can have received is refused at once if no server would begin before its caller leaves.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -48,8 +48,10 @@
 	Path        string      `json:"path"`
 	Header      http.Header `json:"header"`
 	LastEventID string      `json:"lastEvent,omitempty"`
-	// RemainingMs is the time to the deadline in milliseconds.
+	// RemainingMs is the time to the deadline, and WaitedMs the time since the request
+	// arrived at its entry, in milliseconds.
 	RemainingMs int64  `json:"remainingMs"`
+	WaitedMs    int64  `json:"waitedMs,omitempty"`
 	Entry       string `json:"entry"`
 	Service     string `json:"service"`
 	// Configuration is the version of the sender's configuration.
@@ -148,7 +150,7 @@
 	}
 	head := hopHead{
 		ID: x.req.ID, Hop: hop, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
-		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(),
+		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(), WaitedMs: x.Now().Sub(x.req.Arrived).Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
 		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
 	}
@@ -340,7 +342,7 @@
 	return &Request{
 		ID: head.ID, Hop: head.Hop, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
-		Arrived: now, Deadline: deadline,
+		Arrived: now.Add(-time.Duration(max(0, head.WaitedMs)) * time.Millisecond), Deadline: deadline,
 		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -488,14 +488,14 @@
 	} else {
 		plan = x.Balancer.Choose(q, x.Roster.View())
 	}
-	// A request that can't start in time is refused at once. A request that
-	// was already sent is retried regardless, as its caller may have received
-	// a part of the response.
+	// A request that can't start in time is refused at once. One that a server may
+	// have received is retried regardless, as its caller may have received a part of
+	// the response.
 	maxWait := remaining
 	if x.route.AbandonAfter > 0 {
 		maxWait = min(maxWait, x.route.AbandonAfter-x.Now().Sub(x.req.Arrived))
 	}
-	if x.sends > 0 || plan.Server == nil && plan.Region == "" {
+	if x.arrived || plan.Server == nil && plan.Region == "" {
 		return plan
 	}
 	first := x.Balancer.CalibratedFirstByte(x.route.Name, &plan, x.Now())
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -96,3 +98,32 @@
 	}
 	t.Error("the request that took the stream up isn't known")
 }
+
+// Guards against GONE (findings on 480771a): a request waited at a second VM, or after a send
+// that reached no server, for longer than its caller did.
+func TestRequestThatCannotBeginBeforeItsCallerLeavesIsRefused(t *testing.T) {
+	is := is.New(t)
+	x := hopTransaction(2)
+	x.route.Name, x.route.AbandonAfter, x.route.Resumable = "brief", 4*time.Second, false
+	x.service.Engine = &ingress.Engine{Slots: 64, MemoryTokens: 400_000, EventTokens: 8}
+	x.Roster = roster.New(slog.New(slog.DiscardHandler))
+	x.Roster.Put(roster.Entry{ID: "i-1", Service: "writer", Address: "10.0.0.1:1", FailureDomain: "north-a", Region: "north", Slots: 64}, 1, roster.Event, x.Now())
+	x.Balancer = balance.New("north", "north-a", balance.Bounds{}, balance.DefaultTuning, oneVM{})
+	x.req.Demand = balance.Demand{PromptTokens: 100_000, MaxOutputTokens: 100} // about two seconds to prefill
+	x.deadline = x.Now().Add(8 * time.Second)
+	x.req.Arrived = x.Now()
+	is.True(x.choosePlan().Server != nil)
+
+	x.req.Arrived = x.Now().Add(-3 * time.Second)
+	is.Equal(x.choosePlan().Reason, "too-late")
+	x.sends = 1 // refused connection
+	is.Equal(x.choosePlan().Reason, "too-late")
+	x.arrived = true
+	is.True(x.choosePlan().Server != nil)
+
+	hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
+	hr.Header = x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1).Header
+	got, err := x.readHop(httptest.NewRecorder(), hr)
+	is.NoErr(err)
+	is.True(x.Now().Sub(got.Arrived) >= 3*time.Second) // the other VM knows how long the request has waited
+}
