Relay: requests stay at a server that stands still for a moment

What callers saw: streams of a sound server that stood still for 1.3 s were taken from it after some 0.9 s (two unanswered polls, no event for 0.3 s) and went on at another server, while the first one went on too: eight of twelve ran twice. The operators now say that sound servers may fall silent for a second or so.

Change: only a server that has sent nothing at all for 1.5 s loses its requests. New ones avoid it as soon as polls are unanswered, as before.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -383,6 +383,12 @@
 	return clock.Instant(l.latestStarted.Load()).Sub(sentAt) > overtakeMargin
 }
 
+// SilentFor returns the time since the last data from the server, or since a request began to
+// wait for its first byte there alone.
+func (l *Load) SilentFor(now clock.Instant) time.Duration {
+	return max(0, now.Sub(clock.Instant(l.progressAt.Load())))
+}
+
 // Progressing reports whether data of some request arrived just now.
 func (l *Load) Progressing(now clock.Instant) bool {
 	return now.Sub(clock.Instant(l.progressAt.Load())) < progressAge
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -17,6 +17,9 @@
 	// count as hung, and overdueFactor the same in expected times to first byte.
 	minOverdue    = 600 * time.Millisecond
 	overdueFactor = 3
+	// maxStandstill is how long a server that answers nothing, polls neither, may only
+	// stand still. Its requests are not sent elsewhere before: they would run twice.
+	maxStandstill = 1500 * time.Millisecond
 	// minStall is the minimum pause between events after which a stream may count
 	// as hung, and stallFactor the same in gap objectives.
 	minStall    = time.Second
@@ -64,8 +67,9 @@
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
-	case w.load.Link.Lost() && !w.load.Progressing(now):
-		// A server that is only slow to answer polls goes on with its work.
+	case w.load.Link.Lost() && w.load.SilentFor(now) > maxStandstill:
+		// A server that is only slow to answer polls goes on with its work, and so does
+		// one that stands still for a moment.
 		w.cancel()
 		return
 	case w.hung(now) && w.x.budget.Allow(now):
