Mesh: a VM that is silent for long keeps its share of cold servers' rates

A silent VM now counts for two minutes, unless it announced its shutdown. Connections of a server are divided among the VMs heard of in the last 20 s, as before, since a bound on them that is too low costs requests.

TestVMThatIsSilentForLongKeepsItsShare failed before ("for a minute": 2 VMs).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -61,8 +61,10 @@
 	registryCoverage = 2500 * time.Millisecond
 	// activeFor is the time since a member's last heartbeat during which
 	// it still counts for shared allowances: a partitioned VM may still be
-	// sending requests.
-	activeFor = 20 * time.Second
+	// sending requests. closedFor is the same for one that announced its shutdown,
+	// and for the division of connections.
+	activeFor = 2 * time.Minute
+	closedFor = 20 * time.Second
 	// removeAfter is the time since a member's last heartbeat after which it is
 	// removed.
 	removeAfter = 10 * time.Minute
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -124,7 +124,7 @@
 }
 
 // CapacityShare returns this VM's fraction, between 0 and 1, of the capacity of
-// the VMs of its region that may be active.
+// the VMs of its region that were heard of lately.
 func (m *Mesh) CapacityShare() float64 { return m.view.Load().share }
 
 // viewOf returns the view of the given members, which are ordered by name. It keeps
@@ -150,8 +150,10 @@
 				reachableInDomain = append(reachableInDomain, c)
 			}
 		}
-		if o.mayBeActive(now) {
+		if now.Sub(o.LastHeartbeat) < closedFor {
 			sum += capacityOrDefault(o.Capacity)
+		}
+		if o.mayBeActive(now) {
 			sharing := c
 			sharing.without = o.reach.released
 			active = append(active, sharing)
@@ -181,7 +183,13 @@
 
 // mayBeActive reports whether the member's last heartbeat is recent enough that
 // it may still be sending requests.
-func (o *Member) mayBeActive(now clock.Instant) bool { return now.Sub(o.LastHeartbeat) < activeFor }
+func (o *Member) mayBeActive(now clock.Instant) bool {
+	limit := activeFor
+	if o.Closing {
+		limit = closedFor
+	}
+	return now.Sub(o.LastHeartbeat) < limit
+}
 
 // AcceptsRequests reports whether the VM is reachable and accepts requests.
 func (o *Member) AcceptsRequests() bool { return o.Reachable && o.Ready && !o.Leaving }
--- a/internal/mesh/ranks_test.go
+++ b/internal/mesh/ranks_test.go
@@ -196,3 +196,28 @@
 		is.True(vm == gone || received[vm] > 0)
 	}
 }
+
+// Guards against FAILBACK (issue 42): VMs that were cut off from one another for long, but
+// not from the servers, each took the whole rate of a cold server.
+func TestVMThatIsSilentForLongKeepsItsShare(t *testing.T) {
+	for name, test := range map[string]struct {
+		silent  time.Duration
+		closing bool
+		vms     int
+	}{
+		"for a minute": {time.Minute, false, 3}, "after its shutdown": {time.Minute, true, 2},
+		"shutdown just now": {time.Second, true, 3}, "gone": {time.Hour, false, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := fleetFor(smallRegions(), smallRegions()[0])
+			o := m.members["north-2"]
+			o.LastHeartbeat, o.Closing = m.Now().Add(-test.silent), test.closing
+			m.mu.Lock()
+			m.updateView()
+			m.mu.Unlock()
+			vms, _ := m.ServerRank("s", "north-a")
+			is.Equal(vms, test.vms)
+		})
+	}
+}
