Edge: a breaker doesn't outlive the lost link that opened it

VMs whose links were back, answered their polls and were announced as links that work, used none of these servers for seconds: the plain server of jeju was refused as servers-failing by two VMs beside it, and 333 hops went to busan-a-2 for an engine that it didn't try before 23.2 s.

Change: a link that is found to work again closes the breaker.

TestLinkToPlainServerIsCheckedWhileItIsDoubtful failed before with the check that is added.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -59,8 +59,11 @@
 	}
 }
 
-// RecordSuccess closes the breaker.
-func (b *Breaker) RecordSuccess() {
+// RecordSuccess records a request that succeeded. It closes the breaker.
+func (b *Breaker) RecordSuccess() { b.Reset() }
+
+// Reset closes the breaker and forgets the failures so far.
+func (b *Breaker) Reset() {
 	b.failures.Store(0)
 	b.nextTrial.Store(0)
 }
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -247,6 +247,7 @@
 	case lost && !wasLost:
 		p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
 	case !lost && wasLost:
+		load.Breaker.Reset() // what failed over the lost link says little about the server
 		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service)
 	}
 }
--- a/internal/edge/poller_test.go
+++ b/internal/edge/poller_test.go
@@ -145,9 +145,14 @@
 		is.True(p.balancer.Load(writer.Key()).Link.Lost())
 		is.True(announced.Load() <= 2) // not again and again while it is lost
 
+		breaker := &p.balancer.Load(desk.Key()).Breaker
+		for range 20 { // requests that failed while the link was lost
+			breaker.RecordFailure(p.now())
+		}
 		fetcher.cut.Store(false)
 		time.Sleep(2 * pollInterval)
 		is.True(!link.Lost() && !p.balancer.Load(writer.Key()).Link.Lost())
+		is.True(breaker.Ready(p.now())) // the server is used again at once
 		probes := fetcher.probes.Load()
 		time.Sleep(time.Second)
 		is.Equal(fetcher.probes.Load(), probes)
