Mesh: a VM that refused a hop for lack of servers is avoided for a moment

A VM that refuses a hop for lack of a server gets no more hops of that service for half a second; if no other VM of its region is left, the region is no choice for as long. The refused request may go to one more VM there. Targets of hops in large regions stay the same while one of them is left out.

TestVMThatRefusedForLackOfServersIsAvoidedForAMoment, TestHopTargetsAreKeptWhileOneIsLeftOut, and the case "has no server" of TestRegionIsTriedAgainAfterFailureOfItsServer, which failed before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -224,8 +224,8 @@
 	// the given failure domain.
 	ServerRank(server, failureDomain string) (vms, rank int)
 	// ReachedByPeer reports whether another VM of this region that accepts requests
-	// reaches a backend server.
-	ReachedByPeer(server string) bool
+	// of a service reaches a backend server.
+	ReachedByPeer(service, server string) bool
 	// CutOff reports whether no VM of a region that accepts requests reaches a backend
 	// server there.
 	CutOff(region, server string) bool
@@ -359,7 +359,7 @@
 	var cached map[roster.ServerKey]int
 	for _, s := range view.Usable(q.Service.Name, b.Region) {
 		load := b.Load(s.Key())
-		if !load.Link.Lost() || !b.Fleet.ReachedByPeer(s.ID) || !q.permits(s, load) || slices.Contains(q.Tried, s.Key()) {
+		if !load.Link.Lost() || !b.Fleet.ReachedByPeer(s.Service, s.ID) || !q.permits(s, load) || slices.Contains(q.Tried, s.Key()) {
 			continue
 		}
 		if isCold(q.Service, s, load, view, q.Now) {
--- a/internal/balance/link_test.go
+++ b/internal/balance/link_test.go
@@ -16,7 +16,7 @@
 	unreached, cutOff map[string]bool
 }
 
-func (f *peerFleet) ReachedByPeer(server string) bool { return !f.unreached[server] }
+func (f *peerFleet) ReachedByPeer(_, server string) bool { return !f.unreached[server] }
 func (f *peerFleet) CutOff(region, server string) bool {
 	return f.cutOff[region+"/"+server]
 }
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -20,7 +20,7 @@
 type singleVM struct{ regions []RegionSummary }
 
 func (f *singleVM) ServerRank(string, string) (vms, rank int) { return 1, 0 }
-func (f *singleVM) ReachedByPeer(string) bool                 { return false }
+func (f *singleVM) ReachedByPeer(string, string) bool         { return false }
 func (f *singleVM) CutOff(string, string) bool                { return false }
 func (f *singleVM) ShareDelay() time.Duration                 { return time.Second }
 func (f *singleVM) KnowsFleet() bool                          { return true }
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -179,7 +179,7 @@
 // server now.
 func (b *Balancer) serves(s *roster.Server, load *Load, now clock.Instant) bool {
 	if load.Link.Lost() {
-		return b.Fleet.ReachedByPeer(s.ID)
+		return b.Fleet.ReachedByPeer(s.Service, s.ID)
 	}
 	return load.Breaker.Ready(now) && load.noProgressFor(now) <= unresponsiveAfter
 }
--- a/internal/mesh/candidates.go
+++ b/internal/mesh/candidates.go
@@ -119,17 +119,16 @@
 	return best
 }
 
-// reaching returns the candidates that reach one or more of the servers, with their
-// capacity reduced to the part of the servers that they reach: those in the failure
-// domain, if it is given and there are any.
-func (c *candidates) reaching(servers []string, domain string) []candidate {
+// reaching returns the candidates of which the share isn't zero, with their capacity reduced
+// to it: those in the failure domain, if it is given and there are any.
+func reaching(list []candidate, domain string, share func(*candidate) float64) []candidate {
 	var all, near []candidate
-	for _, o := range c.list {
-		share := o.without.reached(servers)
-		if share == 0 {
+	for _, o := range list {
+		part := share(&o)
+		if part == 0 {
 			continue
 		}
-		o.capacity = capacityOrDefault(o.capacity) * share
+		o.capacity = capacityOrDefault(o.capacity) * part
 		all = append(all, o)
 		if o.domain == domain {
 			near = append(near, o)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -181,6 +181,7 @@
 	// unreached are the backend servers that this VM announced not to reach.
 	unreached *serverSet
 	view      atomic.Pointer[memberView]
+	avoided   avoidances
 	// lastJoin is when a VM was last heard of for the first time; zero is never.
 	lastJoin atomic.Int64
 }
@@ -411,7 +412,7 @@
 	members := m.Members()
 	for i := range members {
 		o := &members[i]
-		if o.Region == m.Self.Region || !o.AcceptsRequests() || o.reach.unreached.len() > 0 && o.reach.unreached.reached(m.serversOf(service, o.Region)) == 0 {
+		if o.Region == m.Self.Region || !o.AcceptsRequests() || o.reach.unreached.len() > 0 && o.reach.unreached.reached(m.serversOf(service, o.Region)) == 0 || m.avoided.has(o.VM, service, now) {
 			continue
 		}
 		r := byRegion[o.Region]
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -204,7 +204,7 @@
 // of the service, and its address for hops, or empty strings if there is none. Over the
 // requests of all VMs of this region, each VM is chosen in proportion to its capacity and
 // to the part of the servers that it reaches. Of this VM's own region, VMs of its failure
-// domain go first.
+// domain go first. VMs to avoid are left out.
 func (m *Mesh) PickMember(region, service, key string) (vm, address string) {
 	v := m.view.Load()
 	set := v.others[region]
@@ -214,17 +214,37 @@
 	if set == nil {
 		return "", ""
 	}
-	if slices.ContainsFunc(set.list, func(c candidate) bool { return c.without != nil }) {
-		if o := mostPreferredFor(set.reaching(m.serversOf(service, region), m.ownDomainIn(region)), key); o != nil {
-			return o.vm, o.hops
+	now := m.Now()
+	targets := set.hopTargets(m.Self.VM)
+	if !m.avoided.any(now) && !slices.ContainsFunc(set.list, func(c candidate) bool { return c.without != nil }) {
+		if targets != nil {
+			return pickTarget(targets, key)
 		}
-		return "", ""
+		return pickMostPreferred(set.list, key)
 	}
-	if targets := set.hopTargets(m.Self.VM); targets != nil {
-		o := targets[spread.Mix(xxhash.Sum64String(key))%uint64(len(targets))]
-		return o.vm, o.hops
+	servers := m.serversOf(service, region)
+	share := func(c *candidate) float64 {
+		if m.avoided.has(c.vm, service, now) {
+			return 0
+		}
+		return c.without.reached(servers)
+	}
+	if near := reaching(targets, "", share); len(near) > 0 {
+		return pickTarget(near, key)
 	}
-	if o := mostPreferredFor(set.list, key); o != nil {
+	return pickMostPreferred(reaching(set.list, m.ownDomainIn(region), share), key)
+}
+
+// pickTarget returns one of the targets and its address for hops.
+func pickTarget(targets []candidate, key string) (vm, address string) {
+	o := targets[spread.Mix(xxhash.Sum64String(key))%uint64(len(targets))]
+	return o.vm, o.hops
+}
+
+// pickMostPreferred returns the candidate that is most preferred for the key and its address
+// for hops, or empty strings if there are none.
+func pickMostPreferred(list []candidate, key string) (vm, address string) {
+	if o := mostPreferredFor(list, key); o != nil {
 		return o.vm, o.hops
 	}
 	return "", ""
--- a/internal/mesh/reach.go
+++ b/internal/mesh/reach.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
@@ -128,9 +130,62 @@
 func (m *Mesh) ShareDelay() time.Duration { return m.unreachableTimeout() + shareMargin }
 
 // ReachedByPeer implements balance.Fleet.
-func (m *Mesh) ReachedByPeer(server string) bool {
+func (m *Mesh) ReachedByPeer(service, server string) bool {
 	accepting := m.view.Load().accepting
-	return slices.ContainsFunc(accepting.list, func(c candidate) bool { return !c.without.contains(server) })
+	return slices.ContainsFunc(accepting.list, func(c candidate) bool {
+		return !c.without.contains(server) && !m.avoided.has(c.vm, service, m.Now())
+	})
+}
+
+// Avoid keeps the hops of a service from a VM for a moment, because it refused one for lack
+// of a server.
+func (m *Mesh) Avoid(vm, service string) { m.avoided.add(vm, service, m.Now().Add(avoidDuration)) }
+
+// avoidDuration is a few of the intervals in which VMs tell one another what they reach.
+const avoidDuration = 500 * time.Millisecond
+
+// avoidances holds until when the hops of services are kept from VMs. The zero value is
+// ready to use.
+type avoidances struct {
+	mu    sync.Mutex
+	until atomic.Pointer[map[avoidance]clock.Instant]
+}
+
+type avoidance struct{ vm, service string }
+
+// add keeps the hops of a service from a VM until the given instant.
+func (a *avoidances) add(vm, service string, until clock.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next := map[avoidance]clock.Instant{{vm, service}: until}
+	if before := a.until.Load(); before != nil {
+		for k, at := range *before {
+			if _, ok := next[k]; !ok && at > until.Add(-avoidDuration) {
+				next[k] = at
+			}
+		}
+	}
+	a.until.Store(&next)
+}
+
+// has reports whether the hops of a service are kept from a VM.
+func (a *avoidances) has(vm, service string, now clock.Instant) bool {
+	all := a.until.Load()
+	return all != nil && now < (*all)[avoidance{vm, service}]
+}
+
+// any reports whether hops are kept from any VM.
+func (a *avoidances) any(now clock.Instant) bool {
+	all := a.until.Load()
+	if all == nil {
+		return false
+	}
+	for _, until := range *all {
+		if now < until {
+			return true
+		}
+	}
+	return false
 }
 
 // CutOff implements balance.Fleet.
--- a/internal/mesh/reach_test.go
+++ b/internal/mesh/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -143,11 +144,11 @@
 	setReach(m, "west-2", "west-s1")
 	is.True(m.CutOff("west", "west-s1"))
 	is.True(!m.CutOff("west", "west-s2"))
-	is.True(m.ReachedByPeer("north-s1"))
+	is.True(m.ReachedByPeer("writer", "north-s1"))
 	setReach(m, "north-2", "north-s1")
-	is.True(m.ReachedByPeer("north-s1"))
+	is.True(m.ReachedByPeer("writer", "north-s1"))
 	setReach(m, "north-3", "north-s1")
-	is.True(!m.ReachedByPeer("north-s1"))
+	is.True(!m.ReachedByPeer("writer", "north-s1"))
 	is.True(!m.CutOff("north", "north-s1")) // this VM reaches it
 	setReach(m, "north-1", "north-s1")
 	is.True(m.CutOff("north", "north-s1"))
@@ -274,3 +275,61 @@
 	m.apply(gossip.Record{Key: gossip.Key{Kind: gossip.KindMember, Name: "west-1"}, Version: 2, Value: data})
 	is.Equal(m.members["west-1"].reach.unreached.len(), 0)
 }
+
+// Guards against RECOVER (issue 42): hundreds of hops in a row went to a VM that refused each
+// of them for lack of a server.
+func TestVMThatRefusedForLackOfServersIsAvoidedForAMoment(t *testing.T) {
+	is := is.New(t)
+	m := withServers(fleetOf(smallRegions()))["north-1"]
+	now := m.Now()
+	m.Now = func() clock.Instant { return now }
+	m.Avoid("west-1", "writer")
+	m.Avoid("north-2", "writer")
+	for i := range 100 {
+		vm, _ := m.PickMember("west", "writer", fmt.Sprint(i))
+		is.Equal(vm, "west-2")
+		vm, _ = m.PickMember("north", "writer", fmt.Sprint(i))
+		is.Equal(vm, "north-3")
+	}
+	is.Equal(m.Regions("writer")[0].Members, 1)
+	is.Equal(m.Regions("desk")[0].Members, 2)
+	is.True(m.ReachedByPeer("writer", "north-s1"))
+	m.Avoid("north-3", "writer")
+	is.True(!m.ReachedByPeer("writer", "north-s1"))
+	is.True(m.ReachedByPeer("desk", "north-s1"))
+	m.Avoid("west-2", "writer")
+	is.Equal(len(m.Regions("writer")), 0)
+
+	now = now.Add(avoidDuration)
+	is.Equal(m.Regions("writer")[0].Members, 2)
+	is.True(m.ReachedByPeer("writer", "north-s1"))
+	m.Avoid("west-1", "other") // drops what has ended
+	is.Equal(len(*m.avoided.until.Load()), 1)
+}
+
+// Guards against new connections to all VMs of a large region, each of which takes two round
+// trips, while one of its VMs is avoided or reaches no servers.
+func TestHopTargetsAreKeptWhileOneIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	m := withServers(fleetOf(largeRegions()))["north-a-05"]
+	picked := func() map[string]bool {
+		vms := map[string]bool{}
+		for i := range 400 {
+			vm, _ := m.PickMember("west", "writer", fmt.Sprint(i))
+			vms[vm] = true
+		}
+		return vms
+	}
+	before := picked()
+	is.True(len(before) > 1 && len(before) <= hopTargetDraws)
+	out := slices.Sorted(maps.Keys(before))[0]
+	setReach(m, out, "west-s1", "west-s2")
+	delete(before, out)
+	is.Equal(picked(), before)
+	for vm := range before {
+		m.Avoid(vm, "writer")
+	}
+	others := picked()
+	is.True(len(others) > hopTargetDraws)
+	is.True(!others[out])
+}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -224,6 +224,11 @@
 	if refusal.Verdict == verdict.NotRun {
 		// Another VM there may serve the request.
 		otherVM := refusal.Code == verdict.CodeRevisionTooOld || refusal.Code == verdict.CodeShuttingDown
+		if plan.Server == nil && refusal.Code == verdict.CodeNoBackend {
+			x.Peers.Avoid(x.destination, x.service.Name)
+			otherVM = x.hopsWithoutServer == 0
+			x.hopsWithoutServer++
+		}
 		if plan.Load != nil && (otherVM || refusal.Code == verdict.CodeNoBackend) {
 			plan.Load.Exclude(x.Now())
 		}
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -59,6 +59,7 @@
 
 func (p onePeer) PickMember(string, string, string) (vm, address string) { return "vm-2", p.address }
 func (p onePeer) PrefillCoordinator(string, string) (vm, address string) { return "", "" }
+func (p onePeer) Avoid(string, string)                                   {}
 func (p onePeer) ActiveVMs() int                                         { return 2 }
 func (p onePeer) KnowsFleet() bool                                       { return true }
 
@@ -84,6 +85,11 @@
 			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeRevisionTooOld, "it is behind", 0)))
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, false},
+		"has no server": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRan, "0")
+			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeNoBackend, "it reaches none", 0)))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, false},
 		"shuts down": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(headerRan, "0")
 			w.Header().Set(wire.HeaderRefusal, encodeRefusal(verdict.Busy(verdict.CodeShuttingDown, "it ends before", 0)))
@@ -102,6 +108,10 @@
 			x.Balancer = balance.New("north", "north-a", balance.Bounds{}, balance.DefaultTuning, nil)
 			x.sendToRegion(t.Context(), balance.Plan{Region: "west"})
 			is.Equal(len(x.triedRegions) > 0, answer.tried)
+			if name == "has no server" { // a second VM has none either
+				x.sendToRegion(t.Context(), balance.Plan{Region: "west"})
+				is.Equal(len(x.triedRegions), 1)
+			}
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,6 +148,8 @@
 	// backend servers of the service, and its address, or "" if there is none.
 	// Requests are spread over some of the VMs by key, the request ID.
 	PickMember(region, service, key string) (vm, address string)
+	// Avoid keeps the hops of a service from a VM for a moment.
+	Avoid(vm, service string)
 	// PrefillCoordinator returns the prefill coordinator of a backend server in
 	// the failure domain: the VM of this region that assigns the prefill slots
 	// there. The address is "" if that is this VM or if the region uses no
@@ -276,6 +278,8 @@
 	// stream was read to its end.
 	framing         upstream.Framing
 	unfinishedBytes int
+	// hopsWithoutServer is the number of hops that were refused for lack of a server.
+	hopsWithoutServer int
 	// roomWait is the time spent waiting for room at a server that falls over for refusals.
 	roomWait time.Duration
 	// slotWait is the time spent waiting for prefill slots.
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -24,7 +24,7 @@
 
 func (oneVM) ServerRank(string, string) (vms, rank int)      { return 1, 0 }
 func (oneVM) KnowsFleet() bool                               { return true }
-func (oneVM) ReachedByPeer(string) bool                      { return false }
+func (oneVM) ReachedByPeer(string, string) bool              { return false }
 func (oneVM) CutOff(string, string) bool                     { return false }
 func (oneVM) ShareDelay() time.Duration                      { return time.Second }
 func (oneVM) LargeRegion() bool                              { return false }
