Balance: cold servers that only other VMs reach are the last choice

Change: if all servers of a region are cold, its summary is that of the cold ones to which the publisher may send now. Other VMs choose them, and cold servers behind a peer's links, if there is nothing else, and send no more at once than there are such servers. The rate of a cold server is kept as before by the VM that sends to it.

TestColdServersOfOtherVMsAreTheLastChoice, which can't be compiled without the field before; without the fallback in Choose it fails.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -311,14 +311,26 @@
 // Choose returns the best of this region's backend servers and the other
 // regions.
 func (b *Balancer) Choose(q *Query, view *roster.View) Plan {
+	plan := b.chooseAmong(q, view, false)
+	if plan.Server == nil && plan.Region == "" {
+		if cold := b.chooseAmong(q, view, true); cold.Region != "" {
+			return cold
+		}
+	}
+	return plan
+}
+
+// chooseAmong is Choose among this VM's servers and those of other VMs that are warm or, if
+// cold is true, cold.
+func (b *Balancer) chooseAmong(q *Query, view *roster.View, cold bool) Plan {
 	local := b.chooseLocal(q, view)
-	if peer := b.choosePeer(q, view); peer.Region != "" && (local.Server == nil || peer.Estimate.Score < local.Estimate.Score) {
+	if peer := b.choosePeer(q, view, cold); peer.Region != "" && (local.Server == nil || peer.Estimate.Score < local.Estimate.Score) {
 		local = peer
 	}
 	if q.LocalOnly {
 		return local
 	}
-	remote := b.chooseRegion(q, view, b.homeRegion(q, view))
+	remote := b.chooseRegion(q, view, b.homeRegion(q, view), cold)
 	switch {
 	case remote.Region == "":
 		return local
@@ -349,9 +361,9 @@
 }
 
 // choosePeer returns a plan to send the request to another VM of this region, with the
-// estimate of the best server that such a VM reaches and this one doesn't. The region of
-// the plan is "" if there is none.
-func (b *Balancer) choosePeer(q *Query, view *roster.View) Plan {
+// estimate of the best server that such a VM reaches and this one doesn't, of those that are
+// warm or, if cold is true, cold. The region of the plan is "" if there is none.
+func (b *Balancer) choosePeer(q *Query, view *roster.View, cold bool) Plan {
 	var best Plan
 	if q.OwnLinksOnly || !q.Route.Permits(b.Region) || slices.Contains(q.TriedRegions, b.Region) {
 		return best
@@ -362,7 +374,7 @@
 		if !load.Link.Lost() || !b.Fleet.ReachedByPeer(s.Service, s.ID) || !q.permits(s, load) || slices.Contains(q.Tried, s.Key()) {
 			continue
 		}
-		if isCold(q.Service, s, load, view, q.Now) {
+		if isCold(q.Service, s, load, view, q.Now) != cold {
 			continue
 		}
 		if cached == nil {
--- a/internal/balance/link_test.go
+++ b/internal/balance/link_test.go
@@ -159,3 +159,60 @@
 	}
 	is.Equal(b.Summarize(engineService, r.View(), now).Servers, 1)
 }
+
+// Guards against RECOVER (issue 42): when the only servers that any VM reached had come back
+// cold, the VMs beside them served their own callers, and the others refused all.
+func TestColdServersOfOtherVMsAreTheLastChoice(t *testing.T) {
+	region := func(cold bool) RegionSummary {
+		return RegionSummary{
+			Region: "other", Members: 1, RoundTrip: 160 * time.Millisecond, Known: true,
+			Summary: Summary{Service: "writer", Servers: 2, Slots: 128, Memory: 30_000, MemoryTotal: 888_000, Slowdown: 1, Cold: cold},
+		}
+	}
+	now := clock.Instant(time.Hour)
+	d := newDemand(1, 600, 0, 300)
+	t.Run("another region", func(t *testing.T) {
+		is := is.New(t)
+		b, r := newTestBalancer(1, 0, region(true))
+		own := b.Load(r.View().Lookup("writer0").Key())
+		for range 200 { // a long queue
+			own.Begin(d, &Estimate{}, now)
+		}
+		is.Equal(b.Choose(streamQuery(now, d), r.View()).Server.ID, "writer0")
+		lose(own, now)
+		b.Fleet.(*singleVM).regions = []RegionSummary{region(true)}
+		plan := b.Choose(streamQuery(now, d), r.View())
+		is.Equal(plan.Region, "other")
+		for range 2 { // as many as it has cold servers
+			b.RecordCrossRegionSend("other", "writer", &plan.Estimate, now)
+		}
+		is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "")
+	})
+	t.Run("a peer", func(t *testing.T) {
+		is := is.New(t)
+		b, r := newTestBalancer(2, 0)
+		b.Fleet = &peerFleet{}
+		for _, s := range r.View().All() {
+			load := b.Load(s.Key())
+			load.RecordRestart(2, now, time.Minute)
+			lose(load, now)
+		}
+		is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "home")
+		b.Fleet = &peerFleet{singleVM: singleVM{regions: []RegionSummary{region(false)}}}
+		is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "other") // it has warm ones
+	})
+	t.Run("summary", func(t *testing.T) {
+		is := is.New(t)
+		b, r := newTestBalancer(2, 0)
+		for _, s := range r.View().All() {
+			b.Load(s.Key()).RecordRestart(2, now, time.Minute)
+		}
+		s := b.Summarize(engineService, r.View(), now)
+		is.Equal(s.Servers, 2)
+		is.True(s.Cold)
+		used := r.View().All()[0] // its rate is used up
+		for b.TakeFromColdRate(engineService, used, b.Load(used.Key()), r.View(), now) {
+		}
+		is.Equal(b.Summarize(engineService, r.View(), now).Servers, 1)
+	})
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -34,9 +34,10 @@
 	Slowdown float64
 	// TokenMs is the servers' mean time per token; zero means unknown.
 	TokenMs float64
-	// Limited means that all servers name request limits. Servers and the sums are then
-	// those of the servers that would take another request of the publisher.
-	Limited bool
+	// Limited means that all servers name request limits, and Cold that all are cold.
+	// Servers and the sums are then those of the servers that would take another request
+	// of the publisher.
+	Limited, Cold bool
 }
 
 // RegionSummary is a region's Summary as received by this VM.
@@ -92,18 +93,18 @@
 	c.prefillMs += toMs(e.PrefillTime)
 }
 
-// chooseRegion returns the best of the other regions. The home region is expected
-// to have the prompt's shared blocks cached.
-func (b *Balancer) chooseRegion(q *Query, view *roster.View, home string) Plan {
+// chooseRegion returns the best of the other regions whose servers are warm or, if cold is
+// true, cold. The home region is expected to have the prompt's shared blocks cached.
+func (b *Balancer) chooseRegion(q *Query, view *roster.View, home string, cold bool) Plan {
 	best := Plan{Reason: "no-region"}
 	share := max(minCapacityShare, b.Fleet.CapacityShare())
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
-		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 ||
+		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 || r.Summary.Cold != cold ||
 			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) || !b.hasPermitted(q, view, r.Region) {
 			continue
 		}
-		// This VM's share of the requests that servers with limits take now is used up.
-		if r.Summary.Limited && b.recentSends(r.Region, q.Service.Name).count(q.Now) >= share*float64(r.Summary.Servers) {
+		// This VM's share of the requests that these servers take now is used up.
+		if (r.Summary.Limited || r.Summary.Cold) && b.recentSends(r.Region, q.Service.Name).count(q.Now) >= share*float64(r.Summary.Servers) {
 			continue
 		}
 		cached := 0
@@ -171,7 +172,11 @@
 		reason, _ := b.AdmissionDelay(server, load, now)
 		return load.RateLimiter.Limit() > 0 && reason == ""
 	})
-	s.Limited = s.Servers > 0
+	if s.Limited = s.Servers > 0; s.Limited {
+		return s
+	}
+	s = b.summarizeCold(service, view, now)
+	s.Cold = s.Servers > 0
 	return s
 }
 
@@ -184,8 +189,25 @@
 	return load.Breaker.Ready(now) && load.noProgressFor(now) <= unresponsiveAfter
 }
 
-// summarize returns the load of the servers that include selects.
+// summarizeCold returns the load of the cold servers to which this VM may send now.
+func (b *Balancer) summarizeCold(service *ingress.Service, view *roster.View, now clock.Instant) Summary {
+	return b.summarizeIf(service, view, now, func(load *Load, server *roster.Server) bool {
+		cold, allowance := b.coldAllowance(service, server, load, view, now)
+		reason, _ := b.AdmissionDelay(server, load, now)
+		return cold && reason == "" && load.coldLimiter.HasRoom(now, allowance)
+	})
+}
+
+// summarize returns the load of the warm servers that include selects.
 func (b *Balancer) summarize(service *ingress.Service, view *roster.View, now clock.Instant, include func(*Load, *roster.Server) bool) Summary {
+	return b.summarizeIf(service, view, now, func(load *Load, server *roster.Server) bool {
+		return !isCold(service, server, load, view, now) && include(load, server)
+	})
+}
+
+// summarizeIf returns the load of the servers that include selects, of those to which
+// requests can be sent.
+func (b *Balancer) summarizeIf(service *ingress.Service, view *roster.View, now clock.Instant, include func(*Load, *roster.Server) bool) Summary {
 	s := Summary{Service: service.Name}
 	slowdown, token := 0.0, 0.0
 	for _, server := range view.Usable(service.Name, b.Region) {
@@ -193,7 +215,7 @@
 		if !b.serves(server, load, now) {
 			continue
 		}
-		if isCold(service, server, load, view, now) || !include(load, server) {
+		if !include(load, server) {
 			continue
 		}
 		use := load.totalUsage(now)
