Balance: other VMs compete for the rates of cold servers with a VM's own callers

A region whose servers are all cold was shown to other VMs only while its publisher had a part of their rates left, which its own callers used up at once. It is now shown as long as the publisher has a share. The number of hops that a VM sends there at once is bounded as before.

--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -34,9 +34,9 @@
 	Slowdown float64
 	// TokenMs is the servers' mean time per token; zero means unknown.
 	TokenMs float64
-	// Limited means that all servers name request limits, and Cold that all are cold.
-	// Servers and the sums are then those of the servers that would take another request
-	// of the publisher.
+	// Limited means that all servers name request limits. Servers and the sums are then
+	// those of the servers that would take another request of the publisher. Cold means
+	// that all are cold. They are then those of whose rates the publisher has a share.
 	Limited, Cold bool
 }
 
@@ -189,12 +189,13 @@
 	return load.Breaker.Ready(now) && load.noProgressFor(now) <= unresponsiveAfter
 }
 
-// summarizeCold returns the load of the cold servers to which this VM may send now.
+// summarizeCold returns the load of the cold servers of whose rates this VM has a share. It
+// may be used up now: requests of other VMs compete for it with those of this VM's callers.
 func (b *Balancer) summarizeCold(service *ingress.Service, view *roster.View, now clock.Instant) Summary {
 	return b.summarizeIf(service, view, now, func(load *Load, server *roster.Server) bool {
 		cold, allowance := b.coldAllowance(service, server, load, view, now)
 		reason, _ := b.AdmissionDelay(server, load, now)
-		return cold && reason == "" && load.coldLimiter.HasRoom(now, allowance)
+		return cold && reason == "" && allowance > 0
 	})
 }
 
