--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -480,24 +481,27 @@
 // reach few of their region's servers if another VM there reaches more.
 func (e *Edge) soundEntries(self mesh.Member) []mesh.Member {
 	all := append([]mesh.Member{self}, e.mesh.Members()...)
-	sound, regions := make([]bool, len(all)), map[string]bool{}
+	unsound, regions := map[string]bool{}, map[string]bool{}
 	for i := range all {
-		reach := all[i].Reach()
-		if i == 0 {
-			reach = e.mesh.OwnReach()
+		if !all[i].AcceptsRequests() {
+			continue
 		}
-		sound[i] = reach.IsComplete() || reach.IsSound(e.usableServers("", all[i].Region))
-		if sound[i] && all[i].AcceptsRequests() {
+		if e.reachesMost(&all[i]) {
 			regions[all[i].Region] = true
+		} else {
+			unsound[all[i].VM] = true
 		}
 	}
-	var list []mesh.Member
-	for i, m := range all {
-		if sound[i] || !m.AcceptsRequests() || !regions[m.Region] {
-			list = append(list, m)
-		}
+	return slices.DeleteFunc(all, func(m mesh.Member) bool { return unsound[m.VM] && regions[m.Region] })
+}
+
+// reachesMost reports whether a VM reaches most of its region's servers.
+func (e *Edge) reachesMost(m *mesh.Member) bool {
+	reach := m.Reach()
+	if m.VM == e.self.VM {
+		reach = e.mesh.OwnReach()
 	}
-	return list
+	return reach.IsComplete() || reach.IsSound(e.usableServers("", m.Region))
 }
 
 // entries returns the directory's addresses for a caller. It returns none while
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
+	"github.com/chestnutspring/chestnutspring/internal/revision"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
@@ -170,3 +171,22 @@
 		})
 	}
 }
+
+// Guards against RECOVER (issue 42): callers were directed to a VM that reaches few servers,
+// although another one of its region reaches all.
+func TestDirectoryLeavesOutVMsThatReachFewServers(t *testing.T) {
+	is := is.New(t)
+	e := newSilentEdge() // VM vm-1 in region r
+	for n := range 4 {
+		e.roster.Put(roster.Entry{ID: fmt.Sprint("i-", n), Service: "writer", Address: "10.0.0.1:1", FailureDomain: "d", Region: "r", Slots: 4, Started: 1}, revision.Revision(n+1), roster.Event, e.now())
+	}
+	self := member("vm-1", "r", "d", nil)
+	is.Equal(len(e.soundEntries(self)), 1)
+	e.mesh.SetUnreached([]string{"i-0", "i-1"})
+	is.True(e.reachesMost(&self)) // half of them
+	e.mesh.SetUnreached([]string{"i-0", "i-1", "i-2"})
+	is.True(!e.reachesMost(&self))
+	is.Equal(len(e.soundEntries(self)), 1) // there is no other VM
+	sound := member("vm-2", "r", "d", nil)
+	is.True(e.reachesMost(&sound))
+}
--- a/internal/serverlimit/statement.go
+++ b/internal/serverlimit/statement.go
@@ -6,15 +6,15 @@
 	"strings"
 )
 
-// Statement is what a response of a backend server says of its request limit.
+// Statement is what a response of a backend server says of a limit.
 type Statement struct {
-	// Named means that the response names a limit, and Value is the limit as it was
-	// sent: the requests per second that the server takes from all VMs together.
+	// Named means that the response names the limit, and Value is the limit as it was
+	// sent: the requests, or refusals, per second.
 	Named bool
 	Value string
 }
 
-// parse returns the limit in requests per second. It returns false unless the value
+// parse returns the limit in requests or refusals per second. It returns false unless the value
 // is a positive and finite number.
 func (s Statement) parse() (perSecond float64, ok bool) {
 	v, err := strconv.ParseFloat(strings.TrimSpace(s.Value), 64)
