Balance: small VMs don't flood another region together

Cause: until a region's next summary, a VM takes the other VMs of its region to send there as much as it does itself, in proportion to capacity, but took its own share for an eighth at least. Of 98 VMs each saw a twelfth of what was sent. All of them sent to a region until its summary said that it was full, and none after that. The time after which a summary includes what was sent is longer in a large region, too.

Change: the true share, and 0.8 s instead of 0.4 s in a large region.

Measured: TestIdleRegionIsNotFloodedByManySmallVMs failed before, with 1,600 requests at once in a region with 960 slots (1,200 allowed).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -159,12 +159,12 @@
 	homeServerCount     = 2
 	// noise breaks ties, as a fraction of the score.
 	noise = 0.02
-	// crossRegionDecay is the time constant with which this VM's own cross-region
-	// sends are discounted: the delay until the region's summary includes them.
-	crossRegionDecay = 400 * time.Millisecond
-	// minCapacityShare limits how far a small VM extrapolates from its own
-	// cross-region requests to those that its region's other VMs sent meanwhile.
-	minCapacityShare = 0.125
+	// summaryDelay is the delay until a region's summary includes a request that was
+	// sent there, with which this VM's own cross-region sends are discounted.
+	// largeSummaryDelay replaces it in a large region, where reports of servers and
+	// summaries take several steps.
+	summaryDelay      = 400 * time.Millisecond
+	largeSummaryDelay = 800 * time.Millisecond
 	// returnMargin is added to a server's configured cold start after the
 	// evacuation of its failure domain ends.
 	returnMargin = time.Second
@@ -263,7 +263,7 @@
 	fallsAt     atomic.Pointer[map[string]int]
 	fallsAtLock sync.Mutex
 	durations   sync.Map // service name to *atomic.Uint64, milliseconds as bits of a float64
-	regionSends sync.Map // region and service to *recentSends
+	regionSends sync.Map // regionSendsKey to *recentSends
 	// prefillSlowdownBits is the ratio of measured to expected prefill time, as
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -198,6 +198,68 @@
 	}
 }
 
+// smallVM is the Fleet of one of many small VMs of a large region, next to another region.
+type smallVM struct {
+	largeRegion
+	share float64
+}
+
+func (f *smallVM) CapacityShare() float64 { return f.share }
+
+// Guards against SHORT of issue 45: a hundred VMs whose region is overloaded all sent to
+// another region until its next summary told them that it was overloaded too. Each has few
+// requests of its own to conclude from.
+func TestIdleRegionIsNotFloodedByManySmallVMs(t *testing.T) {
+	const (
+		vms, engines, slots = 98, 60, 16
+		delay               = 300 // between two summaries, and until one arrives, in ms
+		duration            = 800 // of a request, ms
+		running             = 56  // at each engine of the own region
+	)
+	away := RegionSummary{
+		Region: "away", Members: 90, RoundTrip: 160 * time.Millisecond, Known: true,
+		Summary: Summary{Service: "writer", Servers: engines, Slots: engines * slots, MemoryTotal: engines * 444_000, Slowdown: 1},
+	}
+	service := *engineService
+	service.Engine = &ingress.Engine{Slots: slots, MemoryTokens: 444_000, EventTokens: 12}
+	rng := rand.New(rand.NewPCG(45, 1))
+	_, r := newTestBalancer(2, 0)
+	var fleet []*Balancer
+	for range vms {
+		own := New("home", "a", Bounds{}, DefaultTuning, &smallVM{largeRegion{singleVM{[]RegionSummary{away}}}, 1. / vms})
+		fleet = append(fleet, own)
+	}
+	var active [6000]int // requests in the other region, by ms
+	highest := 0
+	for ms := range 5000 {
+		now := clock.Instant(time.Hour + time.Duration(ms)*time.Millisecond)
+		if ms%delay == 0 {
+			for _, v := range fleet {
+				summary := &v.Fleet.(*smallVM).regions[0].Summary
+				summary.Active = float64(active[max(0, ms-delay)])
+			}
+		}
+		for range 2 { // 2,000 requests per second
+			v := fleet[rng.IntN(vms)]
+			for i := range 2 {
+				v.Load(r.View().Lookup(fmt.Sprint("writer", i)).Key()).RecordForwardedReport(Report{Running: running, MemoryTotal: 444_000, ReceivedAt: now})
+			}
+			q := streamQuery(now, newDemand(rng.Int(), 300, 50, 200))
+			q.Service = &service
+			if plan := v.Choose(q, r.View()); plan.Region != "" {
+				v.RecordCrossRegionSend(plan.Region, "writer", &plan.Estimate, now)
+				for at := ms; at < min(ms+duration, len(active)); at++ {
+					active[at]++
+				}
+			}
+		}
+		highest = max(highest, active[ms])
+	}
+	if highest > engines*slots*5/4 {
+		t.Errorf("%d requests at once in a region with %d slots", highest, engines*slots)
+	}
+}
+
 // TestFailingServerIsAvoided covers a server that passes health checks but
 // responds to many requests with errors.
 func TestFailingServerIsAvoided(t *testing.T) {
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -53,8 +53,10 @@
 	Known bool
 }
 
-// recentSends is a decaying total of what this VM sent to a region recently.
+// recentSends is a decaying total of what this VM sent to a region recently. Delay is the
+// time constant.
 type recentSends struct {
+	delay     time.Duration
 	mu        sync.Mutex
 	active    float64
 	prefillMs float64
@@ -63,7 +65,7 @@
 
 // decay discounts earlier sends. The caller holds the lock.
 func (c *recentSends) decay(now clock.Instant) {
-	f := math.Exp(-now.Sub(c.at).Seconds() / crossRegionDecay.Seconds())
+	f := math.Exp(-now.Sub(c.at).Seconds() / c.delay.Seconds())
 	c.active, c.prefillMs, c.at = c.active*f, c.prefillMs*f, now
 }
 
@@ -75,10 +77,19 @@
 	return c.active
 }
 
+type regionSendsKey struct {
+	region, service string
+	delay           time.Duration
+}
+
 func (b *Balancer) recentSends(region, service string) *recentSends {
-	c, ok := b.regionSends.Load(region + "\x00" + service)
+	key := regionSendsKey{region: region, service: service, delay: summaryDelay}
+	if b.Fleet.LargeRegion() {
+		key.delay = largeSummaryDelay
+	}
+	c, ok := b.regionSends.Load(key)
 	if !ok {
-		c, _ = b.regionSends.LoadOrStore(region+"\x00"+service, &recentSends{})
+		c, _ = b.regionSends.LoadOrStore(key, &recentSends{delay: key.delay})
 	}
 	return c.(*recentSends)
 }
@@ -97,7 +108,7 @@
 // true, cold. The home region is expected to have the prompt's shared blocks cached.
 func (b *Balancer) chooseRegion(q *Query, view *roster.View, home string, cold bool) Plan {
 	best := Plan{Reason: "no-region"}
-	share := max(minCapacityShare, b.Fleet.CapacityShare())
+	share := b.Fleet.CapacityShare()
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 || r.Summary.Cold != cold ||
 			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) || !b.hasPermitted(q, view, r.Region) {
