Quarantine: a mass crash is no evidence against the blocks that it hits by chance

Cause: a block is quarantined after crashes of at least four episodes, 0.3 s apart. The engines crashed at two moments, but the age in a record of a crash is that at its sending, and records take up to some seconds through a fleet of 295 VMs. One moment appeared as several episodes, and of thousands of blocks some were lost in four of them.

Change: crashes of 16 servers or more, none more than 0.3 s after the one before, are a mass crash. It counts as one episode and one crash against a trait that fewer than half of its servers ran. A block or request that does cause it is still found.

TestMassCrashesQuarantineNoSoundBlock failed before: eight sound blocks were quarantined. TestBlockThatCausesAMassCrashIsQuarantined guards the other side.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -49,6 +49,10 @@
 	minEpisodes = 4
 	maxEpisodes = 8
 	episodeGap  = 300 * time.Millisecond
+	// massCrashServers is the number of servers whose crashes, none of them more than
+	// episodeGap after the one before, are a mass crash. The records of its crashes take
+	// different times to arrive, so that it seems to last for seconds.
+	massCrashServers = 16
 	// maxCoincidence is the probability, up to which a block is quarantined, that as
 	// many requests with a harmless block in a row are lost to crashes.
 	maxCoincidence = 1e-4
@@ -142,6 +146,30 @@
 	// explained means that a quarantined request caused it, so that it counts against
 	// no other request.
 	explained bool
+	// mass is the mass crash that it is part of, or nil. It is derived with the suspects.
+	mass *massCrash
+}
+
+// massCrash is the crash of many servers at about the same time.
+type massCrash struct{ servers int }
+
+// findMassCrashes sets of which mass crash each crash is a part.
+func (e *evidence) findMassCrashes() {
+	list := slices.SortedFunc(maps.Values(e.crashes), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+	for start := 0; start < len(list); {
+		end := start + 1
+		for end < len(list) && list[end].at.Sub(list[end-1].at) <= episodeGap {
+			end++
+		}
+		var mass *massCrash
+		if end-start >= massCrashServers {
+			mass = &massCrash{servers: end - start}
+		}
+		for _, c := range list[start:end] {
+			c.mass = mass
+		}
+		start = end
+	}
 }
 
 // containsRequest reports whether a request with the fingerprint was lost.
@@ -325,7 +353,9 @@
 	// isRequest means that the trait is a fingerprint, else it is a block.
 	isRequest bool
 	// service is that of one of the servers.
-	service   string
+	service string
+	// crashes are in the order of their times.
+	crashes   []*crash
 	times     []clock.Instant
 	addresses map[string]struct{}
 	// requests is the number of requests with the trait in these crashes, and others
@@ -338,6 +368,7 @@
 
 // suspects returns the suspects by trait.
 func (e *evidence) suspects() map[uint64]*suspect {
+	e.findMassCrashes()
 	list := map[uint64]*suspect{}
 	add := func(c *crash, trait uint64, isRequest bool, requests, others int) *suspect {
 		if at, ok := e.survivedAt[trait]; ok && at > c.at {
@@ -348,6 +379,7 @@
 			s = &suspect{trait: trait, isRequest: isRequest, service: c.service, addresses: map[string]struct{}{}}
 			list[trait] = s
 		}
+		s.crashes = append(s.crashes, c)
 		s.times = append(s.times, c.at)
 		s.addresses[c.address] = struct{}{}
 		s.requests += requests
@@ -377,23 +409,49 @@
 		}
 	}
 	for _, s := range list {
+		slices.SortFunc(s.crashes, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
 		slices.Sort(s.times)
 	}
 	return list
 }
 
+// coincidental reports whether a mass crash has another cause than the trait, which few of
+// its servers ran.
+func (s *suspect) coincidental(mass *massCrash) bool {
+	if mass == nil {
+		return false
+	}
+	n := 0
+	for _, c := range s.crashes {
+		if c.mass == mass {
+			n++
+		}
+	}
+	return 2*n < mass.servers
+}
+
 // threshold is the evidence that is needed against a trait.
 type threshold struct{ crashes, episodes, addresses int }
 
-// reachedAt returns when the crashes reached the threshold, or false if they haven't.
+// reachedAt returns when the crashes reached the threshold, or false if they haven't. A
+// mass crash of another cause is one episode, and counts as one crash.
 func (s *suspect) reachedAt(t threshold) (clock.Instant, bool) {
-	episodes, last := 0, clock.Instant(0)
-	for i, at := range s.times {
-		if episodes == 0 || at.Sub(last) >= episodeGap {
-			episodes, last = episodes+1, at
+	episodes, crashes, last := 0, 0, clock.Instant(0)
+	var mass *massCrash
+	for _, c := range s.crashes {
+		if mass != nil && c.mass == mass {
+			continue
+		}
+		mass = nil
+		if s.coincidental(c.mass) {
+			mass = c.mass
+		}
+		crashes++
+		if episodes == 0 || c.at.Sub(last) >= episodeGap {
+			episodes, last = episodes+1, c.at
 		}
-		if episodes >= t.episodes && i+1 >= t.crashes {
-			return at, len(s.addresses) >= t.addresses
+		if episodes >= t.episodes && crashes >= t.crashes {
+			return c.at, len(s.addresses) >= t.addresses
 		}
 	}
 	return 0, false
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -92,6 +92,33 @@
 	is.Equal(e.quarantinedAt(9), nil)
 }
 
+// Guards against SHORT of issue 45: of two mass crashes of a large fleet, whose records take
+// up to two seconds from VM to VM, each seemed to be several episodes, and sound blocks that
+// were lost by coincidence were refused for two minutes.
+func TestMassCrashesQuarantineNoSoundBlock(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(19)
+	for _, from := range []float64{1, 8} {
+		for n := range 40 {
+			e.crashesAt([]float64{from + float64(n)*0.05}, []uint64{uint64(100 + n%8)}, []uint64{uint64(1000 + n%13)})
+		}
+	}
+	is.Equal(e.quarantinedAt(19), nil)
+}
+
+// Guards against a deadly block that crashes so many servers that it is taken for a mass
+// crash of another cause.
+func TestBlockThatCausesAMassCrashIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	for n := range 24 {
+		e.crashesAt([]float64{1 + float64(n)*0.1}, []uint64{7}, []uint64{uint64(100 + n%5)})
+	}
+	is.Equal(e.quarantinedAt(9), []uint64{7})
+}
+
 func TestServerThatCrashesRepeatedlyQuarantinesNothing(t *testing.T) {
 	is := is.New(t)
 	e := newEvidence()
