Balance: servers that are down draw no requests to other VMs

Cause: a server that has crashed refuses connections, so the link to it counts as lost, and VMs that haven't tried it still count as reaching it. In a large region its load is known only from reports, of which there are none, so that it seemed to be idle and scored better than all servers that run.

Change: in a large region, a server behind a lost link on which no VM has reported lately counts as full. It is still chosen if nothing else is left, as when all links are lost.

TestServersThatAreDownDrawNoRequestsToPeers failed before.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -16,6 +16,10 @@
 // tokens cached.
 func (b *Balancer) estimate(q *Query, s *roster.Server, load *Load, cached int) Estimate {
 	use := load.totalUsage(q.Now)
+	if load.Link.Lost() && b.Fleet.LargeRegion() && !load.hasReport(q.Now) {
+		// Its load isn't known, and it may be down rather than out of this VM's reach.
+		use.active = max(use.active, float64(s.Slots))
+	}
 	var e Estimate
 	if q.Service.Engine == nil {
 		e = b.plainEstimate(q, max(1, s.Slots), use.active, load.slowdown(q.Now))
--- a/internal/balance/link_test.go
+++ b/internal/balance/link_test.go
@@ -105,6 +105,40 @@
 	})
 }
 
+// largePeerFleet is a peerFleet of a large region, where other VMs poll the servers.
+type largePeerFleet struct{ peerFleet }
+
+func (f *largePeerFleet) LargeRegion() bool { return true }
+
+// Guards against SHORT of issue 45: after a mass crash of servers, those that refused
+// connections looked idle, as nobody reported on them, and most requests went through other
+// VMs of the region to servers that were busy.
+func TestServersThatAreDownDrawNoRequestsToPeers(t *testing.T) {
+	is := is.New(t)
+	b, r := newTestBalancer(10, 0)
+	b.Fleet = &largePeerFleet{}
+	now := clock.Instant(time.Hour)
+	d := newDemand(1, 600, 0, 300)
+	for _, s := range r.View().All() {
+		b.Load(s.Key()).RecordForwardedReport(Report{ReceivedAt: now, Running: 24, MemoryTotal: 444_000})
+	}
+	lost := b.Load(r.View().Lookup("writer3").Key())
+	lost.Link.RecordDial(false, now)
+	lost.Link.RecordDial(false, now)
+	now = now.Add(maxReportAge)
+	for _, s := range r.View().All() {
+		if load := b.Load(s.Key()); load != lost {
+			load.RecordForwardedReport(Report{ReceivedAt: now, Running: 24, MemoryTotal: 444_000})
+		}
+	}
+	for range 20 {
+		is.True(b.Choose(streamQuery(now, d), r.View()).Server != nil)
+	}
+	// A report of another VM shows that the server runs, and only the link is lost.
+	lost.RecordForwardedReport(Report{ReceivedAt: now, MemoryTotal: 444_000})
+	is.Equal(b.Choose(streamQuery(now, d), r.View()).Region, "home")
+}
+
 // Guards against FAILBACK by VMs that divide the rate of a cold server while one of them
 // has lost its link and another has taken over its share.
 func TestRestoredLinkHasNoShareAtFirst(t *testing.T) {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -220,7 +220,7 @@
 // requests of this VM that are in progress there progress.
 func (l *Load) Calm(slots int, now clock.Instant) bool {
 	r := l.report.Load()
-	return r != nil && now.Sub(r.ReceivedAt) < maxReportAge && r.Queued == 0 &&
+	return l.hasReport(now) && r.Queued == 0 &&
 		2*r.Running < slots && 2*r.MemoryUsed < r.MemoryTotal &&
 		!l.Suspected(now) && (l.active.Load() == 0 || l.Progressing(now))
 }
@@ -289,7 +289,7 @@
 		remaining := time.Duration(peers.PrefillBacklogUs)*time.Microsecond - now.Sub(l.peers.Load().at)
 		t.prefillBacklogMs = max(t.prefillBacklogMs, toMs(remaining))
 	}
-	if r := l.report.Load(); r != nil && now.Sub(r.ReceivedAt) < maxReportAge {
+	if r := l.report.Load(); l.hasReport(now) {
 		// The report includes requests of VMs that announce no usage here.
 		t.active = max(t.active, float64(own.Active)+math.Float64frombits(l.otherRequests.Load()))
 		t.memory = max(t.memory, float64(r.MemoryUsed))
@@ -297,6 +297,12 @@
 	return t
 }
 
+// hasReport reports whether the server's last report is recent enough to be used.
+func (l *Load) hasReport(now clock.Instant) bool {
+	r := l.report.Load()
+	return r != nil && now.Sub(r.ReceivedAt) < maxReportAge
+}
+
 // reportAge returns the age of the server's last report, or -1 if there is none.
 func (l *Load) reportAge(now clock.Instant) time.Duration {
 	r := l.report.Load()
