Gossip: structs that have grown since the other VM was built are decoded

Cause: the msgpack library refuses an array of any other length than the struct has fields ("number of fields in array-encoded struct has changed"). codec.go says that fields may be added at the end, so records whose structs grew between two builds could be read by neither. What callers saw: VMs of two builds rejected each other's summaries, and a region without servers served nothing while VMs were replaced.

Change: Decode tries the library first. If that fails, a decoder of its own walks the target's type: fields that the data doesn't have are zero, elements beyond the last field are skipped, in slices, maps and pointers too. The check against claimed lengths runs before both. The target is reset before the second attempt.

Why it works: fields were only ever added at the end, so elements keep their places. Encodings of this build's own form never reach the second decoder, so the usual path has no new work.

--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -23,7 +23,8 @@
 	return buf.Bytes(), nil
 }
 
-// Decode decodes data written by Encode into v. The error is ErrMalformed.
+// Decode decodes data written by Encode into v, which it resets first. A struct may have
+// more fields than the data, which are zero then, or fewer. The error is ErrMalformed.
 func Decode(data []byte, v any) error {
 	// The decoder allocates arrays by their stated length. Skipping the value first
 	// finds those that state more elements than there are bytes.
@@ -33,7 +34,11 @@
 	if err := dec.Skip(); err != nil {
 		return ErrMalformed.New("%T: %v", v, err)
 	}
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	// The library is faster, but refuses a struct with another number of fields.
+	if msgpack.Unmarshal(data, v) == nil {
+		return nil
+	}
+	if err := decodeAll(data, v); err != nil {
 		return ErrMalformed.New("%T: %v", v, err)
 	}
 	return nil
