Mesh, discovery: earlier builds read what this one sends; forms of all landings

Cause: the programs in production can't be changed any more, and they read a struct only as an array of exactly their own fields. What callers saw: the VMs in production rejected the summaries of the ones that replaced them, and a region without servers served nothing.

No array suits (14 fields) and (13) at once. But all landings read a struct as a map from field names to values: names that they don't know are skipped, fields without a name stay zero.

- gossip.EncodeNamed writes structs with names, without zero fields;
- a VM's announcement and the registry's entries are always sent so: they change rarely;
- loads and summaries are sent so while a known member reads structs of its own form only, and as arrays otherwise.
A VM states in its announcement that it reads others.
Old builds skip that name.

Records are passed on as raw bytes. As one form suits all, no record of its own is needed, and keys, versions and owners stay as they are. An entry of the registry that VMs of two builds write at one revision differs in its bytes; the greater value wins at all VMs, and all read it.

Rule: in the comment of gossip.Encode.

A value above the limit with names is sent as an array.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -459,7 +459,7 @@
 
 // serverRecord is the value of a KindServer record. A nil entry means that the
 // server was removed. Started is the incarnation concerned, or zero if it is
-// unknown. It is encoded as an array: fields may only be added at the end.
+// unknown. It is encoded with the names of its fields.
 type serverRecord struct {
 	Entry   *roster.Entry
 	Started int64
@@ -470,7 +470,7 @@
 	if record, ok := value.(serverRecord); ok && record.Entry == nil {
 		f.removals.add(name, f.Now())
 	}
-	data, err := gossip.Encode(value)
+	data, err := gossip.EncodeNamed(value)
 	if err != nil {
 		f.Log.Error("encoding record failed", "kind", kind, "name", name, "error", err)
 		return
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -7,14 +7,33 @@
 )
 
 // Encode returns the compact msgpack encoding of a value. Structs become arrays and
-// numbers take their shortest form, so struct fields may only be added at the end.
-// The error is ErrMalformed.
+// numbers take their shortest form. The error is ErrMalformed.
+//
+// VMs of several builds exchange values while a fleet is upgraded. Fields of structs are
+// only ever added at the end, and never removed, renamed or moved; zero has to mean what
+// an earlier build does without the field. Decode reads structs that have grown, but the
+// builds up to c32ccf6 read only arrays of exactly their own fields. A struct that they
+// get as an array may not change at all: what is new goes into a kind of record of its
+// own, which they pass on unread. One that they get from EncodeNamed may grow. The tests
+// of package gossiptest hold the forms of all landings, and fail for a struct that breaks
+// this.
 func Encode(v any) ([]byte, error) {
+	return encode(v, func(enc *msgpack.Encoder) { enc.UseArrayEncodedStructs(true) })
+}
+
+// EncodeNamed is Encode for structs that differ between the builds of a fleet. They become
+// maps from the names of their fields to the values that aren't zero, which all builds
+// read. It takes about twice the bytes. The error is ErrMalformed.
+func EncodeNamed(v any) ([]byte, error) {
+	return encode(v, func(enc *msgpack.Encoder) { enc.SetOmitEmpty(true) })
+}
+
+func encode(v any, configure func(*msgpack.Encoder)) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(&buf)
-	enc.UseArrayEncodedStructs(true)
+	configure(enc)
 	enc.UseCompactInts(true)
 	enc.UseCompactFloats(true)
 	if err := enc.Encode(v); err != nil {
@@ -23,8 +42,9 @@
 	return buf.Bytes(), nil
 }
 
-// Decode decodes data written by Encode into v, which it resets first. A struct may have
-// more fields than the data, which are zero then, or fewer. The error is ErrMalformed.
+// Decode decodes data written by Encode or EncodeNamed into v, which it resets first. A
+// struct may have more fields than the data, which are zero then, or fewer. The error is
+// ErrMalformed.
 func Decode(data []byte, v any) error {
 	// The decoder allocates arrays by their stated length. Skipping the value first
 	// finds those that state more elements than there are bytes.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -108,6 +108,9 @@
 	// ReadsRegistry means that the VM stated in its last heartbeat that it reads
 	// the registry on behalf of its region, and that its reads succeed.
 	ReadsRegistry bool
+	// readsGrownStructs means that the VM reads arrays of structs that have grown since
+	// it was built.
+	readsGrownStructs bool
 }
 
 // Addresses are the addresses on which a VM listens, as IP:port.
@@ -115,13 +118,15 @@
 	Callers, Hops, Control string
 }
 
-// announcement is the value of a KindMember record. It is encoded as an array:
-// fields may only be added at the end.
+// announcement is the value of a KindMember record. It is encoded with the names of its
+// fields.
 type announcement struct {
 	Incarnation, Region, FailureDomain string
 	Callers, Hops, Control             string
 	Leaving, Ready, Closing            bool
 	Capacity                           float64
+	// ReadsGrownStructs is false in builds up to c32ccf6.
+	ReadsGrownStructs bool
 }
 
 // State is the part of a VM's announcement that changes at run time.
@@ -202,6 +207,8 @@
 	others map[string]*candidates
 	// cutOff holds the servers of each region that no VM there reaches.
 	cutOff map[string]*serverSet
+	// named means that some member only reads structs of its own form or with names.
+	named bool
 }
 
 // usageReport is the usage of backend servers that another VM last announced.
@@ -281,8 +288,8 @@
 	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: m.nextVersion(), Value: value})
 }
 
-// Load is the load announcement that a VM sends to the others of its region. It is
-// encoded as an array: fields may only be added at the end.
+// Load is the load announcement that a VM sends to the others of its region. Fields may
+// only be added at the end.
 type Load struct {
 	// Usage is this VM's usage, by server. In a large region it holds only the
 	// prefill state of the servers that this VM coordinates; Reports replace
@@ -322,7 +329,7 @@
 
 // write publishes a record of this VM.
 func (m *Mesh) write(kind gossip.Kind, name string, value any) {
-	data, err := gossip.Encode(value)
+	data, err := m.encode(value)
 	if err != nil {
 		m.Log.Error("encoding record failed", "kind", kind, "error", err)
 		return
@@ -332,6 +339,18 @@
 	m.store.Merge(gossip.Record{Key: gossip.Key{Kind: kind, Name: name}, Version: m.nextVersion(), Value: data})
 }
 
+// encode encodes a value in a form that all members read. A value that is too large with
+// names goes without them, so that at least the others read it.
+func (m *Mesh) encode(value any) ([]byte, error) {
+	if !m.view.Load().named {
+		return gossip.Encode(value)
+	}
+	if data, err := gossip.EncodeNamed(value); err != nil || len(data) <= gossip.MaxValueBytes {
+		return data, err
+	}
+	return gossip.Encode(value)
+}
+
 // ownedKinds are the kinds of records that only the VM of their name writes.
 var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions, gossip.KindReach}
 
@@ -356,11 +375,11 @@
 
 // announce writes the member record of this VM. The caller holds the lock.
 func (m *Mesh) announce() {
-	data, err := gossip.Encode(announcement{
+	data, err := gossip.EncodeNamed(announcement{
 		Incarnation: m.Self.Incarnation, Region: m.Self.Region, FailureDomain: m.Self.FailureDomain,
 		Callers: m.Addresses.Callers, Hops: m.Addresses.Hops, Control: m.Addresses.Control,
 		Leaving: m.state.Leaving, Ready: m.state.Ready, Closing: m.state.Closing,
-		Capacity: m.Capacity,
+		Capacity: m.Capacity, ReadsGrownStructs: true,
 	})
 	if err != nil {
 		m.Log.Error("encoding announcement failed", "error", err)
--- a/internal/mesh/ranks.go
+++ b/internal/mesh/ranks.go
@@ -131,12 +131,13 @@
 // the rankings of the view before for the sets of VMs that have not changed.
 func (m *Mesh) viewOf(members []Member, now clock.Instant, before *memberView) *memberView {
 	own := capacityOrDefault(m.Capacity)
-	sum, reachableVMs := own, 1
+	sum, reachableVMs, named := own, 1, false
 	var reachable, reachableInDomain, active, accepting []candidate
 	others := map[string][]candidate{}
 	for i := range members {
 		o := &members[i]
 		c := candidateOf(o)
+		named = named || !o.readsGrownStructs
 		if o.Region != m.Self.Region {
 			if o.AcceptsRequests() {
 				others[o.Region] = append(others[o.Region], c)
@@ -166,7 +167,7 @@
 		members: members, largeRegion: reachableVMs > fullMeshLimit, share: own / sum,
 		reachable: before.reachable.updated(reachable), reachableInDomain: before.reachableInDomain.updated(reachableInDomain),
 		active: before.active.updated(active), accepting: before.accepting.updated(accepting),
-		others: map[string]*candidates{}, unreached: m.unreached, cutOff: m.cutOffServers(members),
+		others: map[string]*candidates{}, unreached: m.unreached, cutOff: m.cutOffServers(members), named: named,
 	}
 	for region, list := range others {
 		view.others[region] = before.others[region].updated(list)
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -76,7 +76,7 @@
 	}
 	o.Identity = snapshot.Identity{VM: r.Name, Incarnation: a.Incarnation, Region: a.Region, FailureDomain: a.FailureDomain}
 	o.Addresses = Addresses{Callers: a.Callers, Hops: a.Hops, Control: a.Control}
-	o.Capacity = a.Capacity
+	o.Capacity, o.readsGrownStructs = a.Capacity, a.ReadsGrownStructs
 	o.Leaving, o.Ready, o.Closing = a.Leaving, a.Ready, a.Closing
 	if newIncarnation {
 		o.LastHeartbeat = now
