--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,6 +59,8 @@
 	storeProxy   *Proxy // to the registry
 	settingsPath string
 	logFile      *os.File
+	// binary is the path of the program that the VM runs.
+	binary string
 
 	restartMu sync.Mutex // held during a restart
 
@@ -195,12 +197,17 @@
 			h.vms = append(h.vms, p)
 		}
 	}
+	return h.startVMs()
+}
+
+// startVMs starts all VMs for the first time and waits until they are ready.
+func (h *Harness) startVMs() error {
 	for _, p := range h.vms {
 		var err error
 		if p.storeProxy, err = NewProxy(h.StoreAddress); err != nil {
 			return err
 		}
-		p.settingsPath = filepath.Join(h.Dir, p.Name+".toml")
+		p.binary, p.settingsPath = h.Binary, filepath.Join(h.Dir, p.Name+".toml")
 		if err := h.writeSettings(p, true); err != nil {
 			return err
 		}
@@ -250,7 +257,7 @@
 
 // start starts a VM's process. An exit that no fault has caused is a violation.
 func (h *Harness) start(p *process) error {
-	cmd := exec.Command(h.Binary)
+	cmd := exec.Command(p.binary)
 	cmd.Env = append(os.Environ(), "CHESTNUTSPRING_BOOT="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
 	if err := cmd.Start(); err != nil {
