--- a/internal/gossip/gossiptest/forms.go
+++ b/internal/gossip/gossiptest/forms.go
@@ -87,7 +87,7 @@
 func CheckNames[T any](t *testing.T, name string) {
 	t.Helper()
 	value := new(T)
-	fill(reflect.ValueOf(value).Elem(), "")
+	Fill(value)
 	if *dump != "" {
 		dumpNames(t, name, *value)
 		return
@@ -113,7 +113,7 @@
 func dumpForm[T any](t *testing.T, name string) {
 	t.Helper()
 	value := new(T)
-	fill(reflect.ValueOf(value).Elem(), "")
+	Fill(value)
 	data, err := gossip.Encode(*value)
 	if err != nil {
 		t.Fatal(err)
@@ -137,8 +137,11 @@
 	}
 }
 
-// fill sets all exported fields to values that depend on their place only, so that added
-// fields leave those of the others as they are.
+// Fill sets all exported fields of the struct that value points to, and of those within,
+// to values that depend on their place only: fields that are added at the end leave those
+// of the others as they are.
+func Fill(value any) { fill(reflect.ValueOf(value).Elem(), "") }
+
 func fill(v reflect.Value, place string) {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(place))
