--- a/internal/gossip/session.go
+++ b/internal/gossip/session.go
@@ -25,7 +25,7 @@
 
 // Delta holds the changes in one message. Each name is sent once per connection, in
 // Names; items refer to it by its index in the order of sending. A delta and its
-// items are encoded as arrays: fields may only be added at the end.
+// items are encoded as arrays, whose fields may not change (Encode).
 type Delta struct {
 	Names   []string
 	Records []Item
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -96,7 +96,7 @@
 }
 
 // prompt is the shared blocks of requests that were lost to a crash. It is encoded
-// as an array: fields may only be added at the end.
+// as an array, whose fields may not change (gossip.Encode).
 type prompt struct {
 	Blocks []uint64
 	// Requests is the number of requests with just these blocks.
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -19,7 +19,7 @@
 )
 
 // evidenceRecord is the value of a KindEvidence record: what the VM of its name saw.
-// It is encoded as an array: fields may only be added at the end.
+// It is encoded as an array, whose fields may not change (gossip.Encode).
 type evidenceRecord struct {
 	// Crashes are ordered by time, the newest last.
 	Crashes   []crashRecord
--- a/internal/resume/streams.go
+++ b/internal/resume/streams.go
@@ -104,7 +104,7 @@
 }
 
 // streamsRecord is the value of a KindStreams record: streams that a VM began. It is
-// encoded as an array: fields may only be added at the end.
+// encoded as an array, whose fields may not change (gossip.Encode).
 type streamsRecord struct {
 	Origins []Origin
 	// Hashes holds 8 bytes for each stream, and Which the index of its origin.
--- a/internal/resume/versions.go
+++ b/internal/resume/versions.go
@@ -86,7 +86,7 @@
 }
 
 // versionsRecord is the value of a KindSoftwareVersions record: the history of the VM
-// of its name. It is encoded as an array: fields may only be added at the end.
+// of its name. It is encoded as an array, whose fields may not change (gossip.Encode).
 type versionsRecord struct {
 	// KnownForMs is for how long, in milliseconds, the history is complete.
 	KnownForMs int64
--- a/internal/serverlimit/tracker.go
+++ b/internal/serverlimit/tracker.go
@@ -174,7 +174,7 @@
 }
 
 // limitRecord is the value of a record. Its name is the ID of the server, or the service.
-// It is encoded as an array: fields may only be added at the end.
+// It is encoded as an array, whose fields may not change (gossip.Encode).
 type limitRecord struct {
 	// Started is when the server's process started, in Unix milliseconds; zero for a
 	// service.
