Shutdown answers the requests that still wait

Cause: at the end of the grace time the VM closed the connections of all requests in flight. Besides, a VM that shuts down took hops of any deadline for as long as callers may not have learned of the shutdown (22 % of the grace time), and cut them at its end, although the VMs that send them can send them elsewhere. And http.Server.Shutdown closed the idle connections for hops at once, also one on which a hop was just being sent.

Change: 0.5 s before its exit the VM ends the requests whose response has not begun. The relay refuses each: with 503 if no backend server may have run it, with 502 otherwise, and logs it like any other. A response may begin only if its request was not ended, so none gets two. Responses that have begun go on; what is left at the exit is cut, and waits up to 0.1 s until it is logged. Hops that outlast the VM are refused from the signal on, as not run. Connections for hops stay open until the exit.

What callers saw: connections closed without an answer.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -41,6 +41,9 @@
 	since time.Time
 }
 
+// isIdle reports whether no request is in flight on the connection.
+func (c connState) isIdle() bool { return c.state == http.StateIdle || c.state == http.StateNew }
+
 // New returns a Server that wraps the given one. It sets the ConnState hook and
 // the idle timeout of the given server and wraps its handler.
 func New(server *http.Server) *Server { return NewWith(server, KeepAlive, keepAliveMargin) }
@@ -112,6 +115,33 @@
 	return s.http.Shutdown(ctx)
 }
 
+// WaitIdle waits until no request is in flight, without closing connections. If ctx ends
+// first, it returns the context's error.
+func (s *Server) WaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for s.isBusy() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// isBusy reports whether a request is in flight on any connection.
+func (s *Server) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.conns {
+		if !state.isIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // closeIdle closes the connections that were idle for at least the given time
 // and returns the number of remaining connections.
 func (s *Server) closeIdle(idle time.Duration) int {
@@ -119,8 +149,7 @@
 	defer s.mu.Unlock()
 	open := 0
 	for c, state := range s.conns {
-		isIdle := state.state == http.StateIdle || state.state == http.StateNew
-		if isIdle && time.Since(state.since) >= idle {
+		if state.isIdle() && time.Since(state.since) >= idle {
 			// The server drops the connection when its next read fails.
 			_ = c.Close()
 			delete(s.conns, c)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,6 +64,11 @@
 	// replacementPollInterval.
 	lastAcceptMargin        = 2500 * time.Millisecond
 	replacementPollInterval = 50 * time.Millisecond
+	// lastAnswerMargin is how long before its exit a VM that shuts down ends the requests
+	// that have no response yet, so that their callers receive a refusal.
+	lastAnswerMargin = 500 * time.Millisecond
+	// cutTimeout bounds the wait for the end of responses that are cut at the end.
+	cutTimeout = 100 * time.Millisecond
 	// graceMargin is how long before the end of the grace time the process
 	// exits by itself.
 	graceMargin = 400 * time.Millisecond
@@ -138,14 +143,15 @@
 	// announcedUnreached are the servers that this VM last announced not to reach; nil
 	// before the first announcement. Only the load exchange goroutine uses it.
 	announcedUnreached []string
-	// exitAt is when this process exits, on the boot-time clock; zero while it
-	// accepts requests of any duration.
+	// exitAt is when this process, which shuts down, ends the requests that have no
+	// response yet, on the boot-time clock; zero before the shutdown.
 	exitAt atomic.Int64
-	// leaving is set when shutdown begins, and refusing once no new requests are
-	// accepted.
-	leaving  atomic.Bool
-	refusing atomic.Bool
-	ready    atomic.Bool
+	// leaving is set when shutdown begins, lingering while callers' requests of any
+	// deadline are accepted then, and refusing once no new requests are accepted.
+	leaving   atomic.Bool
+	lingering atomic.Bool
+	refusing  atomic.Bool
+	ready     atomic.Bool
 }
 
 // New returns a process. The settings must have passed Check.
@@ -225,7 +231,7 @@
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
-		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) },
+		ExitAt: func() clock.Instant { return clock.Instant(e.exitAt.Load()) }, Lingering: e.lingering.Load,
 	})
 }
 
@@ -401,13 +407,12 @@
 	defer stop()
 	group, groupCtx := errgroup.WithContext(runCtx)
 	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
-	hops := &http.Server{
-		Handler: drain.WithKeepAliveHeader(e.hopRouter(), hopKeepAlive), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: hopKeepAlive + keepAliveMargin, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog(),
-	}
+	hops := drain.NewWith(&http.Server{
+		Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog(),
+	}, hopKeepAlive, keepAliveMargin)
 	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, hops) })
 	group.Go(func() error { return callers.Serve(ports.callers) })
-	group.Go(func() error { return background.IgnoreClosed(hops.Serve(ports.hops)) })
+	group.Go(func() error { return hops.Serve(ports.hops) })
 	for _, s := range e.serveAuxiliary(group, ports) {
 		group.Go(func() error { return background.CloseWhenDone(groupCtx, s) })
 	}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -287,10 +287,11 @@
 		}
 	}
 	if refusal == nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
+		ctx, end := r.inFlight.begin(ctx, x)
+		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
 		refusal = x.serve(ctx)
 		cancel()
+		end()
 	}
 	r.recordResult(x, refusal)
 	return refusal, x
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,9 +204,13 @@
 	// it no longer accepts requests.
 	Leaving  func() bool
 	Refusing func() bool
-	// ExitAt returns the time at which this process exits, or zero while no
-	// exit is scheduled. A request whose deadline is later is refused.
+	// ExitAt returns the time at which this process ends the requests that have no
+	// response yet, or zero while it doesn't shut down. A request whose deadline is later
+	// is refused, one of a caller only once Lingering reports false.
 	ExitAt func() clock.Instant
+	// Lingering reports whether this VM, which shuts down, still takes callers' requests
+	// of any deadline, as callers may not have learned of the shutdown.
+	Lingering func() bool
 	// RetrySlack is the number of retries beyond the share of requests that a
 	// service tolerates from the whole fleet in each RetryWindow.
 	RetrySlack  float64
@@ -224,6 +228,7 @@
 	// VMs that are being served.
 	hopCount        atomic.Uint64
 	accepted        acceptedHops
+	inFlight        inFlight
 	cancelsInFlight atomic.Int32
 }
 
@@ -294,6 +299,9 @@
 	// destination is the backend server or VM of the last send, and softwareVersion the
 	// version of that server's software, or "" for a VM.
 	destination, softwareVersion string
+	// begun means that the response has begun, and ended that the request was ended because
+	// this VM shuts down. inFlight guards both.
+	begun, ended bool
 }
 
 // Handle serves a request. If it returns a refusal after the response has
@@ -301,11 +309,13 @@
 func (r *Relay) Handle(ctx context.Context, req *Request, w pipeline.Response) *verdict.Refusal {
 	x, refusal := r.newTransaction(req, w)
 	if refusal == nil {
+		ctx, end := r.inFlight.begin(ctx, x)
 		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
 		if refusal = x.takeUp(ctx); refusal == nil {
 			refusal = x.serve(ctx)
 		}
 		cancel()
+		end()
 	}
 	if refusal != nil && x.origin != nil {
 		r.Streams.BrokeOff(req.ID)
@@ -334,7 +344,7 @@
 	if req.Deadline != 0 {
 		x.deadline = min(x.deadline, req.Deadline)
 	}
-	if end := r.ExitAt(); end != 0 && x.deadline > end {
+	if end := r.ExitAt(); end != 0 && x.deadline > end && (req.Entry != "" || !r.Lingering()) {
 		return x, verdict.Busy(verdict.CodeShuttingDown, "this VM ends before the request's deadline", retryAfterFailure)
 	}
 	if req.Entry == "" {
@@ -606,6 +616,9 @@
 // returns nil if the fallback response was relayed instead.
 func (x *transaction) contextRefusal(ctx context.Context) *verdict.Refusal {
 	x.recordWait()
+	if endedByStop(ctx) {
+		return x.stopRefusal()
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Ambiguous(verdict.CodeCancelled, "the caller went away", 0)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -460,6 +460,10 @@
 		plan.Load.RecordFailure(now)
 		return outcome{mayHaveArrived: true, broke: true, reason: "answer without length or chunks ended with its server's process"}
 	}
+	if !x.inFlight.beginResponse(x) {
+		e.Abort()
+		return outcome{mayHaveArrived: true, final: true, reason: errVMStops.Error()}
+	}
 	work.RecordFirstByte(now)
 	x.recordFirstByte(now)
 	length := len(body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,10 @@
 	}
 	s.continues = x.continues()
 	if !x.w.Started() {
+		if !x.inFlight.beginResponse(x) {
+			s.Abort()
+			return outcome{mayHaveArrived: true, final: true, reason: errVMStops.Error()}
+		}
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
 	}
