Each response that is cut is logged with its reason

Cause: the log did not tell why a response ended early. A response that was cut by this VM's shutdown, its write deadline, its caller, its server or another VM showed the same code. A short response that was lost when net/http flushed the connection, after the handler had ended, counted as served. A panic in a handler closed the connection without an answer, and showed only in net/http's own log at debug level.

Change: the `request` line has `cut` with the reason, and the counter request_cut counts by it. The writer keeps the first error of a write or flush. The handlers flush at their end, which net/http would do right after, and log `response not delivered` if that fails. A panic is logged at error level with the request's ID and stack; the caller gets a 500, or a visibly incomplete response if that had begun. `request refused` has the request's ID.

Callers see no difference but the 500 in place of a closed connection after a fault in the program.

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -29,26 +29,35 @@
 		if r.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
-		req, refusal := r.readRequest(w, hr)
 		out := NewWriter(w)
+		id := ""
+		defer r.refuseAfterPanic(out, &id)
+		req, refusal := r.readRequest(w, hr)
+		if req != nil {
+			id = req.ID
+		}
 		if refusal == nil {
 			refusal = r.Handle(hr.Context(), req, out)
 		} else {
-			r.recordEarlyRefusal(hr, refusal)
-		}
-		if refusal == nil {
-			return
+			r.recordEarlyRefusal(hr, id, refusal)
 		}
-		if out.Started() {
-			// Abort the connection, so that the caller detects the incomplete
-			// response.
-			panic(http.ErrAbortHandler)
+		if refusal != nil {
+			if out.Started() {
+				// Abort the connection, so that the caller detects the incomplete
+				// response.
+				panic(http.ErrAbortHandler)
+			}
+			writeRefusal(w, refusal)
+			if refusal.Code == verdict.CodeCancelled {
+				return // there is nobody to receive it
+			}
 		}
-		writeRefusal(w, refusal)
+		r.finish(out, id)
 	})
 }
 
-// readRequest reads a caller's request and enforces the size limits.
+// readRequest reads a caller's request and enforces the size limits. A request that is
+// refused is nil if its header can't be read.
 func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request) (*Request, *verdict.Refusal) {
 	now := r.Now()
 	req, err := r.Protocol.Accept(hr, now)
@@ -61,7 +70,7 @@
 	boundTransfer(w, now, latestEnd(req, table, now))
 	if r.Refusing() {
 		closeAfterUnreadBody(w, hr)
-		return nil, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
+		return req, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
 	}
 	var limits ingress.Limits
 	if table != nil {
@@ -72,21 +81,21 @@
 	}
 	if limits.MaxHeaderBytes > 0 && headerBytes(hr.Header) > limits.MaxHeaderBytes {
 		closeAfterUnreadBody(w, hr)
-		return nil, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
+		return req, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
 	req.Body, err = readBody(w, hr, limits.MaxBodyBytes)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large")
+		return req, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		w.Header().Set("Connection", "close")
 		refusal := verdict.Busy(verdict.CodeDeadline, "the body did not arrive in time", 0)
 		refusal.Status = http.StatusRequestTimeout
-		return nil, refusal
+		return req, refusal
 	case err != nil:
 		w.Header().Set("Connection", "close")
-		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read: "+err.Error())
+		return req, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read: "+err.Error())
 	}
 	return req, nil
 }
@@ -150,9 +159,9 @@
 
 // recordEarlyRefusal counts and logs a request that was refused before it was
 // read completely.
-func (r *Relay) recordEarlyRefusal(hr *http.Request, refusal *verdict.Refusal) {
+func (r *Relay) recordEarlyRefusal(hr *http.Request, id string, refusal *verdict.Refusal) {
 	r.Metrics.scope.Tagged(map[string]string{"result": refusal.Verdict.String(), "code": string(refusal.Code)}).Counter("ended").Inc(1)
-	r.Log.Warn("request refused", "remote", hr.RemoteAddr, "host", hr.Host, "code", refusal.Code, "detail", refusal.Detail)
+	r.Log.Warn("request refused", "request", id, "remote", hr.RemoteAddr, "host", hr.Host, "code", refusal.Code, "detail", refusal.Detail)
 }
 
 // writeRefusal writes the refusal as the response to the caller.
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -32,7 +32,7 @@
 }
 
 func (p deadlineProtocol) Accept(_ *http.Request, now clock.Instant) (*Request, error) {
-	req := &Request{Host: "h", Path: "/a/x"}
+	req := &Request{ID: "q", Host: "h", Path: "/a/x"}
 	if p.deadline > 0 {
 		req.Deadline = now.Add(p.deadline)
 	}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -99,7 +99,7 @@
 // sendToVM sends the request to another VM, which serves it or refuses it. If
 // the plan names a backend server, the VM may use no other one.
 func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) (out outcome) {
-	x.destination, x.softwareVersion = vm, ""
+	x.destination, x.softwareVersion, x.sentToVM = vm, "", true
 	x.sends++
 	granted, hop := x.hopAttempts(plan.Server != nil), x.hopID()
 	caller := ctx
@@ -245,6 +245,9 @@
 // HopHandler returns the HTTP handler for requests of other VMs.
 func (r *Relay) HopHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		out := NewWriter(w)
+		id := ""
+		defer r.refuseAfterPanic(out, &id)
 		req, err := r.readHop(w, hr)
 		if err != nil {
 			r.Log.Warn("hop refused", "remote", hr.RemoteAddr, "error", err)
@@ -252,11 +255,12 @@
 			http.Error(w, "malformed hop", http.StatusBadRequest)
 			return
 		}
-		out := NewWriter(w)
+		id = req.ID
 		ctx, end := r.accepted.begin(hr.Context(), req.Hop)
 		defer end()
 		refusal, x := r.handleHop(ctx, req, out)
 		if refusal == nil {
+			r.finish(out, id)
 			return
 		}
 		if out.Started() {
@@ -269,6 +273,7 @@
 		w.Header().Set(wire.HeaderRefusal, encodeRefusal(refusal))
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(refusal.Status)
+		r.finish(out, id)
 	})
 }
 
@@ -290,6 +295,7 @@
 		ctx, end := r.inFlight.begin(ctx, x)
 		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
 		refusal = x.serve(ctx)
+		x.cut = x.cutReason(ctx, refusal)
 		cancel()
 		end()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -299,6 +299,10 @@
 	// destination is the backend server or VM of the last send, and softwareVersion the
 	// version of that server's software, or "" for a VM.
 	destination, softwareVersion string
+	// sentToVM means that the last send was to another VM.
+	sentToVM bool
+	// cut is why the response was cut, or "".
+	cut cutReason
 	// begun means that the response has begun, and ended that the request was ended because
 	// this VM shuts down. inFlight guards both.
 	begun, ended bool
@@ -314,6 +318,7 @@
 		if refusal = x.takeUp(ctx); refusal == nil {
 			refusal = x.serve(ctx)
 		}
+		x.cut = x.cutReason(ctx, refusal)
 		cancel()
 		end()
 	}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -112,6 +112,9 @@
 		r.Log.Info("request", args...)
 		return
 	}
-	r.Log.Warn("request", append(args, "code", code, "detail", refusal.Detail, "retryAfter", refusal.RetryAfter,
+	if x.cut != "" {
+		r.Metrics.countCut(x.cut)
+	}
+	r.Log.Warn("request", append(args, "code", code, "cut", x.cut, "detail", refusal.Detail, "retryAfter", refusal.RetryAfter,
 		"deadlineIn", x.deadline.Sub(r.Now()))...)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -104,7 +104,7 @@
 func (x *transaction) sendToServer(ctx context.Context, plan balance.Plan) outcome {
 	s, load := plan.Server, plan.Load
 	x.triedServers = append(x.triedServers, s.Key())
-	x.destination, x.softwareVersion, x.prefillTokens = s.ID, s.SoftwareVersion, plan.Estimate.UncachedTokens
+	x.destination, x.softwareVersion, x.sentToVM, x.prefillTokens = s.ID, s.SoftwareVersion, false, plan.Estimate.UncachedTokens
 	started := x.waitForPrefillSlot(ctx, &plan)
 	now := x.Now()
 	ticket, reason := x.admit(&plan, started, now)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -187,7 +187,7 @@
 	}
 	if _, err := x.w.Write(events); err != nil {
 		s.Abort()
-		return outcome{mayHaveArrived: true, final: true, reason: "caller left: " + err.Error()}, false
+		return outcome{mayHaveArrived: true, final: true, reason: "answer not passed on: " + err.Error()}, false
 	}
 	x.w.Flush()
 	return outcome{}, true
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -11,6 +11,8 @@
 type Writer struct {
 	rw      http.ResponseWriter
 	started bool
+	// err is the error of the first write that failed.
+	err error
 	// beforeHeader, if set, modifies the header right before it is sent.
 	beforeHeader func(http.Header)
 }
@@ -43,12 +45,22 @@
 }
 
 // Write implements pipeline.Response.
-func (w *Writer) Write(p []byte) (int, error) { return w.rw.Write(p) }
+func (w *Writer) Write(p []byte) (int, error) {
+	n, err := w.rw.Write(p)
+	w.recordError(err)
+	return n, err
+}
 
 // Flush implements pipeline.Response.
 func (w *Writer) Flush() {
 	// If flushing fails, so does the next write.
-	_ = http.NewResponseController(w.rw).Flush()
+	w.recordError(http.NewResponseController(w.rw).Flush())
+}
+
+func (w *Writer) recordError(err error) {
+	if w.err == nil {
+		w.err = err
+	}
 }
 
 // Started implements pipeline.Response.
