A draining server closes no connection that it reads a request from

Cause: net/http counts a connection as idle until it has read and parsed a whole request header. A server that drained closed connections by that state.

Change: the server accepts connections that know when bytes were last read from them. Such a connection isn't idle, and one that is closed as idle returns no bytes any more, so that a request that was read in that moment is not served.

Not shown on a real VM: the window there is the time between a read and the end of the parsing.

--- /dev/null
+++ b/internal/drain/conn.go
@@ -0,0 +1,76 @@
+package drain
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+)
+
+// conn is an accepted connection that knows when bytes were last read from it. The HTTP
+// server counts a connection as idle until it has read and parsed a whole request header.
+type conn struct {
+	net.Conn
+	mu sync.Mutex
+	// receivedAt is when bytes were last read. closing means that the connection was
+	// closed as idle, so that bytes that were read meanwhile are dropped.
+	receivedAt time.Time
+	closing    bool
+}
+
+// Read implements net.Conn. It returns no bytes of a connection that was closed as idle, so
+// that no request is served whose caller can't get the response.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	c.receivedAt = time.Now()
+	return n, err
+}
+
+// CloseWrite closes the sending side, which the HTTP server does if the connection can.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// markClosing reports whether no bytes were read for the given time, and if so has Read
+// return none from then on.
+func (c *conn) markClosing(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.receivedAt.IsZero() && time.Since(c.receivedAt) < idle {
+		return false
+	}
+	c.closing = true
+	return true
+}
+
+// connOf returns the accepted connection below c, or nil.
+func connOf(c net.Conn) *conn {
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	accepted, _ := c.(*conn)
+	return accepted
+}
+
+// listener wraps the connections that it accepts.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -86,6 +86,7 @@
 // Serve accepts connections on l until the server is drained or closed, and then
 // returns nil.
 func (s *Server) Serve(l net.Listener) error {
+	l = listener{l}
 	var err error
 	if s.http.TLSConfig != nil {
 		err = s.http.ServeTLS(l, "", "")
@@ -143,13 +144,15 @@
 }
 
 // closeIdle closes the connections that were idle for at least the given time
-// and returns the number of remaining connections.
+// and returns the number of remaining connections. One from which a part of a request was
+// read is not idle.
 func (s *Server) closeIdle(idle time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open := 0
 	for c, state := range s.conns {
-		if state.isIdle() && time.Since(state.since) >= idle {
+		accepted := connOf(c)
+		if state.isIdle() && time.Since(state.since) >= idle && (accepted == nil || accepted.markClosing(idle)) {
 			// The server drops the connection when its next read fails.
 			_ = c.Close()
 			delete(s.conns, c)
