Responses that begin during a shutdown close their connections

Cause: a VM that shuts down decided at a request's arrival whether to ask the caller to close the connection. The responses to requests that had come before the signal left their connections open: their callers sent the next request to the VM that shuts down, and it waited for these connections until the end of the grace time, although no request was in flight.

Change: it is decided when the response begins, refusals included. The test failed before (no Connection header).

--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -26,10 +26,8 @@
 // CallerHandler returns the HTTP handler for requests of callers.
 func (r *Relay) CallerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-		if r.Leaving() {
-			w.Header().Set("Connection", "close")
-		}
 		out := NewWriter(w)
+		out.beforeHeader = r.closeIfLeaving
 		id := ""
 		defer r.refuseAfterPanic(out, &id)
 		req, refusal := r.readRequest(w, hr)
@@ -47,6 +45,7 @@
 				// response.
 				panic(http.ErrAbortHandler)
 			}
+			r.closeIfLeaving(w.Header())
 			writeRefusal(w, refusal)
 			if refusal.Code == verdict.CodeCancelled {
 				return // there is nobody to receive it
@@ -56,6 +55,14 @@
 	})
 }
 
+// closeIfLeaving adds the header by which a VM that shuts down asks its callers to use other
+// connections, also in responses to requests that came before.
+func (r *Relay) closeIfLeaving(h http.Header) {
+	if r.Leaving() {
+		h.Set("Connection", "close")
+	}
+}
+
 // readRequest reads a caller's request and enforces the size limits. A request that is
 // refused is nil if its header can't be read.
 func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request) (*Request, *verdict.Refusal) {
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -58,3 +58,21 @@
 		is.Equal(time.Until(w.write).Round(100*time.Millisecond), c.want+writeMargin)
 	}
 }
+
+// Guards against issue 45 (LOST): the response to a request that came before the shutdown left
+// its connection open, so that its caller sent the next request to a VM that shuts down.
+func TestResponseThatBeginsDuringAShutdownClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	r, leaving := hopTransaction(1).Relay, false
+	r.Protocol = deadlineProtocol{deadline: time.Minute}
+	r.Leaving = func() bool { return leaving }
+	r.Refusing = func() bool { return false }
+	r.Table = func() *ingress.Table {
+		defer func() { leaving = true }() // after the request has arrived
+		return nil
+	}
+	w := httptest.NewRecorder()
+	r.CallerHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/a/x", nil))
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Connection"), "close")
+}
