A silent server's request is left only if a retry is left

Cause: a request at a server that did not respond to polls and sent no data for 1.5 s was cancelled before it was known whether it could be sent elsewhere. Without a retry in the budget, an attempt or a send left, its response was cut, or refused with 502, although the server might have gone on.

Change: the watch takes the retry from the budget first, as it does for requests that hang, and is not set for requests that can't be sent again. It logs its decision. A server that is gone still ends its requests when its connections break (3 s).

The test failed before in four of five cases: no retry left, sent too often and may be what crashes servers were left, and where a retry was left it had not been taken.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -50,7 +50,7 @@
 func (x *transaction) watchServer(ctx context.Context, plan *balance.Plan, sentAt clock.Instant) (context.Context, *serverWatch) {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, cancel: cancel}
-	if x.route.Idempotent() && x.possibleRuns+1 < x.maxAttempts() {
+	if x.route.Idempotent() && x.attemptsLeft() > 1 && x.sends < maxSends {
 		w.timer.Store(time.AfterFunc(lossCheckInterval, w.check))
 	}
 	return ctx, w
@@ -67,9 +67,13 @@
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
-	case w.load.Link.Lost() && w.load.SilentFor(now) > maxStandstill:
+	case w.load.Link.Lost() && w.load.SilentFor(now) > maxStandstill && w.x.budget.Allow(now):
 		// A server that is only slow to answer polls goes on with its work, and so does
-		// one that stands still for a moment.
+		// one that stands still for a moment. Without a retry to send the request elsewhere,
+		// it may still be answered here.
+		w.retryGranted.Store(true)
+		w.x.Log.Warn("backend server is silent and does not respond to polls; sending the request elsewhere", "request", w.x.req.ID,
+			"server", w.x.destination, "sentBefore", now.Sub(w.sentAt), "silentFor", w.load.SilentFor(now), "lastEventBefore", w.sinceLastEvent(now))
 		w.cancel()
 		return
 	case w.hung(now) && w.x.budget.Allow(now):
--- /dev/null
+++ b/internal/relay/watch_test.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/retry"
+)
+
+// Guards against issue 45 (LOST): the response of a server that did not respond to polls was
+// cut although no retry was left to send its request elsewhere. The server may go on.
+func TestRequestAtSilentServerIsLeftOnlyIfItCanBeSentElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		retries                  float64
+		maxAttempts, sends, lost int
+		left                     bool
+	}{
+		"retry left": {5, 3, 1, 0, true}, "no retry left": {0, 3, 1, 0, false}, "no attempt left": {5, 1, 1, 0, false},
+		"sent too often": {5, 9, maxSends, 0, false}, "may be what crashes servers": {5, 9, 2, maxLostUnanswered - 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			x := hopTransaction(test.maxAttempts)
+			x.sends, x.lostUnanswered = test.sends, test.lost
+			x.budget = retry.NewWindow(10*time.Second, test.retries)
+			load := &balance.Load{}
+			for range 5 {
+				load.Link.RecordPoll(false, x.Now())
+			}
+			ctx, watch := x.watchServer(t.Context(), &balance.Plan{Load: load}, x.Now())
+			defer watch.stop()
+			if watch.timer.Load() != nil {
+				watch.check()
+			}
+			is.Equal(ctx.Err() != nil, test.left)
+			is.Equal(watch.retryGranted.Load(), test.left)
+		})
+	}
+}
