Soak: a request that ran gets an answer through planned shutdowns

The soak did not check requests without any answer. One that a replica ran, at a VM that was not killed or paused meanwhile, must have one unless its client gave it up.

--- a/soak/check.go
+++ b/soak/check.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/platform/platformtest"
@@ -60,6 +64,8 @@
 		h.recordViolation("%s %s was executed %d times: %+v", r.id, r.path, len(runs), runs)
 	}
 	switch r.answer.Status {
+	case 0:
+		h.checkUnanswered(r, runs)
 	case http.StatusOK:
 		h.checkSuccess(r, runs)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
@@ -74,6 +80,26 @@
 	}
 }
 
+// checkUnanswered checks that a request that was executed has an answer, unless its client
+// gave it up or its VM was killed or paused meanwhile. A planned shutdown is no excuse.
+func (h *Harness) checkUnanswered(r request, runs []platformtest.Execution) {
+	if len(runs) == 0 || r.answer.Err == nil || errors.Is(r.answer.Err, context.Canceled) || errors.Is(r.answer.Err, context.DeadlineExceeded) ||
+		errors.Is(r.answer.Err, syscall.ECONNREFUSED) || h.stoppedDuring(r) {
+		return
+	}
+	h.recordViolation("%s %s at %s was executed and got no answer after %v: %v", r.id, r.path, r.vm, r.endedAt.Sub(r.sentAt), r.answer.Err)
+}
+
+// stoppedDuring reports whether the request's VM was killed or paused from before the request
+// until its end.
+func (h *Harness) stoppedDuring(r request) bool {
+	i := slices.IndexFunc(h.vms, func(p *process) bool { return p.Name == r.vm })
+	p := h.vms[i]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.stops, func(at time.Time) bool { return !at.Before(r.sentAt) && !at.After(r.endedAt) })
+}
+
 // signalledDuring reports whether the last signal to the request's VM was sent
 // later than one second before the request. Only the last signal is recorded, so
 // signals after the response count too.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,7 @@
 	exitExpected bool          // a fault has ended the process
 	lastSignal   time.Time     // or the start of the process, if later
 	signals      []time.Time   // signals and starts
+	stops        []time.Time   // signals that end or stop the process at once
 }
 
 // request is one request of a client and its result.
@@ -280,6 +281,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordSignal()
+	if s == syscall.SIGKILL || s == syscall.SIGSTOP {
+		p.stops = append(p.stops, p.lastSignal)
+	}
 	if exits {
 		p.exitExpected = true
 	}
