Control server: the listener is closed when Serve returns

Cause: the listener is closed in the background when the context ends. If a connection was accepted in that moment, Serve returned before, and dropped the connection without closing it.

Change: Serve closes both. Seen as "address already in use" when a VM started again in the same process, once in four runs of a test with 12 such restarts; a process that exits is not affected. The test failed before.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -69,12 +69,16 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
+	defer func() { _ = l.Close() }() // the function above may not have run yet
 	var connections sync.WaitGroup
 	defer connections.Wait()
 	slots := make(chan struct{}, MaxConnections)
 	for {
 		conn, err := l.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return nil
 		}
 		if errors.Is(err, net.ErrClosed) {
