--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,10 @@
 	}
 	s.continues = x.continues()
 	if !x.w.Started() {
+		if !x.inFlight.beginResponse(x) {
+			s.Abort()
+			return outcome{mayHaveArrived: true, final: true, reason: errVMStops.Error()}
+		}
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
 	}
@@ -183,7 +187,7 @@
 	}
 	if _, err := x.w.Write(events); err != nil {
 		s.Abort()
-		return outcome{mayHaveArrived: true, final: true, reason: "caller left: " + err.Error()}, false
+		return outcome{mayHaveArrived: true, final: true, reason: "answer not passed on: " + err.Error()}, false
 	}
 	x.w.Flush()
 	return outcome{}, true
