Tests: a balancer that sends to other regions has a fleet

Since the time after which sends to another region are discounted depends on the size of the own region; the fixture of one test had no fleet and panicked.

--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -105,7 +105,7 @@
 			server := quietServer(answer.handler)
 			defer server.Close()
 			x.Peers = onePeer{server.Listener.Addr().String()}
-			x.Balancer = balance.New("north", "north-a", balance.Bounds{}, balance.DefaultTuning, nil)
+			x.Balancer = balance.New("north", "north-a", balance.Bounds{}, balance.DefaultTuning, oneVM{})
 			x.sendToRegion(t.Context(), balance.Plan{Region: "west"})
 			is.Equal(len(x.triedRegions) > 0, answer.tried)
 			if name == "has no server" { // a second VM has none either
