Panics of handlers are logged as errors in both programs

Cause: the messages of net/http's servers were logged at debug level, as they are about peers that disconnected.

Change: one logger for the servers of both programs logs that message at error level.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"log"
-	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
@@ -89,9 +89,8 @@
 	return entryTTL
 }
 
-// httpLog logs the HTTP servers' own messages at debug level: they are about
-// callers that disconnected.
-func (e *Edge) httpLog() *log.Logger { return slog.NewLogLogger(e.log.Handler(), slog.LevelDebug) }
+// httpLog returns the logger of the HTTP servers.
+func (e *Edge) httpLog() *log.Logger { return logging.NewServerLog(e.log) }
 
 // processState is the JSON state dump for operators.
 type processState struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,7 @@
 		Handler: handlers.forward, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		TLSConfig: g.tls.peerServer, Protocols: forwardProtocols(g.tls.peerServer != nil), ErrorLog: g.httpLog(),
 	}
-	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout, ErrorLog: g.httpLog()}
 
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,11 +2,11 @@
 
 import (
 	"log"
-	"log/slog"
 	"net"
 	"net/http"
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
+	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
@@ -33,8 +33,5 @@
 	return background.IgnoreClosed(server.Serve(l))
 }
 
-// httpLog returns a logger that writes the messages of net/http servers at debug
-// level.
-func (g *gateway) httpLog() *log.Logger {
-	return slog.NewLogLogger(g.log.Handler(), slog.LevelDebug)
-}
+// httpLog returns the logger of the HTTP servers.
+func (g *gateway) httpLog() *log.Logger { return logging.NewServerLog(g.log) }
