Bound the lines of response headers, and their size to 16 KiB

Cause: a response header was bounded by 64 KiB of bytes only. Header fields of a few bytes take over a hundred times as many parsed, and a server that withholds the end of its header holds them until the request's deadline.

Change: the header of a server's response has at most 16 KiB and 256 lines, that of a hop's response, which holds it, twice as much. The bound is checked before each read, so that lines of the body that arrive with the end of the header fail nothing. A response above it is logged as such.

What callers see: 502 for a response with a larger header.

TestHeadThatIsHeldTakesLittleMemory failed before: 32 requests took 31.3 MB (short fields), 13.3 MB (values of one field) and 2.5 MB (one long field, status line); 1.5 MB are allowed, half the memory of the smallest VM divided among the requests for which it has descriptors.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -212,6 +212,8 @@
 		e.serverPool.Dialer = settings.ServerDialer
 	}
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
+	// The response to a hop holds that of a backend server.
+	e.gatewayPool.MaxHeadBytes = 2 * upstream.DefaultMaxHeadBytes
 	dials := e.metrics.Scope.Counter("dials")
 	e.serverPool.OnDial = func(error) { dials.Inc(1) }
 	e.poller = &poller{
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -99,7 +98,7 @@
 // sent: that may belong to another request.
 func describeReadError(err error) string {
 	var netErr net.Error
-	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errStray) {
+	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errStray) || errors.Is(err, errHeadTooLarge) {
 		return err.Error()
 	}
 	return "malformed response"
@@ -165,7 +164,7 @@
 // towards the limit of its header, as a server may send them without end.
 func (x *Exchange) readHead(call *Call) error {
 	request := &http.Request{Method: call.Method}
-	x.conn.limit.N = maxHeadBytes
+	x.conn.head.begin(x.conn.pool.MaxHeadBytes)
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
@@ -177,7 +176,7 @@
 		case resp.StatusCode < http.StatusOK:
 			continue
 		}
-		x.conn.limit.N = math.MaxInt64
+		x.conn.head.end()
 		if call.MatchResponse == nil || call.MatchResponse(resp.Header) {
 			x.Response = resp
 			return nil
@@ -188,7 +187,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
 			return fmt.Errorf("%w, one of which does not end", errStray)
 		}
-		x.conn.limit.N = maxHeadBytes
+		x.conn.head.begin(x.conn.pool.MaxHeadBytes)
 	}
 }
 
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -22,9 +22,9 @@
 	f.Fuzz(func(t *testing.T, response []byte) {
 		p := NewPool(clock.Boot, time.Second)
 		near, far := net.Pipe()
-		limit := &io.LimitedReader{R: near}
+		head := &headReader{r: near}
 		p.putIdle(&conn{
-			Conn: near, pool: p, address: "server", limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
+			Conn: near, pool: p, address: "server", head: head, reader: bufio.NewReaderSize(head, readBufferBytes),
 			idleSince: clock.Boot(), idleTimeout: time.Minute,
 		})
 		go func() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,8 +20,6 @@
 )
 
 const (
-	// maxHeadBytes bounds the status line and header of a response.
-	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 	// defaultIdleTimeout is the idle timeout of a connection whose server does not
@@ -74,6 +71,8 @@
 	Now    clock.Clock
 	// OnDial, if set, is called after each attempt to connect.
 	OnDial func(err error)
+	// MaxHeadBytes bounds the status line and header of a response.
+	MaxHeadBytes int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -85,8 +84,8 @@
 	net.Conn
 	pool    *Pool
 	address string
-	// limit bounds the bytes that may still be read from the connection.
-	limit  *io.LimitedReader
+	// head bounds the headers that reader reads.
+	head   *headReader
 	reader *bufio.Reader
 	// idleSince and idleTimeout determine when an idle connection expires.
 	idleSince   clock.Instant
@@ -97,7 +96,7 @@
 
 // NewPool returns an empty pool whose connection setup takes at most dialTimeout.
 func NewPool(now clock.Clock, dialTimeout time.Duration) *Pool {
-	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
 // OpenConnections returns the number of connections to all addresses, including
@@ -167,8 +166,8 @@
 		return nil, ErrNoConnection.New("%v", err)
 	}
 	c := &conn{Conn: raw, pool: p, address: address}
-	c.limit = &io.LimitedReader{R: raw}
-	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
+	c.head = &headReader{r: raw}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	return c, nil
 }
 
