Bound the memory of all request bodies and buffered responses together

Cause: each request may hold 128 KiB of its response (of a body before it is relayed, of a failure, of an unfinished event) and its own body of up to maxBodyBytes, a hop 64 MiB. Each bound held, but not their sum: the smallest VM has 184 MB and descriptors for 1,950 requests.

Change: internal/membudget counts what these buffers hold; together they get 15 % of memoryMb. Each may hold 8 KiB regardless, so that ordinary requests are served while others hold all of it. Without memory, a body of a request is refused with 503 and Retry-After (not run, also over a hop), a response body is relayed as it arrives instead of being buffered, a failure response isn't kept, and an unfinished event ends its stream as one that is too large does. Events are selected in place, and the rest of a long body is copied through the buffer that its start was in. The gauge body_memory_bytes shows what is held.

Why it works: the buffers are what peers can make large; what remains is about 70 KB for each request in flight.

What callers see: 503 for large bodies while others hold the memory, instead of a connection that ends with the process.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
@@ -71,6 +72,9 @@
 	// memory limit of the Go runtime; above it the garbage collector runs more
 	// often.
 	memoryLimitShare = 0.7
+	// bodyMemoryShare is the share of the VM's memory for the bodies of requests and the
+	// buffered parts of responses. Each connection takes more besides.
+	bodyMemoryShare = 0.15
 	// largeRegionIntervals is the number of exchange intervals between two load
 	// exchanges in a large region.
 	largeRegionIntervals = 3
@@ -118,6 +122,7 @@
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
 	brittle     *serverlimit.Tracker
+	memory      *membudget.Budget
 	serverPool  *upstream.Pool
 	gatewayPool *upstream.Pool
 
@@ -221,8 +226,10 @@
 		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, probe: e.serverPool.Probe, urgent: make(chan *roster.Server, urgentQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
 		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits, brittle: e.brittle,
 	}
+	e.memory = membudget.New(int64(bodyMemoryShare * float64(settings.MemoryBytes)))
 	e.relay = relay.New(relay.Config{
-		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
+		Memory: e.memory,
+		VM:     e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
@@ -472,6 +479,7 @@
 	s.Gauge("backend_servers").Update(float64(len(e.roster.View().All())))
 	s.Gauge("unreached_servers").Update(float64(len(e.announcedUnreached)))
 	s.Gauge("open_server_connections").Update(float64(e.serverPool.OpenConnections()))
+	s.Gauge("body_memory_bytes").Update(float64(e.memory.Held()))
 	s.Gauge("open_hop_connections").Update(float64(e.gatewayPool.OpenConnections()))
 	if c := e.follower.Current(); c != nil {
 		s.Gauge("configuration_version").Update(float64(c.Table.Version))
--- a/internal/relay/cancel_test.go
+++ b/internal/relay/cancel_test.go
@@ -41,7 +41,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(PathCancelHop, x.CancelHopHandler())
 	mux.HandleFunc(PathHop, func(w http.ResponseWriter, hr *http.Request) {
-		req, err := x.readHop(w, hr)
+		req, err := x.readHop(w, hr, nil)
 		is.NoErr(err)
 		ctx, end := x.accepted.begin(hr.Context(), req.Hop)
 		defer end()
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -8,8 +8,11 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
@@ -29,7 +32,9 @@
 		if r.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
-		req, refusal := r.readRequest(w, hr)
+		memory := r.Memory.Account()
+		defer memory.Close()
+		req, refusal := r.readRequest(w, hr, memory)
 		out := NewWriter(w)
 		if refusal == nil {
 			refusal = r.Handle(hr.Context(), req, out)
@@ -48,8 +53,9 @@
 	})
 }
 
-// readRequest reads a caller's request and enforces the size limits.
-func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request) (*Request, *verdict.Refusal) {
+// readRequest reads a caller's request and enforces the size limits. The body is held by
+// the account.
+func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request, memory *membudget.Account) (*Request, *verdict.Refusal) {
 	now := r.Now()
 	req, err := r.Protocol.Accept(hr, now)
 	if err != nil {
@@ -74,9 +80,12 @@
 		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
-	req.Body, err = readBody(w, hr, limits.MaxBodyBytes)
+	req.Body, err = readBody(w, hr, limits.MaxBodyBytes, memory)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		w.Header().Set("Connection", "close")
+		return nil, verdict.Busy(verdict.CodeOverloaded, err.Error(), jitter(retryAfterFailure))
 	case errors.As(err, &large):
 		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -118,9 +127,13 @@
 	_ = control.SetWriteDeadline(time.Now().Add(write + writeMargin))
 }
 
-// readBody reads the body of a request within the bounds of boundTransfer.
-func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBytes))
+// errNoMemory means that the body of a request exceeds the memory for all of them.
+var errNoMemory = errorx.ExternalError.New("the requests in flight hold all the memory for bodies")
+
+// readBody reads the body of a request within the bounds of boundTransfer. The error is
+// errNoMemory if the account has no memory for it.
+func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64, memory *membudget.Account) ([]byte, error) {
+	body, err := readAll(http.MaxBytesReader(w, hr.Body, maxBytes), hr.ContentLength, memory)
 	if err == nil {
 		// The connection is read on for as long as the request lasts, to learn whether the
 		// peer disconnects.
@@ -129,6 +142,26 @@
 	return body, err
 }
 
+// readAll reads to the end of r into memory of the account. It expects the given number of
+// bytes, or, if that is negative, any.
+func readAll(r io.Reader, expected int64, memory *membudget.Account) ([]byte, error) {
+	var body []byte
+	for {
+		var ok bool
+		if body, ok = memory.Reserve(body, int(max(0, expected))+1); !ok {
+			return nil, errNoMemory
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // closeAfterUnreadBody has the connection closed after the response to a request whose
 // body is not read. Otherwise the HTTP server would wait for it before it responds.
 func closeAfterUnreadBody(w http.ResponseWriter, hr *http.Request) {
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -53,7 +53,7 @@
 		route.Timeout = c.timeout
 		x.Protocol = deadlineProtocol{deadline: c.deadline}
 		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-		_, refusal := x.readRequest(w, httptest.NewRequest(http.MethodGet, "/a/x", nil))
+		_, refusal := x.readRequest(w, httptest.NewRequest(http.MethodGet, "/a/x", nil), nil)
 		is.True(refusal == nil)
 		is.Equal(time.Until(w.write).Round(100*time.Millisecond), c.want+writeMargin)
 	}
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -19,13 +19,13 @@
 		x := hopTransaction(2)
 		hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
 		hr.Header.Set(headerHop, base64.StdEncoding.EncodeToString(head))
-		req, err := x.readHop(httptest.NewRecorder(), hr)
+		req, err := x.readHop(httptest.NewRecorder(), hr, nil)
 		if err != nil {
 			return
 		}
 		x.req = req
 		hr.Header = x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1).Header
-		again, err := x.readHop(httptest.NewRecorder(), hr)
+		again, err := x.readHop(httptest.NewRecorder(), hr, nil)
 		if err != nil || again.Target != req.Target || again.ID != req.ID {
 			t.Errorf("forwarded as %+v (%v) instead of %+v", again, err, req)
 		}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -245,7 +247,15 @@
 // HopHandler returns the HTTP handler for requests of other VMs.
 func (r *Relay) HopHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-		req, err := r.readHop(w, hr)
+		memory := r.Memory.Account()
+		defer memory.Close()
+		req, err := r.readHop(w, hr, memory)
+		if errors.Is(err, errNoMemory) {
+			r.Log.Warn("hop refused", "remote", hr.RemoteAddr, "error", err)
+			w.Header().Set("Connection", "close")
+			writeHopRefusal(w, verdict.Busy(verdict.CodeOverloaded, err.Error(), jitter(retryAfterFailure)), 0, false)
+			return
+		}
 		if err != nil {
 			r.Log.Warn("hop refused", "remote", hr.RemoteAddr, "error", err)
 			closeAfterUnreadBody(w, hr)
@@ -262,16 +272,22 @@
 		if out.Started() {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set(headerRan, strconv.Itoa(x.possibleRuns))
-		if x.arrived {
-			w.Header().Set(headerArrived, "1")
-		}
-		w.Header().Set(wire.HeaderRefusal, encodeRefusal(refusal))
-		w.Header().Set("Content-Length", "0")
-		w.WriteHeader(refusal.Status)
+		writeHopRefusal(w, refusal, x.possibleRuns, x.arrived)
 	})
 }
 
+// writeHopRefusal writes the refusal as the response to a hop. Ran is the number of backend
+// servers at which the request may have run, and arrived means that one may have received it.
+func writeHopRefusal(w http.ResponseWriter, refusal *verdict.Refusal, ran int, arrived bool) {
+	w.Header().Set(headerRan, strconv.Itoa(ran))
+	if arrived {
+		w.Header().Set(headerArrived, "1")
+	}
+	w.Header().Set(wire.HeaderRefusal, encodeRefusal(refusal))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(refusal.Status)
+}
+
 // handleHop serves a request of another VM and returns its final state.
 func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
 	refusal := r.awaitConfiguration(ctx, req)
@@ -292,6 +308,7 @@
 		refusal = x.serve(ctx)
 		cancel()
 	}
+	x.closeBuffers()
 	r.recordResult(x, refusal)
 	return refusal, x
 }
@@ -317,8 +334,8 @@
 	configurationCheckInterval = 10 * time.Millisecond
 )
 
-// readHop reads a request of another VM.
-func (r *Relay) readHop(w http.ResponseWriter, hr *http.Request) (*Request, error) {
+// readHop reads a request of another VM. The body is held by the account.
+func (r *Relay) readHop(w http.ResponseWriter, hr *http.Request, memory *membudget.Account) (*Request, error) {
 	now := r.Now()
 	boundTransfer(w, now, 0)
 	data, err := base64.StdEncoding.DecodeString(hr.Header.Get(headerHop))
@@ -337,7 +354,7 @@
 	}
 	deadline := now.Add(time.Duration(head.RemainingMs) * time.Millisecond)
 	boundTransfer(w, now, deadline)
-	body, err := readBody(w, hr, maxHopBytes)
+	body, err := readBody(w, hr, maxHopBytes, memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -207,7 +207,7 @@
 			call := x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1)
 			hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
 			hr.Header = call.Header
-			got, err := x.readHop(httptest.NewRecorder(), hr)
+			got, err := x.readHop(httptest.NewRecorder(), hr, nil)
 			is.NoErr(err)
 			is.Equal(got.Target, x.req.Target)
 			is.Equal(got.Path, x.req.Path)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
@@ -182,6 +183,9 @@
 	Now         clock.Clock
 	Log         *slog.Logger
 	Metrics     *Metrics
+	// Memory bounds what the bodies of requests and the buffered parts of responses hold
+	// together; nil means no bound.
+	Memory *membudget.Budget
 	// UsageChanged is called when this VM's use of a backend server has changed
 	// so much that the other VMs should be informed at once.
 	UsageChanged func()
@@ -262,8 +266,10 @@
 	// is unknown what would have to follow.
 	relayedUnnumbered bool
 	// origin is where the stream began, or nil. It goes on nowhere else.
-	origin      *resume.Origin
-	fallback    *fallbackResponse
+	origin   *resume.Origin
+	fallback *fallbackResponse
+	// buffers are what the responses that were buffered hold.
+	buffers     []*membudget.Account
 	firstByteAt clock.Instant
 	// answeredAt is when the first event of the last send arrived; zero before.
 	// Survived means that the send's survival was recorded.
@@ -307,6 +313,7 @@
 		}
 		cancel()
 	}
+	x.closeBuffers()
 	if refusal != nil && x.origin != nil {
 		r.Streams.BrokeOff(req.ID)
 	}
@@ -343,6 +350,21 @@
 	return x, nil
 }
 
+// newBuffer returns the account of a buffer, which is held until the request ends unless it
+// is closed before.
+func (x *transaction) newBuffer() *membudget.Account {
+	a := x.Memory.Account()
+	x.buffers = append(x.buffers, a)
+	return a
+}
+
+// closeBuffers returns what the buffers of the request hold.
+func (x *transaction) closeBuffers() {
+	for _, a := range x.buffers {
+		a.Close()
+	}
+}
+
 // timeoutOf returns how long a request of the route may take.
 func timeoutOf(route *ingress.Route) time.Duration {
 	if route.Timeout <= 0 {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/serverlimit"
@@ -393,13 +395,13 @@
 // handleFailure keeps a backend server's failure response as the fallback, so that
 // a request that may be retried is sent to other servers or regions first.
 func (x *transaction) handleFailure(ctx context.Context, plan balance.Plan, e *upstream.Exchange, in Inbound) outcome {
-	body, err := x.readBuffered(ctx, plan.Load, e)
+	body, whole, err := x.readBuffered(ctx, plan.Load, e, x.newBuffer())
 	if err != nil {
 		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
 	}
 	plan.Load.RecordErrorResponse(x.Now())
 	reason := "status " + http.StatusText(e.StatusCode)
-	if len(body) == maxBufferedBytes {
+	if !whole {
 		// It may be incomplete, or have no end.
 		e.Abort()
 		return outcome{mayHaveArrived: true, answered: true, reason: reason + " with a body above the limit"}
@@ -419,16 +421,29 @@
 	return outcome{mayHaveArrived: true, answered: true, reason: reason, final: e.StatusCode < http.StatusInternalServerError}
 }
 
-// readBuffered reads up to maxBufferedBytes of the response body.
-func (x *transaction) readBuffered(ctx context.Context, load *balance.Load, e *upstream.Exchange) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e, maxBufferedBytes))
-	if err != nil {
-		e.Abort()
-		if ctx.Err() == nil {
-			load.RecordFailure(x.Now())
+// readBuffered reads the response body, up to maxBufferedBytes and to the memory that the
+// account gets, and reports whether that is all of it.
+func (x *transaction) readBuffered(ctx context.Context, load *balance.Load, e *upstream.Exchange, memory *membudget.Account) (body []byte, whole bool, err error) {
+	for len(body) < maxBufferedBytes {
+		var ok bool
+		if body, ok = memory.Reserve(body, maxBufferedBytes); !ok {
+			x.Log.Warn("response not buffered further: the requests in flight hold all the memory for bodies", "request", x.req.ID, "at", x.destination, "bytes", len(body))
+			return body, false, nil
+		}
+		n, err := e.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			e.Abort()
+			if ctx.Err() == nil {
+				load.RecordFailure(x.Now())
+			}
+			return body, false, err
 		}
 	}
-	return body, err
+	return body, false, nil
 }
 
 // impliesNotRun reports whether callers take the status to mean that the
@@ -443,19 +458,22 @@
 }
 
 // relayBody relays a response that isn't a stream. Up to maxBufferedBytes are
-// read first, so that a shorter response that is interrupted can be retried.
+// read first, as far as there is memory, so that a shorter response that is interrupted
+// can be retried.
 func (x *transaction) relayBody(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.InFlight) outcome {
-	body, err := x.readBuffered(ctx, plan.Load, e)
+	memory := x.newBuffer()
+	defer memory.Close()
+	body, whole, err := x.readBuffered(ctx, plan.Load, e, memory)
 	if err != nil {
 		return outcome{mayHaveArrived: true, broke: true, reason: "answer broke off: " + err.Error()}
 	}
 	now := x.Now()
-	if len(body) < maxBufferedBytes && upstream.IsTruncated(e.Response, body) {
+	if whole && upstream.IsTruncated(e.Response, body) {
 		e.Abort()
 		plan.Load.RecordFailure(now)
 		return outcome{mayHaveArrived: true, reason: "answer without length or chunks ended early, after " + strconv.Itoa(len(body)) + " bytes"}
 	}
-	if len(body) < maxBufferedBytes && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
+	if whole && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
 		e.Abort()
 		plan.Load.RecordFailure(now)
 		return outcome{mayHaveArrived: true, broke: true, reason: "answer without length or chunks ended with its server's process"}
@@ -463,12 +481,13 @@
 	work.RecordFirstByte(now)
 	x.recordFirstByte(now)
 	length := len(body)
-	if length == maxBufferedBytes {
+	if !whole {
 		length = -1
 	}
 	x.w.Start(pipeline.Head{Status: e.StatusCode, Header: endToEndHeader(e.Header, length)})
 	if _, err = x.w.Write(body); err == nil && length < 0 {
-		if _, err = io.Copy(x.w, e); err == nil && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
+		// The buffer has been written, so it serves for the rest.
+		if _, err = io.CopyBuffer(x.w, e, body[:cap(body)]); err == nil && plan.Server != nil && x.endedWithServer(ctx, plan.Server, e.Response) {
 			err = errEndedWithServer
 		}
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -57,6 +58,8 @@
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
 	}
+	memory := x.newBuffer()
+	defer memory.Close()
 	var pending []byte
 	events := 0
 	buffer := make([]byte, streamBufferBytes)
@@ -66,7 +69,10 @@
 		now := x.Now()
 		reason := ""
 		if n > 0 {
-			pending = append(pending, buffer[:n]...)
+			var ok bool
+			if pending, ok = memory.Append(pending, buffer[:n]); !ok {
+				reason = "no memory for the rest of an event, after " + strconv.Itoa(len(pending)) + " bytes of it"
+			}
 			complete := completeEventsLen(pending)
 			if complete > 0 {
 				n := countEvents(pending[:complete])
@@ -76,7 +82,7 @@
 				if out, ok := x.writeEvents(s, unsent); !ok {
 					return out
 				}
-				reason = fault
+				reason = cmp.Or(reason, fault)
 				pending = append(pending[:0], pending[complete:]...)
 			}
 		}
@@ -191,10 +197,11 @@
 
 // selectEvents returns the events without those whose numeric IDs are not above
 // x.lastEventID, and advances x.lastEventID. Events without an ID are kept. If one of
-// the events may not be relayed, it returns those before it and the reason.
+// the events may not be relayed, it returns those before it and the reason. It overwrites
+// the given events.
 func (x *transaction) selectEvents(s *streamSource, events []byte) (out []byte, fault string) {
 	last, known := parseNumericID(x.lastEventID)
-	out = events[:0:0]
+	out = events[:0] // what is kept moves to the start
 	for len(events) > 0 {
 		n := firstEventLen(events)
 		event := events[:n]
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -123,7 +123,7 @@
 
 	hr := httptest.NewRequest(http.MethodPost, PathHop, nil)
 	hr.Header = x.hopCall("127.0.0.1:1", "", balance.Plan{}, 1).Header
-	got, err := x.readHop(httptest.NewRecorder(), hr)
+	got, err := x.readHop(httptest.NewRecorder(), hr, nil)
 	is.NoErr(err)
 	is.True(x.Now().Sub(got.Arrived) >= 3*time.Second) // the other VM knows how long the request has waited
 }
