Bound the idle timeout that a server announces

Cause: an idle connection is kept until the timeout in the server's Keep-Alive header has passed. A faulty server that announces years and closes the connections leaves their descriptors with the VM, of which the smallest has 3,900 for sockets, and what it sends on them without being asked counts towards the memory of the VM.

Change: at most a minute counts, which is also the longest idle time with which a request takes a connection.

What callers see: nothing.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -251,7 +251,8 @@
 }
 
 // serverIdleTimeout returns how long the connection may be idle: the timeout in the
-// server's Keep-Alive header less idleMargin, or defaultIdleTimeout without one.
+// server's Keep-Alive header, at most maxIdleTimeout, less idleMargin, or
+// defaultIdleTimeout without one.
 func serverIdleTimeout(h http.Header) time.Duration {
 	for _, item := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
@@ -259,7 +260,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second)))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,9 @@
 	// defaultIdleTimeout is the idle timeout of a connection whose server does not
 	// announce one.
 	defaultIdleTimeout = 2 * time.Second
+	// maxIdleTimeout bounds the idle timeout that a server announces. A connection that the
+	// server has closed holds its descriptor until then.
+	maxIdleTimeout = time.Minute
 	// idleMargin is how long before the server's announced idle timeout a
 	// connection is discarded, so that no request is sent on a connection that the
 	// server is closing.
