Don't take a lack of descriptors for a fault of the servers

Cause: a connection that couldn't be opened because the process has no descriptors left (EMFILE) counted like one that the server refused: its polls and checks failed, the VM announced its servers as lost to the others, and their breakers opened, while idle connections held the descriptors. The failures to accept callers' connections were logged at debug level only, so that no operator saw the reason. The smallest VM has 3,900 descriptors for sockets; a request takes two.

Change: the pool closes its idle connections and tries once more; the error after that is ErrExhausted, which says nothing about the address and counts neither against a server nor its link. Such polls and each failure to accept are logged as warnings.

Ruled out: net/http goes on accepting, with a pause of up to a second, and requests in flight survive; no change needed.

What callers see: fewer refusals while descriptors lack.

--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -256,6 +256,9 @@
 func (p *poller) dial(ctx context.Context, s *roster.Server, began clock.Instant) error {
 	load := p.balancer.Load(s.Key())
 	err := p.probe(ctx, s.Address)
+	if errorx.IsOfType(err, upstream.ErrExhausted) {
+		return err
+	}
 	load.Link.RecordDial(err == nil, p.now())
 	if err == nil && p.engineService(s) == nil {
 		load.ConfirmRunning(began)
@@ -268,6 +271,10 @@
 func (p *poller) poll(ctx context.Context, service *ingress.Service, s *roster.Server, wasLost bool) error {
 	load, began := p.balancer.Load(s.Key()), p.now()
 	report, err := p.fetcher.FetchReport(ctx, s)
+	if errorx.IsOfType(err, upstream.ErrExhausted) {
+		p.log.Warn("backend server not polled", "server", s.ID, "service", s.Service, "error", err)
+		return err
+	}
 	if err != nil {
 		load.Link.RecordPoll(false, p.now())
 		if !wasLost {
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 )
@@ -33,7 +34,23 @@
 		if err != nil {
 			return nil, ErrListen.Wrap(err, "%s", port.address)
 		}
-		*port.into = l
+		*port.into = &loggedListener{Listener: l, log: log}
 	}
 	return p, nil
 }
+
+// loggedListener logs the failures to accept a connection, such as a lack of descriptors,
+// which the servers only retry.
+type loggedListener struct {
+	net.Listener
+	log *slog.Logger
+}
+
+// Accept implements net.Listener.
+func (l *loggedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warn("accepting a connection failed", "address", l.Addr(), "error", err)
+	}
+	return conn, err
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -290,7 +290,7 @@
 // handleSendError returns the outcome of a send that got no response.
 func (x *transaction) handleSendError(ctx context.Context, plan balance.Plan, err error) outcome {
 	unsent := errorx.IsOfType(err, upstream.ErrUnsent)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errorx.IsOfType(err, upstream.ErrExhausted) {
 		plan.Load.RecordFailure(x.Now())
 		x.ServerPool.CloseIdle(plan.Server.Address)
 		if errorx.IsOfType(err, upstream.ErrNoConnection) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,9 @@
 	ErrNoConnection = ErrUnsent.NewSubtype("no_connection")
 	// ErrRefused is an ErrNoConnection: no process listens at the address.
 	ErrRefused = ErrNoConnection.NewSubtype("refused")
+	// ErrExhausted is an ErrUnsent: this process has no descriptors or ports left. It says
+	// nothing about the address.
+	ErrExhausted = ErrUnsent.NewSubtype("exhausted")
 	// ErrBroken means that the exchange failed after bytes may have been sent.
 	ErrBroken = Errors.NewType("broken")
 )
@@ -148,7 +151,8 @@
 }
 
 // dial opens a connection unless maxOpen connections to the address are open; zero
-// means no bound. Its error is ErrUnsent, and ErrNoConnection if the attempt failed.
+// means no bound. Its error is ErrUnsent, and ErrExhausted or ErrNoConnection if the attempt
+// failed.
 func (p *Pool) dial(ctx context.Context, address string, maxOpen int) (*conn, error) {
 	p.mu.Lock()
 	if maxOpen > 0 && p.open[address] >= maxOpen {
@@ -158,11 +162,18 @@
 	p.open[address]++
 	p.mu.Unlock()
 	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
+	if isExhausted(err) {
+		p.closeIdle(func(*conn, clock.Instant) bool { return true })
+		raw, err = p.Dialer.DialContext(ctx, "tcp", address)
+	}
 	if p.OnDial != nil {
 		p.OnDial(err)
 	}
 	if err != nil {
 		p.decrementOpen(address)
+		if isExhausted(err) {
+			return nil, ErrExhausted.New("%v", err)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, ErrRefused.New("%v", err)
 		}
@@ -174,7 +185,18 @@
 	return c, nil
 }
 
-// Probe opens a connection to the address and closes it again. Its error is
+// isExhausted reports whether an attempt to connect failed because this process, or its
+// machine, has no descriptors, ports or memory left for sockets.
+func isExhausted(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Probe opens a connection to the address and closes it again. Its error is ErrExhausted, or
 // ErrNoConnection if the address accepts none, or resets it at once: the listener of a
 // process that is being killed may accept one after its other connections have ended.
 func (p *Pool) Probe(ctx context.Context, address string) error {
