A check of a request no longer outlives its watch

Cause: the watch of a pending request checks it from a timer. A check that ran while the watch was stopped set the timer again, so that it went on every 250 ms for a request that had ended: the request, its body and what it had buffered were kept, and in the end a retry was taken from the budget and a failure recorded against the server. And the timer was stored only after it had been started: a check that began before, after a pause of 250 ms between the two, would have ended the process with a nil pointer, as it runs outside of any HTTP handler.

Change: the timer is stored before it is started, and a check ends, and stops the timer, if the watch has been stopped.

The other order, the start before the store, has no test: nothing can hold the goroutine between the two. Found by reading; how often it happened wasn't measured.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	// retryGranted is true once the watch cancelled the request after it took a
 	// retry from the budget.
 	retryGranted atomic.Bool
+	ctx          context.Context
 	cancel       context.CancelFunc
 	// timer is nil if the request is not watched.
 	timer atomic.Pointer[time.Timer]
@@ -49,24 +51,30 @@
 // is not watched if the request could not be retried elsewhere.
 func (x *transaction) watchServer(ctx context.Context, plan *balance.Plan, sentAt clock.Instant) (context.Context, *serverWatch) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, cancel: cancel}
+	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, ctx: ctx, cancel: cancel}
 	if x.route.Idempotent() && x.possibleRuns+1 < x.maxAttempts() {
-		w.timer.Store(time.AfterFunc(lossCheckInterval, w.check))
+		// The check uses the timer, so it may not begin before that is stored.
+		timer := time.AfterFunc(math.MaxInt64, w.check)
+		w.timer.Store(timer)
+		timer.Reset(lossCheckInterval)
 	}
 	return ctx, w
 }
 
 // stop ends the watch and cancels its context.
 func (w *serverWatch) stop() {
+	w.cancel()
 	if timer := w.timer.Load(); timer != nil {
 		timer.Stop()
 	}
-	w.cancel()
 }
 
+// check looks after the request once. It does nothing once the watch has been stopped.
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
+	case w.ctx.Err() != nil:
+		return
 	case w.load.Link.Lost() && w.load.SilentFor(now) > maxStandstill:
 		// A server that is only slow to answer polls goes on with its work, and so does
 		// one that stands still for a moment.
@@ -81,7 +89,11 @@
 		w.cancel()
 		return
 	}
-	w.timer.Load().Reset(lossCheckInterval)
+	timer := w.timer.Load()
+	timer.Reset(lossCheckInterval)
+	if w.ctx.Err() != nil {
+		timer.Stop() // stop may have done so before the reset
+	}
 }
 
 // hung reports whether the server progresses with other requests but not with
