--- a/internal/relay/forms_test.go
+++ b/internal/relay/forms_test.go
@@ -51,7 +51,7 @@
 	hr.Header.Set(headerHop, base64.StdEncoding.EncodeToString(head))
 	x := hopTransaction(2)
 	before := clock.Boot()
-	req, err := x.readHop(httptest.NewRecorder(), hr)
+	req, err := x.readHop(httptest.NewRecorder(), hr, nil)
 	is.NoErr(err)
 	is.True(req.Arrived >= before && req.Deadline > req.Arrived)
 	is.Equal(req.Hop, "")
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -8,8 +8,11 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
@@ -26,11 +29,13 @@
 // CallerHandler returns the HTTP handler for requests of callers.
 func (r *Relay) CallerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		memory := r.Memory.Account()
+		defer memory.Close()
 		out := NewWriter(w)
 		out.beforeHeader = r.closeIfLeaving
 		id := ""
 		defer r.refuseAfterPanic(out, &id)
-		req, refusal := r.readRequest(w, hr)
+		req, refusal := r.readRequest(w, hr, memory)
 		if req != nil {
 			id = req.ID
 		}
@@ -64,8 +69,8 @@
 }
 
 // readRequest reads a caller's request and enforces the size limits. A request that is
-// refused is nil if its header can't be read.
-func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request) (*Request, *verdict.Refusal) {
+// refused is nil if its header can't be read. The body is held by the account.
+func (r *Relay) readRequest(w http.ResponseWriter, hr *http.Request, memory *membudget.Account) (*Request, *verdict.Refusal) {
 	now := r.Now()
 	req, err := r.Protocol.Accept(hr, now)
 	if err != nil {
@@ -90,9 +95,12 @@
 		closeAfterUnreadBody(w, hr)
 		return req, verdict.Refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large")
 	}
-	req.Body, err = readBody(w, hr, limits.MaxBodyBytes)
+	req.Body, err = readBody(w, hr, limits.MaxBodyBytes, memory)
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		w.Header().Set("Connection", "close")
+		return req, verdict.Busy(verdict.CodeOverloaded, err.Error(), jitter(retryAfterFailure))
 	case errors.As(err, &large):
 		return req, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -134,9 +142,13 @@
 	_ = control.SetWriteDeadline(time.Now().Add(write + writeMargin))
 }
 
-// readBody reads the body of a request within the bounds of boundTransfer.
-func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBytes))
+// errNoMemory means that the body of a request exceeds the memory for all of them.
+var errNoMemory = errorx.ExternalError.New("the requests in flight hold all the memory for bodies")
+
+// readBody reads the body of a request within the bounds of boundTransfer. The error is
+// errNoMemory if the account has no memory for it.
+func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64, memory *membudget.Account) ([]byte, error) {
+	body, err := readAll(http.MaxBytesReader(w, hr.Body, maxBytes), hr.ContentLength, memory)
 	if err == nil {
 		// The connection is read on for as long as the request lasts, to learn whether the
 		// peer disconnects.
@@ -145,6 +157,26 @@
 	return body, err
 }
 
+// readAll reads to the end of r into memory of the account. It expects the given number of
+// bytes, or, if that is negative, any.
+func readAll(r io.Reader, expected int64, memory *membudget.Account) ([]byte, error) {
+	var body []byte
+	for {
+		var ok bool
+		if body, ok = memory.Reserve(body, int(max(0, expected))+1); !ok {
+			return nil, errNoMemory
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // closeAfterUnreadBody has the connection closed after the response to a request whose
 // body is not read. Otherwise the HTTP server would wait for it before it responds.
 func closeAfterUnreadBody(w http.ResponseWriter, hr *http.Request) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,13 +20,14 @@
 )
 
 const (
-	// maxHeadBytes bounds the status line and header of a response.
-	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 	// defaultIdleTimeout is the idle timeout of a connection whose server does not
 	// announce one.
 	defaultIdleTimeout = 2 * time.Second
+	// maxIdleTimeout bounds the idle timeout that a server announces. A connection that the
+	// server has closed holds its descriptor until then.
+	maxIdleTimeout = time.Minute
 	// idleMargin is how long before the server's announced idle timeout a
 	// connection is discarded, so that no request is sent on a connection that the
 	// server is closing.
@@ -51,6 +51,9 @@
 	ErrNoConnection = ErrUnsent.NewSubtype("no_connection")
 	// ErrRefused is an ErrNoConnection: no process listens at the address.
 	ErrRefused = ErrNoConnection.NewSubtype("refused")
+	// ErrExhausted is an ErrUnsent: this process has no descriptors or ports left. It says
+	// nothing about the address.
+	ErrExhausted = ErrUnsent.NewSubtype("exhausted")
 	// ErrBroken means that the exchange failed after bytes may have been sent.
 	ErrBroken = Errors.NewType("broken")
 )
@@ -74,6 +77,8 @@
 	Now    clock.Clock
 	// OnDial, if set, is called after each attempt to connect.
 	OnDial func(err error)
+	// MaxHeadBytes bounds the status line and header of a response.
+	MaxHeadBytes int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -85,8 +90,8 @@
 	net.Conn
 	pool    *Pool
 	address string
-	// limit bounds the bytes that may still be read from the connection.
-	limit  *io.LimitedReader
+	// head bounds the headers that reader reads.
+	head   *headReader
 	reader *bufio.Reader
 	// idleSince and idleTimeout determine when an idle connection expires.
 	idleSince   clock.Instant
@@ -97,7 +102,7 @@
 
 // NewPool returns an empty pool whose connection setup takes at most dialTimeout.
 func NewPool(now clock.Clock, dialTimeout time.Duration) *Pool {
-	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
 // OpenConnections returns the number of connections to all addresses, including
@@ -146,7 +151,8 @@
 }
 
 // dial opens a connection unless maxOpen connections to the address are open; zero
-// means no bound. Its error is ErrUnsent, and ErrNoConnection if the attempt failed.
+// means no bound. Its error is ErrUnsent, and ErrExhausted or ErrNoConnection if the attempt
+// failed.
 func (p *Pool) dial(ctx context.Context, address string, maxOpen int) (*conn, error) {
 	p.mu.Lock()
 	if maxOpen > 0 && p.open[address] >= maxOpen {
@@ -156,23 +162,41 @@
 	p.open[address]++
 	p.mu.Unlock()
 	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
+	if isExhausted(err) {
+		p.closeIdle(func(*conn, clock.Instant) bool { return true })
+		raw, err = p.Dialer.DialContext(ctx, "tcp", address)
+	}
 	if p.OnDial != nil {
 		p.OnDial(err)
 	}
 	if err != nil {
 		p.decrementOpen(address)
+		if isExhausted(err) {
+			return nil, ErrExhausted.New("%v", err)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, ErrRefused.New("%v", err)
 		}
 		return nil, ErrNoConnection.New("%v", err)
 	}
 	c := &conn{Conn: raw, pool: p, address: address}
-	c.limit = &io.LimitedReader{R: raw}
-	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
+	c.head = &headReader{r: raw}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	return c, nil
 }
 
-// Probe opens a connection to the address and closes it again. Its error is
+// isExhausted reports whether an attempt to connect failed because this process, or its
+// machine, has no descriptors, ports or memory left for sockets.
+func isExhausted(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Probe opens a connection to the address and closes it again. Its error is ErrExhausted, or
 // ErrNoConnection if the address accepts none, or resets it at once: the listener of a
 // process that is being killed may accept one after its other connections have ended.
 func (p *Pool) Probe(ctx context.Context, address string) error {
