Quarantine: a mass crash lasts for three seconds at most

Found by review of: crashes 0.3 s apart at most were one chain without end, so that a deadly block that crashed a server every 0.25 s after a mass crash was never quarantined. And records that arrive in bunches 0.5 s apart were no chain, so that two mass crashes again counted as four episodes.

Change: at least 16 crashes within 3 s are a mass crash, whatever the gaps between them. A block that goes on crashing servers is found after that.

TestDeadlyBlockRightAfterAMassCrashIsQuarantined, TestThreeDeadlyBlocksTogetherAreQuarantined and TestMassCrashThatArrivesInBunchesQuarantinesNoSoundBlock, by the reviewer, failed before. What remains: the age in a record is still that at its sending.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -49,10 +49,11 @@
 	minEpisodes = 4
 	maxEpisodes = 8
 	episodeGap  = 300 * time.Millisecond
-	// massCrashServers is the number of servers whose crashes, none of them more than
-	// episodeGap after the one before, are a mass crash. The records of its crashes take
-	// different times to arrive, so that it seems to last for seconds.
+	// massCrashServers is the number of servers whose crashes within massCrashSpan are a
+	// mass crash. The records of its crashes take different times to arrive, so that it
+	// seems to last for so long.
 	massCrashServers = 16
+	massCrashSpan    = 3 * time.Second
 	// maxCoincidence is the probability, up to which a block is quarantined, that as
 	// many requests with a harmless block in a row are lost to crashes.
 	maxCoincidence = 1e-4
@@ -156,19 +157,21 @@
 // findMassCrashes sets of which mass crash each crash is a part.
 func (e *evidence) findMassCrashes() {
 	list := slices.SortedFunc(maps.Values(e.crashes), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
-	for start := 0; start < len(list); {
-		end := start + 1
-		for end < len(list) && list[end].at.Sub(list[end-1].at) <= episodeGap {
+	for _, c := range list {
+		c.mass = nil
+	}
+	for start, end := 0, 0; start < len(list); start++ {
+		for end = max(start, end); end < len(list) && list[end].at.Sub(list[start].at) < massCrashSpan; {
 			end++
 		}
-		var mass *massCrash
-		if end-start >= massCrashServers {
-			mass = &massCrash{servers: end - start}
+		if end-start < massCrashServers {
+			continue
 		}
+		mass := &massCrash{servers: end - start}
 		for _, c := range list[start:end] {
 			c.mass = mass
 		}
-		start = end
+		start = end - 1
 	}
 }
 
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -180,3 +180,44 @@
 	is.NoErr(err)
 	is.True(len(value) <= maxEvidenceBytes)
 }
+
+// Guards against a deadly block that isn't found because it crashes servers right after a
+// mass crash of another cause, of which its crashes seem to be the smaller part.
+func TestDeadlyBlockRightAfterAMassCrashIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(9)
+	for n := range 40 {
+		e.crashesAt([]float64{1 + float64(n)*0.005}, []uint64{uint64(1000 + n)})
+	}
+	for n := range 20 {
+		e.crashesAt([]float64{1.3 + float64(n)*0.25}, []uint64{7}, []uint64{uint64(100 + n)})
+	}
+	is.Equal(e.quarantinedAt(9), []uint64{7})
+}
+
+// Guards against deadly blocks that aren't found because the crashes of three of them
+// together seem to be a mass crash of another cause.
+func TestThreeDeadlyBlocksTogetherAreQuarantined(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(15)
+	for n := range 60 {
+		e.crashesAt([]float64{1 + float64(n)*0.2}, []uint64{uint64(7 + n%3)}, []uint64{uint64(100 + n)})
+	}
+	is.Equal(len(e.quarantinedAt(15)), 3)
+}
+
+// Guards against the same as TestMassCrashesQuarantineNoSoundBlock, with records that arrive
+// from three regions, in bunches 0.5 s apart.
+func TestMassCrashThatArrivesInBunchesQuarantinesNoSoundBlock(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	e.anySurvivedAt = at(19)
+	for _, from := range []float64{1, 8} {
+		for n := range 40 {
+			e.crashesAt([]float64{from + float64(n/14)*0.5 + float64(n%14)*0.01}, []uint64{uint64(100 + n%8)}, []uint64{uint64(1000 + n%13)})
+		}
+	}
+	is.Equal(e.quarantinedAt(19), nil)
+}
