Balance: only engines without reports count as full, in summaries too

And a region's summary still had all slots of engines that are down as free, which drew requests of other regions after a mass crash.

TestPartitionedVMOfLargeRegionKeepsPlainRequestsInItsRegion and TestServersThatAreDownAreNoFreeSlotsInTheSummary, by the reviewer, failed before.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -15,11 +15,7 @@
 // estimate scores one backend server that has the given number of the prompt's
 // tokens cached.
 func (b *Balancer) estimate(q *Query, s *roster.Server, load *Load, cached int) Estimate {
-	use := load.totalUsage(q.Now)
-	if load.Link.Lost() && b.Fleet.LargeRegion() && !load.hasReport(q.Now) {
-		// Its load isn't known, and it may be down rather than out of this VM's reach.
-		use.active = max(use.active, float64(s.Slots))
-	}
+	use := b.usageOf(q.Service, s, load, q.Now)
 	var e Estimate
 	if q.Service.Engine == nil {
 		e = b.plainEstimate(q, max(1, s.Slots), use.active, load.slowdown(q.Now))
@@ -47,6 +43,17 @@
 	return e
 }
 
+// usageOf returns the usage of a server by all gateways. Of an engine of a large region that
+// this VM doesn't reach, and on which no VM has reported lately, it isn't known: it counts
+// as full, since it may be down.
+func (b *Balancer) usageOf(service *ingress.Service, s *roster.Server, load *Load, now clock.Instant) totalUsage {
+	use := load.totalUsage(now)
+	if service.Engine != nil && load.Link.Lost() && b.Fleet.LargeRegion() && !load.hasReport(now) {
+		use.active = max(use.active, float64(s.Slots))
+	}
+	return use
+}
+
 // transferKB returns the expected size of a request and its response in KB.
 func (b *Balancer) transferKB(q *Query) float64 {
 	return (float64(q.Bytes) + b.Tuning.AnswerBytesPerToken*q.Demand.expectedOutput()) / 1000
--- a/internal/balance/link_test.go
+++ b/internal/balance/link_test.go
@@ -251,3 +251,52 @@
 		is.Equal(b.Summarize(engineService, r.View(), now).Servers, 2)
 	})
 }
+
+// Guards against servers that are down, as in TestServersThatAreDownDrawNoRequestsToPeers,
+// and draw requests of other regions, as the summary has all of their slots as free.
+func TestServersThatAreDownAreNoFreeSlotsInTheSummary(t *testing.T) {
+	is := is.New(t)
+	b, r := newTestBalancer(10, 0)
+	b.Fleet = &largePeerFleet{}
+	now := clock.Instant(time.Hour)
+	lost := b.Load(r.View().Lookup("writer3").Key())
+	lost.Link.RecordDial(false, now)
+	lost.Link.RecordDial(false, now)
+	now = now.Add(maxReportAge)
+	for _, s := range r.View().All() {
+		if load := b.Load(s.Key()); load != lost {
+			load.RecordForwardedReport(Report{ReceivedAt: now, Running: 24, MemoryTotal: 444_000})
+		}
+	}
+	s := b.Summarize(engineService, r.View(), now)
+	is.True(s.MinActive >= 16)
+	is.True(s.Active >= 9*24+16 || s.Servers == 9)
+}
+
+// Guards against RECOVER: a VM of a large region that has lost its links to the plain
+// servers, on which there are no reports, sends requests to another region, although other
+// VMs of its own reach the idle servers.
+func TestPartitionedVMOfLargeRegionKeepsPlainRequestsInItsRegion(t *testing.T) {
+	away := RegionSummary{
+		Region: "away", Members: 30, RoundTrip: 30 * time.Millisecond, Known: true,
+		Summary: Summary{Service: "desk", Servers: 10, Slots: 60, Slowdown: 1},
+	}
+	b, r := newTestBalancer(0, 10, away)
+	b.Fleet = &largePeerFleet{peerFleet{singleVM: singleVM{[]RegionSummary{away}}}}
+	now := clock.Instant(time.Hour)
+	for _, s := range r.View().All() {
+		lose(b.Load(s.Key()), now)
+	}
+	for _, took := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		if took > 0 {
+			for range 200 {
+				b.RecordDuration("desk", took)
+			}
+		}
+		q := &Query{Now: now, Route: plainRoute, Service: plainService, Demand: &Demand{}, Remaining: 4 * time.Second}
+		p := b.Choose(q, r.View())
+		if p.Region != "home" {
+			t.Errorf("mean %v: sent to %q", took, p.Region)
+		}
+	}
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -230,7 +230,7 @@
 		if !include(load, server) {
 			continue
 		}
-		use := load.totalUsage(now)
+		use := b.usageOf(service, server, load, now)
 		if s.Servers == 0 || use.active < s.MinActive {
 			s.MinActive = use.active
 		}
