Balance: no request is refused for sends that are only assumed

Found by review of: a VM with a 98th of its region's capacity took one request of its own for 98. In a region without servers of a small service, 50 of 400 requests were refused as too late, although the other region had room for all of them.

Change: a first request counts as eight at most, and the sends of others are assumed up to twice the slots of the region.

TestSmallVMsUseARegionThatHasRoom, by the reviewer, failed before; TestIdleRegionIsNotFloodedByManySmallVMs still holds.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -165,6 +165,11 @@
 	// summaries take several steps.
 	summaryDelay      = 400 * time.Millisecond
 	largeSummaryDelay = 800 * time.Millisecond
+	// minShareOfOne limits how far a VM extrapolates from a single request of its own.
+	minShareOfOne = 0.125
+	// maxAssumedOccupancy is up to how many requests for each slot of another region the
+	// other VMs are assumed to have sent there.
+	maxAssumedOccupancy = 2
 	// returnMargin is added to a server's configured cold start after the
 	// evacuation of its failure domain ends.
 	returnMargin = time.Second
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -578,3 +578,42 @@
 	later := now.Add(200 * time.Millisecond)
 	is.True(other.totalUsage(later).prefillBacklogMs > 700 && other.totalUsage(later).prefillBacklogMs < 900)
 }
+
+// Guards against refusals by a hundred small VMs whose region has no server of a service and
+// which send few requests to another one that has room for all of them: each takes one
+// request of its own for a hundred.
+func TestSmallVMsUseARegionThatHasRoom(t *testing.T) {
+	const vms, perSecond, duration = 98, 20, 200 // a request takes 200 ms: 4 of 12 slots are in use
+	rng := rand.New(rand.NewPCG(45, 2))
+	_, r := newTestBalancer(0, 0)
+	away := RegionSummary{
+		Region: "away", Members: 30, RoundTrip: 30 * time.Millisecond, Known: true,
+		Summary: Summary{Service: "desk", Servers: 2, Slots: 12, Active: perSecond * duration / 1000, Slowdown: 1},
+	}
+	var fleet []*Balancer
+	for range vms {
+		b := New("home", "a", Bounds{}, DefaultTuning, &smallVM{largeRegion{singleVM{[]RegionSummary{away}}}, 1. / vms})
+		b.RecordDuration("desk", duration*time.Millisecond)
+		fleet = append(fleet, b)
+	}
+	sent, refused := 0, map[string]int{}
+	for ms := 0; ms < 20_000; ms += 1000 / perSecond {
+		now := clock.Instant(time.Hour + time.Duration(ms)*time.Millisecond)
+		b := fleet[rng.IntN(vms)]
+		q := &Query{Now: now, Route: plainRoute, Service: plainService, Demand: &Demand{}, Remaining: time.Second, Random: rng.Uint64()}
+		sent++
+		plan := b.Choose(q, r.View())
+		if plan.Region != "away" {
+			refused[plan.Reason]++
+			continue
+		}
+		if plan.Estimate.TimeToFirstByte > q.Remaining { // see relay.choosePlan
+			refused["too-late"]++
+			continue
+		}
+		b.RecordCrossRegionSend(plan.Region, "desk", &plan.Estimate, now)
+	}
+	if len(refused) > 0 {
+		t.Errorf("of %d requests refused: %v", sent, refused)
+	}
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -77,6 +77,23 @@
 	return c.active
 }
 
+// ofAll returns what all VMs of this region are assumed to have sent since the last
+// summary: the others as much as this one, which has the given share of their capacity, but
+// no more requests than the region has room for, as no request may seem to be hopeless for
+// an assumption. A single request says little about many others.
+func (c *recentSends) ofAll(share, room float64, now clock.Instant) (active, prefillMs float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decay(now)
+	if c.active == 0 {
+		return 0, 0
+	}
+	first := min(c.active, 1)
+	others := first/max(share, minShareOfOne) + (c.active-first)/share - c.active
+	active = c.active + min(others, room)
+	return active, active * c.prefillMs / c.active
+}
+
 type regionSendsKey struct {
 	region, service string
 	delay           time.Duration
@@ -138,20 +155,16 @@
 	})
 }
 
-// regionEstimate scores a region by its average server. The other VMs of this
-// region are assumed to send there as much as this one, in proportion to their
-// capacity.
+// regionEstimate scores a region by its average server.
 func (b *Balancer) regionEstimate(q *Query, r RegionSummary, share float64, cached int) Estimate {
-	c := b.recentSends(r.Region, q.Service.Name)
-	c.mu.Lock()
-	c.decay(q.Now)
-	n := float64(r.Summary.Servers)
+	n, slots := float64(r.Summary.Servers), float64(r.Summary.Slots)
+	room := max(0, maxAssumedOccupancy*slots-r.Summary.Active)
+	active, prefillMs := b.recentSends(r.Region, q.Service.Name).ofAll(share, room, q.Now)
 	use := totalUsage{
-		active: (r.Summary.Active + c.active/share) / n, prefillBacklogMs: (r.Summary.PrefillBacklogMs + c.prefillMs/share) / n,
+		active: (r.Summary.Active + active) / n, prefillBacklogMs: (r.Summary.PrefillBacklogMs + prefillMs) / n,
 		memory: r.Summary.Memory / n, stallingPerSecond: r.Summary.StallingPerSecond / n,
 		tokenMs: r.Summary.TokenMs,
 	}
-	c.mu.Unlock()
 	var e Estimate
 	if q.Service.Engine == nil {
 		e = b.plainEstimate(q, max(1, r.Summary.Slots), use.active*n, r.Summary.Slowdown)
