Relay: a request that panicked is no longer in flight

Found by review of: after a panic that was answered with 500 the request stayed in flight for good, and so did its share of the memory for bodies.

--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -164,3 +165,24 @@
 	_, err = io.ReadAll(resp.Body)
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
 }
+
+// Guards against requests that stay in flight, and keep their memory, after a panic.
+func TestRequestThatPanickedIsNotInFlight(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := loggedRelay()
+	r.Protocol = deadlineProtocol{deadline: time.Minute}
+	r.Leaving = func() bool { return false }
+	r.Refusing = r.Leaving
+	r.ExitAt = func() clock.Instant { return 0 }
+	r.Peers, r.budgets.window = onePeer{}, time.Second
+	route := &ingress.Route{Name: "r", Kind: ingress.Stream, Host: "h", Prefix: "/", Timeout: 10_000 * time.Hour, MaxAttempts: 1, TrafficSplit: []ingress.WeightedService{{Service: "writer", Weight: 1}}}
+	r.Table = func() *ingress.Table { return ingress.NewTable(7, []*ingress.Route{route}, nil, ingress.Limits{}) }
+	server := quietServer(r.CallerHandler())
+	defer server.Close()
+	resp, err := http.Get(server.URL + "/a/x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusInternalServerError)
+	r.inFlight.mu.Lock()
+	defer r.inFlight.mu.Unlock()
+	is.Equal(len(r.inFlight.requests), 0)
+}
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -308,14 +308,8 @@
 		}
 	}
 	if refusal == nil {
-		ctx, end := r.inFlight.begin(ctx, x)
-		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
-		refusal = x.serve(ctx)
-		x.cut = x.cutReason(ctx, refusal)
-		cancel()
-		end()
+		refusal = x.run(ctx, x.serve)
 	}
-	x.closeBuffers()
 	r.recordResult(x, refusal)
 	return refusal, x
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -319,16 +319,13 @@
 func (r *Relay) Handle(ctx context.Context, req *Request, w pipeline.Response) *verdict.Refusal {
 	x, refusal := r.newTransaction(req, w)
 	if refusal == nil {
-		ctx, end := r.inFlight.begin(ctx, x)
-		ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(r.Now())))
-		if refusal = x.takeUp(ctx); refusal == nil {
-			refusal = x.serve(ctx)
-		}
-		x.cut = x.cutReason(ctx, refusal)
-		cancel()
-		end()
+		refusal = x.run(ctx, func(ctx context.Context) *verdict.Refusal {
+			if refusal := x.takeUp(ctx); refusal != nil {
+				return refusal
+			}
+			return x.serve(ctx)
+		})
 	}
-	x.closeBuffers()
 	if refusal != nil && x.origin != nil {
 		r.Streams.BrokeOff(req.ID)
 	}
@@ -336,6 +333,19 @@
 	return refusal
 }
 
+// run calls serve with a context that ends at the request's deadline, or when this VM shuts
+// down. After a panic, too, the request is no longer in flight.
+func (x *transaction) run(ctx context.Context, serve func(context.Context) *verdict.Refusal) *verdict.Refusal {
+	defer x.closeBuffers()
+	ctx, end := x.inFlight.begin(ctx, x)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(x.Now())))
+	defer cancel()
+	refusal := serve(ctx)
+	x.cut = x.cutReason(ctx, refusal)
+	return refusal
+}
+
 // newTransaction determines the route, service, deadline and retry budget of
 // the request.
 func (r *Relay) newTransaction(req *Request, w pipeline.Response) (*transaction, *verdict.Refusal) {
