Edge: the exit waits until refusals have been written

Found by review of: if no response was cut at the exit, the connections were closed at once, also those of requests that had just been refused and had not written their refusals yet. The wait of at most 0.1 s is now the same for both. By reading; no test shows the moment.

--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -63,11 +63,10 @@
 // cutResponses cuts the responses that are still in flight and waits a moment until their
 // handlers have ended, so that each is logged.
 func (e *Edge) cutResponses(callers, hops *drain.Server) {
-	n := e.relay.EndAll()
-	if n == 0 {
-		return
+	if n := e.relay.EndAll(); n > 0 {
+		e.log.Warn("responses cut at the end of the grace time", "requests", n)
 	}
-	e.log.Warn("responses cut at the end of the grace time", "requests", n)
+	// Requests that were refused before may not have written their refusals yet.
 	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
 	defer cancel()
 	for _, s := range []*drain.Server{callers, hops} {
