--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -59,7 +60,7 @@
 	storeProxy   *Proxy // to the registry
 	settingsPath string
 	logFile      *os.File
-	// binary is the path of the program that the VM runs.
+	// binary is the path of the program that the VM runs, or "" for the harness's.
 	binary string
 
 	restartMu sync.Mutex // held during a restart
@@ -208,7 +209,7 @@
 		if p.storeProxy, err = NewProxy(h.StoreAddress); err != nil {
 			return err
 		}
-		p.binary, p.settingsPath = h.Binary, filepath.Join(h.Dir, p.Name+".toml")
+		p.settingsPath = filepath.Join(h.Dir, p.Name+".toml")
 		if err := h.writeSettings(p, true); err != nil {
 			return err
 		}
@@ -258,7 +259,7 @@
 
 // start starts a VM's process. An exit that no fault has caused is a violation.
 func (h *Harness) start(p *process) error {
-	cmd := exec.Command(p.binary)
+	cmd := exec.Command(cmp.Or(p.binary, h.Binary))
 	cmd.Env = append(os.Environ(), "CHESTNUTSPRING_BOOT="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
 	if err := cmd.Start(); err != nil {
