--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -38,7 +38,7 @@
 const MaxFrameBytes = 1<<20*4/3 + 16<<10
 
 // stream carries JSON-RPC objects in frames: each is its length, an unsigned varint,
-// followed by its JSON. Almost all traffic of a large fleet are notifications with
+// followed by its JSON. In a large fleet almost all messages are notifications with
 // records, so these are encoded and decoded without encoding/json, which would scan the
 // base64 text several times.
 type stream struct {
