--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -53,9 +53,9 @@
 	Known bool
 }
 
-// recentSends is a decaying total of what this VM sent to a region recently. Delay is the
-// time constant.
+// recentSends is a decaying total of what this VM sent to a region recently.
 type recentSends struct {
+	// delay is the time constant.
 	delay     time.Duration
 	mu        sync.Mutex
 	active    float64
