Balance: servers that may be down are the last choice of another VM

Cause: since a server behind a lost link on which nobody reports counts as full, but after two mass crashes those that run had far more requests than slots, and it still seemed better.

Change: such a server is chosen only if there is nothing else, as cold ones of other VMs are.

TestServersThatAreDownDrawNoRequestsToPeers, now also with servers that are overloaded, failed before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -318,24 +318,24 @@
 func (b *Balancer) Choose(q *Query, view *roster.View) Plan {
 	plan := b.chooseAmong(q, view, false)
 	if plan.Server == nil && plan.Region == "" {
-		if cold := b.chooseAmong(q, view, true); cold.Region != "" {
-			return cold
+		if last := b.chooseAmong(q, view, true); last.Region != "" {
+			return last
 		}
 	}
 	return plan
 }
 
-// chooseAmong is Choose among this VM's servers and those of other VMs that are warm or, if
-// cold is true, cold.
-func (b *Balancer) chooseAmong(q *Query, view *roster.View, cold bool) Plan {
+// chooseAmong is Choose among this VM's servers and those of other VMs that are warm and run
+// or, if last is true, the others.
+func (b *Balancer) chooseAmong(q *Query, view *roster.View, last bool) Plan {
 	local := b.chooseLocal(q, view)
-	if peer := b.choosePeer(q, view, cold); peer.Region != "" && (local.Server == nil || peer.Estimate.Score < local.Estimate.Score) {
+	if peer := b.choosePeer(q, view, last); peer.Region != "" && (local.Server == nil || peer.Estimate.Score < local.Estimate.Score) {
 		local = peer
 	}
 	if q.LocalOnly {
 		return local
 	}
-	remote := b.chooseRegion(q, view, b.homeRegion(q, view), cold)
+	remote := b.chooseRegion(q, view, b.homeRegion(q, view), last)
 	switch {
 	case remote.Region == "":
 		return local
@@ -367,8 +367,8 @@
 
 // choosePeer returns a plan to send the request to another VM of this region, with the
 // estimate of the best server that such a VM reaches and this one doesn't, of those that are
-// warm or, if cold is true, cold. The region of the plan is "" if there is none.
-func (b *Balancer) choosePeer(q *Query, view *roster.View, cold bool) Plan {
+// warm and run or, if last is true, the others. The region of the plan is "" if there is none.
+func (b *Balancer) choosePeer(q *Query, view *roster.View, last bool) Plan {
 	var best Plan
 	if q.OwnLinksOnly || !q.Route.Permits(b.Region) || slices.Contains(q.TriedRegions, b.Region) {
 		return best
@@ -379,7 +379,7 @@
 		if !load.Link.Lost() || !b.Fleet.ReachedByPeer(s.Service, s.ID) || !q.permits(s, load) || slices.Contains(q.Tried, s.Key()) {
 			continue
 		}
-		if isCold(q.Service, s, load, view, q.Now) != cold {
+		if (isCold(q.Service, s, load, view, q.Now) || b.mayBeDown(q.Service, load, q.Now)) != last {
 			continue
 		}
 		if cached == nil {
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -15,7 +15,7 @@
 // estimate scores one backend server that has the given number of the prompt's
 // tokens cached.
 func (b *Balancer) estimate(q *Query, s *roster.Server, load *Load, cached int) Estimate {
-	use := b.usageOf(q.Service, s, load, q.Now)
+	use := load.totalUsage(q.Now)
 	var e Estimate
 	if q.Service.Engine == nil {
 		e = b.plainEstimate(q, max(1, s.Slots), use.active, load.slowdown(q.Now))
@@ -43,15 +43,10 @@
 	return e
 }
 
-// usageOf returns the usage of a server by all gateways. Of an engine of a large region that
-// this VM doesn't reach, and on which no VM has reported lately, it isn't known: it counts
-// as full, since it may be down.
-func (b *Balancer) usageOf(service *ingress.Service, s *roster.Server, load *Load, now clock.Instant) totalUsage {
-	use := load.totalUsage(now)
-	if service.Engine != nil && load.Link.Lost() && b.Fleet.LargeRegion() && !load.hasReport(now) {
-		use.active = max(use.active, float64(s.Slots))
-	}
-	return use
+// mayBeDown reports whether nothing shows that an engine of a large region runs: this VM
+// doesn't reach it, and no VM has reported on it lately.
+func (b *Balancer) mayBeDown(service *ingress.Service, load *Load, now clock.Instant) bool {
+	return service.Engine != nil && load.Link.Lost() && b.Fleet.LargeRegion() && !load.hasReport(now)
 }
 
 // transferKB returns the expected size of a request and its response in KB.
--- a/internal/balance/link_test.go
+++ b/internal/balance/link_test.go
@@ -126,13 +126,15 @@
 	lost.Link.RecordDial(false, now)
 	lost.Link.RecordDial(false, now)
 	now = now.Add(maxReportAge)
-	for _, s := range r.View().All() {
-		if load := b.Load(s.Key()); load != lost {
-			load.RecordForwardedReport(Report{ReceivedAt: now, Running: 24, MemoryTotal: 444_000})
+	for _, running := range []int{24, 100} { // of 64 slots
+		for _, s := range r.View().All() {
+			if load := b.Load(s.Key()); load != lost {
+				load.RecordForwardedReport(Report{ReceivedAt: now, Running: running, MemoryTotal: 444_000})
+			}
+		}
+		for range 20 {
+			is.True(b.Choose(streamQuery(now, d), r.View()).Server != nil)
 		}
-	}
-	for range 20 {
-		is.True(b.Choose(streamQuery(now, d), r.View()).Server != nil)
 	}
 	// A report of another VM shows that the server runs, and only the link is lost.
 	lost.RecordForwardedReport(Report{ReceivedAt: now, MemoryTotal: 444_000})
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -243,7 +243,10 @@
 		if !include(load, server) {
 			continue
 		}
-		use := b.usageOf(service, server, load, now)
+		use := load.totalUsage(now)
+		if b.mayBeDown(service, load, now) {
+			use.active = max(use.active, float64(server.Slots))
+		}
 		if s.Servers == 0 || use.active < s.MinActive {
 			s.MinActive = use.active
 		}
