Soak: count the runs of requests and streams at the servers (failing)

The soak counted runs by request id, but not whether a stream goes on at a server while another one still works on it, and it had no servers that are stopped by signals, no disturbed links between VMs, no registry that answers VMs differently and no route that changes its kind.

TestRequestsRunOnceUnderFaults has all of these. The VMs are run by the test program, so that their connections to one another take proxies; Settings.PeerDialer is new for that. A proxy that holds bytes up drops them if their sender resets the connection, as a link that is cut does, and delivers them late if it closes it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,7 +181,7 @@
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
 		Capacity:  settings.capacity(),
-		Seeds:     settings.Seeds, Now: e.now, Log: e.log,
+		Seeds:     settings.Seeds, Dialer: settings.PeerDialer, Now: e.now, Log: e.log,
 		Configuration: e.currentConfiguration,
 		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
 		Servers:       e.usableServers,
@@ -223,6 +223,9 @@
 		e.serverPool.Dialer = settings.ServerDialer
 	}
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
+	if settings.PeerDialer != nil {
+		e.gatewayPool.Dialer = settings.PeerDialer
+	}
 	// The response to a hop holds that of a backend server.
 	e.gatewayPool.MaxHeadBytes = 2 * upstream.DefaultMaxHeadBytes
 	dials := e.metrics.Scope.Counter("dials")
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -65,6 +65,8 @@
 	Cores, LinkMbps float64
 	// ServerDialer opens the connections to backend servers; nil means the system's.
 	ServerDialer upstream.Dialer
+	// PeerDialer opens the connections to other VMs; nil means the system's.
+	PeerDialer upstream.Dialer
 }
 
 const (
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -200,10 +200,23 @@
 	}
 }
 
-func (l *link) run(ctx context.Context) {
-	dialer := &peer.Dialer{Log: l.mesh.Log, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dial opens a connection to the control address of another VM.
+func (m *Mesh) dial(ctx context.Context, address string) (net.Conn, error) {
+	if m.Dialer == nil {
 		return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-	}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return m.Dialer.DialContext(ctx, "tcp", address)
+}
+
+func (l *link) run(ctx context.Context) {
+	dialer := &peer.Dialer{Log: l.mesh.Log, Dial: l.mesh.dial}
 	warned := false
 	for ctx.Err() == nil {
 		client, err := dialer.Open(ctx, l.address, handler{l.mesh}.Self())
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -140,8 +140,10 @@
 	// zero is unknown.
 	Capacity float64
 	Seeds    []string
-	Now      clock.Clock
-	Log      *slog.Logger
+	// Dialer opens the connections to other VMs; nil means the system's.
+	Dialer Dialer
+	Now    clock.Clock
+	Log    *slog.Logger
 	// ReadsRegistry reports whether this VM reads the registry on behalf of its
 	// region, and its reads succeed. Nil means that it doesn't.
 	ReadsRegistry func() bool
--- a/soak/check.go
+++ b/soak/check.go
@@ -45,14 +45,20 @@
 		}
 	}
 	h.checkReplicas(runs)
+	if h.CountRuns {
+		h.checkOverlaps()
+	}
 	h.checkLimits(requests)
 	h.checkVersions()
 	h.checkDeadlyRequest(requests, runs)
 }
 
-// isRepeatable reports whether requests with this path may be executed more
-// than once.
-func isRepeatable(path string) bool {
+// isRepeatable reports whether a request may be executed more than once.
+func (h *Harness) isRepeatable(r request) bool {
+	if r.path == pathChanging {
+		return !h.changing.unsafeDuring(period{r.sentAt.Add(-maxConfigDelay), r.endedAt})
+	}
+	path := r.path
 	return strings.HasPrefix(path, platformtest.PathSafe) || strings.HasPrefix(path, platformtest.PathResumableStream) ||
 		strings.HasPrefix(path, platformtest.PathHomeRegions)
 }
@@ -60,7 +66,7 @@
 // checkAnswer checks the status, the number of executions and the duration of
 // a request.
 func (h *Harness) checkAnswer(r request, runs []platformtest.Execution) {
-	if !isRepeatable(r.path) && len(runs) > 1 {
+	if !h.isRepeatable(r) && len(runs) > 1 {
 		h.recordViolation("%s %s was executed %d times: %+v", r.id, r.path, len(runs), runs)
 	}
 	switch r.answer.Status {
@@ -69,7 +75,7 @@
 	case http.StatusOK:
 		h.checkSuccess(r, runs)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if len(runs) > 0 && !isRepeatable(r.path) {
+		if len(runs) > 0 && !h.isRepeatable(r) {
 			h.recordViolation("%s %s at %s was reported as not executed, but was: %+v", r.id, r.path, r.vm, runs)
 		}
 	case http.StatusNotFound, http.StatusBadRequest:
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -190,6 +190,9 @@
 	h.logFault("pause %s for %v", p.Name, length)
 	h.markUnplanned(length)
 	p.signal(syscall.SIGSTOP, false)
+	p.mu.Lock()
+	p.pauses = append(p.pauses, period{time.Now(), time.Now().Add(length)})
+	p.mu.Unlock()
 	time.AfterFunc(length, func() { p.signal(syscall.SIGCONT, false) })
 }
 
@@ -277,6 +280,7 @@
 	h.mu.Lock()
 	r.heldUp = append(r.heldUp, period{time.Now(), time.Now().Add(length)})
 	h.mu.Unlock()
+	h.holdUp(r.ID, length)
 	r.proxy.SetMode(mode)
 	time.AfterFunc(length, func() { r.proxy.SetMode(PassThrough) })
 }
@@ -339,7 +343,7 @@
 }
 
 func (h *Harness) publishConfig() {
-	h.logFault("configuration %d", h.Configure(nil))
+	h.logFault("configuration %d", h.configure())
 }
 
 func (h *Harness) evacuateZone() {
@@ -359,6 +363,12 @@
 	for _, p := range h.vms {
 		p.storeProxy.SetMode(PassThrough)
 		p.signal(syscall.SIGCONT, false)
+		for _, l := range p.links {
+			l.setMode(PassThrough)
+		}
+	}
+	for _, s := range h.servers {
+		s.proxy.SetMode(PassThrough)
 	}
 	h.deadly.Store(false)
 	h.noDeadlyRequest()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Mode is what a proxy does with its connections.
@@ -23,6 +25,8 @@
 	Stall
 	// StallResponses forwards only the bytes of requests.
 	StallResponses
+	// StallRequests forwards only the bytes of responses.
+	StallRequests
 	// Reset resets open and new connections.
 	Reset
 )
@@ -37,12 +41,12 @@
 // Proxy is a TCP proxy to one address that can inject connection faults.
 type Proxy struct {
 	Address  string // IP:port that the proxy listens on
-	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	mode  Mode
-	conns map[net.Conn]struct{}
+	mu     sync.Mutex
+	target string
+	mode   Mode
+	conns  map[net.Conn]struct{}
 }
 
 // NewProxy listens on a free port of loopback and forwards connections to
@@ -70,6 +74,17 @@
 	}
 }
 
+// SetTarget changes the address to which connections are forwarded, and resets those that
+// are open.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	for c := range p.conns {
+		resetConn(c)
+	}
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -104,7 +119,12 @@
 }
 
 func (p *Proxy) proxyConn(in net.Conn) {
-	out, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	// The target sees the address of the VM that opened the connection.
+	from := &net.TCPAddr{IP: in.RemoteAddr().(*net.TCPAddr).IP}
+	out, err := (&net.Dialer{LocalAddr: from}).Dial("tcp", target)
 	if err != nil {
 		resetConn(in)
 		return
@@ -122,14 +142,36 @@
 	p.mu.Unlock()
 }
 
+// isReset reports whether the other side has reset a connection.
+func isReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		reset = err != nil && err != unix.EAGAIN
+	})
+	return err != nil || reset
+}
+
 // forward copies bytes until either connection ends. It forwards a TCP reset
-// as a reset and an end of file as a close.
+// as a reset and an end of file as a close. As on a link that is cut, bytes that are held up
+// are lost if their sender resets the connection, and arrive late if it closes it.
 func (p *Proxy) forward(to, from net.Conn, responses bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		for mode := p.currentMode(); mode == Stall || mode == StallResponses && responses; mode = p.currentMode() {
+		lost := false
+		for mode := p.currentMode(); mode == Stall || mode == StallResponses && responses || mode == StallRequests && !responses; mode = p.currentMode() {
 			time.Sleep(stallPollInterval)
+			lost = lost || isReset(from)
+		}
+		if lost {
+			resetConn(to)
+			return
 		}
 		if p.currentMode() == Delay {
 			time.Sleep(delayPerRead)
--- /dev/null
+++ b/soak/runs.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/platform/platformtest"
+)
+
+const (
+	// pathChanging is the path of a route that is safe or unsafe by turns.
+	pathChanging = "/change/"
+	// maxConfigDelay is how long after a change of the configuration requests may still be
+	// served by the one before.
+	maxConfigDelay = 4 * time.Second
+	// maxOverlap is how long a server may still work on a stream that goes on elsewhere.
+	maxOverlap = 400 * time.Millisecond
+	// maxStandstill is the longest standstill of a server that is no reason to let its
+	// requests go on elsewhere.
+	maxStandstill = 1500 * time.Millisecond
+)
+
+// changingRoute holds when the route of pathChanging was unsafe. It is safe at first.
+type changingRoute struct {
+	mu     sync.Mutex
+	unsafe bool
+	since  time.Time
+	// past are the earlier periods.
+	past []period
+}
+
+// toggle changes the kind of the route and returns whether it is unsafe from now on.
+func (c *changingRoute) toggle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.unsafe {
+		c.past = append(c.past, period{c.since, now})
+	}
+	c.unsafe, c.since = !c.unsafe, now
+	return c.unsafe
+}
+
+// unsafeDuring reports whether the route was unsafe all the time.
+func (c *changingRoute) unsafeDuring(span period) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	covers := func(p period) bool { return p.from.Before(span.from) && span.to.Before(p.to) }
+	return c.unsafe && c.since.Before(span.from) || slices.ContainsFunc(c.past, covers)
+}
+
+// changeKind changes the kind of the route of pathChanging.
+func (h *Harness) changeKind() {
+	unsafe := h.changing.toggle()
+	h.logFault("configuration %d: %s is unsafe: %t", h.configure(), pathChanging, unsafe)
+}
+
+// edit adds the route to a configuration.
+func (c *changingRoute) edit(config map[string]any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind := "safe"
+	if c.unsafe {
+		kind = "unsafe"
+	}
+	config["routes"] = append(config["routes"].([]any), map[string]any{
+		"name": "change", "host": platformtest.Host, "prefix": pathChanging, "routeType": kind, "timeoutMs": platformtest.DefaultTimeout.Milliseconds(),
+		"targetLatencyMs": 1000, "priority": 1, "service": platformtest.PlainService, "maxAttempts": 3,
+	})
+}
+
+// injectRunFault starts one random fault of the servers in processes of their own, of the
+// links between VMs, of a VM's view of the registry, or changes the kind of a route. It draws
+// from a source of its own.
+func (h *Harness) injectRunFault() {
+	kinds := []func(){h.pauseServer, h.pauseServer, h.killServer, h.degradeServerLink, h.degradePeerLink, h.degradePeerLink, h.showStaleStore, h.changeKind}
+	kinds[h.runRNG.IntN(len(kinds))]()
+}
+
+// configure writes a new version of the configuration and returns it.
+func (h *Harness) configure() uint64 {
+	if !h.CountRuns {
+		return h.Configure(nil)
+	}
+	return h.Configure(h.changing.edit)
+}
+
+// checkOverlaps checks that no server works on a stream while it goes on at another one.
+func (h *Harness) checkOverlaps() {
+	streams := map[string][]platformtest.Execution{}
+	for _, e := range h.Executions.All() {
+		if strings.Contains(e.Path, "/stream/") {
+			streams[e.Stream] = append(streams[e.Stream], e)
+		}
+	}
+	compared := 0
+	for stream, list := range streams {
+		slices.SortFunc(list, func(a, b platformtest.Execution) int { return a.StartedAt.Compare(b.StartedAt) })
+		for i, next := range list {
+			for _, e := range list[:i] {
+				compared++
+				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(next.StartedAt) <= maxOverlap || h.overlapExcused(e, next) {
+					continue
+				}
+				h.recordViolation("stream %s ran at %s (for %s, request %s) until %v after it went on at %s (for %s, request %s, after event %d)",
+					stream, e.Replica, h.vmAt(e.CallerIP), e.ID, e.EndedAt.Sub(next.StartedAt), next.Replica, h.vmAt(next.CallerIP), next.ID, next.LastEventID)
+			}
+		}
+	}
+	h.logFault("%d pairs of runs of one stream", compared)
+}
+
+// vmAt returns the name of the VM with the address.
+func (h *Harness) vmAt(ip string) string {
+	for _, p := range h.vms {
+		if p.IP == ip {
+			return p.Name
+		}
+	}
+	return ip
+}
+
+// overlapExcused reports whether the VM that sent the earlier run's request couldn't end it
+// before the next one started: it was stopped or killed, its server was out of reach, or it
+// stood still for long.
+func (h *Harness) overlapExcused(e, next platformtest.Execution) bool {
+	span := period{e.StartedAt, next.StartedAt.Add(maxOverlap)}
+	for _, p := range h.vms {
+		if p.IP != e.CallerIP {
+			continue
+		}
+		p.mu.Lock()
+		stopped := slices.ContainsFunc(p.pauses, span.overlaps)
+		p.mu.Unlock()
+		if stopped {
+			return true
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.heldUp[e.Replica], span.overlaps)
+}
+
+func (p period) overlaps(q period) bool { return p.from.Before(q.to) && q.from.Before(p.to) }
+
+// holdUp records that a replica is out of reach, or stands still for long, for a time.
+func (h *Harness) holdUp(id string, length time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heldUp[id] = append(h.heldUp[id], period{time.Now(), time.Now().Add(length)})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,11 @@
 	FaultDuration time.Duration
 	// MeanFaultInterval is the mean time between two faults.
 	MeanFaultInterval time.Duration
+	// CountRuns adds servers in processes of their own, links between the VMs that may be
+	// disturbed, registries that differ, a route that changes its kind and faults of all of
+	// these, and checks that streams run at one server at a time. The VMs are run by the
+	// test program then.
+	CountRuns bool
 }
 
 const (
@@ -62,6 +67,10 @@
 	logFile      *os.File
 	// binary is the path of the program that the VM runs, or "" for the harness's.
 	binary string
+	// links are the links to the other VMs, and routes their addresses; nil if the VM
+	// connects to the others directly.
+	links  []*peerLink
+	routes map[string]string
 
 	restartMu sync.Mutex // held during a restart
 
@@ -72,6 +81,7 @@
 	lastSignal   time.Time     // or the start of the process, if later
 	signals      []time.Time   // signals and starts
 	stops        []time.Time   // signals that end or stop the process at once
+	pauses       []period      // between the signals that stop and continue the process
 }
 
 // request is one request of a client and its result.
@@ -89,10 +99,12 @@
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng, registryRNG, statementRNG, versionRNG, continuationRNG *rand.Rand
-	vms                                                         []*process
-	seeds                                                       []string
-	followed                                                    followedStreams
+	rng, registryRNG, statementRNG, versionRNG, continuationRNG, runRNG *rand.Rand
+	vms                                                                 []*process
+	servers                                                             []*serverProcess
+	seeds                                                               []string
+	followed                                                            followedStreams
+	changing                                                            changingRoute
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -110,6 +122,8 @@
 	unplannedUntil time.Time
 	drainedAt      map[string]time.Time // by replica ID
 	limits         []namedLimit
+	// heldUp holds, by ID, when replicas were out of reach or stood still for long.
+	heldUp map[string][]period
 }
 
 type replica struct {
@@ -137,17 +151,24 @@
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
 		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)), continuationRNG: rand.New(rand.NewPCG(config.Seed, 8)),
-		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, started: time.Now(),
+		runRNG:   rand.New(rand.NewPCG(config.Seed, 9)),
+		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, started: time.Now(),
 	}
 	defer h.stopAll()
+	if h.CountRuns {
+		h.configure()
+	}
 	d.SetDeadlyBlock(deadlyBlock)
 	d.SetOnCrash(h.replaceCrashed)
 	if err := h.startAll(); err != nil {
 		return nil, nil, err
 	}
-	h.nameLimits()
-	h.continueOddly()
-	h.chooseDeadlyRequest()
+	if !h.CountRuns {
+		// These make replicas refuse or crash so often that few requests run.
+		h.nameLimits()
+		h.continueOddly()
+		h.chooseDeadlyRequest()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var clients sync.WaitGroup
@@ -162,6 +183,10 @@
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(config.MeanFaultInterval)))
 		h.injectFault()
+		if h.CountRuns {
+			h.injectRunFault()
+			continue
+		}
 		if h.registryRNG.Float64() < registryFaultShare {
 			h.injectRegistryFault()
 		}
@@ -199,6 +224,14 @@
 			h.vms = append(h.vms, p)
 		}
 	}
+	if h.CountRuns {
+		if err := h.startServers(); err != nil {
+			return err
+		}
+		if err := h.newPeerLinks(); err != nil {
+			return err
+		}
+	}
 	return h.startVMs()
 }
 
@@ -261,6 +294,11 @@
 func (h *Harness) start(p *process) error {
 	cmd := exec.Command(cmp.Or(p.binary, h.Binary))
 	cmd.Env = append(os.Environ(), "CHESTNUTSPRING_BOOT="+p.settingsPath)
+	if p.routes != nil {
+		if err := p.runTestProgram(cmd); err != nil {
+			return err
+		}
+	}
 	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
 	if err := cmd.Start(); err != nil {
 		return err
@@ -319,6 +357,7 @@
 	for _, r := range h.replicas {
 		r.proxy.Close()
 	}
+	h.stopServers()
 }
 
 // waitFor polls a condition. It returns false if the condition does not hold
@@ -356,6 +395,9 @@
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanThinkTime)))
 		r := request{id: fmt.Sprintf("q-%d", h.lastID.Add(1)), path: requestPaths[rng.IntN(len(requestPaths))], vm: p.Name, sentAt: time.Now()}
+		if h.CountRuns && rng.IntN(len(requestPaths)+1) == 0 {
+			r.path = pathChanging
+		}
 		requestCtx, cancel := context.WithTimeout(context.Background(), platformtest.DefaultTimeout+2*time.Second)
 		if rng.Float64() < 0.05 {
 			time.AfterFunc(time.Duration(rng.IntN(100))*time.Millisecond, cancel)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -46,10 +47,39 @@
 	return seeds[:min(len(seeds), maxRegressions)]
 }
 
+func TestMain(m *testing.M) {
+	// The harness runs this program for servers and VMs in processes of their own.
+	for name, serve := range map[string]func(string) error{envServer: serveServer, envRoutes: serveVM} {
+		if description := os.Getenv(name); description != "" {
+			if err := serve(description); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			os.Exit(0)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // TestFaultSoak runs one seed and the newest regressions, or the seeds of the
 // environment.
 func TestFaultSoak(t *testing.T) {
-	seeds, faultDuration, vms := append([]string{"1"}, regressions(t)...), 8*time.Second, 2
+	seeds, faultDuration, vms := soakSettings(t, append([]string{"1"}, regressions(t)...), 8*time.Second)
+	runSeeds(t, seeds, Config{Binary: buildEdge(t), VMs: vms, Engines: 2, FaultDuration: faultDuration, MeanFaultInterval: 500 * time.Millisecond})
+}
+
+// TestRequestsRunOnceUnderFaults does the same with servers in processes of their own and
+// links between the VMs that are disturbed, and counts the runs of each request and stream.
+func TestRequestsRunOnceUnderFaults(t *testing.T) {
+	seeds, faultDuration, vms := soakSettings(t, []string{"22"}, 20*time.Second)
+	runSeeds(t, seeds, Config{CountRuns: true, VMs: vms, Engines: 1, FaultDuration: faultDuration, MeanFaultInterval: 400 * time.Millisecond})
+}
+
+// soakSettings returns the seeds, the time of the faults and the number of VMs in each
+// region: those given, or what the environment states.
+func soakSettings(t *testing.T, seeds []string, faultDuration time.Duration) ([]string, time.Duration, int) {
+	t.Helper()
+	vms := 2
 	if list := strings.Fields(os.Getenv(envSeeds)); len(list) > 0 {
 		seeds = list
 	}
@@ -67,17 +97,21 @@
 		}
 		vms = n
 	}
-	binary := buildEdge(t)
+	return seeds, faultDuration, vms
+}
+
+// runSeeds runs the soak with each of the seeds.
+func runSeeds(t *testing.T, seeds []string, config Config) {
+	t.Helper()
 	for _, text := range seeds {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Run(text, func(t *testing.T) {
-			dir := t.TempDir()
-			violations, faultLog, err := Run(Config{
-				Seed: seed, Binary: binary, Dir: dir, VMs: vms, Engines: 2, FaultDuration: faultDuration, MeanFaultInterval: 500 * time.Millisecond,
-			})
+			dir, config := t.TempDir(), config
+			config.Seed, config.Dir = seed, dir
+			violations, faultLog, err := Run(config)
 			if err != nil {
 				t.Fatal(err)
 			}
