Upstream: a request that is given up is not delivered later

What callers saw: a stream ran at two servers at the same time.

Cause: when a VM gives a request up, it closed the connection. The kernel goes on to deliver what is still in the socket's buffer, and then the close: when a link comes back, or a server that stood still reads again, it gets the whole request, which by then runs elsewhere.

Change: a connection whose exchange is given up, fails or ends early is reset, so that undelivered bytes are discarded. Connections that are idle or whose exchange is complete are closed as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -78,17 +78,17 @@
 		c.close()
 		return nil, ErrUnsent.New("%v", ctx.Err())
 	}
-	stop := context.AfterFunc(ctx, c.close)
+	stop := context.AfterFunc(ctx, c.reset)
 	sent, err := c.write(call)
 	if err != nil {
 		stop()
-		c.close()
+		c.reset()
 		return nil, ErrBroken.New("write: %v", err)
 	}
 	x := &Exchange{conn: c, stopCancel: stop, sent: sent}
 	if err := x.readHead(call); err != nil {
 		stop()
-		c.close()
+		c.reset()
 		return nil, ErrBroken.New("answer: %s", describeReadError(err))
 	}
 	return x, nil
@@ -212,11 +212,11 @@
 // request; otherwise it is closed.
 func (x *Exchange) Release() {
 	x.drain()
-	if !x.stopCancel() {
-		x.conn.close()
+	if !x.stopCancel() || !x.complete || !x.sent.Load() {
+		x.conn.reset()
 		return
 	}
-	if !x.complete || x.Close || x.StrayResponses > 0 || !x.sent.Load() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
+	if x.Close || x.StrayResponses > 0 || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
@@ -244,10 +244,10 @@
 	}
 }
 
-// Abort ends the exchange and closes the connection immediately.
+// Abort ends the exchange and resets the connection immediately.
 func (x *Exchange) Abort() {
 	x.stopCancel()
-	x.conn.close()
+	x.conn.reset()
 }
 
 // serverIdleTimeout returns how long the connection may be idle: the timeout in the
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -269,9 +269,14 @@
 	}
 }
 
-func (c *conn) close() {
+func (c *conn) close() { c.closeWith(c.Conn.Close) }
+
+// reset closes the connection of a request that is given up.
+func (c *conn) reset() { c.closeWith(func() error { return Reset(c.Conn) }) }
+
+func (c *conn) closeWith(end func() error) {
 	c.closeOnce.Do(func() {
-		_ = c.Conn.Close()
+		_ = end()
 		c.pool.decrementOpen(c.address)
 	})
 }
--- a/soak/runs.go
+++ b/soak/runs.go
@@ -132,7 +132,8 @@
 			continue
 		}
 		p.mu.Lock()
-		stopped := slices.ContainsFunc(p.pauses, span.overlaps)
+		stopped := slices.ContainsFunc(p.pauses, span.overlaps) ||
+			slices.ContainsFunc(p.stops, func(at time.Time) bool { return span.overlaps(period{at, at}) })
 		p.mu.Unlock()
 		if stopped {
 			return true
@@ -143,7 +144,7 @@
 	return slices.ContainsFunc(h.heldUp[e.Replica], span.overlaps)
 }
 
-func (p period) overlaps(q period) bool { return p.from.Before(q.to) && q.from.Before(p.to) }
+func (p period) overlaps(q period) bool { return !p.to.Before(q.from) && !q.to.Before(p.from) }
 
 // holdUp records that a replica is out of reach, or stands still for long, for a time.
 func (h *Harness) holdUp(id string, length time.Duration) {
