Dispatch: requests that are given up are not delivered later

Hops between gateways share HTTP/2 connections, where a single request can't be discarded; one that isn't idempotent is never sent again after a hop that may have arrived.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
@@ -54,7 +55,7 @@
 type Sender struct {
 	Config
 	client      *http.Client
-	dialer      net.Dialer
+	dialer      upstream.Dialer
 	resumes     tally.Counter
 	interrupted tally.Counter
 }
@@ -63,7 +64,7 @@
 
 // New returns a Sender with its own connection pool.
 func New(config Config) *Sender {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := upstream.ResettingDialer{Dialer: &net.Dialer{Timeout: dialTimeout}}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerServer,
