Relay: a request runs once if any VM that serves it has to take it so

Cause: a VM that another one sent a request to worked out from its own configuration whether the request may be repeated. awaitConfiguration makes sure that this isn't older than the sender's, but it may be newer, and the sender granted attemptsLeft - 1 attempts to a request of any kind. The entry itself decided by the configuration of the request's arrival, however old that was by then.

Change: a hop says that its request runs once, and grants it one attempt, so that VMs of earlier builds don't repeat it either. A request is repeated only if the configuration by which it is served, the entry's and the newest known all allow it. A refusal that states both that the request hasn't run and that it ran is no evidence any more.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -67,7 +67,9 @@
 	// Origin is where the stream began, if the request goes on with one.
 	Origin *resume.Origin `json:"origin,omitempty"`
 	// Continues means that the caller has a part of the response already.
-	Continues    bool `json:"continues,omitempty"`
+	Continues bool `json:"continues,omitempty"`
+	// Once means that the sender's configuration lets the request run once only.
+	Once         bool `json:"once,omitempty"`
 	AttemptsLeft int  `json:"attempts"`
 	// BytesAsRunes means that each byte of the caller's texts is a rune here, as JSON
 	// holds no text that isn't UTF-8.
@@ -125,9 +127,9 @@
 }
 
 // hopAttempts returns the number of servers on which another VM may run the request:
-// one if the server is given. One of several attempts is kept in case the VM is lost.
+// one if the server is given or the request may run only once. One of several attempts is kept in case the VM is lost.
 func (x *transaction) hopAttempts(serverGiven bool) int {
-	if serverGiven {
+	if serverGiven || !x.mayRepeat() {
 		return 1
 	}
 	return max(1, x.attemptsLeft()-1)
@@ -154,7 +156,7 @@
 		ID: x.req.ID, Hop: hop, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(), WaitedMs: x.Now().Sub(x.req.Arrived).Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
-		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), AttemptsLeft: attempts,
+		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), Once: !x.mayRepeat(), AttemptsLeft: attempts,
 	}
 	head.encodeBytes()
 	data, err := json.Marshal(head)
@@ -223,7 +225,7 @@
 		return outcome{mayHaveArrived: true, reason: "the other VM's refusal can't be read"}
 	}
 	x.possibleRuns += ran
-	if refusal.Verdict == verdict.NotRun {
+	if refusal.Verdict == verdict.NotRun && ran == 0 {
 		// Another VM there may serve the request.
 		otherVM := refusal.Code == verdict.CodeRevisionTooOld || refusal.Code == verdict.CodeShuttingDown
 		if plan.Server == nil && refusal.Code == verdict.CodeNoBackend {
@@ -366,7 +368,7 @@
 		ID: head.ID, Hop: head.Hop, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now.Add(-time.Duration(max(0, head.WaitedMs)) * time.Millisecond), Deadline: deadline,
-		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, Once: head.Once, AttemptsLeft: max(1, head.AttemptsLeft),
 	}, nil
 }
 
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -44,7 +44,7 @@
 func hopTransaction(maxAttempts int) *transaction {
 	r := New(Config{
 		VM: "vm-1", Protocol: anyProtocol{}, Now: clock.Boot, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics: NewMetrics(tally.NoopScope), GatewayPool: upstream.NewPool(clock.Boot, time.Second),
+		Metrics: NewMetrics(tally.NoopScope), Table: func() *ingress.Table { return nil }, GatewayPool: upstream.NewPool(clock.Boot, time.Second),
 	})
 	return &transaction{
 		Relay: r, req: &Request{ID: "q", Method: http.MethodPost, Target: "/", Header: http.Header{}}, w: &discardResponse{},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,8 @@
 	// Configuration is the version of the configuration by which the entry forwarded the
 	// request, or zero.
 	Configuration uint64
+	// Once means that the entry's configuration lets the request run once only.
+	Once bool
 	// AttemptsLeft is the number of backend servers that may still run the
 	// request; zero means the route's maximum.
 	AttemptsLeft int
@@ -442,6 +444,20 @@
 	return left
 }
 
+// mayRepeat reports whether the request may run more than once: by the configuration by which
+// it is served, by that of its entry, and by the newest that this VM knows.
+func (x *transaction) mayRepeat() bool {
+	if x.req.Once || !x.route.Idempotent() {
+		return false
+	}
+	newest := x.Table()
+	if newest == nil || newest == x.table {
+		return true
+	}
+	route := newest.Match(x.req.Host, x.req.Path)
+	return route == nil || route.Idempotent()
+}
+
 // serve tries backend servers and regions until the request is answered or may
 // not be retried.
 func (x *transaction) serve(ctx context.Context) *verdict.Refusal {
@@ -585,7 +601,7 @@
 		return false
 	}
 	if !out.notRun {
-		if !x.route.Idempotent() || x.attemptsLeft() <= 0 {
+		if !x.mayRepeat() || x.attemptsLeft() <= 0 {
 			return false
 		}
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -249,7 +249,7 @@
 // serverCall returns the request to the backend server of the plan.
 func (x *transaction) serverCall(plan balance.Plan) *upstream.Call {
 	idle := idempotentMaxIdle
-	if !x.route.Idempotent() {
+	if !x.mayRepeat() {
 		idle = nonIdempotentMaxIdle
 	}
 	header := x.Protocol.Outbound(x.req, Outbound{
@@ -410,7 +410,7 @@
 	if !in.Signed {
 		return outcome{mayHaveArrived: true, answered: true, reason: reason + " without signature"}
 	}
-	if impliesNotRun(e.StatusCode) && !x.route.Idempotent() {
+	if impliesNotRun(e.StatusCode) && !x.mayRepeat() {
 		// Callers would conclude from these statuses that the request has not
 		// run, which the server did not guarantee.
 		return outcome{mayHaveArrived: true, answered: true, reason: reason}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -52,7 +52,7 @@
 func (x *transaction) watchServer(ctx context.Context, plan *balance.Plan, sentAt clock.Instant) (context.Context, *serverWatch) {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, ctx: ctx, cancel: cancel}
-	if x.route.Idempotent() && x.attemptsLeft() > 1 && x.sends < maxSends {
+	if x.mayRepeat() && x.attemptsLeft() > 1 && x.sends < maxSends {
 		// The check uses the timer, so it may not begin before that is stored.
 		timer := time.AfterFunc(math.MaxInt64, w.check)
 		w.timer.Store(timer)
@@ -73,7 +73,7 @@
 func (w *serverWatch) check() {
 	now := w.x.Now()
 	switch {
-	case w.ctx.Err() != nil:
+	case w.ctx.Err() != nil, !w.x.mayRepeat():
 		return
 	case w.load.Link.Lost() && w.load.SilentFor(now) > maxStandstill && w.x.budget.Allow(now):
 		// A server that is only slow to answer polls goes on with its work, and so does
