Edge: hops of a VM that falls silent end after two seconds

What callers saw: a stream that its caller had taken up elsewhere still ran at the first server. The VM at which the stream had come in had lost its link, or its power, and another VM, which was well, went on to have it run.

Cause: a VM noticed the loss of a VM to which it sent a request after 3 s, by TCP_USER_TIMEOUT, but not the loss of one that sent it a request: accepted connections had neither that nor keep-alive probes of one second.

Change: connections that other VMs open for hops end once the other side has acknowledged nothing for 2 s. That is before a VM takes another one for lost, and before callers give a silent stream up, at two seconds without an event.

--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -4,6 +4,9 @@
 	"errors"
 	"log/slog"
 	"net"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
 // ports holds the open listeners. directory and operators may be nil.
@@ -36,9 +39,32 @@
 		}
 		*port.into = &loggedListener{Listener: l, log: log}
 	}
+	p.hops = &hopListener{Listener: p.hops, log: log}
 	return p, nil
 }
 
+// hopSilence is how long another VM may acknowledge nothing before its hops end. It is shorter
+// than the time after which that VM, or its callers, send a request elsewhere.
+const hopSilence = 2 * time.Second
+
+// hopListener accepts the connections of other VMs. They end when the other VM falls silent, so
+// that servers don't go on with requests that continue elsewhere.
+type hopListener struct {
+	net.Listener
+	log *slog.Logger
+}
+
+// Accept implements net.Listener.
+func (l *hopListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		if err := upstream.EndWhenSilent(tcp, hopSilence); err != nil {
+			l.log.Warn("the hops of a VM that falls silent will not end", "remote", conn.RemoteAddr(), "error", err)
+		}
+	}
+	return conn, err
+}
+
 // loggedListener logs the failures to accept a connection, such as a lack of descriptors,
 // which the servers only retry.
 type loggedListener struct {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,8 +66,8 @@
 // NewDialer returns the dialer of a pool whose connection setup takes at most timeout.
 func NewDialer(timeout time.Duration) Dialer {
 	return &net.Dialer{
-		Timeout: timeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveProbeInterval, Interval: keepAliveProbeInterval, Count: 2},
+		Timeout: timeout, KeepAliveConfig: keepAliveProbes(),
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
 	}
 }
 
@@ -214,10 +214,30 @@
 	return nil
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// EndWhenSilent makes an accepted connection fail once its other side has acknowledged nothing
+// for the time, also if nothing is being sent.
+func EndWhenSilent(c *net.TCPConn, silence time.Duration) error {
+	if err := c.SetKeepAliveConfig(keepAliveProbes()); err != nil {
+		return err
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, silence)
+}
+
+// keepAliveProbes returns the probes that show whether the other side of an idle connection is
+// there. The user timeout decides when it isn't.
+func keepAliveProbes() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveProbeInterval, Interval: keepAliveProbeInterval, Count: 2}
+}
+
+// setUserTimeout bounds how long sent bytes may go unacknowledged.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/soak/links.go
+++ b/soak/links.go
@@ -100,6 +100,9 @@
 func (h *Harness) degradePeerLink() {
 	p := h.vms[h.runRNG.IntN(len(h.vms))]
 	links := p.links
+	if links == nil {
+		return
+	}
 	if h.runRNG.IntN(2) == 0 {
 		n := h.runRNG.IntN(len(links))
 		links = links[n : n+1]
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,8 +34,8 @@
 	MeanFaultInterval time.Duration
 	// CountRuns adds servers in processes of their own, links between the VMs that may be
 	// disturbed, registries that differ, a route that changes its kind and faults of all of
-	// these, and checks that streams run at one server at a time. The VMs are run by the
-	// test program then.
+	// these, and checks that streams run at one server at a time. Without a Binary the test
+	// program runs the VMs; a Binary opens the connections between them directly.
 	CountRuns bool
 }
 
@@ -228,6 +228,8 @@
 		if err := h.startServers(); err != nil {
 			return err
 		}
+	}
+	if h.Binary == "" {
 		if err := h.newPeerLinks(); err != nil {
 			return err
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,8 @@
 	envSeeds         = "CHESTNUT_FAULT_SEEDS" // separated by spaces
 	envFaultDuration = "CHESTNUT_FAULT_TIME"  // in the format of time.ParseDuration
 	envVMs           = "CHESTNUT_FAULT_VMS"   // number of VMs in each region
+	// envCommit is the commit whose program runs in place of the present one.
+	envCommit = "CHESTNUT_FAULT_COMMIT"
 )
 
 func buildEdge(t *testing.T) string {
@@ -72,7 +74,11 @@
 // links between the VMs that are disturbed, and counts the runs of each request and stream.
 func TestRequestsRunOnceUnderFaults(t *testing.T) {
 	seeds, faultDuration, vms := soakSettings(t, []string{"22"}, 20*time.Second)
-	runSeeds(t, seeds, Config{CountRuns: true, VMs: vms, Engines: 1, FaultDuration: faultDuration, MeanFaultInterval: 400 * time.Millisecond})
+	binary := ""
+	if commit := os.Getenv(envCommit); commit != "" {
+		binary = buildEarlierEdge(t, commit)
+	}
+	runSeeds(t, seeds, Config{CountRuns: true, Binary: binary, VMs: vms, Engines: 1, FaultDuration: faultDuration, MeanFaultInterval: 400 * time.Millisecond})
 }
 
 // soakSettings returns the seeds, the time of the faults and the number of VMs in each
