Soak: cut links lose packets, streams last long enough to overlap

A proxy that holds bytes up can't discard them when their sender resets the connection, and acknowledges them for a VM that is gone. The links of TestRequestsRunOnceUnderFaults now drop packets at the proxy's sockets, so that the kernels of both sides see what they see on a cut link: bytes stay with their sender, and TCP_USER_TIMEOUT acts. Streams of all engines take two seconds there.

--- a/soak/check.go
+++ b/soak/check.go
@@ -46,7 +46,7 @@
 	}
 	h.checkReplicas(runs)
 	if h.CountRuns {
-		h.checkOverlaps()
+		h.checkOverlaps(requests)
 	}
 	h.checkLimits(requests)
 	h.checkVersions()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,6 +14,19 @@
 // faultModes are the proxy modes that faults use.
 var faultModes = []Mode{Delay, Stall, StallResponses, Reset}
 
+// randomMode returns a random proxy mode. Where runs are counted, links are cut instead of
+// stalled: bytes that a proxy holds up can't be discarded by their sender.
+func (h *Harness) randomMode() Mode {
+	mode := faultModes[h.rng.IntN(len(faultModes))]
+	switch {
+	case h.CountRuns && mode == Stall:
+		return Cut
+	case h.CountRuns && mode == StallResponses:
+		return CutResponses
+	}
+	return mode
+}
+
 // injectFault starts one random fault. Faults last for a while and overlap.
 func (h *Harness) injectFault() {
 	kinds := []func(){
@@ -243,7 +256,7 @@
 }
 
 func (h *Harness) degradeStoreLink() {
-	p, mode, length := h.randomVM(), faultModes[h.rng.IntN(len(faultModes))], h.randomDuration()
+	p, mode, length := h.randomVM(), h.randomMode(), h.randomDuration()
 	h.logFault("registry connections of %s in proxy mode %d for %v", p.Name, mode, length)
 	h.markUnplanned(length)
 	p.storeProxy.SetMode(mode)
@@ -271,7 +284,7 @@
 }
 
 func (h *Harness) degradeReplicaLink() {
-	r, mode, length := h.randomReplica(), faultModes[h.rng.IntN(len(faultModes))], h.randomDuration()
+	r, mode, length := h.randomReplica(), h.randomMode(), h.randomDuration()
 	if r == nil {
 		return
 	}
--- a/soak/links.go
+++ b/soak/links.go
@@ -60,7 +60,6 @@
 	defer sink.Close(time.Second)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // the settings don't change
 	return edge.New(settings, platform.New(settings, log), log).Run(ctx, nil)
 }
 
@@ -92,7 +91,7 @@
 
 // linkFault returns a random fault of a link and its length.
 func (h *Harness) linkFault() (Mode, time.Duration) {
-	modes := []Mode{Delay, Stall, StallResponses, StallRequests, Reset}
+	modes := []Mode{Delay, Cut, CutResponses, CutRequests, Reset}
 	return modes[h.runRNG.IntN(len(modes))], time.Duration(300+h.runRNG.IntN(4700)) * time.Millisecond
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/chestnutspring/chestnutspring/platform/platformtest"
 )
 
 // Mode is what a proxy does with its connections.
@@ -25,12 +25,22 @@
 	Stall
 	// StallResponses forwards only the bytes of requests.
 	StallResponses
-	// StallRequests forwards only the bytes of responses.
-	StallRequests
 	// Reset resets open and new connections.
 	Reset
+	// Cut loses the packets of open and new connections, CutRequests only those from the VM
+	// and CutResponses only those from the other side; no connection can be opened
+	// meanwhile. What is lost is sent again once the mode ends, unless its sender has given
+	// up.
+	Cut
+	CutRequests
+	CutResponses
 )
 
+// losesRequests reports whether the packets of the side that opens connections are lost, and
+// losesResponses those of the other one.
+func (m Mode) losesRequests() bool  { return m == Cut || m == CutRequests }
+func (m Mode) losesResponses() bool { return m == Cut || m == CutResponses }
+
 // delayPerRead is the delay that Delay adds to each read, equal to several
 // round trips between regions.
 const delayPerRead = 300 * time.Millisecond
@@ -46,7 +56,8 @@
 	mu     sync.Mutex
 	target string
 	mode   Mode
-	conns  map[net.Conn]struct{}
+	// conns holds the connections, and whether they are those to the target.
+	conns map[net.Conn]bool
 }
 
 // NewProxy listens on a free port of loopback and forwards connections to
@@ -56,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, conns: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -66,6 +77,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	for c, toTarget := range p.conns {
+		p.applyLoss(c, toTarget)
+	}
+	// It fails only once the proxy has been closed.
+	_ = platformtest.SilenceListener(p.listener.(*net.TCPListener), mode.losesRequests() || mode.losesResponses())
 	if mode != Reset {
 		return
 	}
@@ -74,6 +90,17 @@
 	}
 }
 
+// applyLoss makes a connection lose what arrives if the mode says so. The caller holds the
+// lock.
+func (p *Proxy) applyLoss(c net.Conn, toTarget bool) {
+	lost := p.mode.losesRequests()
+	if toTarget {
+		lost = p.mode.losesResponses()
+	}
+	// It fails only if the connection has been closed.
+	_ = platformtest.Silence(c.(*net.TCPConn), lost)
+}
+
 // SetTarget changes the address to which connections are forwarded, and resets those that
 // are open.
 func (p *Proxy) SetTarget(target string) {
@@ -130,7 +157,9 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[in], p.conns[out] = struct{}{}, struct{}{}
+	p.conns[in], p.conns[out] = false, true
+	p.applyLoss(in, false)
+	p.applyLoss(out, true)
 	p.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { p.forward(out, in, false) })
@@ -142,36 +171,14 @@
 	p.mu.Unlock()
 }
 
-// isReset reports whether the other side has reset a connection.
-func isReset(c net.Conn) bool {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reset = err != nil && err != unix.EAGAIN
-	})
-	return err != nil || reset
-}
-
 // forward copies bytes until either connection ends. It forwards a TCP reset
-// as a reset and an end of file as a close. As on a link that is cut, bytes that are held up
-// are lost if their sender resets the connection, and arrive late if it closes it.
+// as a reset and an end of file as a close.
 func (p *Proxy) forward(to, from net.Conn, responses bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		lost := false
-		for mode := p.currentMode(); mode == Stall || mode == StallResponses && responses || mode == StallRequests && !responses; mode = p.currentMode() {
+		for mode := p.currentMode(); mode == Stall || mode == StallResponses && responses; mode = p.currentMode() {
 			time.Sleep(stallPollInterval)
-			lost = lost || isReset(from)
-		}
-		if lost {
-			resetConn(to)
-			return
 		}
 		if p.currentMode() == Delay {
 			time.Sleep(delayPerRead)
--- a/soak/runs.go
+++ b/soak/runs.go
@@ -17,6 +17,9 @@
 	maxConfigDelay = 4 * time.Second
 	// maxOverlap is how long a server may still work on a stream that goes on elsewhere.
 	maxOverlap = 400 * time.Millisecond
+	// longEventInterval is the time between two events of a stream that lasts long enough for
+	// its runs to overlap.
+	longEventInterval = 200 * time.Millisecond
 	// maxStandstill is the longest standstill of a server that is no reason to let its
 	// requests go on elsewhere.
 	maxStandstill = 1500 * time.Millisecond
@@ -88,19 +91,30 @@
 }
 
 // checkOverlaps checks that no server works on a stream while it goes on at another one.
-func (h *Harness) checkOverlaps() {
+func (h *Harness) checkOverlaps(requests []request) {
+	sentAt := map[string]time.Time{}
+	for _, r := range requests {
+		sentAt[r.id] = r.sentAt
+	}
 	streams := map[string][]platformtest.Execution{}
 	for _, e := range h.Executions.All() {
 		if strings.Contains(e.Path, "/stream/") {
 			streams[e.Stream] = append(streams[e.Stream], e)
 		}
 	}
-	compared := 0
+	pairs := 0
 	for stream, list := range streams {
-		slices.SortFunc(list, func(a, b platformtest.Execution) int { return a.StartedAt.Compare(b.StartedAt) })
+		// The client's requests follow one another. The runs of one request go on in the order
+		// in which they start.
+		slices.SortFunc(list, func(a, b platformtest.Execution) int {
+			if a.ID != b.ID {
+				return sentAt[a.ID].Compare(sentAt[b.ID])
+			}
+			return a.StartedAt.Compare(b.StartedAt)
+		})
 		for i, next := range list {
 			for _, e := range list[:i] {
-				compared++
+				pairs++
 				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(next.StartedAt) <= maxOverlap || h.overlapExcused(e, next) {
 					continue
 				}
@@ -109,7 +123,7 @@
 			}
 		}
 	}
-	h.logFault("%d pairs of runs of one stream", compared)
+	h.logFault("%d pairs of runs of one stream", pairs)
 }
 
 // vmAt returns the name of the VM with the address.
@@ -123,30 +137,48 @@
 }
 
 // overlapExcused reports whether the VM that sent the earlier run's request couldn't end it
-// before the next one started: it was stopped or killed, its server was out of reach, or it
-// stood still for long.
+// before the next one started: the VM was stopped or killed, or its server was out of reach or
+// stood still. A standstill of a moment is no reason for the VM to send the request elsewhere,
+// but the client may go elsewhere at any time.
 func (h *Harness) overlapExcused(e, next platformtest.Execution) bool {
 	span := period{e.StartedAt, next.StartedAt.Add(maxOverlap)}
+	if h.vmStopped(e.CallerIP, span) {
+		return true
+	}
+	tolerated := maxStandstill
+	if e.ID != next.ID {
+		tolerated = 0
+	}
+	// A server that goes on begins with what it received meanwhile.
+	since := period{e.StartedAt.Add(-platformtest.DefaultTimeout), span.to}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.heldUp[e.Replica], span.overlaps) || stoodStill(h.standstills[e.Replica], span, tolerated) ||
+		stoodStill(h.standstills[next.Replica], since, maxStandstill)
+}
+
+// vmStopped reports whether the VM with the address was stopped or killed during a time.
+func (h *Harness) vmStopped(ip string, span period) bool {
 	for _, p := range h.vms {
-		if p.IP != e.CallerIP {
+		if p.IP != ip {
 			continue
 		}
 		p.mu.Lock()
-		stopped := slices.ContainsFunc(p.pauses, span.overlaps) ||
+		defer p.mu.Unlock()
+		return slices.ContainsFunc(p.pauses, span.overlaps) ||
 			slices.ContainsFunc(p.stops, func(at time.Time) bool { return span.overlaps(period{at, at}) })
-		p.mu.Unlock()
-		if stopped {
-			return true
-		}
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.heldUp[e.Replica], span.overlaps)
+	return false
+}
+
+// stoodStill reports whether one of the standstills during a time lasted longer than tolerated.
+func stoodStill(standstills []period, span period, tolerated time.Duration) bool {
+	return slices.ContainsFunc(standstills, func(p period) bool { return p.to.Sub(p.from) > tolerated && span.overlaps(p) })
 }
 
 func (p period) overlaps(q period) bool { return !p.to.Before(q.from) && !q.to.Before(p.from) }
 
-// holdUp records that a replica is out of reach, or stands still for long, for a time.
+// holdUp records that a replica is out of reach for a time.
 func (h *Harness) holdUp(id string, length time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -42,7 +42,7 @@
 		for _, service := range []string{platformtest.EngineService, platformtest.PlainService} {
 			s := &serverProcess{ReplicaProcess: platformtest.ReplicaProcess{
 				ID: fmt.Sprintf("s-%d", h.lastID.Add(1)), Service: service, Zone: zone, Address: platformtest.NewAddress(),
-				Slots: 16, ResponseDelay: 30 * time.Millisecond, Events: 10, EventInterval: 200 * time.Millisecond,
+				Slots: 16, ResponseDelay: 30 * time.Millisecond, Events: 10, EventInterval: longEventInterval,
 			}}
 			var err error
 			if s.proxy, err = NewProxy(s.Address); err != nil {
@@ -127,9 +127,9 @@
 	length := time.Duration(200+h.runRNG.IntN(2800)) * time.Millisecond
 	h.logFault("pause server %s for %v", s.ID, length)
 	h.markUnplanned(length)
-	if length > maxStandstill {
-		h.holdUp(s.ID, length)
-	}
+	h.mu.Lock()
+	h.standstills[s.ID] = append(h.standstills[s.ID], period{time.Now(), time.Now().Add(length)})
+	h.mu.Unlock()
 	_ = s.cmd.Process.Signal(syscall.SIGSTOP)
 	time.AfterFunc(length, func() {
 		_ = s.cmd.Process.Signal(syscall.SIGCONT)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -122,8 +122,9 @@
 	unplannedUntil time.Time
 	drainedAt      map[string]time.Time // by replica ID
 	limits         []namedLimit
-	// heldUp holds, by ID, when replicas were out of reach or stood still for long.
-	heldUp map[string][]period
+	// heldUp holds, by ID, when replicas were out of reach, and standstills when they stood
+	// still.
+	heldUp, standstills map[string][]period
 }
 
 type replica struct {
@@ -152,7 +153,7 @@
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
 		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)), continuationRNG: rand.New(rand.NewPCG(config.Seed, 8)),
 		runRNG:   rand.New(rand.NewPCG(config.Seed, 9)),
-		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, started: time.Now(),
+		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, standstills: map[string][]period{}, started: time.Now(),
 	}
 	defer h.stopAll()
 	if h.CountRuns {
@@ -286,6 +287,9 @@
 	started := h.replicas[id]
 	started.Replica = r
 	h.mu.Unlock()
+	if h.CountRuns {
+		r.SetEventInterval(longEventInterval)
+	}
 	if limit != "" {
 		h.nameLimit(started, limit)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -50,7 +52,9 @@
 }
 
 func TestMain(m *testing.M) {
-	// The harness runs this program for servers and VMs in processes of their own.
+	// The harness runs this program for servers and VMs in processes of their own. The settings
+	// of VMs don't change.
+	signal.Ignore(syscall.SIGHUP)
 	for name, serve := range map[string]func(string) error{envServer: serveServer, envRoutes: serveVM} {
 		if description := os.Getenv(name); description != "" {
 			if err := serve(description); err != nil {
