Forward: requests of a gateway that falls silent end

The sender takes a silent gateway for lost after 4 s and may send the request elsewhere. The server now pings after 1 s and gives up 1 s later.

What tests need to cut connections is in internal/linktest, so that chestnut-load doesn't import the testing package.

--- a/internal/dispatch/abandoned_test.go
+++ b/internal/dispatch/abandoned_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chestnutspring/chestnutspring/internal/linktest"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline/pipelinetest"
-	"github.com/chestnutspring/chestnutspring/internal/testbed"
 )
 
 // Guards against issue 48 (TWICE) in chestnut-gateway: a request that was given up reached its
@@ -17,10 +17,10 @@
 	for name, idempotent := range map[string]bool{"idempotent": true, "once": false} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			server := testbed.StartUnreadServer(t)
+			server := linktest.StartUnreadServer(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			req := bookingRequest(make([]byte, testbed.UnreadBodyBytes))
+			req := bookingRequest(make([]byte, linktest.UnreadBodyBytes))
 			req.Idempotent = idempotent
 			refusal := newSender().SendBackend(ctx, req, serverAt(server.Address), &pipelinetest.Recorder{})
 			is.True(refusal != nil)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -37,6 +37,10 @@
 	// pingTimeout is how long a ping may stay unanswered before the connection
 	// is closed.
 	pingTimeout = 2 * time.Second
+	// senderPingAfter and senderPingTimeout are the same at the gateway that serves the
+	// request. It gives up before the sender does, which may then send the request elsewhere.
+	senderPingAfter   = time.Second
+	senderPingTimeout = time.Second
 	// idleTimeout is how long an idle connection stays open.
 	idleTimeout = 90 * time.Second
 	// retryAfterFailure is the Retry-After of a request that failed between
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -28,7 +28,7 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Protocols: protocols, Handler: NewServer(ServerConfig{
+	server := &http.Server{Protocols: protocols, HTTP2: ServerHTTP2(), Handler: NewServer(ServerConfig{
 		Publisher: snapshot.NewPublisher(snapshot.Identity{VM: "receiver"}),
 		Now:       clock.Boot, Handler: handler, Lookup: handler, OnPeerRevision: func(string, uint64) {},
 	})}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// ServerHTTP2 returns the HTTP/2 settings of the server for other gateways. Requests end soon
+// after their sender has fallen silent.
+func ServerHTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: senderPingAfter, PingTimeout: senderPingTimeout}
+}
+
 // parse builds the request from the hop's headers and returns the VM that sent
 // it. It reports false if a header is missing or malformed.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request) (req *pipeline.Request, sender string, ok bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
 	"github.com/chestnutspring/chestnutspring/internal/fleet"
+	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/limits"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/placement"
@@ -156,18 +157,18 @@
 		Handler: handlers.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 		MaxHeaderBytes: maxHeaderBytes, TLSConfig: g.tls.callers, ErrorLog: g.httpLog(),
 	})
-	forward := &http.Server{
+	forwards := &http.Server{
 		Handler: handlers.forward, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		TLSConfig: g.tls.peerServer, Protocols: forwardProtocols(g.tls.peerServer != nil), ErrorLog: g.httpLog(),
+		TLSConfig: g.tls.peerServer, Protocols: forwardProtocols(g.tls.peerServer != nil), HTTP2: forward.ServerHTTP2(), ErrorLog: g.httpLog(),
 	}
 	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout, ErrorLog: g.httpLog()}
 
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	group, groupCtx := errgroup.WithContext(backgroundCtx)
-	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, forward, operators) })
+	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, forwards, operators) })
 	group.Go(func() error { return callers.Serve(g.listeners.callers) })
-	group.Go(func() error { return serveForward(forward, g.listeners.forward) })
+	group.Go(func() error { return serveForward(forwards, g.listeners.forward) })
 	group.Go(func() error { return background.IgnoreClosed(operators.Serve(g.listeners.operators)) })
 	group.Go(func() error {
 		return background.IgnoreErrorAfterDone(groupCtx, g.fleet.Serve(groupCtx, g.listeners.control))
@@ -188,7 +189,7 @@
 		g.log.Error("a component failed, stopping", "error", err)
 		return err
 	}
-	err := g.shutdown(callers, forward)
+	err := g.shutdown(callers, forwards)
 	_ = operators.Close()
 	stopBackground()
 	return errorx.DecorateMany("shutdown", err, group.Wait())
--- a/platform/platformtest/silence.go
+++ b/internal/linktest/silence.go
@@ -1,4 +1,4 @@
-package platformtest
+package linktest
 
 import (
 	"net"
--- a/internal/testbed/unread.go
+++ b/internal/linktest/unread.go
@@ -1,4 +1,5 @@
-package testbed
+// Package linktest has what tests need to hold up and to cut connections.
+package linktest
 
 import (
 	"bufio"
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/chestnutspring/chestnutspring/platform/platformtest"
+	"github.com/chestnutspring/chestnutspring/internal/linktest"
 )
 
 // Mode is what a proxy does with its connections.
@@ -81,7 +81,7 @@
 		p.applyLoss(c, toTarget)
 	}
 	// It fails only once the proxy has been closed.
-	_ = platformtest.SilenceListener(p.listener.(*net.TCPListener), mode.losesRequests() || mode.losesResponses())
+	_ = linktest.SilenceListener(p.listener.(*net.TCPListener), mode.losesRequests() || mode.losesResponses())
 	if mode != Reset {
 		return
 	}
@@ -98,7 +98,7 @@
 		lost = p.mode.losesResponses()
 	}
 	// It fails only if the connection has been closed.
-	_ = platformtest.Silence(c.(*net.TCPConn), lost)
+	_ = linktest.Silence(c.(*net.TCPConn), lost)
 }
 
 // SetTarget changes the address to which connections are forwarded, and resets those that
