Soak: a server that stood still begins with requests whose connections were reset

When the server went on it began with what it had received. Allowed: a machine whose connections are reset isn't in touch. The check excuses it only for a server that stood still and whose connections were disturbed.

--- a/soak/runs.go
+++ b/soak/runs.go
@@ -149,12 +149,16 @@
 	if e.ID != next.ID {
 		tolerated = 0
 	}
-	// A server that goes on begins with what it received meanwhile.
-	since := period{e.StartedAt.Add(-platformtest.DefaultTimeout), span.to}
+	// A server that goes on begins with what it received meanwhile. The VM may have left it
+	// before if its connections were reset.
+	since, toleratedNext := period{e.StartedAt.Add(-platformtest.DefaultTimeout), span.to}, maxStandstill
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if slices.ContainsFunc(h.heldUp[next.Replica], since.overlaps) {
+		toleratedNext = 0
+	}
 	return slices.ContainsFunc(h.heldUp[e.Replica], span.overlaps) || stoodStill(h.standstills[e.Replica], span, tolerated) ||
-		stoodStill(h.standstills[next.Replica], since, maxStandstill)
+		stoodStill(h.standstills[next.Replica], since, toleratedNext)
 }
 
 // vmStopped reports whether the VM with the address was stopped or killed during a time.
