Relay: a request whose caller has left already is not served

The request's context ends only a moment later, when net/http reads the end of the connection, so that servers began with requests that ran elsewhere by then.

Change: before a request is served, its connection is looked at. If the other side has closed it, the request is refused as not run. sockets.Peek is what the pool of connections used for idle ones.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -1,10 +1,13 @@
 package drain
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 // conn is an accepted connection that knows when bytes were last read from it. The HTTP
@@ -54,6 +57,16 @@
 	return true
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// CallerLeft reports whether the caller has closed the connection on which a request came. The
+// request's context ends a moment later only. Without the connection of a Server it is false.
+func CallerLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c != nil && sockets.Peek(c.Conn) == sockets.End
+}
+
 // connOf returns the accepted connection below c, or nil.
 func connOf(c net.Conn) *conn {
 	if secured, ok := c.(*tls.Conn); ok {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -44,8 +44,8 @@
 // isIdle reports whether no request is in flight on the connection.
 func (c connState) isIdle() bool { return c.state == http.StateIdle || c.state == http.StateNew }
 
-// New returns a Server that wraps the given one. It sets the ConnState hook and
-// the idle timeout of the given server and wraps its handler.
+// New returns a Server that wraps the given one. It sets the ConnState and
+// ConnContext hooks and the idle timeout of the given server and wraps its handler.
 func New(server *http.Server) *Server { return NewWith(server, KeepAlive, keepAliveMargin) }
 
 // NewWith is like New, but callers may reuse an idle connection for keepAlive,
@@ -53,6 +53,9 @@
 func NewWith(server *http.Server, keepAlive, margin time.Duration) *Server {
 	s := &Server{http: server, idleTimeout: keepAlive + margin, conns: map[net.Conn]connState{}}
 	server.ConnState = s.trackConn
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, connOf(c))
+	}
 	server.IdleTimeout = s.idleTimeout
 	server.Handler = WithKeepAliveHeader(server.Handler, keepAlive)
 	return s
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
@@ -112,7 +113,16 @@
 		w.Header().Set("Connection", "close")
 		return req, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read: "+err.Error())
 	}
-	return req, nil
+	return req, refuseIfCallerLeft(hr)
+}
+
+// refuseIfCallerLeft returns the refusal of a request whose caller, or the VM that sent it, has
+// left already, or nil. A VM that stood still has such requests, which may run elsewhere.
+func refuseIfCallerLeft(hr *http.Request) *verdict.Refusal {
+	if !drain.CallerLeft(hr.Context()) {
+		return nil
+	}
+	return verdict.Busy(verdict.CodeCancelled, "the caller has left", 0)
 }
 
 // latestEnd returns the deadline of a request or, if it states none, the end of its route's
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -268,6 +268,11 @@
 			return
 		}
 		id = req.ID
+		if refusal := refuseIfCallerLeft(hr); refusal != nil {
+			r.Log.Info("hop refused", "request", id, "remote", hr.RemoteAddr, "entry", req.Entry, "error", refusal)
+			writeHopRefusal(w, refusal, 0, false)
+			return
+		}
 		ctx, end := r.accepted.begin(hr.Context(), req.Hop)
 		defer end()
 		refusal, x := r.handleHop(ctx, req, out)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 const (
@@ -307,19 +308,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = err == unix.EAGAIN
-	})
-	return err == nil && reusable
+	pending := sockets.Peek(c.Conn)
+	return pending == sockets.Nothing || pending == sockets.Unknown
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -55,7 +55,7 @@
 
 // isRepeatable reports whether a request may be executed more than once.
 func (h *Harness) isRepeatable(r request) bool {
-	if r.path == pathChanging {
+	if r.path == platformtest.PathChanging {
 		return !h.changing.unsafeDuring(period{r.sentAt.Add(-maxConfigDelay), r.endedAt})
 	}
 	path := r.path
--- a/soak/runs.go
+++ b/soak/runs.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// pathChanging is the path of a route that is safe or unsafe by turns.
-	pathChanging = "/change/"
 	// maxConfigDelay is how long after a change of the configuration requests may still be
 	// served by the one before.
 	maxConfigDelay = 4 * time.Second
@@ -25,7 +23,7 @@
 	maxStandstill = 1500 * time.Millisecond
 )
 
-// changingRoute holds when the route of pathChanging was unsafe. It is safe at first.
+// changingRoute holds when the route that changes was unsafe. It is safe at first.
 type changingRoute struct {
 	mu     sync.Mutex
 	unsafe bool
@@ -54,24 +52,17 @@
 	return c.unsafe && c.since.Before(span.from) || slices.ContainsFunc(c.past, covers)
 }
 
-// changeKind changes the kind of the route of pathChanging.
+// changeKind changes the kind of the route that changes.
 func (h *Harness) changeKind() {
 	unsafe := h.changing.toggle()
-	h.logFault("configuration %d: %s is unsafe: %t", h.configure(), pathChanging, unsafe)
+	h.logFault("configuration %d: %s is unsafe: %t", h.configure(), platformtest.PathChanging, unsafe)
 }
 
 // edit adds the route to a configuration.
 func (c *changingRoute) edit(config map[string]any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kind := "safe"
-	if c.unsafe {
-		kind = "unsafe"
-	}
-	config["routes"] = append(config["routes"].([]any), map[string]any{
-		"name": "change", "host": platformtest.Host, "prefix": pathChanging, "routeType": kind, "timeoutMs": platformtest.DefaultTimeout.Milliseconds(),
-		"targetLatencyMs": 1000, "priority": 1, "service": platformtest.PlainService, "maxAttempts": 3,
-	})
+	platformtest.AddChangingRoute(config, c.unsafe)
 }
 
 // injectRunFault starts one random fault of the servers in processes of their own, of the
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -402,7 +402,7 @@
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanThinkTime)))
 		r := request{id: fmt.Sprintf("q-%d", h.lastID.Add(1)), path: requestPaths[rng.IntN(len(requestPaths))], vm: p.Name, sentAt: time.Now()}
 		if h.CountRuns && rng.IntN(len(requestPaths)+1) == 0 {
-			r.path = pathChanging
+			r.path = platformtest.PathChanging
 		}
 		requestCtx, cancel := context.WithTimeout(context.Background(), platformtest.DefaultTimeout+2*time.Second)
 		if rng.Float64() < 0.05 {
