--- a/soak/runs.go
+++ b/soak/runs.go
@@ -106,11 +106,16 @@
 		for i, next := range list {
 			for _, e := range list[:i] {
 				pairs++
-				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(next.StartedAt) <= maxOverlap || h.overlapExcused(e, next) {
+				// An earlier request of the client may reach its server last.
+				both := e.StartedAt
+				if next.StartedAt.After(both) {
+					both = next.StartedAt
+				}
+				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(both) <= maxOverlap || h.overlapExcused(e, next, sentAt[e.ID]) {
 					continue
 				}
 				h.recordViolation("stream %s ran at %s (for %s, request %s) until %v after it went on at %s (for %s, request %s, after event %d)",
-					stream, e.Replica, h.vmAt(e.CallerIP), e.ID, e.EndedAt.Sub(next.StartedAt), next.Replica, h.vmAt(next.CallerIP), next.ID, next.LastEventID)
+					stream, e.Replica, h.vmAt(e.CallerIP), e.ID, e.EndedAt.Sub(both), next.Replica, h.vmAt(next.CallerIP), next.ID, next.LastEventID)
 			}
 		}
 	}
@@ -128,12 +133,12 @@
 }
 
 // overlapExcused reports whether the VM that sent the earlier run's request couldn't end it
-// before the next one started: the VM was stopped or killed, or its server was out of reach or
-// stood still. A standstill of a moment is no reason for the VM to send the request elsewhere,
-// but the client may go elsewhere at any time.
-func (h *Harness) overlapExcused(e, next platformtest.Execution) bool {
+// before the next one started: the VM was stopped or killed since the client sent the request, or
+// its server was out of reach or stood still. A standstill of a moment is no reason for the VM to
+// send the request elsewhere, but the client may go elsewhere at any time.
+func (h *Harness) overlapExcused(e, next platformtest.Execution, sentAt time.Time) bool {
 	span := period{e.StartedAt, next.StartedAt.Add(maxOverlap)}
-	if h.vmStopped(e.CallerIP, span) {
+	if h.vmStopped(e.CallerIP, period{sentAt, span.to}) {
 		return true
 	}
 	tolerated := maxStandstill
