Sockets: a look at a connection is repeated after an interruption

An interrupted call counted as the end of the connection, so that a request could have been refused for a caller that is there.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -60,8 +60,9 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// CallerLeft reports whether the caller has closed the connection on which a request came. The
-// request's context ends a moment later only. Without the connection of a Server it is false.
+// CallerLeft reports whether the caller has closed the connection on which the request with
+// this context came; the context itself ends a moment later. It is false for requests that a
+// Server of this package didn't accept.
 func CallerLeft(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*conn)
 	return ok && c != nil && sockets.Peek(c.Conn) == sockets.End
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -44,7 +44,7 @@
 }
 
 // hopSilence is how long another VM may acknowledge nothing before its hops end. It is shorter
-// than the time after which that VM, or its callers, send a request elsewhere.
+// than the time after which that VM takes this one for lost and sends a request elsewhere.
 const hopSilence = 2 * time.Second
 
 // hopListener accepts the connections of other VMs. They end when the other VM falls silent, so
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -127,7 +127,8 @@
 }
 
 // hopAttempts returns the number of servers on which another VM may run the request:
-// one if the server is given or the request may run only once. One of several attempts is kept in case the VM is lost.
+// one if the server is given or the request may run only once. One of several attempts is
+// kept in case the VM is lost.
 func (x *transaction) hopAttempts(serverGiven bool) int {
 	if serverGiven || !x.mayRepeat() {
 		return 1
--- a/internal/sockets/peek.go
+++ b/internal/sockets/peek.go
@@ -37,6 +37,9 @@
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		for err == unix.EINTR {
+			n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		}
 		switch {
 		case err == unix.EAGAIN:
 			pending = Nothing
