Balance: a request that was sent is no progress of its server

What callers saw: a stream ran at two servers at the same time. A server stood still for 1.4 s, which its VM has to bear; after 1.1 s the VM sent the stream elsewhere, and the server went on with it.

Cause: a stream is left after a second without an event if its server goes on with other requests. What was taken as data of other requests, progressAt, is also set when a request begins to wait there alone, so that a new request sent to a server that stands still made it look busy. When a server goes on, moreover, the first of its responses to arrive made those behind it look overtaken.

Change: the time of the last data is kept by itself, and a server that sent nothing for 0.6 s counts as one that goes on only after half a second of data.

The earlier test of standstills sends no new requests meanwhile.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -103,10 +103,14 @@
 	// a float64; slowdownAt is when it was last updated.
 	slowdownBits atomic.Uint64
 	slowdownAt   atomic.Int64
-	// awaitingFirstByte counts requests without a first byte; progressAt is the
-	// instant of the last data from the server.
+	// awaitingFirstByte counts requests without a first byte; progressAt is the instant of the
+	// last data from the server, or since which a request has waited for its first byte there
+	// alone.
 	awaitingFirstByte atomic.Int32
 	progressAt        atomic.Int64
+	// dataAt is the instant of the last data from the server, and resumedAt that of the first
+	// data after the last time without any.
+	dataAt, resumedAt atomic.Int64
 	// latestStarted is when the latest-sent of the requests that got their first
 	// byte was sent.
 	latestStarted atomic.Int64
@@ -222,7 +226,7 @@
 	r := l.report.Load()
 	return l.hasReport(now) && r.Queued == 0 &&
 		2*r.Running < slots && 2*r.MemoryUsed < r.MemoryTotal &&
-		!l.Suspected(now) && (l.active.Load() == 0 || l.Progressing(now))
+		!l.Suspected(now) && (l.active.Load() == 0 || l.SilentFor(now) < progressAge)
 }
 
 // MarkSuspect marks the server as suspect for suspectDuration.
@@ -379,10 +383,27 @@
 	// overtakeMargin is how much later than a request another one must have been
 	// sent to overtake it: servers start requests roughly in the order of arrival.
 	overtakeMargin = 250 * time.Millisecond
-	// progressAge is the age of the last data from a server that progresses.
+	// progressAge bounds the age of the last data from a server that progresses.
 	progressAge = 300 * time.Millisecond
+	// standstillGap is a time without any data after which a server may have stood still, and
+	// settleTime is how long it then takes until all its requests have gone on.
+	standstillGap = 600 * time.Millisecond
+	settleTime    = 500 * time.Millisecond
 )
 
+// recordData records that data arrived from the server.
+func (l *Load) recordData(now clock.Instant) {
+	l.progressAt.Store(int64(now))
+	if before := clock.Instant(l.dataAt.Swap(int64(now))); now.Sub(before) > standstillGap {
+		l.resumedAt.Store(int64(now))
+	}
+}
+
+// Settled reports whether the server has not just gone on after a time without any data.
+func (l *Load) Settled(now clock.Instant) bool {
+	return now.Sub(clock.Instant(l.resumedAt.Load())) >= settleTime
+}
+
 // Overtaken reports whether a request that was sent well after the given instant
 // has got its first byte.
 func (l *Load) Overtaken(sentAt clock.Instant) bool {
@@ -395,9 +416,10 @@
 	return max(0, now.Sub(clock.Instant(l.progressAt.Load())))
 }
 
-// Progressing reports whether data of some request arrived just now.
+// Progressing reports whether data of some request arrived just now, from a server that is
+// Settled.
 func (l *Load) Progressing(now clock.Instant) bool {
-	return now.Sub(clock.Instant(l.progressAt.Load())) < progressAge
+	return now.Sub(clock.Instant(l.dataAt.Load())) < progressAge && l.Settled(now)
 }
 
 // NothingQueued reports whether the server stated in a recent report that no
@@ -440,7 +462,7 @@
 // RecordFirstByte records the first byte of the response. Later calls only record
 // that the server makes progress.
 func (f *InFlight) RecordFirstByte(now clock.Instant) {
-	f.load.progressAt.Store(int64(now))
+	f.load.recordData(now)
 	if !f.started {
 		storeMax(&f.load.latestStarted, int64(f.sentAt))
 		f.start()
@@ -450,7 +472,7 @@
 // RecordRefused records that the server refused the request.
 func (f *InFlight) RecordRefused(now clock.Instant) {
 	f.ticket.Refuse(now)
-	f.load.progressAt.Store(int64(now))
+	f.load.recordData(now)
 	if !f.started {
 		f.start()
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -107,7 +107,7 @@
 		return false
 	}
 	if w.lastEventAt.Load() == 0 {
-		return now.Sub(w.sentAt) > max(minOverdue, overdueFactor*w.expectedFirst) && w.load.Overtaken(w.sentAt)
+		return now.Sub(w.sentAt) > max(minOverdue, overdueFactor*w.expectedFirst) && w.load.Overtaken(w.sentAt) && w.load.Settled(now)
 	}
 	return w.sinceLastEvent(now) > max(minStall, stallFactor*w.x.route.GapObjective) && w.load.Progressing(now)
 }
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/retry"
 )
 
@@ -55,3 +56,30 @@
 	w.check()
 	is.True(!w.timer.Load().Stop()) // it was not set again
 }
+
+// Guards against issue 48 (TWICE): a stream was sent elsewhere while its server stood still for a
+// second, because a new request had just been sent there.
+func TestStreamOfServerThatStandsStillIsKeptThoughRequestsAreSentThere(t *testing.T) {
+	is := is.New(t)
+	x := hopTransaction(3)
+	x.service.Engine = &ingress.Engine{}
+	x.budget = retry.NewWindow(10*time.Second, 5)
+	load, now := &balance.Load{}, x.Now()
+	last := now.Add(-1200 * time.Millisecond)
+	for at := last.Add(-time.Second); at < last; at = at.Add(100 * time.Millisecond) {
+		load.Begin(&balance.Demand{}, &balance.Estimate{}, at).RecordFirstByte(at)
+	}
+	load.RecordPollReport(balance.Report{ReceivedAt: now.Add(-300 * time.Millisecond)})
+	ctx, watch := x.watchServer(t.Context(), &balance.Plan{Load: load}, last.Add(-time.Second))
+	defer watch.stop()
+	watch.lastEventAt.Store(int64(last))
+	load.Begin(&balance.Demand{}, &balance.Estimate{}, now)
+	watch.check()
+	is.NoErr(ctx.Err())
+	// A server that has gone on with others for a while serves this one no more.
+	for at := now.Add(-600 * time.Millisecond); at < now; at = at.Add(100 * time.Millisecond) {
+		load.Begin(&balance.Demand{}, &balance.Estimate{}, at).RecordFirstByte(at)
+	}
+	watch.check()
+	is.True(ctx.Err() != nil)
+}
