--- a/soak/runs.go
+++ b/soak/runs.go
@@ -134,8 +134,9 @@
 
 // overlapExcused reports whether the VM that sent the earlier run's request couldn't end it
 // before the next one started, or recall the next one: a VM was stopped or killed since the client
-// sent the request, or the earlier run's server was out of reach or stood still. A standstill of a moment is no reason for the VM to
-// send the request elsewhere, but the client may go elsewhere at any time.
+// sent the request, or the earlier run's server was out of reach or stood still. A standstill of a
+// moment is no reason for the VM to send the request elsewhere, but the client may go elsewhere at
+// any time.
 func (h *Harness) overlapExcused(e, next platformtest.Execution, sentAt time.Time) bool {
 	span := period{e.StartedAt, next.StartedAt.Add(maxOverlap)}
 	if h.vmStopped(e.CallerIP, period{sentAt, span.to}) || h.vmStopped(next.CallerIP, period{sentAt, next.StartedAt}) {
