Edge: the use of the link by kind of traffic, and waits for the processor, are measured

LinkMbps was used for the capacity at start only.

All connections are counted by kind (callers, hops, servers, reports, records, registry, auxiliary); once a second the rates are compared with the link's, and the wait of goroutines for the processor is taken from the runtime. Metrics link_bytes, link_connections, link_share and scheduling_delay_seconds, and a log line when either becomes busy or no longer is.

No logic is changed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/linkuse"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
@@ -181,7 +182,7 @@
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
 		Capacity:  settings.capacity(),
-		Seeds:     settings.Seeds, Dialer: settings.PeerDialer, Now: e.now, Log: e.log,
+		Seeds:     settings.Seeds, Dialer: settings.Meter.Dialer(settings.recordDialer(), linkuse.Records), Now: e.now, Log: e.log,
 		Configuration: e.currentConfiguration,
 		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
 		Servers:       e.usableServers,
@@ -222,10 +223,12 @@
 	if settings.ServerDialer != nil {
 		e.serverPool.Dialer = settings.ServerDialer
 	}
+	e.serverPool.Dialer = settings.Meter.Dialer(e.serverPool.Dialer, linkuse.Servers)
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
 	if settings.PeerDialer != nil {
 		e.gatewayPool.Dialer = settings.PeerDialer
 	}
+	e.gatewayPool.Dialer = settings.Meter.Dialer(e.gatewayPool.Dialer, linkuse.Hops)
 	// The response to a hop holds that of a backend server.
 	e.gatewayPool.MaxHeadBytes = 2 * upstream.DefaultMaxHeadBytes
 	dials := e.metrics.Scope.Counter("dials")
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -19,6 +19,7 @@
 	ticker := time.NewTicker(loadExchangeInterval)
 	defer ticker.Stop()
 	last := e.now()
+	resources := newResources(e.settings.Load(), e.log, e.metrics.Scope)
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -50,6 +51,7 @@
 		if n%10 == 0 {
 			e.serverPool.CloseExpired()
 			e.gatewayPool.CloseExpired()
+			resources.observe(now)
 		}
 		if ready := e.follower.Initialized() && !e.leaving.Load(); ready != e.ready.Load() {
 			e.ready.Store(ready)
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/linkuse"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -21,10 +22,12 @@
 	for _, port := range []struct {
 		address  string
 		into     *net.Listener
+		kind     linkuse.Kind
 		optional bool
 	}{
-		{s.CallerListen, &p.callers, false}, {s.ReadyListen, &p.ready, false}, {s.ControlListen, &p.control, false},
-		{s.DirectoryListen, &p.directory, false}, {s.HopListen, &p.hops, false}, {s.OperatorListen, &p.operators, true},
+		{s.CallerListen, &p.callers, linkuse.Callers, false}, {s.ReadyListen, &p.ready, linkuse.Auxiliary, false},
+		{s.ControlListen, &p.control, linkuse.Records, false}, {s.DirectoryListen, &p.directory, linkuse.Auxiliary, false},
+		{s.HopListen, &p.hops, linkuse.Hops, false}, {s.OperatorListen, &p.operators, linkuse.Auxiliary, true},
 	} {
 		if port.address == "" {
 			continue
@@ -37,9 +40,12 @@
 		if err != nil {
 			return nil, ErrListen.Wrap(err, "%s", port.address)
 		}
-		*port.into = &loggedListener{Listener: l, log: log}
+		l = &loggedListener{Listener: l, log: log}
+		if port.kind == linkuse.Hops {
+			l = &hopListener{Listener: l, log: log}
+		}
+		*port.into = s.Meter.Listener(l, port.kind)
 	}
-	p.hops = &hopListener{Listener: p.hops, log: log}
 	return p, nil
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/linkuse"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -63,6 +65,8 @@
 	// Cores is the VM's share of a processor core and LinkMbps the rate of its
 	// network link in Mbit/s; zero means unknown.
 	Cores, LinkMbps float64
+	// Meter counts the traffic of the process; nil counts none.
+	Meter *linkuse.Meter
 	// ServerDialer opens the connections to backend servers; nil means the system's.
 	ServerDialer upstream.Dialer
 	// PeerDialer opens the connections to other VMs; nil means the system's.
@@ -162,3 +166,12 @@
 	}
 	return []string{s.DirectoryListen}
 }
+
+// recordDialer returns the dialer of the connections for records. The mesh bounds the time of
+// connection setup.
+func (s *Settings) recordDialer() upstream.Dialer {
+	if s.PeerDialer != nil {
+		return s.PeerDialer
+	}
+	return &net.Dialer{}
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -42,6 +42,8 @@
 
 	crashes []clock.Instant
 	late    int
+	// published is the number of bytes of evidence that the VMs published.
+	published int
 	// lost are the requests that were lost to crashes.
 	lost []*simulatedRequest
 }
@@ -101,6 +103,7 @@
 		ServersOf: func(string) int { return len(f.servers) },
 		PublishOwn: func(kind gossip.Kind, value []byte) {
 			version++
+			f.published += len(value)
 			f.send(i, gossip.Record{Key: gossip.Key{Kind: kind, Name: fmt.Sprint("vm-", i)}, Version: version, Value: value})
 		},
 		Publish: func(r gossip.Record) { f.send(i, r) },
