Quarantine: VMs no longer keep one another publishing evidence, and publish what is new only

What callers saw: after the crash of many servers, seconds in which most requests were late or failed, and servers that worked on for callers that had left.

Cause: a VM whose requests survive clears the traits that crashes have in common, and publishes that. It did so again for each record of such a crash that arrived from another VM, as a later request with the same trait had survived meanwhile, and it published all that it had seen, up to 4 KB. That record made all VMs that received it do the same. After a mass crash each VM published ten times a second, without an end: 597 KB a second of evidence sent by the average VM of a site of 91 VMs (0 before the crash), 1,840 KB of records by those that exchange them with other regions, of links that carry 1,250. Closes of requests waited behind that for up to 0.8 s.

Change: a survival is published only if the trait isn't clear of the crash yet; evidence is published in parts, a crash or up to 16 survivals each, of which only those that changed are sent. Earlier builds read the parts as records of VMs of other names, and their single record is read as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -200,7 +200,7 @@
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
 	e.quarantine = quarantine.New(quarantine.Config{
 		VM: e.self.VM, Now: e.now, Log: e.log, Scope: e.metrics.Scope, Running: e.isRunning, Servers: e.engineCount, ServersOf: e.serverCount,
-		PublishOwn: e.mesh.PublishOwn, Publish: e.mesh.Publish,
+		PublishOwn: e.mesh.PublishOwnPart, Publish: e.mesh.Publish,
 	})
 	e.limits = serverlimit.New(serverlimit.Config{
 		Kind: gossip.KindRequestLimit, Name: "request limit of a backend server",
--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -49,7 +49,7 @@
 	// milliseconds.
 	KindLeaving Kind = 12
 	// KindEvidence is what a VM saw of crashes of backend servers and of the prompts
-	// that may have caused them; the name is the VM.
+	// that may have caused them; the name is the VM, a slash and the part.
 	KindEvidence Kind = 13
 	// KindQuarantine is the quarantine of a prompt block; the name is the block.
 	KindQuarantine Kind = 14
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -274,12 +274,9 @@
 	}
 }
 
-// PublishOwn distributes a value of a kind whose records only the VM of their name
-// writes, in place of the one that this VM published before.
-func (m *Mesh) PublishOwn(kind gossip.Kind, value []byte) { m.PublishOwnPart(kind, "", value) }
-
-// PublishOwnPart is PublishOwn for a kind of which a VM has several records, each with a
-// part of its own; "" is the VM's only record of the kind.
+// PublishOwnPart distributes a value of a kind whose records only the VM of their name
+// writes, in place of the one that this VM published before as that part; "" is the VM's only
+// record of the kind.
 func (m *Mesh) PublishOwnPart(kind gossip.Kind, part string, value []byte) {
 	name := m.Self.VM
 	if part != "" {
@@ -353,13 +350,18 @@
 	return gossip.Encode(value)
 }
 
-// ownedKinds are the kinds of records that only the VM of their name writes.
-var ownedKinds = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions, gossip.KindReach}
+// ownedKinds are the kinds of records that only the VM of their name writes, and partedKinds
+// those of which it writes several, with its name, a slash and the part as their names. A VM
+// of an earlier build writes a single KindEvidence record, with its name alone.
+var (
+	ownedKinds  = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions, gossip.KindReach}
+	partedKinds = []gossip.Kind{gossip.KindStreams, gossip.KindEvidence}
+)
 
 // ownerOf returns the VM that alone writes a record, or "" if any VM may.
 func ownerOf(r gossip.Record) string {
 	switch {
-	case r.Kind == gossip.KindStreams:
+	case slices.Contains(partedKinds, r.Kind):
 		vm, _, _ := strings.Cut(r.Name, "/")
 		return vm
 	case slices.Contains(ownedKinds, r.Kind):
@@ -611,11 +613,13 @@
 		m.store.Delete(gossip.Key{Kind: kind, Name: vm})
 	}
 	var parts []gossip.Key
-	m.store.Each(gossip.KindStreams, func(r gossip.Record) {
-		if ownerOf(r) == vm {
-			parts = append(parts, r.Key)
-		}
-	})
+	for _, kind := range partedKinds {
+		m.store.Each(kind, func(r gossip.Record) {
+			if ownerOf(r) == vm {
+				parts = append(parts, r.Key)
+			}
+		})
+	}
 	for _, key := range parts {
 		m.store.Delete(key)
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -147,3 +147,25 @@
 		t.Fatal("record did not arrive within 5 s")
 	}
 }
+
+// Guards against records of a VM that stay after it was removed, and against a VM that takes
+// parts of its own evidence for those of another one.
+func TestPartsOfARecordBelongToTheirVM(t *testing.T) {
+	is := is.New(t)
+	m := fleetOf(smallRegions())["north-1"]
+	part := func(kind gossip.Kind, vm, part string) gossip.Record {
+		return gossip.Record{Key: gossip.Key{Kind: kind, Name: vm + "/" + part}, Version: 9, Value: []byte{1}}
+	}
+	for _, kind := range []gossip.Kind{gossip.KindEvidence, gossip.KindStreams} {
+		is.Equal(ownerOf(part(kind, "west-1", "c3")), "west-1")
+		m.Publish(part(kind, "west-1", "c3"))
+		m.Publish(part(kind, "west-2", "c3"))
+	}
+	before := m.store.Len()
+	m.remove("west-1")
+	is.Equal(m.store.Len(), before-2)
+	own := part(gossip.KindEvidence, "north-1", "c3")
+	own.Version = 1 << 62 // of the process before
+	m.apply(own)
+	is.True(m.versionBase+m.version > own.Version)
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -101,10 +101,10 @@
 		},
 		Servers:   func() int { return len(f.servers) },
 		ServersOf: func(string) int { return len(f.servers) },
-		PublishOwn: func(kind gossip.Kind, value []byte) {
+		PublishOwn: func(kind gossip.Kind, part string, value []byte) {
 			version++
 			f.published += len(value)
-			f.send(i, gossip.Record{Key: gossip.Key{Kind: kind, Name: fmt.Sprint("vm-", i)}, Version: version, Value: value})
+			f.send(i, gossip.Record{Key: gossip.Key{Kind: kind, Name: fmt.Sprint("vm-", i, "/", part)}, Version: version, Value: value})
 		},
 		Publish: func(r gossip.Record) { f.send(i, r) },
 	})
--- a/internal/quarantine/records.go
+++ b/internal/quarantine/records.go
@@ -10,16 +10,23 @@
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
-// Bounds on the evidence record of one VM. Older crashes and survivals are left out, as
+// Bounds on the evidence records of one VM. Older crashes and survivals are left out, as
 // the other VMs have them from earlier records.
 const (
 	maxSentCrashes   = 16
 	maxSentSurvivals = 64
 	maxEvidenceBytes = 4 << 10
+	// survivalsPerPart is the number of survivals in a part of the evidence.
+	survivalsPerPart = 16
 )
 
-// evidenceRecord is the value of a KindEvidence record: what the VM of its name saw.
-// It is encoded as an array, whose fields may not change (gossip.Encode).
+// crashPart and survivalPart return the parts of the evidence that hold a VM's nth crash and
+// its nth survivalsPerPart survivals. Parts are used again.
+func crashPart(n int) string    { return "c" + strconv.Itoa(n%maxSentCrashes) }
+func survivalPart(n int) string { return "s" + strconv.Itoa(n%(maxSentSurvivals/survivalsPerPart)) }
+
+// evidenceRecord is the value of a KindEvidence record: a part of what the VM of its name
+// saw; earlier builds write a single record. It is encoded as an array, whose fields may not change (gossip.Encode).
 type evidenceRecord struct {
 	// Crashes are ordered by time, the newest last.
 	Crashes   []crashRecord
@@ -66,6 +73,10 @@
 	service, address string
 	at               clock.Instant
 	lost             loss
+	// part is the part of the evidence that holds the crash, and unpublished means that it has
+	// changed since it was published.
+	part        string
+	unpublished bool
 }
 
 // ownSurvival is the survival of a request that this VM sent.
@@ -75,7 +86,7 @@
 	beganAt   clock.Instant
 }
 
-// encodeEvidence returns the value of the record of what this VM saw. It leaves out
+// encodeEvidence returns the value of a record of what this VM saw. It leaves out
 // the oldest crashes if the value would be too large.
 func encodeEvidence(crashes []*ownCrash, survivals []ownSurvival, now clock.Instant) ([]byte, error) {
 	var r evidenceRecord
--- a/internal/quarantine/records_test.go
+++ b/internal/quarantine/records_test.go
@@ -21,7 +21,7 @@
 		Running:    func(context.Context, *roster.Server) bool { return true },
 		Servers:    func() int { return 10 },
 		ServersOf:  func(string) int { return 10 },
-		PublishOwn: func(gossip.Kind, []byte) {}, Publish: func(gossip.Record) {},
+		PublishOwn: func(gossip.Kind, string, []byte) {}, Publish: func(gossip.Record) {},
 	})
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,9 +57,9 @@
 	Servers func() int
 	// ServersOf returns the number of servers of a service.
 	ServersOf func(service string) int
-	// PublishOwn distributes a value that only this VM writes, in place of the one
-	// that it published before, and Publish a record that any VM may write.
-	PublishOwn func(kind gossip.Kind, value []byte)
+	// PublishOwn distributes a part of what only this VM writes, in place of the value
+	// that it published as that part before, and Publish a record that any VM may write.
+	PublishOwn func(kind gossip.Kind, part string, value []byte)
 	Publish    func(gossip.Record)
 }
 
@@ -108,11 +109,15 @@
 	changed   bool
 	checks    map[roster.ServerKey]*check
 	decisions map[uint64]decision
-	// ownCrashes and ownSurvivals are this VM's observations. Unpublished means that
-	// they have changed since they were last sent to the other VMs.
-	ownCrashes   []*ownCrash
-	ownSurvivals []ownSurvival
-	unpublished  bool
+	// ownCrashes are the crashes that this VM saw, and crashCount the number of all so far.
+	ownCrashes []*ownCrash
+	crashCount int
+	// ownSurvivals are the survivals that this VM saw and that are part of the evidence
+	// numbered survivalPart, or of a later one. SurvivalsChanged means that they have changed
+	// since they were published.
+	ownSurvivals     []ownSurvival
+	survivalPart     int
+	survivalsChanged bool
 
 	crashes          tally.Counter
 	blocks, requests tally.Gauge
@@ -185,7 +190,7 @@
 	}
 	t.ownSurvivals = slices.DeleteFunc(t.ownSurvivals, func(s ownSurvival) bool { return s.trait == trait })
 	t.ownSurvivals = appendBounded(t.ownSurvivals, ownSurvival{trait: trait, isRequest: isRequest, beganAt: beganAt}, maxSentSurvivals)
-	t.unpublished = true
+	t.survivalsChanged = true
 	if e, ok := (*t.quarantined.Load())[trait]; ok && beganAt > e.firstCrash {
 		now := t.Now()
 		t.publish(trait, entry{isRequest: e.isRequest, until: now, firstCrash: now}, 0)
@@ -257,7 +262,11 @@
 
 // addCrash adds a crash that this VM saw to the evidence. The caller holds the lock.
 func (t *Tracker) addCrash(c *ownCrash) {
-	t.unpublished = true
+	if c.part == "" {
+		c.part = crashPart(t.crashCount)
+		t.crashCount++
+	}
+	c.unpublished = true
 	t.mergeCrash(c.server, c.service, c.address, c.at, t.VM, c.lost)
 }
 
@@ -275,8 +284,10 @@
 		c.explained = true
 	}
 	t.changed = true
+	// A trait that is clear of this crash is no news. Its survivals would otherwise be published
+	// again for each record of the crash, and all VMs would keep one another publishing.
 	recordRecent := func(trait uint64, isRequest bool) {
-		if beganAt := t.recent[trait]; beganAt > at {
+		if beganAt := t.recent[trait]; beganAt > at && t.evidence.survivedAt[trait] <= at {
 			t.recordOwnSurvival(trait, isRequest, beganAt)
 		}
 	}
@@ -312,8 +323,9 @@
 	now := t.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	vm, _, _ := strings.Cut(r.Name, "/")
 	for _, c := range e.Crashes {
-		t.mergeCrash(roster.ServerKey{ID: c.Server, Started: c.Started}, c.Service, c.Address, atAge(now, c.AgeMs), r.Name, boundedLoss(c))
+		t.mergeCrash(roster.ServerKey{ID: c.Server, Started: c.Started}, c.Service, c.Address, atAge(now, c.AgeMs), vm, boundedLoss(c))
 	}
 	for _, s := range e.Survivals {
 		beganAt := atAge(now, s.AgeMs)
@@ -429,16 +441,37 @@
 		}
 		t.updateSuspects()
 	}
-	if !t.unpublished {
-		return
+	t.publishEvidence(now)
+}
+
+// publishEvidence publishes the parts of what this VM saw that have changed. The caller holds
+// the lock.
+func (t *Tracker) publishEvidence(now clock.Instant) {
+	for _, c := range t.ownCrashes {
+		if c.unpublished {
+			c.unpublished = false
+			t.publishPart(c.part, []*ownCrash{c}, nil, now)
+		}
 	}
-	t.unpublished = false
-	value, err := encodeEvidence(t.ownCrashes, t.ownSurvivals, now)
+	for t.survivalsChanged {
+		n := min(len(t.ownSurvivals), survivalsPerPart)
+		t.publishPart(survivalPart(t.survivalPart), nil, t.ownSurvivals[:n], now)
+		t.survivalsChanged = n == survivalsPerPart && len(t.ownSurvivals) > n
+		if n == survivalsPerPart {
+			t.ownSurvivals = t.ownSurvivals[n:]
+			t.survivalPart++
+		}
+	}
+}
+
+// publishPart publishes a part of what this VM saw. The caller holds the lock.
+func (t *Tracker) publishPart(part string, crashes []*ownCrash, survivals []ownSurvival, now clock.Instant) {
+	value, err := encodeEvidence(crashes, survivals, now)
 	if err != nil {
-		t.Log.Error("encoding record failed", "kind", gossip.KindEvidence, "error", err)
+		t.Log.Error("encoding record failed", "kind", gossip.KindEvidence, "part", part, "error", err)
 		return
 	}
-	t.PublishOwn(gossip.KindEvidence, value)
+	t.PublishOwn(gossip.KindEvidence, part, value)
 }
 
 // thresholds returns the thresholds after which a trait is quarantined: one crash if
@@ -472,7 +505,13 @@
 	if t.evidence.expire(now) {
 		t.changed = true
 	}
-	t.ownCrashes = slices.DeleteFunc(t.ownCrashes, func(c *ownCrash) bool { return now.Sub(c.at) > evidenceLifetime })
+	t.ownCrashes = slices.DeleteFunc(t.ownCrashes, func(c *ownCrash) bool {
+		expired := now.Sub(c.at) > evidenceLifetime
+		if expired {
+			t.publishPart(c.part, nil, nil, now)
+		}
+		return expired
+	})
 	t.ownSurvivals = slices.DeleteFunc(t.ownSurvivals, func(s ownSurvival) bool { return now.Sub(s.beganAt) > evidenceLifetime })
 	maps.DeleteFunc(t.recent, func(_ uint64, beganAt clock.Instant) bool { return now.Sub(beganAt) > recentLifetime })
 	maps.DeleteFunc(t.checks, func(_ roster.ServerKey, c *check) bool {
