Relay: each VM ends a stream whose caller has left for want of an event

Only the close of the caller's connection told that to the VM that has the server's, over one to three VMs, so that a full link on the way let servers work on for nobody.

Each VM on the way knows the route and for how long the caller has waited, so each now ends the stream by itself. A request whose caller leaves now isn't sent again.

--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -20,6 +20,7 @@
 	cutByCaller     cutReason = "caller-left"
 	cutByWriteLimit cutReason = "write-deadline"
 	cutByDeadline   cutReason = "deadline"
+	cutWithoutEvent cutReason = "no-event"
 	cutByServer     cutReason = "server-broke"
 	cutByHop        cutReason = "hop-broke"
 	cutByPanic      cutReason = "panic"
@@ -33,6 +34,8 @@
 		return ""
 	case endedByStop(ctx):
 		return cutByStop
+	case endedWithoutEvent(ctx):
+		return cutWithoutEvent
 	case x.writeError() != nil:
 		return writeFailure(x.writeError())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() {
-		if callerLeft(caller) && !out.notRun && !out.delivered {
+		if callerLeft(caller) && !x.patience.isOver() && !out.notRun && !out.delivered {
 			x.cancelHop(address, hop)
 		}
 	}()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -309,6 +309,8 @@
 	destination, softwareVersion string
 	// sentToVM means that the last send was to another VM.
 	sentToVM bool
+	// patience ends a stream whose caller has left for want of an event.
+	patience patience
 	// cut is why the response was cut, or "".
 	cut cutReason
 	// begun means that the response has begun, and ended that the request was ended because
@@ -343,6 +345,8 @@
 	defer end()
 	ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(x.Now())))
 	defer cancel()
+	ctx, stop := x.patience.watch(ctx, x.route, x.waitingSince(), x.marginOfPatience())
+	defer stop()
 	refusal := serve(ctx)
 	x.cut = x.cutReason(ctx, refusal)
 	return refusal
@@ -351,7 +355,7 @@
 // newTransaction determines the route, service, deadline and retry budget of
 // the request.
 func (r *Relay) newTransaction(req *Request, w pipeline.Response) (*transaction, *verdict.Refusal) {
-	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, origin: req.Origin, traits: req.traits()}
+	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, origin: req.Origin, traits: req.traits(), patience: patience{now: r.Now}}
 	if x.table == nil {
 		return x, verdict.Busy(verdict.CodeNoConfiguration, "no configuration is known yet", retryAfterFailure)
 	}
@@ -546,7 +550,7 @@
 	if x.origin != nil {
 		q.SoftwareVersion = &x.origin.SoftwareVersion
 	}
-	if remaining < minRemaining {
+	if remaining < minRemaining || x.patience.isOver() {
 		return balance.Plan{Reason: "deadline"}
 	}
 	var plan balance.Plan
@@ -597,7 +601,7 @@
 // so, and if a backend server may have received the request, it takes a retry
 // from the budget.
 func (x *transaction) mayRetry(out *outcome) bool {
-	if x.sends >= maxSends || out.final || x.continues() && !x.mayGoOn() {
+	if x.sends >= maxSends || out.final || x.patience.isOver() || x.continues() && !x.mayGoOn() {
 		return false
 	}
 	if !out.notRun {
@@ -672,6 +676,9 @@
 	if endedByStop(ctx) {
 		return x.stopRefusal()
 	}
+	if endedWithoutEvent(ctx) {
+		return x.noEventRefusal()
+	}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Ambiguous(verdict.CodeCancelled, "the caller went away", 0)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -158,6 +158,7 @@
 // of a request, and only if it did not wait for a prefill slot.
 func (x *transaction) recordEvents(s *streamSource, now clock.Instant, lastAt *clock.Instant, events int) {
 	x.recordFirstByte(now)
+	x.patience.recordEvent(now)
 	if s.work != nil {
 		if *lastAt == 0 && x.sends == 1 && x.slotWait == 0 {
 			x.Balancer.RecordPrefillTime(s.load, x.service, s.estimate, now.Sub(s.work.SentAt()), now)
