Mesh: records take at most half of a VM's link

Each VM sends records at a pace of half of its link's rate, over all its links to other VMs; a burst of 0.2 s at the full rate is free. What waits is sent later in its newest version only, as a session sends no older ones.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,8 +181,8 @@
 	e.mesh = mesh.New(mesh.Config{
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
-		Capacity:  settings.capacity(),
-		Seeds:     settings.Seeds, Dialer: settings.Meter.Dialer(settings.recordDialer(), linkuse.Records), Now: e.now, Log: e.log,
+		Capacity:  settings.capacity(), LinkRate: settings.LinkMbps * bytesPerMbit,
+		Seeds: settings.Seeds, Dialer: settings.Meter.Dialer(settings.recordDialer(), linkuse.Records), Now: e.now, Log: e.log,
 		Configuration: e.currentConfiguration,
 		ReadsRegistry: func() bool { return e.follower.ReadsRegistry() },
 		Servers:       e.usableServers,
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -207,12 +207,17 @@
 
 // dial opens a connection to the control address of another VM.
 func (m *Mesh) dial(ctx context.Context, address string) (net.Conn, error) {
-	if m.Dialer == nil {
-		return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	var dialer Dialer = &net.Dialer{}
+	if m.Dialer != nil {
+		dialer = m.Dialer
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return m.Dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return pacedConn{Conn: conn, pace: m.pace}, nil
 }
 
 func (l *link) run(ctx context.Context) {
@@ -251,7 +256,7 @@
 			return
 		case <-l.wakeup:
 		}
-		if !l.send(client) {
+		if !l.send(ctx, client) {
 			return
 		}
 	}
@@ -269,10 +274,14 @@
 	}
 }
 
-// send sends all pending records and reports whether it succeeded.
-func (l *link) send(client *peer.Client) bool {
+// send sends all pending records, at the pace of this VM's records, and reports whether it
+// succeeded.
+func (l *link) send(ctx context.Context, client *peer.Client) bool {
 	version, _ := l.mesh.Configuration()
 	for more := true; more; {
+		if !l.mesh.pace.await(ctx) {
+			return false
+		}
 		var delta gossip.Delta
 		l.mesh.mu.Lock()
 		l.mu.Lock()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -139,6 +139,8 @@
 	// Capacity is the number of requests per second that this VM can handle;
 	// zero is unknown.
 	Capacity float64
+	// LinkRate is the rate of this VM's network link in bytes per second; zero is unknown.
+	LinkRate float64
 	Seeds    []string
 	// Dialer opens the connections to other VMs; nil means the system's.
 	Dialer Dialer
@@ -189,6 +191,7 @@
 	unreached *serverSet
 	view      atomic.Pointer[memberView]
 	avoided   avoidances
+	pace      *pace
 	// lastJoin is when a VM was last heard of for the first time; zero is never.
 	lastJoin atomic.Int64
 }
@@ -232,7 +235,7 @@
 	m := &Mesh{
 		Config: config, started: config.Now(), store: gossip.NewStore(),
 		members: map[string]*Member{}, usages: map[string]usageReport{}, summaries: map[string]summaryReport{},
-		links: map[string]*link{}, seeds: config.Seeds,
+		links: map[string]*link{}, seeds: config.Seeds, pace: newPace(config.LinkRate, config.Now),
 		// The start time makes the versions of this incarnation higher than
 		// those of earlier ones.
 		versionBase: uint64(time.Now().UnixMilli()) << 16,
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -26,6 +26,12 @@
 
 // start runs a mesh node on the address, or on a free port if it is empty.
 func start(t *testing.T, name, region, address string, seeds ...string) *node {
+	t.Helper()
+	return startWith(t, func(*Config) {}, name, region, address, seeds...)
+}
+
+// startWith is start with a changed configuration.
+func startWith(t *testing.T, edit func(*Config), name, region, address string, seeds ...string) *node {
 	t.Helper()
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -34,14 +40,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := New(Config{
+	config := Config{
 		Self:      snapshot.Identity{VM: name, Incarnation: fmt.Sprint(time.Now().UnixNano()), Region: region, FailureDomain: region + "-a"},
 		Addresses: Addresses{Callers: "10.0.0.1:1", Hops: "10.0.0.1:2", Control: l.Addr().String()},
 		Seeds:     seeds, Now: clock.Boot, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		OnLoad: func(Load) {}, OnRecord: func(gossip.Record) {},
 		Configuration:        func() (uint64, []byte) { return 0, nil },
 		OnNewerConfiguration: func(uint64, func(context.Context) ([]byte, error)) {},
-	})
+	}
+	edit(&config)
+	m := New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Mesh: m, cancel: cancel, done: make(chan struct{})}
 	go func() {
