Edge, mesh: what a large region needs once is announced once

A VM of a large region put the prefix blocks that it sent to engines, and lost servers, into four load announcements in a row, as the next one replaces the last before all VMs have it.

Additions to the announcement are now records of their own, used in turn, so that four announcements' worth is kept and each is sent once. Earlier builds read them as load announcements of VMs that they don't know, and apply the blocks.

Test: a VM that connects later receives all of the last additions, each once, and none of them replaces the usage.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,10 +142,6 @@
 	pendingSuspects []string
 	pendingLost     []string
 	pendingReports  map[string]balance.Report
-	// recentBlocks and recentLost hold the items of the last few announcements to a
-	// large region. Only the load exchange goroutine uses it.
-	recentBlocks [][]balance.CachedBlock
-	recentLost   [][]string
 	// announcedUnreached are the servers that this VM last announced not to reach; nil
 	// before the first announcement. Only the load exchange goroutine uses it.
 	announcedUnreached []string
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -91,19 +91,6 @@
 	return usage
 }
 
-// withRecent adds an announcement's items to those of the last few and returns all of
-// them. In a large region an announcement can be replaced by the next one before all
-// VMs have received it.
-func withRecent[T any](recent *[][]T, items []T) []T {
-	*recent = append(*recent, items)
-	*recent = (*recent)[max(0, len(*recent)-announcementRepeats):]
-	return slices.Concat(*recent...)
-}
-
-// announcementRepeats is the number of announcements that include an item: the number
-// of gossip steps within a failure domain.
-const announcementRepeats = 4
-
 const (
 	// minStallingPerSecond is the rate of stalling prompts per second, and
 	// minPrefillBacklog the prefill backlog, from which usage is announced in a
@@ -233,8 +220,11 @@
 	load.CachedBlocks = e.balancer.Prefixes.TakeUpdates()
 	if e.mesh.LargeRegion() {
 		load.Usage = e.coordinatedUsage(now)
-		load.CachedBlocks, load.Lost = withRecent(&e.recentBlocks, load.CachedBlocks), withRecent(&e.recentLost, load.Lost)
-		if len(load.CachedBlocks)+len(load.Suspects)+len(load.Lost)+len(load.Reports)+len(load.Usage) > 0 {
+		if items := (mesh.Load{CachedBlocks: load.CachedBlocks, Lost: load.Lost}); len(items.CachedBlocks)+len(items.Lost) > 0 {
+			e.mesh.AddLoad(items)
+		}
+		load.CachedBlocks, load.Lost = nil, nil
+		if len(load.Suspects)+len(load.Reports)+len(load.Usage) > 0 {
 			e.mesh.SetLoad(load)
 		}
 		return
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -177,6 +178,8 @@
 	mu      sync.Mutex
 	store   *gossip.Store
 	version uint64 // number of records written by this process
+	// loadAdditions is the number of additions to this VM's load announcement.
+	loadAdditions int
 	// loggedDropped is the number of dropped records that were logged, and
 	// loggedOversized of those that were too large.
 	loggedDropped, loggedOversized uint64
@@ -324,6 +327,21 @@
 	}
 }
 
+// loadParts is the number of records in which a VM's last additions to its load announcement
+// are kept: the number of intervals between announcements that a record takes to reach all VMs of a
+// large region.
+const loadParts = 4
+
+// AddLoad publishes what the other VMs of a large region need to receive once. The next few
+// additions don't replace it, as a load announcement replaces the one before.
+func (m *Mesh) AddLoad(load Load) {
+	m.mu.Lock()
+	part := m.loadAdditions % loadParts
+	m.loadAdditions++
+	m.mu.Unlock()
+	m.write(gossip.KindLoad, m.Self.VM+"/"+strconv.Itoa(part), load)
+}
+
 // SetSummaries publishes summaries of this VM's region to the other regions.
 func (m *Mesh) SetSummaries(list []balance.Summary) {
 	m.write(gossip.KindSummary, m.Self.Region+"/"+m.Self.VM, list)
@@ -354,11 +372,11 @@
 }
 
 // ownedKinds are the kinds of records that only the VM of their name writes, and partedKinds
-// those of which it writes several, with its name, a slash and the part as their names. A VM
-// of an earlier build writes a single KindEvidence record, with its name alone.
+// those of which it writes several, with its name, a slash and the part as their names. It
+// also writes a KindLoad record with its name alone, and a VM of an earlier build such a KindEvidence record.
 var (
 	ownedKinds  = []gossip.Kind{gossip.KindMember, gossip.KindHeartbeat, gossip.KindLoad, gossip.KindEvidence, gossip.KindSoftwareVersions, gossip.KindReach}
-	partedKinds = []gossip.Kind{gossip.KindStreams, gossip.KindEvidence}
+	partedKinds = []gossip.Kind{gossip.KindStreams, gossip.KindEvidence, gossip.KindLoad}
 )
 
 // ownerOf returns the VM that alone writes a record, or "" if any VM may.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -177,3 +178,44 @@
 	m.apply(own)
 	is.True(m.versionBase+m.version > own.Version)
 }
+
+// Guards against issue 51: what the VMs of a large region need once was announced four times
+// over, so that it isn't lost when the next announcement overtakes it. Now it is kept beside
+// the next ones.
+func TestAdditionsToALoadAnnouncementReachVMsThatAreBehind(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	received := map[uint64]int{}
+	first := start(t, "north-1", "north", "")
+	for block := range uint64(loadParts) {
+		first.AddLoad(Load{CachedBlocks: []balance.CachedBlock{{Server: "s", Block: block + 1}}})
+	}
+	first.SetLoad(Load{Usage: map[string]balance.Usage{"s": {Active: 3}}})
+	second := startWith(t, func(c *Config) {
+		c.OnLoad = func(l Load) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, b := range l.CachedBlocks {
+				received[b.Block]++
+			}
+		}
+	}, "north-2", "north", "", first.Addresses.Control)
+	waitFor(t, "the announcements", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(received) == loadParts && second.PeerUsage()["s"].Active == 3
+	})
+	first.AddLoad(Load{CachedBlocks: []balance.CachedBlock{{Server: "s", Block: 100}}})
+	waitFor(t, "the next addition", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return received[100] > 0
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	for block, n := range received {
+		is.Equal(n, 1) // of each block
+		is.True(block > 0)
+	}
+	is.Equal(second.PeerUsage()["s"].Active, 3) // an addition doesn't replace the usage
+}
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -38,7 +38,9 @@
 	case gossip.KindLoad:
 		var load Load
 		if m.decode(r, &load) {
-			m.usages[r.Name] = usageReport{usage: load.Usage, receivedAt: now}
+			if r.Name == ownerOf(r) { // not an addition
+				m.usages[r.Name] = usageReport{usage: load.Usage, receivedAt: now}
+			}
 			m.OnLoad(load)
 		}
 	case gossip.KindSummary:
