--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,6 +145,8 @@
 	// announcedUnreached are the servers that this VM last announced not to reach; nil
 	// before the first announcement. Only the load exchange goroutine uses it.
 	announcedUnreached []string
+	// reachAnnouncedAt is when that was; zero is never. Only the load exchange goroutine uses it.
+	reachAnnouncedAt clock.Instant
 	// exitAt is when this process, which shuts down, ends the requests that have no
 	// response yet, on the boot-time clock; zero before the shutdown.
 	exitAt atomic.Int64
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -59,7 +59,7 @@
 			e.log.Info("readiness changed", "ready", ready)
 		}
 		if !e.mesh.LargeRegion() || n%largeRegionIntervals == 0 {
-			e.announceReach()
+			e.announceReach(now)
 		}
 		e.follower.Expire(now)
 		e.quarantine.Tick(now)
@@ -164,7 +164,10 @@
 
 // announceReach tells the other VMs which servers of the region this VM doesn't reach, if
 // that has changed.
-func (e *Edge) announceReach() {
+func (e *Edge) announceReach(now clock.Instant) {
+	if e.mesh.LargeRegion() && e.reachAnnouncedAt != 0 && now.Sub(e.reachAnnouncedAt) < largeReachInterval {
+		return
+	}
 	unreached := []string{}
 	for _, s := range e.roster.View().All() {
 		if s.Region == e.self.Region && e.balancer.Load(s.Key()).Link.Lost() {
@@ -177,10 +180,14 @@
 	if len(unreached)+len(e.announcedUnreached) > 0 {
 		e.log.Info("links to backend servers changed", "unreached", len(unreached), "before", len(e.announcedUnreached), "servers", unreached[:min(len(unreached), maxLoggedServers)])
 	}
-	e.announcedUnreached = unreached
+	e.announcedUnreached, e.reachAnnouncedAt = unreached, now
 	e.mesh.SetUnreached(unreached)
 }
 
+// largeReachInterval is the minimum time between two announcements of the servers that this VM
+// doesn't reach, in a large region: when many servers fail, each VM finds out one by one.
+const largeReachInterval = time.Second
+
 // maxLoggedServers bounds the servers that are named in a log line.
 const maxLoggedServers = 10
 
