--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -37,6 +37,8 @@
 	vms     []*Tracker
 	servers []*simulatedServer
 	mail    []message
+	// underWay holds the index in mail of the message with a record to a VM.
+	underWay map[mailKey]int
 	// maxDelay bounds the time that a record takes to another VM.
 	maxDelay time.Duration
 
@@ -65,6 +67,12 @@
 	survived                bool
 }
 
+// mailKey names a record under way to a VM.
+type mailKey struct {
+	to  int
+	key gossip.Key
+}
+
 // message is a record under way to a VM.
 type message struct {
 	to int
@@ -73,7 +81,7 @@
 }
 
 func newFleet(t *testing.T, seed uint64, vms, servers int, maxDelay time.Duration) *fleet {
-	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Synthetic(), maxDelay: maxDelay}
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Synthetic(), maxDelay: maxDelay, underWay: map[mailKey]int{}}
 	for i := range servers {
 		s := &simulatedServer{running: true}
 		s.Address = fmt.Sprint("address-", i)
@@ -112,9 +120,17 @@
 
 func (f *fleet) send(from int, r gossip.Record) {
 	for to := range f.vms {
-		if to != from {
-			f.mail = append(f.mail, message{to: to, at: f.now().Add(time.Duration(f.rng.Int64N(int64(f.maxDelay)))), r: r})
+		if to == from {
+			continue
 		}
+		// VMs pass on the newest version of a record only.
+		k := mailKey{to, r.Key}
+		if i, ok := f.underWay[k]; ok {
+			f.mail[i].r = r
+			continue
+		}
+		f.underWay[k] = len(f.mail)
+		f.mail = append(f.mail, message{to: to, at: f.now().Add(time.Duration(f.rng.Int64N(int64(f.maxDelay)))), r: r})
 	}
 }
 
@@ -182,6 +198,10 @@
 		}
 	}
 	f.mail = later
+	clear(f.underWay)
+	for i, m := range later {
+		f.underWay[mailKey{m.to, m.r.Key}] = i
+	}
 	for _, v := range f.vms {
 		v.Tick(now)
 	}
