Relay: a part that a hop lost is noticed, and the stream goes on elsewhere

What callers saw: a stream with events missing (ORDER), or without its last ones, passed on as whole.

Cause: hops end after 2 s in which the other VM acknowledges nothing. Where that time passes about when a cut heals, what was held up is lost with the connection's buffers, and what the VM writes before its next write fails still arrives. A body in chunks of whole events shows no gap, so the entry passed the later events on.

Change: the body of a hop's response that has no length consists of frames: the offset of their first byte and their length, and one without bytes at the end. The entry passes on what comes before a gap and takes the stream up at another server, as after a connection that broke. VMs agree on it in the hop's head and the response's header, so that builds without it are served as before.

--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -73,6 +73,7 @@
 // finish sends what is buffered of a whole response or refusal to the peer, and logs if that
 // fails.
 func (r *Relay) finish(out *Writer, id string) {
+	out.End()
 	out.Flush()
 	if out.err == nil {
 		return
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -74,6 +74,8 @@
 	// BytesAsRunes means that each byte of the caller's texts is a rune here, as JSON
 	// holds no text that isn't UTF-8.
 	BytesAsRunes bool `json:"bytesAsRunes,omitempty"`
+	// Frames means that the sender reads a response in frames.
+	Frames bool `json:"frames,omitempty"`
 }
 
 // sendToRegion sends the request to a VM of another region, or to one of this region that
@@ -157,7 +159,7 @@
 		ID: x.req.ID, Hop: hop, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(), WaitedMs: x.Now().Sub(x.req.Arrived).Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
-		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), Once: !x.mayRepeat(), AttemptsLeft: attempts,
+		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), Once: !x.mayRepeat(), AttemptsLeft: attempts, Frames: true,
 	}
 	head.encodeBytes()
 	data, err := json.Marshal(head)
@@ -190,6 +192,10 @@
 	softwareVersion := e.Header.Get(headerSoftwareVersion)
 	e.Header.Del(headerRan)
 	e.Header.Del(headerSoftwareVersion)
+	if e.Header.Get(headerFrames) != "" {
+		e.Header.Del(headerFrames)
+		e.Body = &frameReader{ReadCloser: e.Body}
+	}
 	if plan.Server != nil {
 		x.recordStatements(plan.Server, x.Protocol.Inbound(e.StatusCode, e.Header))
 	}
@@ -305,12 +311,14 @@
 func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
 	refusal := r.awaitConfiguration(ctx, req)
 	x := &transaction{Relay: r, req: req, w: out}
+	out.offersFrames = req.Frames
 	if refusal == nil {
 		x, refusal = r.newTransaction(req, out)
 	}
 	out.beforeHeader = func(h http.Header) {
 		h.Set(headerRan, strconv.Itoa(max(1, x.possibleRuns)))
 		h.Del(headerSoftwareVersion)
+		h.Del(headerFrames)
 		if x.origin != nil {
 			h.Set(headerSoftwareVersion, x.origin.SoftwareVersion)
 		}
@@ -374,7 +382,7 @@
 		ID: head.ID, Hop: head.Hop, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now.Add(-time.Duration(max(0, head.WaitedMs)) * time.Millisecond), Deadline: deadline,
-		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, Once: head.Once, AttemptsLeft: max(1, head.AttemptsLeft),
+		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, Once: head.Once, AttemptsLeft: max(1, head.AttemptsLeft), Frames: head.Frames,
 	}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,8 @@
 	// AttemptsLeft is the number of backend servers that may still run the
 	// request; zero means the route's maximum.
 	AttemptsLeft int
+	// Frames means that the VM that sent the request reads a response in frames.
+	Frames bool
 }
 
 // Outbound is what the gateway adds to a request for a backend server.
--- a/internal/relay/takeup_test.go
+++ b/internal/relay/takeup_test.go
@@ -56,6 +56,16 @@
 	is.Equal(x.choosePlan().Reason, "too-late") // not even an idle server begins in time
 }
 
+// newStreams returns a tracker of streams whose time stands still.
+func newStreams(now clock.Instant, publish func(kind gossip.Kind, part string, value []byte)) *resume.Tracker {
+	return resume.New(resume.Config{
+		Now: func() clock.Instant { return now }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		View: roster.New(slog.New(slog.DiscardHandler)).View, RegistryRead: func() bool { return true },
+		Reachable: func(string) bool { return true }, AnyReachable: func() bool { return true },
+		InTouch: func() bool { return true }, PublishOwn: publish,
+	})
+}
+
 // Guards against TestStreamTakenUpByRequestWithoutEventsKeepsItsSoftwareVersion failing for
 // a race (LOST): a take-up whose caller left while it waited for the record of its stream
 // was forgotten, so that no VM knew the request that the caller named next.
@@ -63,21 +73,13 @@
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
 	records := make(chan gossip.Record, 8)
-	streams := func(publish func(kind gossip.Kind, part string, value []byte)) *resume.Tracker {
-		return resume.New(resume.Config{
-			Now: func() clock.Instant { return now }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-			View: roster.New(slog.New(slog.DiscardHandler)).View, RegistryRead: func() bool { return true },
-			Reachable: func(string) bool { return true }, AnyReachable: func() bool { return true },
-			InTouch: func() bool { return true }, PublishOwn: publish,
-		})
-	}
-	other := streams(func(kind gossip.Kind, part string, value []byte) {
+	other := newStreams(now, func(kind gossip.Kind, part string, value []byte) {
 		if kind == gossip.KindStreams {
 			records <- gossip.Record{Key: gossip.Key{Kind: kind, Name: "vm-2/" + part}, Value: value}
 		}
 	})
 	x := hopTransaction(2)
-	x.Streams = streams(func(gossip.Kind, string, []byte) {})
+	x.Streams = newStreams(now, func(gossip.Kind, string, []byte) {})
 	x.req.ID, x.req.ResumedID, x.req.LastEventID = "b", "a", "4"
 	x.route.TrafficSplit = []ingress.WeightedService{{Service: "writer", Weight: 1}}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -15,6 +15,11 @@
 	err error
 	// beforeHeader, if set, modifies the header right before it is sent.
 	beforeHeader func(http.Header)
+	// offersFrames means that the client reads a body in frames. A body without a length is
+	// sent so, and framed is set.
+	offersFrames, framed bool
+	// offset is the number of bytes of a body in frames that were written, modulo 2^32.
+	offset uint32
 }
 
 var _ pipeline.Response = (*Writer)(nil)
@@ -41,11 +46,38 @@
 	if w.beforeHeader != nil {
 		w.beforeHeader(header)
 	}
+	if w.offersFrames && header.Get("Content-Length") == "" && mayHaveBody(head.Status) {
+		w.framed = true
+		header.Set(headerFrames, "1")
+	}
 	w.rw.WriteHeader(head.Status)
 }
 
+// mayHaveBody reports whether responses with the status may have a body.
+func mayHaveBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// End writes what marks the end of a body that is complete.
+func (w *Writer) End() {
+	if w.framed {
+		w.writeFrameHeader(0)
+	}
+}
+
+// writeFrameHeader writes the header of the next frame.
+func (w *Writer) writeFrameHeader(length int) {
+	header := frameHeader(w.offset, uint32(length))
+	_, err := w.rw.Write(header[:])
+	w.recordError(err)
+	w.offset += uint32(length)
+}
+
 // Write implements pipeline.Response.
 func (w *Writer) Write(p []byte) (int, error) {
+	if w.framed && len(p) > 0 {
+		w.writeFrameHeader(len(p)) // if that fails, so does the next write
+	}
 	n, err := w.rw.Write(p)
 	w.recordError(err)
 	return n, err
