Mesh: records travel without base64 between VMs of this build

Cause: records travel in notifications of JSON-RPC, whose bodies are texts.

Change: a frame that begins with a zero byte, which no JSON does, holds the body of a notification with records as it is.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -287,6 +287,7 @@
 		l.mu.Lock()
 		delta, more = l.session.Next()
 		l.mu.Unlock()
+		client.RawRecords = l.mesh.readsRawRecords(client.Remote)
 		l.mesh.mu.Unlock()
 		if len(delta.Records) == 0 {
 			return true
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -112,6 +112,8 @@
 	// readsGrownStructs means that the VM reads arrays of structs that have grown since
 	// it was built.
 	readsGrownStructs bool
+	// readsRawRecords means that the VM reads records without base64.
+	readsRawRecords bool
 }
 
 // Addresses are the addresses on which a VM listens, as IP:port.
@@ -128,6 +130,8 @@
 	Capacity                           float64
 	// ReadsGrownStructs is false in builds up to c32ccf6.
 	ReadsGrownStructs bool
+	// ReadsRawRecords is false in builds up to 3072034.
+	ReadsRawRecords bool
 }
 
 // State is the part of a VM's announcement that changes at run time.
@@ -404,7 +408,7 @@
 		Incarnation: m.Self.Incarnation, Region: m.Self.Region, FailureDomain: m.Self.FailureDomain,
 		Callers: m.Addresses.Callers, Hops: m.Addresses.Hops, Control: m.Addresses.Control,
 		Leaving: m.state.Leaving, Ready: m.state.Ready, Closing: m.state.Closing,
-		Capacity: m.Capacity, ReadsGrownStructs: true,
+		Capacity: m.Capacity, ReadsGrownStructs: true, ReadsRawRecords: true,
 	})
 	if err != nil {
 		m.Log.Error("encoding announcement failed", "error", err)
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -78,7 +78,7 @@
 	}
 	o.Identity = snapshot.Identity{VM: r.Name, Incarnation: a.Incarnation, Region: a.Region, FailureDomain: a.FailureDomain}
 	o.Addresses = Addresses{Callers: a.Callers, Hops: a.Hops, Control: a.Control}
-	o.Capacity, o.readsGrownStructs = a.Capacity, a.ReadsGrownStructs
+	o.Capacity, o.readsGrownStructs, o.readsRawRecords = a.Capacity, a.ReadsGrownStructs, a.ReadsRawRecords
 	o.Leaving, o.Ready, o.Closing = a.Leaving, a.Ready, a.Closing
 	if newIncarnation {
 		o.LastHeartbeat = now
@@ -86,6 +86,14 @@
 	}
 }
 
+// readsRawRecords reports whether the process that sent the hello reads records without
+// base64: its announcement says so, not one of an earlier build of that VM. The caller holds
+// the lock.
+func (m *Mesh) readsRawRecords(remote peer.Hello) bool {
+	o := m.members[remote.VM]
+	return o != nil && o.Incarnation == remote.Incarnation && o.readsRawRecords
+}
+
 func (m *Mesh) applySummary(r gossip.Record, now clock.Instant) {
 	region, _, found := strings.Cut(r.Name, "/")
 	var list []balance.Summary
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,6 +27,10 @@
 type Client struct {
 	// Remote is the peer's Hello.
 	Remote Hello
+	// RawRecords means that the peer reads records without base64. It may not be changed
+	// during a call of Gossip.
+	RawRecords bool
+
 	rpc    *jsonrpc2.Conn
 	stream *stream
 }
@@ -86,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.stream.writeGossip(b[0]); err != nil {
+	if err := c.stream.writeGossip(b[0], c.RawRecords); err != nil {
 		return ErrUnreachable.New("gossip to %s: %v", c.Remote.VM, err)
 	}
 	return nil
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -67,6 +67,10 @@
 	gossipEnd   = `"]}`
 )
 
+// rawGossip is the first byte of a frame with records whose body isn't in base64. No JSON
+// begins with it.
+const rawGossip = 0
+
 // maxKeptBuffer is the maximum size in bytes of a buffer that is kept for the next frame.
 const maxKeptBuffer = 128 << 10
 
@@ -79,8 +83,12 @@
 	return s.writeFrame(data)
 }
 
-// writeGossip writes a notification with records.
-func (s *stream) writeGossip(body []byte) error {
+// writeGossip writes a notification with records. A raw one takes a quarter fewer bytes, but
+// earlier builds don't read it.
+func (s *stream) writeGossip(body []byte, raw bool) error {
+	if raw {
+		return s.writeFrame(append([]byte{rawGossip}, body...))
+	}
 	data := make([]byte, 0, len(gossipStart)+base64.StdEncoding.EncodedLen(len(body))+len(gossipEnd))
 	data = append(data, gossipStart...)
 	data = base64.StdEncoding.AppendEncode(data, body)
@@ -110,6 +118,12 @@
 		if err != nil {
 			return err
 		}
+		if data[0] == rawGossip && s.onGossip != nil {
+			if err := s.onGossip(data[1:]); err != nil {
+				return err
+			}
+			continue
+		}
 		text, found := gossipText(data)
 		if !found || s.onGossip == nil {
 			if err := json.Unmarshal(data, v); err != nil {
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -60,7 +60,7 @@
 	for _, n := range []int{0, 1, 2, 3, 20} {
 		b := gossipOf(t, n)
 		c := &recordedConn{Reader: bytes.NewReader(nil)}
-		is.NoErr(newStream(c, nil).writeGossip(b))
+		is.NoErr(newStream(c, nil).writeGossip(b, false))
 		is.Equal(c.Bytes(), libraryFrame(t, b))
 	}
 }
@@ -83,6 +83,9 @@
 		is.NoErr(err)
 	}
 	eventually(t, "records of all forms", func() bool { return r.recordCount() == 8 })
+	_, err = conn.Write(frame(string(append([]byte{rawGossip}, b...))))
+	is.NoErr(err)
+	eventually(t, "raw records", func() bool { return r.recordCount() == 10 })
 	is.Equal(logged.String(), "")
 }
 
@@ -90,10 +93,13 @@
 // body that isn't read whole.
 func TestMalformedGossipClosesConnection(t *testing.T) {
 	for name, frames := range map[string][]byte{
-		"before the hello": libraryFrame(t, gossipOf(t, 1)),
-		"not base64":       append(request("hello", false, self), frame(gossipStart+"!!!!"+gossipEnd)...),
-		"not msgpack":      append(request("hello", false, self), frame(gossipStart+"wQ=="+gossipEnd)...),
-		"no body":          append(request("hello", false, self), frame(gossipStart+gossipEnd)...),
+		"before the hello":      libraryFrame(t, gossipOf(t, 1)),
+		"not base64":            append(request("hello", false, self), frame(gossipStart+"!!!!"+gossipEnd)...),
+		"raw, before the hello": frame(string(append([]byte{rawGossip}, gossipOf(t, 1)...))),
+		"raw, not msgpack":      append(request("hello", false, self), frame("\x00\xc1")...),
+		"raw, no body":          append(request("hello", false, self), frame("\x00")...),
+		"not msgpack":           append(request("hello", false, self), frame(gossipStart+"wQ=="+gossipEnd)...),
+		"no body":               append(request("hello", false, self), frame(gossipStart+gossipEnd)...),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -119,7 +125,7 @@
 		s := newStream(c, nil)
 		for b.Loop() {
 			c.Reset()
-			if err := s.writeGossip(text); err != nil {
+			if err := s.writeGossip(text, true); err != nil {
 				b.Fatal(err)
 			}
 		}
