--- a/internal/mesh/ring.go
+++ b/internal/mesh/ring.go
@@ -10,8 +10,8 @@
 // Load announcements are most of what the VMs of a large region exchange. Around the ring of a
 // failure domain each takes a binomial tree: a VM passes it on only over chords that come, in
 // the tree's order, before the one over which it arrived. So nearly every VM receives it once,
-// in as few steps as over all chords. There are two trees, over the shorter and over the
-// longer chords, because the VMs behind one that is lost are others in each.
+// in as few steps as over all chords. Announcements take the tree over shorter chords or the one
+// over longer chords in turn, as the VMs behind a lost one differ between these.
 
 const (
 	// floodedLoads is the number of load announcements of which one, on average, takes all
@@ -22,7 +22,7 @@
 )
 
 // ring holds the chords of a VM in the ring of its failure domain: their lengths, by the VM at
-// the other end. The VM dials those in to, and those in from dial it.
+// the other end. It sends over those in to, and receives over those in from.
 type ring struct{ to, from map[string]int }
 
 // newRing returns the chords of self in a ring with the other VMs of the list, which it sorts.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -3,8 +3,8 @@
 //
 // A connection starts with the call "hello", which identifies the process that
 // opened it. Every message has the sender's configuration revision. Message
-// bodies are msgpack inside the JSON-RPC message. Each frame is prefixed with
-// its length, which is at most MaxFrameBytes.
+// bodies are msgpack inside the JSON-RPC message; records may have frames without
+// JSON. Each frame is prefixed with its length, which is at most MaxFrameBytes.
 package peer
 
 import (
@@ -38,7 +38,7 @@
 const MaxFrameBytes = 1<<20*4/3 + 16<<10
 
 // stream carries JSON-RPC objects in frames: each is its length, an unsigned varint,
-// followed by its JSON. In a large fleet almost all messages are notifications with
+// followed by its JSON, or by rawGossip and the body of a notification with records. In a large fleet almost all messages are notifications with
 // records, so these are encoded and decoded without encoding/json, which would scan the
 // base64 text several times.
 type stream struct {
