--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -311,7 +311,7 @@
 func (r *Relay) handleHop(ctx context.Context, req *Request, out *Writer) (*verdict.Refusal, *transaction) {
 	refusal := r.awaitConfiguration(ctx, req)
 	x := &transaction{Relay: r, req: req, w: out}
-	out.offersFrames = req.Frames
+	out.acceptsFrames = req.Frames
 	if refusal == nil {
 		x, refusal = r.newTransaction(req, out)
 	}
--- a/internal/relay/hopframes_test.go
+++ b/internal/relay/hopframes_test.go
@@ -78,7 +78,7 @@
 					return
 				}
 				out := NewWriter(w)
-				out.offersFrames = req.Frames
+				out.acceptsFrames = req.Frames
 				out.Start(pipeline.Head{Status: http.StatusOK, Header: http.Header{headerRan: {"1"}, "Content-Type": {"text/event-stream"}}})
 				out.Flush()
 				for n, event := range events {
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -15,9 +15,9 @@
 	err error
 	// beforeHeader, if set, modifies the header right before it is sent.
 	beforeHeader func(http.Header)
-	// offersFrames means that the client reads a body in frames. A body without a length is
+	// acceptsFrames means that the client accepts a body in frames. One without a length is
 	// sent so, and framed is set.
-	offersFrames, framed bool
+	acceptsFrames, framed bool
 	// offset is the number of bytes of a body in frames that were written, modulo 2^32.
 	offset uint32
 }
@@ -46,7 +46,7 @@
 	if w.beforeHeader != nil {
 		w.beforeHeader(header)
 	}
-	if w.offersFrames && header.Get("Content-Length") == "" && mayHaveBody(head.Status) {
+	if w.acceptsFrames && header.Get("Content-Length") == "" && mayHaveBody(head.Status) {
 		w.framed = true
 		header.Set(headerFrames, "1")
 	}
