--- a/internal/mesh/ring_test.go
+++ b/internal/mesh/ring_test.go
@@ -98,7 +98,7 @@
 }
 
 // Guards against links that are full of records (issue 22): each VM of a region of 96 received
-// each load announcement nine times.
+// each load announcement six times.
 func TestLoadAnnouncementsReachAllVMsOverHalfOfTheLinks(t *testing.T) {
 	const maxSteps = int(maxRecordAge / TickInterval)
 	deployed := []int{15, 48} // the sizes of failure domains of the large deployments
