Relay: logs and metrics of requests that come back to a connection and of stray responses

Three hypotheses stand beside each other (docs/incidents/2026-12-06-copies-of-refusals.md): a copy of a refusal that bears the ID of the request in flight, a copy that is matched by no ID, work that goes on for another reason. Neither logs nor metrics named the connection of a send, skipped responses, or a request that came back to a connection.

Now 'send failed' names the connection, skipped responses and requests that come back have a line and a counter each (request_stray_responses, request_returned_sends). A connection keeps hashes of the IDs that it has carried for that. No decision depends on it.

--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -105,7 +105,7 @@
 // sendToVM sends the request to another VM, which serves it or refuses it. If
 // the plan names a backend server, the VM may use no other one.
 func (x *transaction) sendToVM(ctx context.Context, plan balance.Plan, vm, address string) (out outcome) {
-	x.destination, x.softwareVersion, x.sentToVM = vm, "", true
+	x.destination, x.softwareVersion, x.sentToVM, x.connection = vm, "", true, ""
 	x.sends++
 	granted, hop := x.hopAttempts(plan.Server != nil), x.hopID()
 	caller := ctx
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -309,6 +309,9 @@
 	// destination is the backend server or VM of the last send, and softwareVersion the
 	// version of that server's software, or "" for a VM.
 	destination, softwareVersion string
+	// connection is this side's address of the connection to the backend server that
+	// answered the last send, or "".
+	connection string
 	// sentToVM means that the last send was to another VM.
 	sentToVM bool
 	// patience ends a stream whose caller has left for want of an event.
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
@@ -29,6 +30,9 @@
 	// uncountedHops counts the hops of which it is unknown how often the other VM sent
 	// the request.
 	uncountedHops tally.Counter
+	// strayResponses counts the responses of backend servers to other requests than the one
+	// in flight, and returnedSends the requests that came back to a connection.
+	strayResponses, returnedSends tally.Counter
 }
 
 // NewMetrics returns the metrics of requests, registered under the scope.
@@ -40,6 +44,9 @@
 		total:         s.Histogram("whole_seconds", latencyBuckets),
 		regionHops:    s.Counter("region_hops"),
 		uncountedHops: s.Counter("uncounted_hops"),
+
+		strayResponses: s.Counter("stray_responses"),
+		returnedSends:  s.Counter("returned_sends"),
 	}
 }
 
@@ -53,6 +60,20 @@
 	m.scope.Tagged(map[string]string{"framing": string(framing), "unfinished": strconv.FormatBool(unfinished)}).Counter("stream_ends").Inc(1)
 }
 
+// recordConnection logs what the response of a backend server doesn't tell by itself: that other
+// responses came before it, or that the connection had carried the request before.
+func (x *transaction) recordConnection(s *roster.Server, e *upstream.Exchange) {
+	x.connection = e.LocalAddress()
+	if e.StrayResponses > 0 {
+		x.Metrics.strayResponses.Inc(int64(e.StrayResponses))
+		x.Log.Warn("skipped responses to other requests", "request", x.req.ID, "server", s.ID, "connection", x.connection, "skipped", e.StrayResponses, "status", e.StatusCode)
+	}
+	if e.CarriedBefore {
+		x.Metrics.returnedSends.Inc(1)
+		x.Log.Warn("request came back to a connection that had carried it", "request", x.req.ID, "server", s.ID, "connection", x.connection, "status", e.StatusCode)
+	}
+}
+
 // recordSend counts a send. If the send failed, it also logs the estimate
 // behind the plan and the reason of the failure.
 func (x *transaction) recordSend(plan balance.Plan, out *outcome) {
@@ -71,7 +92,7 @@
 	x.Log.Warn("send failed", "request", x.req.ID, "route", x.route.Name, "service", x.service.Name,
 		"to", x.destination, "softwareVersion", x.softwareVersion, "region", plan.Region, "notRun", out.notRun, "reason", out.reason,
 		"expectedFirst", plan.Estimate.TimeToFirstByte, "cold", plan.Cold, "ran", x.possibleRuns, "sends", x.sends,
-		"firstByteBefore", x.sinceFirstByte(), "blocks", blockNames(x.traits.Blocks), "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "lastEvent", x.lastEventID, "retriesLeft", x.budget.Remaining(x.Now()))
+		"firstByteBefore", x.sinceFirstByte(), "blocks", blockNames(x.traits.Blocks), "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "lastEvent", x.lastEventID, "connection", x.connection, "retriesLeft", x.budget.Remaining(x.Now()))
 }
 
 // blockNames returns the blocks in hexadecimal, separated by commas.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -107,6 +107,7 @@
 	s, load := plan.Server, plan.Load
 	x.triedServers = append(x.triedServers, s.Key())
 	x.destination, x.softwareVersion, x.sentToVM, x.prefillTokens = s.ID, s.SoftwareVersion, false, plan.Estimate.UncachedTokens
+	x.connection = ""
 	started := x.waitForPrefillSlot(ctx, &plan)
 	now := x.Now()
 	ticket, reason := x.admit(&plan, started, now)
@@ -169,6 +170,7 @@
 	if !exchange.Reused() {
 		plan.Load.Link.RecordDial(true, x.Now())
 	}
+	x.recordConnection(plan.Server, exchange)
 	x.Balancer.RecordSend(&x.req.Demand, plan.Server.Key(), work.SentAt())
 	return x.handleResponse(ctx, plan, exchange, work, watch)
 }
@@ -257,7 +259,7 @@
 		LastEventID: x.lastEventID, WeightsVersion: x.weightsVersion,
 	})
 	return &upstream.Call{
-		Address: plan.Server.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host,
+		ID: x.req.ID, Address: plan.Server.Address, Method: x.req.Method, Target: x.req.Target, Host: x.req.Host,
 		Header: header, Body: x.req.Body, MaxIdle: idle,
 		MaxOpen:       x.connectionShare(plan),
 		MatchResponse: func(h http.Header) bool { return x.Protocol.Inbound(http.StatusOK, h).RequestID == x.req.ID },
--- /dev/null
+++ b/internal/upstream/carried.go
@@ -0,0 +1,22 @@
+package upstream
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// carriedIDs are the hashes of the IDs of the requests that a connection has carried. Two IDs
+// with the same hash count as one.
+type carriedIDs struct{ hashes []uint64 }
+
+// contains reports whether the connection has carried a request with the ID; none has "".
+func (c *carriedIDs) contains(id string) bool {
+	return id != "" && slices.Contains(c.hashes, xxhash.Sum64String(id))
+}
+
+func (c *carriedIDs) add(id string) {
+	if id != "" {
+		c.hashes = append(c.hashes, xxhash.Sum64String(id))
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,8 @@
 
 // Call is a request to be sent.
 type Call struct {
+	// ID identifies the request to its server, or is "".
+	ID      string
 	Address string
 	Method  string
 	// Target is the request target as sent: the encoded path with the query.
@@ -61,6 +63,9 @@
 	complete, failed bool
 	// StrayResponses is the number of skipped responses to other requests.
 	StrayResponses int
+	// CarriedBefore means that the connection had carried a request with the same ID, so that
+	// the response may be a copy of an earlier one.
+	CarriedBefore bool
 }
 
 // Do sends the request once and reads the header of its response. The connection
@@ -79,13 +84,15 @@
 		return nil, ErrUnsent.New("%v", ctx.Err())
 	}
 	stop := context.AfterFunc(ctx, c.reset)
+	carriedBefore := c.carried.contains(call.ID)
+	c.carried.add(call.ID)
 	sent, err := c.write(call)
 	if err != nil {
 		stop()
 		c.reset()
 		return nil, ErrBroken.New("write: %v", err)
 	}
-	x := &Exchange{conn: c, stopCancel: stop, sent: sent}
+	x := &Exchange{conn: c, stopCancel: stop, sent: sent, CarriedBefore: carriedBefore}
 	if err := x.readHead(call); err != nil {
 		stop()
 		c.reset()
@@ -204,6 +211,10 @@
 	return n, err
 }
 
+// LocalAddress returns the address of this side of the connection, which tells the connections
+// to a server apart.
+func (x *Exchange) LocalAddress() string { return x.conn.LocalAddr().String() }
+
 // Reused reports whether the request was sent over a pooled connection.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -98,6 +98,7 @@
 	idleSince   clock.Instant
 	idleTimeout time.Duration
 	reused      bool
+	carried     carriedIDs
 	closeOnce   sync.Once
 }
 
