Upstream: a connection carries the ID of a request once

What callers saw: a booking or a stream ran at two or three servers at once, or was refused with 503 (not run) and ran. Cause: a refusal puts its connection back into the pool, responses are matched by the request's ID alone, and a server may send a copy of the refusal later. A request that comes back to the connection, by a hop to the same VM or because its caller sends it again under its ID, takes the copy for a new refusal while the server runs it. The class: evidence that isn't bound to one sending.

Change: a connection keeps hashes of the IDs that it has carried, and a request goes to an idle connection that hasn't carried its ID, or to a new one. At the limit of open connections that takes the place of one of those passed over. A connection is closed after 512 requests, so that no ID is forgotten (4 KB a connection at most). So any response that comes too late bears another ID than the request in flight, however late it is and whatever it is a copy of, and is skipped as before.

Ways weighed: closing a connection with each refusal costs connections in crowds, when servers have few, and does nothing for copies of other responses; not believing a second refusal on a connection (502) fails requests that could be served, and streams would still end. Cost here: a connection only where a request would have come back to one; the counter request_connections_passed_over tells.

Evidence: before, the log has 'request came back to a connection that had carried it' with status 503 for each run that was left. Two tests of the pool use takeIdle with a Call, as it needs the ID; they check the same.

--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -31,8 +31,9 @@
 	// the request.
 	uncountedHops tally.Counter
 	// strayResponses counts the responses of backend servers to other requests than the one
-	// in flight, and returnedSends the requests that came back to a connection.
-	strayResponses, returnedSends tally.Counter
+	// in flight, and passedOver the connections that weren't used for a request as they had
+	// carried it before.
+	strayResponses, passedOver tally.Counter
 }
 
 // NewMetrics returns the metrics of requests, registered under the scope.
@@ -46,7 +47,7 @@
 		uncountedHops: s.Counter("uncounted_hops"),
 
 		strayResponses: s.Counter("stray_responses"),
-		returnedSends:  s.Counter("returned_sends"),
+		passedOver:     s.Counter("connections_passed_over"),
 	}
 }
 
@@ -60,18 +61,15 @@
 	m.scope.Tagged(map[string]string{"framing": string(framing), "unfinished": strconv.FormatBool(unfinished)}).Counter("stream_ends").Inc(1)
 }
 
-// recordConnection logs what the response of a backend server doesn't tell by itself: that other
-// responses came before it, or that the connection had carried the request before.
+// recordConnection records what a response of a backend server doesn't tell by itself: that other
+// responses came before it, or that connections that had carried the request weren't used.
 func (x *transaction) recordConnection(s *roster.Server, e *upstream.Exchange) {
 	x.connection = e.LocalAddress()
+	x.Metrics.passedOver.Inc(int64(e.PassedOver))
 	if e.StrayResponses > 0 {
 		x.Metrics.strayResponses.Inc(int64(e.StrayResponses))
 		x.Log.Warn("skipped responses to other requests", "request", x.req.ID, "server", s.ID, "connection", x.connection, "skipped", e.StrayResponses, "status", e.StatusCode)
 	}
-	if e.CarriedBefore {
-		x.Metrics.returnedSends.Inc(1)
-		x.Log.Warn("request came back to a connection that had carried it", "request", x.req.ID, "server", s.ID, "connection", x.connection, "status", e.StatusCode)
-	}
 }
 
 // recordSend counts a send. If the send failed, it also logs the estimate
--- a/internal/upstream/carried.go
+++ b/internal/upstream/carried.go
@@ -6,6 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// maxCarriedIDs is the number of requests after which a connection is closed, as it remembers
+// the IDs of all of them.
+const maxCarriedIDs = 512
+
 // carriedIDs are the hashes of the IDs of the requests that a connection has carried. Two IDs
 // with the same hash count as one.
 type carriedIDs struct{ hashes []uint64 }
@@ -20,3 +24,6 @@
 		c.hashes = append(c.hashes, xxhash.Sum64String(id))
 	}
 }
+
+// full reports whether the connection may carry no more requests.
+func (c *carriedIDs) full() bool { return len(c.hashes) >= maxCarriedIDs }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,7 +33,8 @@
 
 // Call is a request to be sent.
 type Call struct {
-	// ID identifies the request to its server, or is "".
+	// ID identifies the request to its server, or is "". A connection carries an ID once: a
+	// server may send a response again later, which bears the same ID.
 	ID      string
 	Address string
 	Method  string
@@ -63,19 +64,18 @@
 	complete, failed bool
 	// StrayResponses is the number of skipped responses to other requests.
 	StrayResponses int
-	// CarriedBefore means that the connection had carried a request with the same ID, so that
-	// the response may be a copy of an earlier one.
-	CarriedBefore bool
+	// PassedOver is the number of idle connections that had carried a request with the same ID.
+	PassedOver int
 }
 
 // Do sends the request once and reads the header of its response. The connection
 // is closed when ctx ends. The error is ErrUnsent if certainly no byte was sent, or
 // else ErrBroken.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
-	c := p.takeIdle(call.Address, call.MaxIdle)
+	c, passedOver := p.takeIdle(call)
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, call.Address, call.MaxOpen); err != nil {
+		if c, err = p.dial(ctx, call); err != nil {
 			return nil, err
 		}
 	}
@@ -84,7 +84,6 @@
 		return nil, ErrUnsent.New("%v", ctx.Err())
 	}
 	stop := context.AfterFunc(ctx, c.reset)
-	carriedBefore := c.carried.contains(call.ID)
 	c.carried.add(call.ID)
 	sent, err := c.write(call)
 	if err != nil {
@@ -92,7 +91,7 @@
 		c.reset()
 		return nil, ErrBroken.New("write: %v", err)
 	}
-	x := &Exchange{conn: c, stopCancel: stop, sent: sent, CarriedBefore: carriedBefore}
+	x := &Exchange{conn: c, stopCancel: stop, sent: sent, PassedOver: passedOver}
 	if err := x.readHead(call); err != nil {
 		stop()
 		c.reset()
@@ -227,7 +226,7 @@
 		x.conn.reset()
 		return
 	}
-	if x.Close || x.StrayResponses > 0 || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
+	if x.Close || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -119,50 +120,60 @@
 	return n
 }
 
-// takeIdle returns an idle connection that was used within maxIdle, or nil.
-func (p *Pool) takeIdle(address string, maxIdle time.Duration) *conn {
+// takeIdle returns an idle connection that was used within the call's maximum idle time and
+// that hasn't carried a request with the call's ID, or nil. It also returns the number of
+// connections that were passed over as they had.
+func (p *Pool) takeIdle(call *Call) (c *conn, passedOver int) {
 	now := p.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			return nil
+		c, passedOver = p.removeIdle(call)
+		if c == nil {
+			return nil, passedOver
 		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
 		age := now.Sub(c.idleSince)
 		if age > c.idleTimeout || !c.isReusable() {
 			c.close()
 			continue
 		}
-		if age > maxIdle {
+		if age > call.MaxIdle {
 			p.putIdle(c)
-			return nil
+			return nil, passedOver
 		}
 		c.reused = true
-		return c
+		return c, passedOver
 	}
 }
 
+// removeIdle removes the idle connection from the pool that was used last, of those that
+// haven't carried a request with the call's ID, and returns it and the number of those that
+// were passed over as they had.
+func (p *Pool) removeIdle(call *Call) (c *conn, passedOver int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[call.Address]
+	for i, c := range slices.Backward(list) {
+		if !c.carried.contains(call.ID) {
+			p.idle[call.Address] = slices.Delete(list, i, i+1)
+			return c, passedOver
+		}
+		passedOver++
+	}
+	return nil, passedOver
+}
+
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// dial opens a connection unless maxOpen connections to the address are open; zero
-// means no bound. Its error is ErrUnsent, and ErrExhausted or ErrNoConnection if the attempt
-// failed.
-func (p *Pool) dial(ctx context.Context, address string, maxOpen int) (*conn, error) {
-	p.mu.Lock()
-	if maxOpen > 0 && p.open[address] >= maxOpen {
-		p.mu.Unlock()
-		return nil, ErrUnsent.New("%d connections to %s are open", maxOpen, address)
+// dial opens a connection for the call. Its error is ErrUnsent, and ErrExhausted or
+// ErrNoConnection if the attempt failed.
+func (p *Pool) dial(ctx context.Context, call *Call) (*conn, error) {
+	address := call.Address
+	if !p.reserve(call) {
+		return nil, ErrUnsent.New("%d connections to %s are open", call.MaxOpen, address)
 	}
-	p.open[address]++
-	p.mu.Unlock()
 	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if isExhausted(err) {
 		p.closeIdle(func(*conn, clock.Instant) bool { return true })
@@ -187,6 +198,29 @@
 	return c, nil
 }
 
+// reserve counts a connection that is about to be opened. If the call's maximum is open, it
+// closes an idle one that has carried the call's ID, and returns false if there is none.
+func (p *Pool) reserve(call *Call) bool {
+	p.mu.Lock()
+	var replaced *conn
+	if call.MaxOpen > 0 && p.open[call.Address] >= call.MaxOpen {
+		list := p.idle[call.Address]
+		i := slices.IndexFunc(list, func(c *conn) bool { return c.carried.contains(call.ID) })
+		if i < 0 {
+			p.mu.Unlock()
+			return false
+		}
+		replaced = list[i]
+		p.idle[call.Address] = slices.Delete(list, i, i+1)
+	}
+	p.open[call.Address]++
+	p.mu.Unlock()
+	if replaced != nil {
+		replaced.close()
+	}
+	return true
+}
+
 // isExhausted reports whether an attempt to connect failed because this process, or its
 // machine, has no descriptors, ports or memory left for sockets.
 func isExhausted(err error) bool {
@@ -202,7 +236,7 @@
 // ErrNoConnection if the address accepts none, or resets it at once: the listener of a
 // process that is being killed may accept one after its other connections have ended.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address, 0)
+	c, err := p.dial(ctx, &Call{Address: address})
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/release_test.go
+++ b/internal/upstream/release_test.go
@@ -91,7 +91,8 @@
 	is.NoErr(err)
 	x.Release()
 	is.Equal(p.OpenConnections(), 1)
-	is.True(p.takeIdle(l.Addr().String(), time.Minute) != nil)
+	c, _ := p.takeIdle(&Call{Address: l.Addr().String(), MaxIdle: time.Minute})
+	is.True(c != nil)
 }
 
 // Guards against a 502 that quotes what a server sent, which may be another caller's.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -353,7 +353,7 @@
 			wg.Wait()
 			// A connection on which the excess arrives only now is not reused.
 			time.Sleep(50 * time.Millisecond)
-			if p.takeIdle(address, time.Minute) != nil {
+			if c, _ := p.takeIdle(&Call{Address: address, MaxIdle: time.Minute}); c != nil {
 				t.Error("a connection with unread bytes is reused")
 			}
 			if n := p.OpenConnections(); n != 0 {
