--- a/internal/upstream/carried.go
+++ b/internal/upstream/carried.go
@@ -25,5 +25,8 @@
 	}
 }
 
+// number returns the number of requests that the connection has carried.
+func (c *carriedIDs) number() int { return len(c.hashes) }
+
 // full reports whether the connection may carry no more requests.
-func (c *carriedIDs) full() bool { return len(c.hashes) >= maxCarriedIDs }
+func (c *carriedIDs) full() bool { return c.number() >= maxCarriedIDs }
--- a/internal/upstream/carried_test.go
+++ b/internal/upstream/carried_test.go
@@ -62,6 +62,36 @@
 	is.Equal(e.PassedOver, 0)
 }
 
+// Guards against issue 54: a request that ran was answered with 502, as the copies of several
+// refusals came before its response.
+func TestLateCopiesOfSeveralRefusalsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	const refusals = 6
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		copies := ""
+		for range refusals {
+			req, _ := readRequest(r)
+			refusal := "HTTP/1.1 503 Service Unavailable\r\nId: " + req.Header.Get("Id") + "\r\nContent-Length: 4\r\n\r\nfull"
+			_, _ = io.WriteString(c, refusal)
+			copies += refusal
+		}
+		req, _ := readRequest(r)
+		_, _ = io.WriteString(c, copies)
+		reply(c, req.Header.Get("Id"), "answer")
+	})
+	p := newPool()
+	for n := range refusals {
+		_, e, err := exchange(t, p, callWithID(address, strconv.Itoa(n)))
+		is.NoErr(err)
+		is.Equal(e.StatusCode, http.StatusServiceUnavailable)
+	}
+	body, e, err := exchange(t, p, callWithID(address, "x"))
+	is.NoErr(err)
+	is.Equal(body, "answer")
+	is.Equal(e.StrayResponses, refusals)
+	is.Equal(p.OpenConnections(), 0) // not used again
+}
+
 // Guards against a side effect of the fix: with one connection allowed, a request that it had
 // carried could not be sent at all.
 func TestConnectionThatHasCarriedARequestMakesRoomForAnother(t *testing.T) {
