Upstream: idle connections that a request can't use are passed over in place, and make room at the limit

Now a connection leaves the list only if it is used or closed. - at the limit of open connections a request was not sent although all were idle, for too long for it (an unsafe request uses none that was idle for over 0.8 s). Callers saw 503 of a VM whose server was idle. Now the one that was idle for longest makes room, whatever keeps the request from using it.

TestConnectionUsedLastStaysFirstAfterARequestPassedItOver and TestIdleConnectionThatIsTooOldMakesRoomAtTheLimit failed 3 of 3 before and pass. TestExpiredConnectionIsReplacedAndMaxOpenBoundsDials expected a refusal with one idle connection at a limit of one, which is the second fault; it now keeps that connection in use, and checks the number of connections as well.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -120,43 +120,41 @@
 	return n
 }
 
-// takeIdle returns an idle connection that was used within the call's maximum idle time and
-// that hasn't carried a request with the call's ID, or nil. It also returns the number of
-// connections that were passed over as they had.
+// takeIdle returns the idle connection that was used last, of those that the call may use, or
+// nil. It also returns the number of connections that were passed over as they had carried a
+// request with the call's ID.
 func (p *Pool) takeIdle(call *Call) (c *conn, passedOver int) {
 	now := p.Now()
 	for {
-		c, passedOver = p.removeIdle(call)
+		c, passedOver = p.removeIdle(call, now)
 		if c == nil {
 			return nil, passedOver
 		}
-		age := now.Sub(c.idleSince)
-		if age > c.idleTimeout || !c.isReusable() {
+		if now.Sub(c.idleSince) > c.idleTimeout || !c.isReusable() {
 			c.close()
 			continue
 		}
-		if age > call.MaxIdle {
-			p.putIdle(c)
-			return nil, passedOver
-		}
 		c.reused = true
 		return c, passedOver
 	}
 }
 
-// removeIdle removes the idle connection from the pool that was used last, of those that
-// haven't carried a request with the call's ID, and returns it and the number of those that
-// were passed over as they had.
-func (p *Pool) removeIdle(call *Call) (c *conn, passedOver int) {
+// removeIdle removes the connection that takeIdle returns from the pool, without looking at its
+// idle timeout and whether it is open.
+func (p *Pool) removeIdle(call *Call, now clock.Instant) (c *conn, passedOver int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[call.Address]
 	for i, c := range slices.Backward(list) {
-		if !c.carried.contains(call.ID) {
+		switch {
+		case now.Sub(c.idleSince) > call.MaxIdle:
+			return nil, passedOver // the others were used earlier
+		case c.carried.contains(call.ID):
+			passedOver++
+		default:
 			p.idle[call.Address] = slices.Delete(list, i, i+1)
 			return c, passedOver
 		}
-		passedOver++
 	}
 	return nil, passedOver
 }
@@ -199,19 +197,18 @@
 }
 
 // reserve counts a connection that is about to be opened. If the call's maximum is open, it
-// closes an idle one that has carried the call's ID, and returns false if there is none.
+// closes the one that has been idle for longest, and returns false if none is idle.
 func (p *Pool) reserve(call *Call) bool {
 	p.mu.Lock()
 	var replaced *conn
 	if call.MaxOpen > 0 && p.open[call.Address] >= call.MaxOpen {
 		list := p.idle[call.Address]
-		i := slices.IndexFunc(list, func(c *conn) bool { return c.carried.contains(call.ID) })
-		if i < 0 {
+		if len(list) == 0 {
 			p.mu.Unlock()
 			return false
 		}
-		replaced = list[i]
-		p.idle[call.Address] = slices.Delete(list, i, i+1)
+		replaced = list[0]
+		p.idle[call.Address] = slices.Delete(list, 0, 1)
 	}
 	p.open[call.Address]++
 	p.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -241,10 +241,14 @@
 	body, _, err := exchange(t, p, call(address, "2"))
 	is.NoErr(err)
 	is.Equal(body, "1")
-	full := call(address, "3")
+	busy, err := p.Do(t.Context(), call(address, "3"))
+	is.NoErr(err)
+	defer busy.Abort()
+	full := call(address, "4")
 	full.MaxOpen, full.MaxIdle = 1, 0
 	_, _, err = exchange(t, p, full)
 	is.True(errorx.IsOfType(err, ErrUnsent))
+	is.Equal(p.OpenConnections(), 1)
 }
 
 func TestContextCancellationClosesConnection(t *testing.T) {
