Relay: a VM's own limit of connections doesn't count as a failure of the server

What callers saw: 503 (servers-failing) of a VM whose server was sound. Each request beyond the connections that the VM may open to a server counted as a failure of that server, so that its breaker opened; the idle connections were closed and the link was checked as well.

Change: the error is a type of its own, upstream.ErrAtLimit, after which the server counts as full for a moment, as after a refusal for lack of capacity.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -29,7 +29,8 @@
 	// requests at once.
 	maxBufferedBytes = 128 << 10
 	// fullBackoff is how long a server that refused a request for lack of
-	// capacity counts as full. It is then used only if the others score worse.
+	// capacity, or to which this VM may open no more connections, counts as full.
+	// It is then used only if the others score worse.
 	fullBackoff = 60 * time.Millisecond
 	// maxRetryAfter bounds the retry time that a backend server may state. The pause
 	// that follows from it has a lower bound of its own.
@@ -292,7 +293,11 @@
 // handleSendError returns the outcome of a send that got no response.
 func (x *transaction) handleSendError(ctx context.Context, plan balance.Plan, err error) outcome {
 	unsent := errorx.IsOfType(err, upstream.ErrUnsent)
-	if ctx.Err() == nil && !errorx.IsOfType(err, upstream.ErrExhausted) {
+	switch {
+	case ctx.Err() != nil, errorx.IsOfType(err, upstream.ErrExhausted):
+	case errorx.IsOfType(err, upstream.ErrAtLimit):
+		plan.Load.RecordRefusal(x.Now().Add(fullBackoff))
+	default:
 		plan.Load.RecordFailure(x.Now())
 		x.ServerPool.CloseIdle(plan.Server.Address)
 		if errorx.IsOfType(err, upstream.ErrNoConnection) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -56,6 +56,9 @@
 	// ErrExhausted is an ErrUnsent: this process has no descriptors or ports left. It says
 	// nothing about the address.
 	ErrExhausted = ErrUnsent.NewSubtype("exhausted")
+	// ErrAtLimit is an ErrUnsent: as many connections to the address as the call allows are in
+	// use. It says nothing about the address.
+	ErrAtLimit = ErrUnsent.NewSubtype("at_limit")
 	// ErrBroken means that the exchange failed after bytes may have been sent.
 	ErrBroken = Errors.NewType("broken")
 )
@@ -165,12 +168,12 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// dial opens a connection for the call. Its error is ErrUnsent, and ErrExhausted or
+// dial opens a connection for the call. Its error is ErrAtLimit, or ErrExhausted or
 // ErrNoConnection if the attempt failed.
 func (p *Pool) dial(ctx context.Context, call *Call) (*conn, error) {
 	address := call.Address
 	if !p.reserve(call) {
-		return nil, ErrUnsent.New("%d connections to %s are open", call.MaxOpen, address)
+		return nil, ErrAtLimit.New("%d connections to %s are in use", call.MaxOpen, address)
 	}
 	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if isExhausted(err) {
