Upstream: a HEAD request has a connection of its own

The copy of the response to a HEAD request has a length but no body. Skipped before the response to another method, it took as many bytes of that one along: 502 for a request that ran, or nothing until the deadline.

Change: HEAD requests, which are rare, use no idle connection and leave none behind.

--- a/internal/upstream/carried_test.go
+++ b/internal/upstream/carried_test.go
@@ -134,3 +134,35 @@
 	}
 	is.Equal(p.OpenConnections(), 1)
 }
+
+// Guards against a copy of the response to a HEAD request, which has a length but no body: the
+// response after it was taken for that body.
+func TestCopyOfTheResponseToAHeadRequestIsSkipped(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: x\r\nContent-Length: 30\r\n\r\n"
+	address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		copied := ""
+		for {
+			req, _ := readRequest(r)
+			switch {
+			case req == nil:
+				return
+			case req.Method == http.MethodHead:
+				copied = refusal
+				_, _ = io.WriteString(c, refusal)
+			default:
+				_, _ = io.WriteString(c, copied)
+				reply(c, req.Header.Get("Id"), "answer")
+			}
+		}
+	})
+	p := newPool()
+	head := callWithID(address, "x")
+	head.Method, head.Body = http.MethodHead, nil
+	_, e, err := exchange(t, p, head)
+	is.NoErr(err)
+	is.Equal(e.StatusCode, http.StatusServiceUnavailable)
+	body, _, err := exchange(t, p, callWithID(address, "y"))
+	is.NoErr(err)
+	is.Equal(body, "answer")
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -70,10 +70,13 @@
 }
 
 // Do sends the request once and reads the header of its response. The connection
-// is closed when ctx ends. The error is ErrUnsent if certainly no byte was sent, or
+// is closed when ctx ends; that of a HEAD request serves it alone. The error is ErrUnsent if certainly no byte was sent, or
 // else ErrBroken.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
-	c, passedOver := p.takeIdle(call)
+	c, passedOver := (*conn)(nil), 0
+	if call.Method != http.MethodHead {
+		c, passedOver = p.takeIdle(call)
+	}
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, call); err != nil {
@@ -229,7 +232,10 @@
 		x.conn.reset()
 		return
 	}
-	if x.Close || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
+	// A copy of the response to a HEAD request has a length but no body, which only its
+	// request tells.
+	isHead := x.Request.Method == http.MethodHead
+	if x.Close || isHead || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
