Relay: a hop is cancelled whenever the request goes on elsewhere before its response has ended

A stream goes on elsewhere after a hop broke off, lost a part or brought bytes that are no event. Its connection was reset, and only if the caller had left was the hop cancelled by a call of its own as well; if that connection had fallen silent, the other VM's server worked on for up to 2 s beside the next one.

Change: the hop is cancelled unless its response was read to its end. A response that is, or a refusal, means that the hop has ended there, and at the deadline the other VM ends it by itself.

--- a/internal/relay/cancel.go
+++ b/internal/relay/cancel.go
@@ -76,8 +76,9 @@
 	})
 }
 
-// cancelHop tells the other VM that the caller of a hop left. The close of the hop's
-// connection doesn't arrive if that has fallen silent, so a new connection is used.
+// cancelHop tells the other VM that the caller of a hop left, or that the request goes on
+// elsewhere. The close of the hop's connection doesn't arrive if that has fallen silent, so a
+// new connection is used.
 func (x *transaction) cancelHop(address, id string) {
 	if x.cancelsInFlight.Add(1) > maxCancels {
 		x.cancelsInFlight.Add(-1)
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -111,13 +111,15 @@
 	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var exchange *upstream.Exchange
 	defer func() {
-		if callerLeft(caller) && !x.patience.isOver() && !out.notRun && !out.delivered {
+		left := callerLeft(caller) || caller.Err() == nil && (exchange == nil || !exchange.Complete())
+		if left && !x.patience.isOver() && !out.notRun && !out.delivered {
 			x.cancelHop(address, hop)
 		}
 	}()
-	exchange, err := x.GatewayPool.Do(ctx, x.hopCall(address, hop, plan, granted))
-	if err != nil {
+	var err error
+	if exchange, err = x.GatewayPool.Do(ctx, x.hopCall(address, hop, plan, granted)); err != nil {
 		x.GatewayPool.CloseIdle(address)
 		if errorx.IsOfType(err, upstream.ErrUnsent) {
 			return outcome{notRun: true, reason: err.Error()}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -216,6 +216,9 @@
 	return n, err
 }
 
+// Complete reports whether the response has been read to its end.
+func (x *Exchange) Complete() bool { return x.complete }
+
 // LocalAddress returns the address of this side of the connection, which tells the connections
 // to a server apart.
 func (x *Exchange) LocalAddress() string { return x.conn.LocalAddr().String() }
