Resume: an ID under which streams of several versions began names none of them

What callers could see: a stream of events of two software versions (ORDER). A caller sends a stream again under its ID and it begins at another version; a VM that had the record of the first start kept it, and went on with the second stream at the version of the first.

Change: an ID with starts at different versions is ambiguous, and taking it up is refused at once, as for a stream that no VM knows. Requests with an ID of their own, as the users' callers send them, are unaffected.

--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -76,6 +76,9 @@
 type stream struct {
 	origin Origin
 	at     clock.Instant
+	// ambiguous means that streams with the same ID began at different origins, so that it is
+	// unknown which of them a caller means.
+	ambiguous bool
 }
 
 // Tracker keeps where streams began. Its methods are safe for concurrent use.
@@ -116,17 +119,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	t.keep(hashOf(requestID), stream{origin, now})
+	t.keep(hashOf(requestID), origin, now)
+	if s, known := t.streams[hashOf(requestID)]; known {
+		s.at = now
+		t.streams[hashOf(requestID)] = s
+	}
 	t.own.add(hashOf(requestID), origin, now)
 }
 
-// keep adds a stream. The caller holds the lock.
-func (t *Tracker) keep(hash uint64, s stream) {
-	if _, known := t.streams[hash]; !known && len(t.streams) >= maxStreams {
+// keep adds the start of a stream. The caller holds the lock.
+func (t *Tracker) keep(hash uint64, origin Origin, now clock.Instant) {
+	s, known := t.streams[hash]
+	switch {
+	case !known && len(t.streams) >= maxStreams:
 		t.Scope.Counter("dropped").Inc(1)
-		return
+	case !known:
+		t.streams[hash] = stream{origin: origin, at: now}
+	case s.origin != origin:
+		t.streams[hash] = stream{origin: origin, at: now, ambiguous: true}
 	}
-	t.streams[hash] = s
 }
 
 // BrokeOff records that the response to a request ended early, so that its caller may
@@ -154,7 +165,7 @@
 		if ok {
 			return origin, true
 		}
-		if ctx.Err() != nil || requestID == "" || t.Now() >= end || !t.AnyReachable() {
+		if known || ctx.Err() != nil || requestID == "" || t.Now() >= end || !t.AnyReachable() {
 			t.Scope.Counter("unknown").Inc(1)
 			return Origin{}, false
 		}
@@ -175,12 +186,12 @@
 }
 
 // find returns where a stream began or, if that isn't known, the only version of the
-// fallback service. Ok is false if there is neither.
+// fallback service. Ok is false if there is neither, or if what is known is ambiguous.
 func (t *Tracker) find(requestID, fallback string) (origin Origin, ok, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.streams[hashOf(requestID)]; ok {
-		return s.origin, true, true
+		return s.origin, !s.ambiguous, true
 	}
 	now := t.Now()
 	t.observe(now)
@@ -301,9 +312,7 @@
 			return
 		}
 		for hash, origin := range batch.all() {
-			if _, known := t.streams[hash]; !known {
-				t.keep(hash, stream{origin, now})
-			}
+			t.keep(hash, origin, now)
 		}
 	case gossip.KindSoftwareVersions:
 		var record versionsRecord
