Relay: a kept 503 isn't relayed once its route has become unsafe

What callers could see: 503 (not run) for a request that ran (REFUSED). A server's 503 without its statement that the request hasn't run is kept as the fallback of a request that may be repeated, and was relayed later without a look at whether a newer configuration lets the request run once only.

TestFailureOfAServerIsNotRelayedAsNotRunOnceTheRouteIsUnsafe failed before (relayed) and passes.

--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -87,7 +87,7 @@
 	case x.w.Started():
 		return verdict.Ambiguous(verdict.CodeAnswerCut, "this VM shut down before the answer ended", 0)
 	case x.fallback != nil:
-		return x.fallback.writeTo(x.w)
+		return x.relayFallback()
 	case x.possibleRuns == 0:
 		return verdict.Busy(verdict.CodeShuttingDown, "this VM shuts down, and no backend server has taken the request", jitter(retryAfterFailure))
 	default:
--- a/internal/relay/once_test.go
+++ b/internal/relay/once_test.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
@@ -73,6 +74,21 @@
 	is.Equal(x.mayRetry(&failed), false)
 }
 
+// Guards against REFUSED in the same case: a server's 503, which doesn't say that the request
+// hasn't run, was kept while the route was safe and relayed once it was unsafe.
+func TestFailureOfAServerIsNotRelayedAsNotRunOnceTheRouteIsUnsafe(t *testing.T) {
+	is := is.New(t)
+	r, replace := relayWith(tableWith(7, ingress.Safe))
+	x, refusal := r.newTransaction(&Request{ID: "q", Host: "a.example", Path: "/", Arrived: r.Now()}, &discardResponse{})
+	is.Equal(refusal, nil)
+	x.possibleRuns = 1
+	x.fallback = &fallbackResponse{head: pipeline.Head{Status: http.StatusServiceUnavailable, Header: http.Header{}}}
+	replace(tableWith(8, ingress.Unsafe))
+	refusal = x.failureRefusal(t.Context(), &failed)
+	is.True(refusal != nil)
+	is.Equal(refusal.Verdict, verdict.MayHaveRun)
+}
+
 // Guards against the same where the other VM is of an earlier build: it gets one attempt, and
 // is told that the request runs once.
 func TestHopOfARequestThatRunsOnceHasOneAttempt(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -659,7 +659,7 @@
 	case x.w.Started():
 		return verdict.Ambiguous(verdict.CodeAnswerCut, "the answer broke off", retryAfterFailure)
 	case x.fallback != nil:
-		return x.fallback.writeTo(x.w)
+		return x.relayFallback()
 	case x.possibleRuns == 0 && out.notRun:
 		after := jitter(out.retryAfter)
 		if out.pause > 0 {
@@ -691,7 +691,7 @@
 		return verdict.Ambiguous(verdict.CodeAnswerCut, "the answer did not end in time", 0)
 	}
 	if x.fallback != nil {
-		return x.fallback.writeTo(x.w)
+		return x.relayFallback()
 	}
 	if x.possibleRuns == 0 {
 		return verdict.Busy(verdict.CodeDeadline, "no backend server took the request in time", retryAfterFailure)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -88,6 +88,15 @@
 	return nil
 }
 
+// relayFallback relays the fallback response to the caller, unless its status implies that the
+// request has not run and the configuration, which may have changed since, lets it run once only.
+func (x *transaction) relayFallback() *verdict.Refusal {
+	if status := x.fallback.head.Status; impliesNotRun(status) && !x.mayRepeat() {
+		return verdict.Ambiguous(verdict.CodeBackendFailed, "the backend server failed: status "+http.StatusText(status), retryAfterFailure)
+	}
+	return x.fallback.writeTo(x.w)
+}
+
 // sendLocal sends the request to a backend server of this region. In a large
 // region a long prompt is sent through the server's prefill coordinator, unless the
 // server's rate is divided among the VMs.
