Upstream, relay: a line for connections that are passed over, smaller hashes, bytes of skipped responses

A hash takes 4 bytes in place of 8 (2 KB a connection at most): two IDs with the same hash only cost a connection. The bodies of skipped responses may have 2 MB together, as two of them had before.

--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -65,7 +65,10 @@
 // responses came before it, or that connections that had carried the request weren't used.
 func (x *transaction) recordConnection(s *roster.Server, e *upstream.Exchange) {
 	x.connection = e.LocalAddress()
-	x.Metrics.passedOver.Inc(int64(e.PassedOver))
+	if e.PassedOver > 0 {
+		x.Metrics.passedOver.Inc(int64(e.PassedOver))
+		x.Log.Info("connections that had carried the request not used", "request", x.req.ID, "server", s.ID, "connections", e.PassedOver, "connection", x.connection, "reused", e.Reused(), "status", e.StatusCode)
+	}
 	if e.StrayResponses > 0 {
 		x.Metrics.strayResponses.Inc(int64(e.StrayResponses))
 		x.Log.Warn("skipped responses to other requests", "request", x.req.ID, "server", s.ID, "connection", x.connection, "skipped", e.StrayResponses, "status", e.StatusCode)
--- a/internal/upstream/carried.go
+++ b/internal/upstream/carried.go
@@ -12,19 +12,21 @@
 
 // carriedIDs are the hashes of the IDs of the requests that a connection has carried. Two IDs
 // with the same hash count as one.
-type carriedIDs struct{ hashes []uint64 }
+type carriedIDs struct{ hashes []uint32 }
 
 // contains reports whether the connection has carried a request with the ID; none has "".
 func (c *carriedIDs) contains(id string) bool {
-	return id != "" && slices.Contains(c.hashes, xxhash.Sum64String(id))
+	return id != "" && slices.Contains(c.hashes, hashOf(id))
 }
 
 func (c *carriedIDs) add(id string) {
 	if id != "" {
-		c.hashes = append(c.hashes, xxhash.Sum64String(id))
+		c.hashes = append(c.hashes, hashOf(id))
 	}
 }
 
+func hashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // number returns the number of requests that the connection has carried.
 func (c *carriedIDs) number() int { return len(c.hashes) }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,7 +24,7 @@
 	// one for each request that the connection has carried.
 	extraStrayResponses = 2
 	// maxStrayBytes bounds the bodies of the responses that are skipped before one response.
-	maxStrayBytes = 1 << 20
+	maxStrayBytes = 2 << 20
 	// maxDrainBytes bounds the unread rest of a response that is read and discarded
 	// so that the connection can be reused.
 	maxDrainBytes = 16 << 10
