Upstream: idle timeout and number of idle connections of a pool

What chestnut-gateway needs of the pool: its connections to servers stay idle for 30 s, as many as 64 a server, and a request may ask for a connection that nothing was sent on before. The pool had 2 s for servers that announce no timeout, and no bound.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,7 +43,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MaxIdle is the maximum idle time of a pooled connection that is reused.
+	// MaxIdle is the maximum idle time of a pooled connection that is reused. None is reused
+	// if it is negative.
 	MaxIdle time.Duration
 	// MaxOpen bounds the open connections to the address; zero means no bound.
 	MaxOpen int
@@ -230,7 +231,7 @@
 		x.conn.close()
 		return
 	}
-	x.conn.idleTimeout = serverIdleTimeout(x.Header)
+	x.conn.idleTimeout = x.conn.pool.idleTimeoutOf(x.Header)
 	if x.conn.idleTimeout <= 0 {
 		x.conn.close()
 		return
@@ -260,10 +261,10 @@
 	x.conn.reset()
 }
 
-// serverIdleTimeout returns how long the connection may be idle: the timeout in the
-// server's Keep-Alive header, at most maxIdleTimeout, less idleMargin, or
-// defaultIdleTimeout without one.
-func serverIdleTimeout(h http.Header) time.Duration {
+// idleTimeoutOf returns how long a connection may be idle after a response with the header: the
+// timeout in the server's Keep-Alive header, at most maxIdleTimeout, less idleMargin, or
+// IdleTimeout without one.
+func (p *Pool) idleTimeoutOf(h http.Header) time.Duration {
 	for _, item := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
 		if !strings.EqualFold(name, "timeout") {
@@ -273,5 +274,5 @@
 			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second)))*time.Second - idleMargin
 		}
 	}
-	return defaultIdleTimeout
+	return p.IdleTimeout
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,8 +24,7 @@
 const (
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
-	// defaultIdleTimeout is the idle timeout of a connection whose server does not
-	// announce one.
+	// defaultIdleTimeout is the default of Pool.IdleTimeout.
 	defaultIdleTimeout = 2 * time.Second
 	// maxIdleTimeout bounds the idle timeout that a server announces. A connection that the
 	// server has closed holds its descriptor until then.
@@ -81,6 +80,10 @@
 	OnDial func(err error)
 	// MaxHeadBytes bounds the status line and header of a response.
 	MaxHeadBytes int
+	// IdleTimeout is the idle timeout of a connection whose server does not announce one.
+	IdleTimeout time.Duration
+	// MaxIdlePerAddress bounds the idle connections to an address; zero means no bound.
+	MaxIdlePerAddress int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -105,7 +108,10 @@
 
 // NewPool returns an empty pool whose connection setup takes at most dialTimeout.
 func NewPool(now clock.Clock, dialTimeout time.Duration) *Pool {
-	return &Pool{Dialer: NewDialer(dialTimeout), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Pool{
+		Dialer: NewDialer(dialTimeout), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, IdleTimeout: defaultIdleTimeout,
+		idle: map[string][]*conn{}, open: map[string]int{},
+	}
 }
 
 // OpenConnections returns the number of connections to all addresses, including
@@ -161,10 +167,21 @@
 	return nil, passedOver
 }
 
+// putIdle adds the connection to the idle ones, or closes it if they are as many as allowed.
 func (p *Pool) putIdle(c *conn) {
+	if !p.addIdle(c) {
+		c.close()
+	}
+}
+
+func (p *Pool) addIdle(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.MaxIdlePerAddress > 0 && len(p.idle[c.address]) >= p.MaxIdlePerAddress {
+		return false
+	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	return true
 }
 
 // dial opens a connection for the call. Its error is ErrUnsent, and ErrExhausted or
