Gateway: send idempotent requests with internal/upstream

What callers saw: an idempotent request or a stream was refused (502, "the backend server answered another request", or 503, not run) while its server ran it, and was sent to a second server. Cause: http.Transport takes whatever arrives for the response to the request in flight, and the ID that is compared afterwards neither finds the response that is due nor ends the run: a copy without a body put the connection back into the pool. The copy of a refusal of the same request (streams that are resumed, servers with the same address) bears its ID. The class: evidence that isn't bound to one sending.

Change: idempotent requests and resumptions go through upstream.Pool. A connection carries an ID once, and responses with another ID are skipped, counted (dispatch_stray_responses) and logged. A response without an ID refuses the request as before, at once, and its connection is reset now, so that a connection is only kept after responses that name their requests. A stream is cancelled on a new connection, as the response to that names no request. No request is sent a second time by itself any more: http.Transport repeated a GET when a reused connection broke. Kept: dial timeout, 64 idle connections a server for 30 s, heads of 10 MB, redirects returned, resets of what is given up, requests that aren't idempotent on connections of their own. The pool looks at an idle connection when it takes it, and Sender.Run closes those that have expired.

The smallest alternative, closing a connection after a refusal, costs a connection for each refusal, and servers refuse in crowds; it doesn't cover copies of other responses, nor the connection that is kept with a run on it, nor repeated GETs. A server that names another request on a new connection is waited for until the deadline (or a hedge); it was refused at once.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,15 +21,6 @@
 	headerTokensPerSecond = "Engine-Tokens-Per-Second"
 )
 
-// newBody returns a reader of body that the transport can't rewind and replay,
-// or nil if body is empty.
-func newBody(body []byte) io.Reader {
-	if len(body) == 0 {
-		return nil
-	}
-	return io.MultiReader(bytes.NewReader(body))
-}
-
 // readLoad copies the load from the response headers to o, if the engine
 // reports it.
 func readLoad(resp *http.Response, o *health.Observation) {
@@ -60,11 +50,11 @@
 	return pipeline.Head{Status: resp.StatusCode, Header: header}
 }
 
-// relayBuffered copies a response that isn't a stream to w. It buffers up to
+// relayBuffered copies the body of a response that isn't a stream to w. It buffers up to
 // wire.MaxAnswerBytes before it writes the first byte, so that a response below
 // that size that turns out to be truncated can still be refused.
-func relayBuffered(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, resp *http.Response, w pipeline.Response) *verdict.Refusal {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxAnswerBytes))
+func relayBuffered(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, resp *http.Response, body io.Reader, w pipeline.Response) *verdict.Refusal {
+	data, err := io.ReadAll(io.LimitReader(body, wire.MaxAnswerBytes))
 	if err != nil || len(data) < wire.MaxAnswerBytes && upstream.IsTruncated(resp, data) {
 		return interruptedRefusal(ctx)
 	}
@@ -75,7 +65,7 @@
 	if len(data) < wire.MaxAnswerBytes {
 		return nil
 	}
-	if _, err := io.Copy(w, resp.Body); err != nil {
+	if _, err := io.Copy(w, body); err != nil {
 		return interruptedRefusal(ctx)
 	}
 	return nil
--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -119,3 +120,74 @@
 	is.Equal(body, completeStream(3))
 	is.Equal(resumes.Load(), int32(maxResumes))
 }
+
+// Guards against a request that runs on after chestnut-gateway gave it up: a response without an
+// ID, which may be to any request, left its connection open.
+func TestConnectionEndsWithAResponseThatNamesNoRequest(t *testing.T) {
+	for name, req := range idempotentRequests("request-1") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.Copy(io.Discard, conn)
+				close(ended)
+			}))
+			defer server.Close()
+			started := time.Now()
+			refusal, _ := send(t, newSender(), server.Listener.Addr().String(), req)
+			is.Equal(refusal.Verdict, verdict.MayHaveRun)
+			is.Equal(refusal.Code, verdict.CodeBackendFailed)
+			is.True(time.Since(started) < time.Second) // it doesn't wait for another response
+			select {
+			case <-ended:
+			case <-time.After(time.Second):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
+// Guards against a request that is sent a second time by itself: http.Transport sends a GET again
+// when a reused connection breaks.
+func TestIdempotentRequestIsSentOnceWhenTheConnectionBreaks(t *testing.T) {
+	is := is.New(t)
+	server := startBreakingServer(t)
+	sender := newSender()
+	requests := []*pipeline.Request{idempotentRequests("request-1")["whole response"], idempotentRequests("request-2")["whole response"]}
+	for i, path := range []string{"/warm", "/bookings"} {
+		requests[i].Method, requests[i].Path, requests[i].Body = http.MethodGet, path, nil
+	}
+	refusal, _ := send(t, sender, server.Addr().String(), requests[0])
+	is.True(refusal == nil)
+	refusal, _ = send(t, sender, server.Addr().String(), requests[1])
+	is.Equal(refusal.Verdict, verdict.MayHaveRun)
+	is.Equal(server.executions.Load(), int32(1))
+}
+
+// Guards against the response to another request being relayed, for requests on pooled
+// connections: the request waits for its own, which here never comes.
+func TestResponseToAnotherRequestIsNotRelayedForIdempotentRequests(t *testing.T) {
+	for name, req := range idempotentRequests("request-1") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := linktest.StartCopyingServer(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(wire.HeaderRequestID, "request-2")
+				_, _ = io.WriteString(w, completeStream(3))
+			}, linktest.CopyAll)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			var w pipelinetest.Recorder
+			refusal := newSender().SendBackend(ctx, req, serverAt(server.Address), &w)
+			is.Equal(refusal.Verdict, verdict.MayHaveRun)
+			is.True(!w.Started())
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,10 +1,12 @@
 // Package dispatch sends requests to backend servers and relays the responses.
 //
-// A response must carry the id of its request. An incomplete response is never
-// relayed as a complete one: it ends with a refusal.
+// A response must carry the id of its request, on a connection that has carried no
+// other request with that id: a server may send a response again later. An
+// incomplete response is never relayed as a complete one: it ends with a refusal.
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -13,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
@@ -32,6 +35,11 @@
 	maxIdlePerServer = 64
 	// idleTimeout is how long an idle connection stays open.
 	idleTimeout = 30 * time.Second
+	// expiryInterval is the time between two scans for idle connections that have
+	// expired.
+	expiryInterval = time.Second
+	// maxHeadBytes bounds the status line and header of a response.
+	maxHeadBytes = 10 << 20
 	// retryAfterFailure is the Retry-After of a request that failed at a
 	// backend server, unless the server sent its own.
 	retryAfterFailure = time.Second
@@ -54,39 +62,48 @@
 // pipeline.BackendSender.
 type Sender struct {
 	Config
-	client      *http.Client
-	dialer      upstream.Dialer
-	resumes     tally.Counter
-	interrupted tally.Counter
+	pool           *upstream.Pool
+	resumes        tally.Counter
+	interrupted    tally.Counter
+	strayResponses tally.Counter
+	passedOver     tally.Counter
 }
 
 var _ pipeline.BackendSender = (*Sender)(nil)
 
 // New returns a Sender with its own connection pool.
 func New(config Config) *Sender {
-	dialer := upstream.ResettingDialer{Dialer: &net.Dialer{Timeout: dialTimeout}}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	pool := upstream.NewPool(config.Now, dialTimeout)
+	pool.Dialer = &net.Dialer{Timeout: dialTimeout}
+	pool.MaxHeadBytes, pool.IdleTimeout, pool.MaxIdlePerAddress = maxHeadBytes, idleTimeout, maxIdlePerServer
 	scope := config.Scope.SubScope("dispatch")
 	return &Sender{
-		Config:      config,
-		client:      &http.Client{Transport: transport, CheckRedirect: keepRedirect},
-		dialer:      dialer,
-		resumes:     scope.Counter("stream_resumes"),
-		interrupted: scope.Counter("answers_cut"),
+		Config:         config,
+		pool:           pool,
+		resumes:        scope.Counter("stream_resumes"),
+		interrupted:    scope.Counter("answers_cut"),
+		strayResponses: scope.Counter("stray_responses"),
+		passedOver:     scope.Counter("connections_passed_over"),
 	}
 }
 
-// keepRedirect returns redirects of backend servers to the caller instead of
-// following them, so that requests go only to configured addresses.
-func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// Run closes idle connections that have expired, until ctx ends.
+func (s *Sender) Run(ctx context.Context) error {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.pool.CloseExpired()
+		}
+	}
+}
 
-// SendBackend implements pipeline.BackendSender. Requests that aren't
-// idempotent are written at most once, on a connection of their own.
+// SendBackend implements pipeline.BackendSender. Each request is written at most
+// once, and one that isn't idempotent on a connection of its own. Redirects are
+// returned to the caller, so that requests go only to configured addresses.
 func (s *Sender) SendBackend(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, w pipeline.Response) *verdict.Refusal {
 	// Check the deadline on the boot-time clock right before sending: context
 	// timers fire late if the process was paused.
@@ -97,35 +114,62 @@
 		return s.sendOnce(ctx, req, server, w)
 	}
 	started := s.Now()
-	resp, err := s.client.Do(newRequest(ctx, req, server))
+	out := newRequest(ctx, req, server)
+	exchange, err := s.exchange(ctx, req, server, &upstream.Call{
+		Method: out.Method, Target: out.URL.RequestURI(), Header: out.Header, Body: req.Body,
+	})
 	if err != nil {
 		s.observeError(ctx, server, started, err)
 		if req.Chat.Stream && ctx.Err() != nil {
 			s.cancelStream(req, server)
 		}
-		return transportRefusal(ctx, err)
+		return sendRefusal(ctx, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	s.observeResponse(server, started, resp)
-	if refusal := checkResponse(req, resp); refusal != nil {
+	defer exchange.Release()
+	s.observeResponse(server, started, exchange.Response)
+	if refusal := checkResponse(req, exchange.Response); refusal != nil {
 		return refusal
 	}
-	if req.Chat.Stream && resp.StatusCode == http.StatusOK {
-		return s.relayStream(ctx, req, server, resp, w)
+	if req.Chat.Stream && exchange.StatusCode == http.StatusOK {
+		return s.relayStream(ctx, req, server, exchange, w)
+	}
+	return relayBuffered(ctx, req, server, exchange.Response, exchange, w)
+}
+
+// exchange sends a call of the request to the backend server. A response to another
+// request is skipped. One without an ID may be to any request: it is returned, but
+// its connection is reset.
+func (s *Sender) exchange(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, call *upstream.Call) (*upstream.Exchange, error) {
+	call.ID, call.Address, call.Host, call.MaxIdle = req.ID, server.Spec.Address, server.Spec.Address, idleTimeout
+	call.MatchResponse = func(h http.Header) bool {
+		id := h.Get(wire.HeaderRequestID)
+		return id == req.ID || id == ""
+	}
+	x, err := s.pool.Do(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if x.PassedOver > 0 {
+		s.passedOver.Inc(int64(x.PassedOver))
+	}
+	if x.StrayResponses > 0 {
+		s.strayResponses.Inc(int64(x.StrayResponses))
+		s.Log.Warn("skipped responses to other requests", "request", req.ID, "server", server.Name,
+			"connection", x.LocalAddress(), "skipped", x.StrayResponses, "status", x.StatusCode)
 	}
-	return relayBuffered(ctx, req, server, resp, w)
+	if !isResponseTo(req, x.Response) {
+		x.Abort()
+	}
+	return x, nil
 }
 
 // newRequest returns the HTTP request for the backend server.
 func newRequest(ctx context.Context, req *pipeline.Request, server *objects.BackendServer) *http.Request {
-	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+server.Spec.Address+req.Path, newBody(req.Body))
+	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+server.Spec.Address+req.Path, bytes.NewReader(req.Body))
 	if err != nil {
 		// Method and path come from a valid request.
 		panic("dispatch: " + err.Error())
 	}
-	out.ContentLength = int64(len(req.Body))
-	// The transport can't replay a request that has a body but no GetBody.
-	out.GetBody = nil
 	if contentType := req.Header.Get("Content-Type"); contentType != "" {
 		out.Header.Set("Content-Type", contentType)
 	}
@@ -138,10 +182,15 @@
 	return out
 }
 
-// checkResponse returns a refusal if the response belongs to another request or
-// has status 429 or 5xx.
+// isResponseTo reports whether the response names the request.
+func isResponseTo(req *pipeline.Request, resp *http.Response) bool {
+	return resp.Header.Get(wire.HeaderRequestID) == req.ID
+}
+
+// checkResponse returns a refusal if the response doesn't name the request or has
+// status 429 or 5xx.
 func checkResponse(req *pipeline.Request, resp *http.Response) *verdict.Refusal {
-	if resp.Header.Get(wire.HeaderRequestID) != req.ID {
+	if !isResponseTo(req, resp) {
 		return verdict.Ambiguous(verdict.CodeBackendFailed, "the backend server answered another request", retryAfterFailure)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
@@ -180,11 +229,10 @@
 	return false
 }
 
-// transportRefusal converts a transport error to a refusal. The verdict is
-// NotRun only if the connection could not be established.
-func transportRefusal(ctx context.Context, err error) *verdict.Refusal {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// sendRefusal converts an error of the pool to a refusal. The verdict is NotRun only
+// if no byte of the request was sent, as the connection could not be established.
+func sendRefusal(ctx context.Context, err error) *verdict.Refusal {
+	if errorx.IsOfType(err, upstream.ErrUnsent) && ctx.Err() == nil {
 		return verdict.Busy(verdict.CodeBackendFailed, "the backend server could not be reached", retryAfterFailure)
 	}
 	return connectionRefusal(ctx)
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -10,27 +10,28 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 )
 
-// sendOnce sends a request that isn't idempotent. It bypasses http.Transport,
-// which replays a request with an Idempotency-Key header and an empty body when
-// a reused connection breaks, and writes the request to a new connection.
+// sendOnce sends a request that isn't idempotent. It writes the request to a new
+// connection, as an idle one may break before the server has read the request, and
+// nobody could tell whether it ran.
 func (s *Sender) sendOnce(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, w pipeline.Response) *verdict.Refusal {
 	started := s.Now()
-	conn, err := s.dialer.DialContext(ctx, "tcp", server.Spec.Address)
+	conn, err := s.pool.Dialer.DialContext(ctx, "tcp", server.Spec.Address)
 	if err != nil {
 		s.observeError(ctx, server, started, err)
 		return verdict.Busy(verdict.CodeBackendFailed, "the backend server could not be reached", retryAfterFailure)
 	}
-	defer func() { _ = conn.Close() }()
+	defer func() { _ = upstream.Reset(conn) }()
 	if refusal := req.CheckBeforeSend(); refusal != nil {
 		return refusal
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 
-	resp, err := exchange(newRequest(ctx, req, server), conn)
+	resp, err := exchangeOnce(newRequest(ctx, req, server), conn)
 	if err != nil {
 		s.observeError(ctx, server, started, err)
 		return connectionRefusal(ctx)
@@ -40,12 +41,12 @@
 	if refusal := checkResponse(req, resp); refusal != nil {
 		return refusal
 	}
-	return relayBuffered(ctx, req, server, resp, w)
+	return relayBuffered(ctx, req, server, resp, resp.Body, w)
 }
 
-// exchange writes the request once and returns the response. It skips 1xx
+// exchangeOnce writes the request once and returns the response. It skips 1xx
 // responses.
-func exchange(out *http.Request, conn net.Conn) (*http.Response, error) {
+func exchangeOnce(out *http.Request, conn net.Conn) (*http.Response, error) {
 	out.Close = true
 	if err := out.Write(conn); err != nil {
 		return nil, err
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,6 +12,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
@@ -49,10 +49,10 @@
 // relayStream copies a stream of server-sent events to w. If the stream breaks,
 // it is resumed on the same engine after the last relayed event. If that fails,
 // the stream is cancelled at the engine and relayStream returns a refusal.
-func (s *Sender) relayStream(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, resp *http.Response, w pipeline.Response) *verdict.Refusal {
-	w.Start(responseHead(resp, server))
+func (s *Sender) relayStream(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, exchange *upstream.Exchange, w pipeline.Response) *verdict.Refusal {
+	w.Start(responseHead(exchange.Response, server))
 	var state relayState
-	copyEvents(resp.Body, &state, w)
+	copyEvents(exchange, &state, w)
 	for attempt := 0; attempt < maxResumes && !state.done && !state.unnumbered && ctx.Err() == nil; attempt++ {
 		s.resumes.Inc(1)
 		s.resumeStream(ctx, req, server, &state, w)
@@ -73,19 +73,19 @@
 		return
 	case <-time.After(resumeDelay):
 	}
-	out, err := http.NewRequestWithContext(ctx, http.MethodGet, streamURL(req, server)+"?offset="+strconv.Itoa(state.lastID), nil)
+	header := http.Header{}
+	header.Set(wire.HeaderRequestID, req.ID)
+	header.Set(wire.HeaderTeam, req.Team)
+	exchange, err := s.exchange(ctx, req, server, &upstream.Call{
+		Method: http.MethodGet, Target: streamPath(req) + "?offset=" + strconv.Itoa(state.lastID), Header: header,
+	})
 	if err != nil {
+		s.Log.Debug("resuming stream failed", "request", req.ID, "server", server.Name, "error", err)
 		return
 	}
-	out.Header.Set(wire.HeaderRequestID, req.ID)
-	out.Header.Set(wire.HeaderTeam, req.Team)
-	resp, err := s.client.Do(out)
-	if err != nil {
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusOK && resp.Header.Get(wire.HeaderRequestID) == req.ID {
-		copyEvents(resp.Body, state, w)
+	defer exchange.Release()
+	if exchange.StatusCode == http.StatusOK && isResponseTo(req, exchange.Response) {
+		copyEvents(exchange, state, w)
 	}
 }
 
@@ -95,23 +95,23 @@
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 		defer stop()
-		out, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(req, server), nil)
-		if err != nil {
-			return
-		}
-		resp, err := s.client.Do(out)
+		exchange, err := s.pool.Do(ctx, &upstream.Call{
+			Address: server.Spec.Address, Method: http.MethodDelete, Target: streamPath(req), Host: server.Spec.Address,
+			// The response names no request, so only one on a new connection is certainly to this one.
+			MaxIdle: -1,
+		})
 		if err != nil {
 			s.Log.Debug("cancelling stream failed", "request", req.ID, "server", server.Name, "error", err)
 			return
 		}
-		_ = resp.Body.Close()
+		exchange.Abort()
 	}()
 }
 
-// streamURL returns the engine's URL for resuming and cancelling the stream of
-// a request.
-func streamURL(req *pipeline.Request, server *objects.BackendServer) string {
-	return fmt.Sprintf("http://%s/v1/streams/%s", server.Spec.Address, url.PathEscape(req.ID))
+// streamPath returns the engine's path for resuming and cancelling the stream of a
+// request.
+func streamPath(req *pipeline.Request) string {
+	return "/v1/streams/" + url.PathEscape(req.ID)
 }
 
 // event is one server-sent event.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/configwatch"
+	"github.com/chestnutspring/chestnutspring/internal/dispatch"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/filter/route"
 	"github.com/chestnutspring/chestnutspring/internal/fleet"
@@ -56,6 +57,7 @@
 	config     *configwatch.Watcher
 	booking    *bookingfilter.Filter
 	route      *route.Handler
+	backend    *dispatch.Sender
 	reconciler *placement.Reconciler
 	limiter    *limits.Limiter
 }
@@ -176,6 +178,7 @@
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.fleet.Run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.config.Run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.reconciler.Run(groupCtx)) })
+	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.backend.Run(groupCtx)) })
 	g.log.Info("listening",
 		"caller", g.listeners.callers.Addr(), "forward", g.listeners.forward.Addr(),
 		"control", g.listeners.control.Addr(), "operator", g.listeners.operators.Addr(),
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -29,13 +29,13 @@
 // handlers creates the filter pipeline and the handlers of the HTTP ports.
 func (g *gateway) handlers() handlers {
 	peer := forward.NewClient(forward.Config{Self: g.self, Now: g.now, Log: g.log, TLS: g.tls.peerClient})
-	backend := dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.Scope, Observe: g.fleet.Observe})
+	g.backend = dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.Scope, Observe: g.fleet.Observe})
 	issuer := booking.NewIssuer(g.self, g.now)
 	g.booking = bookingfilter.New(bookingfilter.Config{
 		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
 	})
 	g.route = route.New(route.Config{
-		Backend: backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
+		Backend: g.backend, Peer: peer, Publisher: g.publisher, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
 	})
 	handler := pipeline.Chain(g.route,
 		settle.New(g.booking),
--- a/internal/upstream/reset.go
+++ b/internal/upstream/reset.go
@@ -1,9 +1,6 @@
 package upstream
 
-import (
-	"context"
-	"net"
-)
+import "net"
 
 // Reset closes a connection and discards the bytes that have not reached the other side. Close
 // alone would still deliver them, with a request that was given up and sent elsewhere meanwhile.
@@ -15,21 +12,3 @@
 	}
 	return c.Close()
 }
-
-// ResettingDialer opens connections whose Close is Reset. It suits the transport of net/http,
-// which closes a connection when a request is given up, or after a whole response.
-type ResettingDialer struct{ Dialer }
-
-// DialContext implements Dialer.
-func (d ResettingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d.Dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return resettingConn{c}, nil
-}
-
-type resettingConn struct{ net.Conn }
-
-// Close implements net.Conn.
-func (c resettingConn) Close() error { return Reset(c.Conn) }
