Placement: orders and reports on connections of their own

What operators saw: an order that an engine refused counted as carried out until the report that follows it, one that was carried out as refused (the next ones to the replica wait for two seconds or more), and a report before an order for the one after it. Cause: the responses name no request, and http.Transport takes the copy of an earlier one for the one that is due.

Change: each order and each report has a new connection, on which no earlier response can be due. Closing only after a refusal would leave the copies of reports. Cost: one connection a replica every two seconds, by the one gateway of the region that sends orders. A new connection also rules out that http.Transport sends an order again when a reused one ends.

--- a/internal/placement/reconciler.go
+++ b/internal/placement/reconciler.go
@@ -204,7 +204,7 @@
 		return ErrEngine.Wrap(err, "send order to %s", server.Name)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := r.HTTP.Do(req)
+	resp, err := r.doOnNewConnection(req)
 	if err != nil {
 		return ErrEngine.Wrap(err, "send order to %s", server.Name)
 	}
@@ -218,6 +218,14 @@
 	return nil
 }
 
+// doOnNewConnection sends the request on a connection of its own. Responses of engines to orders
+// and with their state name no request, so that a copy of an earlier one could be taken for the
+// one that is due.
+func (r *Reconciler) doOnNewConnection(req *http.Request) (*http.Response, error) {
+	req.Close = true
+	return r.HTTP.Do(req)
+}
+
 func (r *Reconciler) fetchReport(ctx context.Context, server *objects.BackendServer) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
@@ -225,7 +233,7 @@
 	if err != nil {
 		return Report{}, ErrEngine.Wrap(err, "fetch state of %s", server.Name)
 	}
-	resp, err := r.HTTP.Do(req)
+	resp, err := r.doOnNewConnection(req)
 	if err != nil {
 		return Report{}, ErrEngine.Wrap(err, "fetch state of %s", server.Name)
 	}
