Fleet: probes and polls of cache events on connections of their own

What operators could see, by reading: the state of a backend server from one probe earlier, confirmed as of now: a hung server healthy once more, one that is leaving in use for another probe interval, against the five seconds that are promised. Cause: reports name no request, and http.Transport takes the copy of an earlier one for the one that is due.

Change: each probe and poll has a new connection, on which no earlier response can be due. Not using a connection again after a refusal costs nothing, but leaves the copies of reports.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -182,7 +182,6 @@
 	group.Go(func() error { return f.publishLoop(ctx) })
 	err := group.Wait()
 	f.callClients.closeAll()
-	f.probeClient.CloseIdleConnections()
 	return err
 }
 
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -53,6 +53,9 @@
 	failures health.ProbeFailureCounter
 }
 
+// newProbeClient returns the client for probes and polls of cache events. Each uses a
+// connection of its own: reports name no request, so that a copy of an earlier one
+// could be taken for the report that is due.
 func newProbeClient(dial func(context.Context, string) (net.Conn, error), meter *peer.Meter) *http.Client {
 	if dial == nil {
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
@@ -67,9 +70,8 @@
 			}
 			return peer.Metered(conn, meter), nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     30 * time.Second,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
 	}
 	return &http.Client{Transport: transport}
 }
