Test replicas: copies of refusals

Replica and ReplicaProcess refuse a share of the requests and send a share of these refusals once more, as the same bytes on the same connection, while they work on a later request there; some let one or two responses pass first. Streams may break off after their first event, so that they are sent on. Each execution counts the copies that came before its response.

The soak draws this in six of ten runs, from a source of its own. In half of these clients send what was refused again under its ID, in half all engines are in a region with a single VM to which the others send. Runs are counted by ID: the last sending of an ID is checked for runs of all of them, an earlier one for those that started before the next.

--- a/soak/check.go
+++ b/soak/check.go
@@ -51,6 +51,7 @@
 	h.checkLimits(requests)
 	h.checkVersions()
 	h.checkDeadlyRequest(requests, runs)
+	h.logCopies()
 }
 
 // isRepeatable reports whether a request may be executed more than once.
@@ -66,7 +67,7 @@
 // checkAnswer checks the status, the number of executions and the duration of
 // a request.
 func (h *Harness) checkAnswer(r request, runs []platformtest.Execution) {
-	if !h.isRepeatable(r) && len(runs) > 1 {
+	if !h.isRepeatable(r) && len(runs) > 1 && r.repeatedAt.IsZero() {
 		h.recordViolation("%s %s was executed %d times: %+v", r.id, r.path, len(runs), runs)
 	}
 	switch r.answer.Status {
@@ -75,7 +76,7 @@
 	case http.StatusOK:
 		h.checkSuccess(r, runs)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if len(runs) > 0 && !h.isRepeatable(r) {
+		if runs := ofSending(r, runs); len(runs) > 0 && !h.isRepeatable(r) {
 			h.recordViolation("%s %s at %s was reported as not executed, but was: %+v", r.id, r.path, r.vm, runs)
 		}
 	case http.StatusNotFound, http.StatusBadRequest:
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -389,6 +389,7 @@
 	for _, r := range h.replicas {
 		r.proxy.SetMode(PassThrough)
 		r.SetFaults(platformtest.Faults{})
+		r.SetCopying(nil)
 	}
 	h.mu.Unlock()
 	time.Sleep(grace + graceSlack)
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -44,7 +44,7 @@
 			}
 		}
 		if choice == 0 {
-			limited = limited[:1]
+			limited = limited[:min(1, len(limited))]
 		}
 		for _, r := range limited {
 			h.nameLimit(r, value)
--- a/soak/runs.go
+++ b/soak/runs.go
@@ -85,7 +85,9 @@
 func (h *Harness) checkOverlaps(requests []request) {
 	sentAt := map[string]time.Time{}
 	for _, r := range requests {
-		sentAt[r.id] = r.sentAt
+		if first, known := sentAt[r.id]; !known || r.sentAt.Before(first) {
+			sentAt[r.id] = r.sentAt
+		}
 	}
 	streams := map[string][]platformtest.Execution{}
 	for _, e := range h.Executions.All() {
@@ -111,7 +113,7 @@
 				if next.StartedAt.After(both) {
 					both = next.StartedAt
 				}
-				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(both) <= maxOverlap || h.overlapExcused(e, next, sentAt[e.ID]) {
+				if e.Replica == next.Replica || !e.EndedAt.IsZero() && e.EndedAt.Sub(both) <= maxOverlap || h.overlapExcused(e, next, lastSent(requests, e)) {
 					continue
 				}
 				h.recordViolation("stream %s ran at %s (for %s, request %s) until %v after it went on at %s (for %s, request %s, after event %d)",
@@ -122,6 +124,17 @@
 	h.logFault("%d pairs of runs of one stream", pairs)
 }
 
+// lastSent returns when the request of a run was sent last before the run started.
+func lastSent(requests []request, e platformtest.Execution) time.Time {
+	var last time.Time
+	for _, r := range requests {
+		if r.id == e.ID && !r.sentAt.After(e.StartedAt) && r.sentAt.After(last) {
+			last = r.sentAt
+		}
+	}
+	return last
+}
+
 // vmAt returns the name of the VM with the address.
 func (h *Harness) vmAt(ip string) string {
 	for _, p := range h.vms {
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"syscall"
 	"time"
 
@@ -40,9 +41,12 @@
 func (h *Harness) startServers() error {
 	for _, zone := range zones {
 		for _, service := range []string{platformtest.EngineService, platformtest.PlainService} {
+			if !slices.Contains(h.zonesOf(service), zone) {
+				continue
+			}
 			s := &serverProcess{ReplicaProcess: platformtest.ReplicaProcess{
 				ID: fmt.Sprintf("s-%d", h.lastID.Add(1)), Service: service, Zone: zone, Address: platformtest.NewAddress(),
-				Slots: 16, ResponseDelay: 30 * time.Millisecond, Events: 10, EventInterval: longEventInterval,
+				Slots: 16, ResponseDelay: 30 * time.Millisecond, Events: 10, EventInterval: longEventInterval, Copying: h.newCopying(),
 			}}
 			var err error
 			if s.proxy, err = NewProxy(s.Address); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,18 +94,22 @@
 	deadly bool
 	// after is the number of events after which the request takes a stream up.
 	after int
+	// repeatedAt is when the client sent the request again under its ID, or zero.
+	repeatedAt time.Time
 }
 
 // Harness is one run: the deployment, its processes and the observed results.
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng, registryRNG, statementRNG, versionRNG, continuationRNG, runRNG *rand.Rand
-	vms                                                                 []*process
-	servers                                                             []*serverProcess
-	seeds                                                               []string
-	followed                                                            followedStreams
-	changing                                                            changingRoute
+	rng, registryRNG, statementRNG, versionRNG, continuationRNG, runRNG, copyRNG *rand.Rand
+
+	vms      []*process
+	servers  []*serverProcess
+	seeds    []string
+	followed followedStreams
+	changing changingRoute
+	copies   copies
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -152,7 +157,7 @@
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
 		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)), continuationRNG: rand.New(rand.NewPCG(config.Seed, 8)),
-		runRNG:   rand.New(rand.NewPCG(config.Seed, 9)),
+		runRNG: rand.New(rand.NewPCG(config.Seed, 9)), copyRNG: rand.New(rand.NewPCG(config.Seed, 10)),
 		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, standstills: map[string][]period{}, started: time.Now(),
 	}
 	defer h.stopAll()
@@ -161,6 +166,7 @@
 	}
 	d.SetDeadlyBlock(deadlyBlock)
 	d.SetOnCrash(h.replaceCrashed)
+	h.chooseCopies()
 	if err := h.startAll(); err != nil {
 		return nil, nil, err
 	}
@@ -174,9 +180,13 @@
 	defer cancel()
 	var clients sync.WaitGroup
 	for _, p := range h.vms {
-		for range clientsPerVM {
+		for n := range clientsPerVM {
 			seed := h.rng.Uint64()
-			clients.Go(func() { h.runClient(ctx, p, rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5))) })
+			if n < h.clientsAt() {
+				clients.Go(func() {
+					h.runClient(ctx, p, rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 11)))
+				})
+			}
 		}
 		seed := h.versionRNG.Uint64()
 		clients.Go(func() { h.followStreams(ctx, p, rand.New(rand.NewPCG(seed, 7))) })
@@ -208,6 +218,9 @@
 func (h *Harness) startAll() error {
 	for _, zone := range zones {
 		for range h.Engines {
+			if !slices.Contains(h.zonesOf(platformtest.EngineService), zone) {
+				continue
+			}
 			if err := h.startReplica(platformtest.EngineService, zone, ""); err != nil {
 				return err
 			}
@@ -217,7 +230,7 @@
 		}
 	}
 	for _, zone := range zones {
-		for i := range h.VMs {
+		for i := range h.vmsIn(zone) {
 			p := &process{VM: platformtest.NewVM(fmt.Sprintf("%s-%d", zone, i+1), zone)}
 			if i == 0 {
 				h.seeds = append(h.seeds, p.ControlAddress)
@@ -287,6 +300,7 @@
 	started := h.replicas[id]
 	started.Replica = r
 	h.mu.Unlock()
+	r.SetCopying(h.newCopying())
 	if h.CountRuns {
 		r.SetEventInterval(longEventInterval)
 	}
@@ -394,9 +408,9 @@
 }
 
 // runClient sends requests to one VM over persistent connections until ctx
-// ends. It cancels some of the requests early. Requests on which replicas crash are
-// drawn from a source of their own.
-func (h *Harness) runClient(ctx context.Context, p *process, rng, deadlyRNG *rand.Rand) {
+// ends. It cancels some of the requests early. Requests on which replicas crash, and pauses
+// before requests that are sent again, are drawn from sources of their own.
+func (h *Harness) runClient(ctx context.Context, p *process, rng, deadlyRNG, repeatRNG *rand.Rand) {
 	client := platformtest.NewClient()
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanThinkTime)))
@@ -412,17 +426,15 @@
 		if h.deadly.Load() && rng.Float64() < deadlyShare && strings.Contains(r.path, "/stream/") {
 			header = platformtest.Prompt(r.id, "aa:200,"+deadlyBlock+":40")
 		}
+		send := func() platformtest.Answer {
+			return client.Do(requestCtx, p.CallerAddress, r.path+"x", r.id, platformtest.DefaultTimeout, header)
+		}
 		if call := h.deadlyCall(r.id, deadlyRNG); call != nil {
 			r.path, r.deadly = strings.TrimSuffix(call.Path, "x"), true
-			r.answer = client.Send(requestCtx, p.CallerAddress, *call)
-		} else {
-			r.answer = client.Do(requestCtx, p.CallerAddress, r.path+"x", r.id, platformtest.DefaultTimeout, header)
+			send = func() platformtest.Answer { return client.Send(requestCtx, p.CallerAddress, *call) }
 		}
+		h.sendRepeatedly(ctx, r, repeatRNG, send)
 		cancel()
-		r.endedAt = time.Now()
-		h.mu.Lock()
-		h.requests = append(h.requests, r)
-		h.mu.Unlock()
 	}
 }
 
