--- a/soak/copies.go
+++ b/soak/copies.go
@@ -18,7 +18,9 @@
 	// region with a single VM, to which the others must send.
 	repeatingRuns = 0.5
 	singleVMRuns  = 0.5
-	maxRepeats    = 3
+	// singleVMCalm is how many times longer the mean time between two faults is in these.
+	singleVMCalm = 4
+	maxRepeats   = 3
 	// maxRepeatPause bounds the time until a client sends a request again.
 	maxRepeatPause = 30 * time.Millisecond
 )
@@ -45,6 +47,15 @@
 		},
 		repeatIDs: h.copyRNG.Float64() < repeatingRuns, singleVM: h.copyRNG.Float64() < singleVMRuns,
 	}
+	h.copies.sent.HeldShare = h.copyRNG.Float64()
+	if h.copies.singleVM {
+		// Servers that refuse streams and break them off bring them back to that VM, unless
+		// the VM is mostly disturbed.
+		h.copies.sent.RefusedShare = (0.5 + h.copies.sent.RefusedShare) / 2
+		h.copies.sent.BrokenShare = (0.4 + h.copies.sent.BrokenShare) / 2
+		h.copies.sent.HeldShare = (1 + h.copies.sent.HeldShare) / 2
+		h.MeanFaultInterval *= singleVMCalm
+	}
 	h.logFault("replicas refuse requests and send copies: %+v; clients repeat IDs: %t; one VM beside the engines: %t", *h.copies.sent, h.copies.repeatIDs, h.copies.singleVM)
 }
 
@@ -60,7 +71,9 @@
 	return &c
 }
 
-// zonesOf returns the zones in which replicas of a service run.
+// zonesOf returns the zones in which replicas of a service run, and enginesIn the number of
+// engines in each zone with engines. One that refuses and one that breaks a stream off leave
+// a third one.
 func (h *Harness) zonesOf(service string) []string {
 	if h.copies.singleVM && service == platformtest.EngineService {
 		return zones[:1]
@@ -68,6 +81,16 @@
 	return zones
 }
 
+func (h *Harness) enginesIn(zone string) int {
+	switch {
+	case !slices.Contains(h.zonesOf(platformtest.EngineService), zone):
+		return 0
+	case h.copies.singleVM:
+		return h.Engines + 1
+	}
+	return h.Engines
+}
+
 // vmsIn returns the number of VMs in a zone, and clientsAt that of clients of each VM. With
 // few clients, requests come back to the connections that carried them.
 func (h *Harness) vmsIn(zone string) int {
@@ -84,6 +107,15 @@
 	return clientsPerVM
 }
 
+// pathOf returns the path of a request for which a path was drawn: more often that of
+// streams that may go on at another server, if they come back to the same VM.
+func (h *Harness) pathOf(drawn string, repeatRNG *rand.Rand) string {
+	if h.copies.singleVM && repeatRNG.IntN(2) == 0 {
+		return platformtest.PathResumableStream
+	}
+	return drawn
+}
+
 // sendRepeatedly sends a request, and again under its ID while it is refused, and records
 // each sending.
 func (h *Harness) sendRepeatedly(ctx context.Context, r request, repeatRNG *rand.Rand, send func() platformtest.Answer) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -192,7 +191,7 @@
 		clients.Go(func() { h.followStreams(ctx, p, rand.New(rand.NewPCG(seed, 7))) })
 	}
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
-		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(config.MeanFaultInterval)))
+		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(h.MeanFaultInterval)))
 		h.injectFault()
 		if h.CountRuns {
 			h.injectRunFault()
@@ -217,10 +216,7 @@
 // startAll starts replicas and VMs and waits until all VMs are ready.
 func (h *Harness) startAll() error {
 	for _, zone := range zones {
-		for range h.Engines {
-			if !slices.Contains(h.zonesOf(platformtest.EngineService), zone) {
-				continue
-			}
+		for range h.enginesIn(zone) {
 			if err := h.startReplica(platformtest.EngineService, zone, ""); err != nil {
 				return err
 			}
@@ -408,8 +404,8 @@
 }
 
 // runClient sends requests to one VM over persistent connections until ctx
-// ends. It cancels some of the requests early. Requests on which replicas crash, and pauses
-// before requests that are sent again, are drawn from sources of their own.
+// ends. It cancels some of the requests early. Requests on which replicas crash, and what
+// runs with copies of refusals add, are drawn from sources of their own.
 func (h *Harness) runClient(ctx context.Context, p *process, rng, deadlyRNG, repeatRNG *rand.Rand) {
 	client := platformtest.NewClient()
 	for ctx.Err() == nil {
@@ -418,6 +414,7 @@
 		if h.CountRuns && rng.IntN(len(requestPaths)+1) == 0 {
 			r.path = platformtest.PathChanging
 		}
+		r.path = h.pathOf(r.path, repeatRNG)
 		requestCtx, cancel := context.WithTimeout(context.Background(), platformtest.DefaultTimeout+2*time.Second)
 		if rng.Float64() < 0.05 {
 			time.AfterFunc(time.Duration(rng.IntN(100))*time.Millisecond, cancel)
