Relay: a request that hangs at an engine without other requests is sent elsewhere

Callers saw a 504 at their deadline although another engine was free (TestHungRequestIsSentElsewhere/no_answer).

Cause: a request counts as hung when others overtake it at its server. While it waits without a byte, the balancer adds the wait to the server's score, and after 1.2 s sends nothing there at all, so that once no other request runs there none can overtake it. Evidence: a failed run's VM sent engine-2, where the request hung, no request for three seconds (08 to 10 s), and engine-1 92 in that time; the engine answered its polls.

Change: a request without an event is also sent elsewhere if its engine has sent nothing but reports for as long as the balancer takes to leave it (unresponsiveAfter), the reports came steadily (so it doesn't stand still) and state that nothing is queued, the first byte is overdue, and another server or region would take the request now. It costs a retry, as before.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -96,6 +96,9 @@
 	stalling    decayingRate
 	peers       atomic.Pointer[peerUsage]
 	report      atomic.Pointer[Report]
+	// reportingSince is the instant of the first report after the last time of standstillGap
+	// without any.
+	reportingSince atomic.Int64
 	// otherRequests is the number of requests in the report beyond this VM's own,
 	// as the bits of a float64.
 	otherRequests atomic.Uint64
@@ -207,7 +210,9 @@
 // RecordForwardedReport records a report that another VM received. Such a report
 // does not show whether this VM can reach the server.
 func (l *Load) RecordForwardedReport(r Report) {
-	l.report.Store(&r)
+	if before := l.report.Swap(&r); before == nil || r.ReceivedAt.Sub(before.ReceivedAt) > standstillGap {
+		l.reportingSince.Store(int64(r.ReceivedAt))
+	}
 	own := float64(l.active.Load())
 	l.otherRequests.Store(math.Float64bits(max(0, float64(r.Running+r.Queued)-own)))
 }
@@ -429,6 +434,13 @@
 	return r != nil && now.Sub(r.ReceivedAt) < maxReportAge && r.Queued == 0
 }
 
+// OnlyReports reports whether the server has sent nothing but reports for unresponsiveAfter,
+// which came steadily and state that no request waits for a slot or memory. As such a server
+// gets no new requests, none can overtake those that wait there.
+func (l *Load) OnlyReports(now clock.Instant) bool {
+	return l.SilentFor(now) > unresponsiveAfter && now.Sub(clock.Instant(l.reportingSince.Load())) > unresponsiveAfter && l.NothingQueued(now)
+}
+
 // InFlight is one request in progress at a backend server. Its methods must not
 // be called concurrently.
 type InFlight struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -544,17 +544,23 @@
 	}
 }
 
-// choosePlan chooses the backend server or region for the next send.
-func (x *transaction) choosePlan() balance.Plan {
-	remaining := x.remaining()
-	q := &balance.Query{
+// query returns the query for the next send of the request.
+func (x *transaction) query() balance.Query {
+	q := balance.Query{
 		Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand,
-		Bytes: len(x.req.Body), Remaining: remaining,
+		Bytes: len(x.req.Body), Remaining: x.remaining(),
 		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", OwnLinksOnly: x.req.OwnLinksOnly, Random: rand.Uint64(),
 	}
 	if x.origin != nil {
 		q.SoftwareVersion = &x.origin.SoftwareVersion
 	}
+	return q
+}
+
+// choosePlan chooses the backend server or region for the next send.
+func (x *transaction) choosePlan() balance.Plan {
+	next := x.query()
+	q, remaining := &next, next.Remaining
 	if remaining < minRemaining || x.patience.isOver() {
 		return balance.Plan{Reason: "deadline"}
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,8 @@
 	sentAt clock.Instant
 	// expectedFirst is the expected time to the first byte.
 	expectedFirst time.Duration
+	// next is the query for another server.
+	next balance.Query
 	// lastEventAt is when the last complete event arrived; zero before the first.
 	lastEventAt atomic.Int64
 	// retryGranted is true once the watch cancelled the request after it took a
@@ -53,6 +56,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &serverWatch{x: x, load: plan.Load, sentAt: sentAt, expectedFirst: plan.Estimate.TimeToFirstByte, ctx: ctx, cancel: cancel}
 	if x.mayRepeat() && x.attemptsLeft() > 1 && x.sends < maxSends {
+		w.next = x.query()
+		w.next.TriedRegions = slices.Clone(w.next.TriedRegions) // the transaction shortens its own
 		// The check uses the timer, so it may not begin before that is stored.
 		timer := time.AfterFunc(math.MaxInt64, w.check)
 		w.timer.Store(timer)
@@ -92,6 +97,13 @@
 			"lastEventBefore", w.sinceLastEvent(now))
 		w.cancel()
 		return
+	case w.unanswered(now) && w.mayGoElsewhere(now) && w.x.budget.Allow(now):
+		w.retryGranted.Store(true)
+		w.load.RecordErrorResponse(now)
+		w.x.Log.Warn("backend server responds to polls but to no requests; sending the request elsewhere", "request", w.x.req.ID,
+			"server", w.x.destination, "sentBefore", now.Sub(w.sentAt), "expectedFirst", w.expectedFirst, "silentFor", w.load.SilentFor(now))
+		w.cancel()
+		return
 	}
 	timer := w.timer.Load()
 	timer.Reset(lossCheckInterval)
@@ -107,11 +119,31 @@
 		return false
 	}
 	if w.lastEventAt.Load() == 0 {
-		return now.Sub(w.sentAt) > max(minOverdue, overdueFactor*w.expectedFirst) && w.load.Overtaken(w.sentAt) && w.load.Settled(now)
+		return w.overdue(now) && w.load.Overtaken(w.sentAt) && w.load.Settled(now)
 	}
 	return w.sinceLastEvent(now) > max(minStall, stallFactor*w.x.route.GapObjective) && w.load.Progressing(now)
 }
 
+// overdue reports whether the first byte is late.
+func (w *serverWatch) overdue(now clock.Instant) bool {
+	return now.Sub(w.sentAt) > max(minOverdue, overdueFactor*w.expectedFirst)
+}
+
+// unanswered reports whether an engine has sent nothing for this request, nor for others, though
+// it responds to polls. Such an engine gets no new requests that could show whether it still
+// serves any.
+func (w *serverWatch) unanswered(now clock.Instant) bool {
+	return w.x.service.Engine != nil && w.lastEventAt.Load() == 0 && w.overdue(now) && w.load.OnlyReports(now)
+}
+
+// mayGoElsewhere reports whether another server or region would take the request now.
+func (w *serverWatch) mayGoElsewhere(now clock.Instant) bool {
+	q := w.next
+	q.Now, q.Remaining = now, w.x.remaining()
+	plan := w.x.Balancer.Choose(&q, w.x.Roster.View())
+	return plan.Server != nil || plan.Region != ""
+}
+
 // sinceLastEvent returns the time since the last event, or zero before the first.
 func (w *serverWatch) sinceLastEvent(now clock.Instant) time.Duration {
 	at := clock.Instant(w.lastEventAt.Load())
