--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -71,8 +71,8 @@
 }
 
 // Do sends the request once and reads the header of its response. The connection
-// is closed when ctx ends; that of a HEAD request serves it alone. The error is ErrUnsent if certainly no byte was sent, or
-// else ErrBroken.
+// is closed when ctx ends; that of a HEAD request serves no other one. The error is
+// ErrUnsent if certainly no byte was sent, or else ErrBroken.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Exchange, error) {
 	c, passedOver := (*conn)(nil), 0
 	if call.Method != http.MethodHead {
