--- a/soak/runs.go
+++ b/soak/runs.go
@@ -124,12 +124,13 @@
 	h.logFault("%d pairs of runs of one stream", pairs)
 }
 
-// lastSent returns when the request of a run was sent last before the run started.
+// lastSent returns when the request of a run was sent last before the run started, or when
+// the run started if that isn't known.
 func lastSent(requests []request, e platformtest.Execution) time.Time {
-	var last time.Time
+	last, known := e.StartedAt, false
 	for _, r := range requests {
-		if r.id == e.ID && !r.sentAt.After(e.StartedAt) && r.sentAt.After(last) {
-			last = r.sentAt
+		if r.id == e.ID && !r.sentAt.After(e.StartedAt) && (!known || r.sentAt.After(last)) {
+			last, known = r.sentAt, true
 		}
 	}
 	return last
