Soak: not all engines name limits if all are in one zone

With engines in three zones, the limits of one zone leave those of the others. One engine names the limit in this set-up now; the draws stay the same, the checks too.

--- a/soak/limits.go
+++ b/soak/limits.go
@@ -43,7 +43,7 @@
 				limited = append(limited, r)
 			}
 		}
-		if choice == 0 {
+		if choice == 0 || h.copies.singleVM { // where there are no engines elsewhere
 			limited = limited[:min(1, len(limited))]
 		}
 		for _, r := range limited {
