Store of records: don't keep values of replaced records in the log

Cause: the log of a store keeps replaced and deleted entries, with their values, until they make up half of it, so that a store takes up to twice its bound. Nothing reads these values: sessions skip the entries. Change: the value goes with the replacement; the log is compacted once a third of it is outdated.

--- a/internal/gossip/store.go
+++ b/internal/gossip/store.go
@@ -182,6 +182,9 @@
 
 // put stores r as the newest change and returns its entry.
 func (s *Store) put(r Record) *entry {
+	if old := s.entries[r.Key]; old != nil {
+		old.Value = nil // the log keeps the entry for some time
+	}
 	s.changes++
 	e := &entry{Record: r, change: s.changes}
 	s.entries[r.Key] = e
@@ -212,6 +215,7 @@
 func (s *Store) Delete(key Key) {
 	if e := s.entries[key]; e != nil {
 		s.bytes -= e.size()
+		e.Value = nil // the log keeps the entry for some time
 		delete(s.entries, key)
 	}
 }
@@ -221,10 +225,10 @@
 	return cmp.Or(cmp.Compare(a.Version, b.Version), bytes.Compare(a.Value, b.Value)) > 0
 }
 
-// compact removes replaced and deleted entries from the log once they make up half
+// compact removes replaced and deleted entries from the log once they make up a third
 // of it.
 func (s *Store) compact() {
-	if len(s.log) < 64 || len(s.log) < 2*len(s.entries) {
+	if len(s.log) < 64 || 2*len(s.log) < 3*len(s.entries) {
 		return
 	}
 	s.log = slices.DeleteFunc(s.log, func(e *entry) bool { return s.entries[e.Key] != e })
