Index of prefix blocks: a list of servers for each block, without expired ones

Cause: each block had a map of the servers that have it cached, which takes 300 bytes for one server, with a copy of the server's ID from each announcement; blocks that had expired stayed until there were 20,000. Change: a list of 16 bytes for each server, whose key is kept once; expired blocks go when the index has doubled.

--- a/internal/balance/prefix.go
+++ b/internal/balance/prefix.go
@@ -1,8 +1,10 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
+	"unique"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
@@ -12,8 +14,9 @@
 	// cacheTTL is how long a block is expected to stay cached after its last
 	// known use.
 	cacheTTL = 30 * time.Second
-	// maxBlocks bounds the blocks in the index.
-	maxBlocks = 20_000
+	// maxBlocks bounds the blocks in the index. From minPrunedBlocks on, expired ones are removed
+	// whenever the index has doubled.
+	maxBlocks, minPrunedBlocks = 20_000, 1024
 	// maxUpdates bounds the queued updates for other VMs.
 	maxUpdates = 64
 	// minAnnouncedTokens is the minimum size of a block that is announced to other
@@ -36,14 +39,27 @@
 // blocks cached.
 type PrefixIndex struct {
 	mu     sync.RWMutex
-	blocks map[uint64]map[roster.ServerKey]clock.Instant
+	blocks map[uint64][]holder
+	// pruneAt is the number of blocks at which expired ones are removed.
+	pruneAt int
 	// updates are this VM's blocks that have not been announced yet.
 	updates []CachedBlock
 }
 
+// holder is a server that has a block cached. A large region has tens of thousands of a few
+// hundred servers.
+type holder struct {
+	server unique.Handle[roster.ServerKey]
+	// usedAt is the last known use of the block there.
+	usedAt clock.Instant
+}
+
+// isExpired reports whether the server is expected to have dropped the block.
+func (h *holder) isExpired(now clock.Instant) bool { return now.Sub(h.usedAt) > cacheTTL }
+
 // NewPrefixIndex returns an empty index.
 func NewPrefixIndex() *PrefixIndex {
-	return &PrefixIndex{blocks: map[uint64]map[roster.ServerKey]clock.Instant{}}
+	return &PrefixIndex{blocks: map[uint64][]holder{}, pruneAt: minPrunedBlocks}
 }
 
 // RecordSent records that a server was sent the blocks. Shared blocks of at
@@ -51,13 +67,14 @@
 func (p *PrefixIndex) RecordSent(blocks []PrefixBlock, server roster.ServerKey, minTokens int, now clock.Instant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	shared := unique.Make(server)
 	for i, block := range blocks {
-		at, known := p.blocks[block.ID][server]
-		announce := !known || now.Sub(at) > reannounceAfter
+		known := p.holder(block.ID, shared)
+		announce := known == nil || now.Sub(known.usedAt) > reannounceAfter
 		if i < len(blocks)-1 && block.Tokens >= minTokens && announce && len(p.updates) < maxUpdates {
 			p.updates = append(p.updates, CachedBlock{Server: server.ID, Started: server.Started, Block: block.ID})
 		}
-		p.record(block.ID, server, now)
+		p.record(block.ID, shared, now)
 	}
 }
 
@@ -66,7 +83,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range updates {
-		p.record(u.Block, roster.ServerKey{ID: u.Server, Started: u.Started}, now)
+		p.record(u.Block, unique.Make(roster.ServerKey{ID: u.Server, Started: u.Started}), now)
 	}
 }
 
@@ -79,35 +96,47 @@
 	return list
 }
 
-// record adds a server that has a block cached. The caller holds the lock.
-func (p *PrefixIndex) record(id uint64, server roster.ServerKey, now clock.Instant) {
-	servers := p.blocks[id]
-	if servers == nil {
-		if len(p.blocks) >= maxBlocks {
-			p.prune(now)
+// holder returns the server's entry for a block, or nil. The caller holds the lock.
+func (p *PrefixIndex) holder(id uint64, server unique.Handle[roster.ServerKey]) *holder {
+	list := p.blocks[id]
+	for i := range list {
+		if list[i].server == server {
+			return &list[i]
 		}
-		servers = map[roster.ServerKey]clock.Instant{}
-		p.blocks[id] = servers
 	}
-	servers[server] = now
+	return nil
+}
+
+// record adds a server that has a block cached. The caller holds the lock.
+func (p *PrefixIndex) record(id uint64, server unique.Handle[roster.ServerKey], now clock.Instant) {
+	if known := p.holder(id, server); known != nil {
+		known.usedAt = now
+		return
+	}
+	list, found := p.blocks[id]
+	if !found && len(p.blocks) >= p.pruneAt {
+		p.prune(now)
+	}
+	if len(list) == cap(list) {
+		list = slices.DeleteFunc(list, func(h holder) bool { return h.isExpired(now) })
+	}
+	p.blocks[id] = append(list, holder{server, now})
 }
 
 // prune removes expired entries. If that makes no room, it clears the index. The
 // caller holds the lock.
 func (p *PrefixIndex) prune(now clock.Instant) {
-	for id, servers := range p.blocks {
-		for server, at := range servers {
-			if now.Sub(at) > cacheTTL {
-				delete(servers, server)
-			}
-		}
-		if len(servers) == 0 {
-			delete(p.blocks, id)
+	// A map keeps the memory of deleted entries.
+	kept := map[uint64][]holder{}
+	for id, list := range p.blocks {
+		if list = slices.DeleteFunc(list, func(h holder) bool { return h.isExpired(now) }); len(list) > 0 {
+			kept[id] = list
 		}
 	}
-	if len(p.blocks) >= maxBlocks {
-		clear(p.blocks)
+	if len(kept) >= maxBlocks {
+		clear(kept)
 	}
+	p.blocks, p.pruneAt = kept, min(max(minPrunedBlocks, 2*len(kept)), maxBlocks)
 }
 
 // cachedTokens returns, for each server, the number of leading tokens of the
@@ -122,8 +151,9 @@
 	sum := 0
 	for i, block := range blocks {
 		found := false
-		for server, at := range p.blocks[block.ID] {
-			if now.Sub(at) > cacheTTL || cached[server] != sum {
+		for _, h := range p.blocks[block.ID] {
+			server := h.server.Value()
+			if h.isExpired(now) || cached[server] != sum {
 				continue
 			}
 			cached[server] = sum + block.Tokens
