--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -72,22 +72,19 @@
 	PublishOwn func(kind gossip.Kind, part string, value []byte)
 }
 
-// stream is the start of a stream that is known here.
-type stream struct {
-	origin Origin
-	at     clock.Instant
-	// ambiguous means that streams with the same ID began at different origins, so that it is
-	// unknown which of them a caller means.
-	ambiguous bool
-}
+// startSecond is when a stream began, or was first heard of, in seconds since the tracker was
+// made. A large fleet has tens of thousands of streams.
+type startSecond uint32
 
 // Tracker keeps where streams began. Its methods are safe for concurrent use.
 type Tracker struct {
 	Config
 	started clock.Instant
 
-	mu      sync.Mutex
-	streams map[uint64]stream
+	mu sync.Mutex
+	// streams holds the streams of each origin by their hashes. No origin is without streams. A
+	// hash with several origins is ambiguous: streams with the same ID began at each of them.
+	streams map[Origin]map[uint64]startSecond
 	own     ownStreams
 	history history
 	// published is the last record of the history, and publishedAt when it was sent.
@@ -104,7 +101,7 @@
 func New(config Config) *Tracker {
 	config.Scope = config.Scope.SubScope("resume")
 	now := config.Now()
-	t := &Tracker{Config: config, started: now, streams: map[uint64]stream{}, history: history{services: map[string]map[string]clock.Instant{}, since: now}}
+	t := &Tracker{Config: config, started: now, streams: map[Origin]map[uint64]startSecond{}, history: history{services: map[string]map[string]clock.Instant{}, since: now}}
 	if config.FirstStart {
 		t.history.since = now.Add(-streamMemory)
 	}
@@ -118,26 +115,56 @@
 func (t *Tracker) Begin(requestID string, origin Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Now()
-	t.keep(hashOf(requestID), origin, now)
-	if s, known := t.streams[hashOf(requestID)]; known {
-		s.at = now
-		t.streams[hashOf(requestID)] = s
+	now, hash := t.Now(), hashOf(requestID)
+	t.keep(hash, origin, now)
+	t.own.add(hash, origin, now)
+}
+
+// originOf returns where a stream began, and the number of origins that are known for it. The
+// caller holds the lock.
+func (t *Tracker) originOf(hash uint64) (origin Origin, number int) {
+	for o, streams := range t.streams {
+		if _, known := streams[hash]; known {
+			origin = o
+			number++
+		}
+	}
+	return origin, number
+}
+
+// count returns the number of known streams. The caller holds the lock.
+func (t *Tracker) count() int {
+	n := 0
+	for _, streams := range t.streams {
+		n += len(streams)
 	}
-	t.own.add(hashOf(requestID), origin, now)
+	return n
 }
 
-// keep adds the start of a stream. The caller holds the lock.
+// keep adds a stream, or the time if it is known with this origin. The caller holds the lock.
 func (t *Tracker) keep(hash uint64, origin Origin, now clock.Instant) {
-	s, known := t.streams[hash]
-	switch {
-	case !known && len(t.streams) >= maxStreams:
+	streams := t.streams[origin]
+	if _, known := streams[hash]; !known && t.count() >= maxStreams {
 		t.Scope.Counter("dropped").Inc(1)
-	case !known:
-		t.streams[hash] = stream{origin: origin, at: now}
-	case s.origin != origin:
-		t.streams[hash] = stream{origin: origin, at: now, ambiguous: true}
+		return
+	}
+	if streams == nil {
+		streams = map[uint64]startSecond{}
+		t.streams[origin] = streams
 	}
+	streams[hash] = t.secondOf(now)
+}
+
+// forget removes a stream. The caller holds the lock.
+func (t *Tracker) forget(hash uint64, origin Origin) {
+	delete(t.streams[origin], hash)
+	if len(t.streams[origin]) == 0 {
+		delete(t.streams, origin)
+	}
+}
+
+func (t *Tracker) secondOf(now clock.Instant) startSecond {
+	return startSecond(now.Sub(t.started) / time.Second)
 }
 
 // BrokeOff records that the response to a request ended early, so that its caller may
@@ -190,8 +217,8 @@
 func (t *Tracker) find(requestID, fallback string) (origin Origin, ok, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.streams[hashOf(requestID)]; ok {
-		return s.origin, !s.ambiguous, true
+	if origin, number := t.originOf(hashOf(requestID)); number > 0 {
+		return origin, number == 1, true
 	}
 	now := t.Now()
 	t.observe(now)
@@ -249,12 +276,15 @@
 func (t *Tracker) expire(now clock.Instant) {
 	t.expiredAt = now
 	t.history.expire(now)
-	for hash, s := range t.streams {
-		if now.Sub(s.at) > streamMemory {
-			delete(t.streams, hash)
+	const memory = startSecond(streamMemory / time.Second)
+	for origin, streams := range t.streams {
+		for hash, second := range streams {
+			if t.secondOf(now)-second > memory {
+				t.forget(hash, origin)
+			}
 		}
 	}
-	t.Scope.Gauge("streams").Update(float64(len(t.streams)))
+	t.Scope.Gauge("streams").Update(float64(t.count()))
 }
 
 // publishVersions publishes the history if it changed or is due. The caller holds the
@@ -312,7 +342,9 @@
 			return
 		}
 		for hash, origin := range batch.all() {
-			t.keep(hash, origin, now)
+			if _, known := t.streams[origin][hash]; !known {
+				t.keep(hash, origin, now)
+			}
 		}
 	case gossip.KindSoftwareVersions:
 		var record versionsRecord
