Balance: a server that stands still keeps its requests though it reported steadily before

Its engine was stopped for 1.31 s; after 1.26 s the VM sent the stream elsewhere ('backend server responds to polls but to no requests'), and when the engine went on it began what its kernel had received.

Change: the last report must be younger than the gap by which a standstill is known (0.6 s).

TestOnlyReports/stands_still failed before and passes; the tests of hung requests and of standstills pass with the race detector.

--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -435,10 +435,13 @@
 }
 
 // OnlyReports reports whether the server has sent nothing but reports for unresponsiveAfter,
-// which came steadily and state that no request waits for a slot or memory. As such a server
-// gets no new requests, none can overtake those that wait there.
+// which came steadily until just now, so that it doesn't stand still, and state that no request
+// waits for a slot or memory. As such a server gets no new requests, none can overtake those that
+// wait there.
 func (l *Load) OnlyReports(now clock.Instant) bool {
-	return l.SilentFor(now) > unresponsiveAfter && now.Sub(clock.Instant(l.reportingSince.Load())) > unresponsiveAfter && l.NothingQueued(now)
+	r := l.report.Load()
+	return l.SilentFor(now) > unresponsiveAfter && now.Sub(clock.Instant(l.reportingSince.Load())) > unresponsiveAfter &&
+		r != nil && now.Sub(r.ReceivedAt) < standstillGap && l.NothingQueued(now)
 }
 
 // InFlight is one request in progress at a backend server. Its methods must not
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -304,25 +304,27 @@
 	is.Equal(b.Choose(streamQuery(now, d), r.View()).Reason, "servers-failing")
 }
 
-// TestOnlyReports covers servers that send reports and nothing else.
+// TestOnlyReports covers servers that send reports and nothing else. One that stands still keeps
+// its requests (issue 54: they ran at two servers).
 func TestOnlyReports(t *testing.T) {
 	const interval = 250 * time.Millisecond
 	for name, test := range map[string]struct {
-		silent, reporting time.Duration
-		queued            int
-		want              bool
+		silent, reporting, lastReport time.Duration
+		queued                        int
+		want                          bool
 	}{
-		"hung":                               {2 * time.Second, 2 * time.Second, 0, true},
-		"not silent for long":                {time.Second, 2 * time.Second, 0, false},
-		"stood still until just now":         {2 * time.Second, interval, 0, false},
-		"requests wait for a slot or memory": {2 * time.Second, 2 * time.Second, 1, false},
+		"hung":                               {2 * time.Second, 2 * time.Second, interval, 0, true},
+		"not silent for long":                {time.Second, 2 * time.Second, interval, 0, false},
+		"stands still":                       {1250 * time.Millisecond, 3 * time.Second, 1250 * time.Millisecond, 0, false},
+		"stood still until just now":         {2 * time.Second, interval, interval, 0, false},
+		"requests wait for a slot or memory": {2 * time.Second, 2 * time.Second, interval, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l, now := &Load{}, clock.Instant(time.Hour)
 			l.RecordPollReport(Report{ReceivedAt: now.Add(-time.Minute)})
 			l.Begin(&Demand{}, &Estimate{}, now.Add(-test.silent))
-			for at := now.Add(-test.reporting); at < now; at = at.Add(interval) {
+			for at := now.Add(-test.reporting); at <= now.Add(-test.lastReport); at = at.Add(interval) {
 				l.RecordPollReport(Report{Queued: test.queued, ReceivedAt: at})
 			}
 			is.Equal(l.OnlyReports(now), test.want)
