Test of a seed's memory: send over eight connections at once

Cause: the test sent the whole state over 299 connections one after the other, and a peer closes a connection that has been idle for 30 s (idleTimeout).

--- a/internal/peer/memory_test.go
+++ b/internal/peer/memory_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/published"
@@ -59,7 +60,7 @@
 	is.New(t).True(used <= memoryTarget/2)
 }
 
-const vms, servers = 300, 200
+const vms, servers, sendersAtOnce = 300, 200, 8
 
 // memoryOfConnections returns the heap that a VM uses for connections from peers that have
 // sent the records of all members, servers and of the given number of parts of streams of each VM.
@@ -95,16 +96,25 @@
 		sessions[i] = gossip.NewSession(store, nil)
 	}
 	before := liveHeap()
-	send := func() {
-		for i, session := range sessions {
-			for more := true; more; {
-				var delta gossip.Delta
-				delta, more = session.Next()
-				is.NoErr(clients[i].Gossip(0, delta, !more))
+	sendOver := func(i int) error {
+		for more := true; more; {
+			var delta gossip.Delta
+			delta, more = sessions[i].Next()
+			if err := clients[i].Gossip(0, delta, !more); err != nil {
+				return err
 			}
-			_, err := clients[i].Ping(t.Context(), 0) // the records have arrived
-			is.NoErr(err)
 		}
+		_, err := clients[i].Ping(t.Context(), 0) // the records have arrived
+		return err
+	}
+	// One after the other would take longer than a connection may be idle on a busy machine.
+	send := func() {
+		var group errgroup.Group
+		group.SetLimit(sendersAtOnce)
+		for i := range sessions {
+			group.Go(func() error { return sendOver(i) })
+		}
+		is.NoErr(group.Wait())
 	}
 	send()
 	put(gossip.KindMember, "vm-000", 2, 200)
