Teams: keys, priorities, home regions and revocation that holds on cut-off VMs

Cause: chestnut-edge had no notion of the configuration's teams.

Change: the table holds the teams with the digests of their keys; a request is identified once, where it enters, and its key removed. Hops carry the team's name and an ID of the key; each send checks both against the newest configuration. Package freshness keeps as of when a VM knows the configuration, from reads of the registry and from other VMs, and requests of teams are refused once that is older than the operators' bound. Home regions of teams bind beside those of routes. The registry's watch of the operators' keys is read each second where keys have to be refused in time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -177,8 +177,10 @@
 
 // Query describes one request to be placed.
 type Query struct {
-	Now     clock.Instant
-	Route   *ingress.Route
+	Now   clock.Instant
+	Route *ingress.Route
+	// Team is the team of the request, or nil.
+	Team    *ingress.Team
 	Service *ingress.Service
 	Demand  *Demand
 	// Bytes is the size of the request body.
@@ -197,6 +199,12 @@
 	Random uint64
 }
 
+// permitsRegion reports whether the request may be served in a region, by the home regions of
+// its route and of its team.
+func (q *Query) permitsRegion(region string) bool {
+	return q.Route.Permits(region) && q.Team.Permits(region)
+}
+
 // permits reports whether the request may go on at the software version of a server. Of
 // a process that runs in place of the listed one the version is not known.
 func (q *Query) permits(s *roster.Server, load *Load) bool {
@@ -351,7 +359,7 @@
 // chooseLocal returns the best backend server of this region.
 func (b *Balancer) chooseLocal(q *Query, view *roster.View) Plan {
 	best := Plan{Reason: "no-server", RetryAfter: time.Second}
-	if !q.Route.Permits(b.Region) {
+	if !q.permitsRegion(b.Region) {
 		best.Reason = "residency"
 		return best
 	}
@@ -370,7 +378,7 @@
 // warm and run or, if last is true, the others. The region of the plan is "" if there is none.
 func (b *Balancer) choosePeer(q *Query, view *roster.View, last bool) Plan {
 	var best Plan
-	if q.OwnLinksOnly || !q.Route.Permits(b.Region) || slices.Contains(q.TriedRegions, b.Region) {
+	if q.OwnLinksOnly || !q.permitsRegion(b.Region) || slices.Contains(q.TriedRegions, b.Region) {
 		return best
 	}
 	var cached map[roster.ServerKey]int
@@ -451,7 +459,7 @@
 	}
 	best, home := 0.0, ""
 	for _, region := range view.Regions() {
-		if !q.Route.Permits(region) {
+		if !q.permitsRegion(region) {
 			continue
 		}
 		servers := float64(b.countReached(view.Usable(q.Service.Name, region)))
@@ -515,7 +523,7 @@
 // must go to it.
 func (b *Balancer) ChooseServer(q *Query, view *roster.View, id string) Plan {
 	s := view.Lookup(id)
-	if s == nil || s.Service != q.Service.Name || s.Region != b.Region || !q.Route.Permits(b.Region) || !view.IsUsable(s) {
+	if s == nil || s.Service != q.Service.Name || s.Region != b.Region || !q.permitsRegion(b.Region) || !view.IsUsable(s) {
 		return Plan{Reason: "no-server"}
 	}
 	cached := b.Prefixes.cachedTokens(q.Demand.PrefixBlocks, q.Now)
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -44,6 +44,17 @@
 	ExpectedOutputTokens int
 	// PrefixBlocks are the blocks of the prompt in order.
 	PrefixBlocks []PrefixBlock
+	// StatesTokens means that the caller stated both numbers of tokens.
+	StatesTokens bool
+}
+
+// StatedTokens returns the sum of the numbers of tokens that the caller stated, or zero if it
+// didn't state both.
+func (d *Demand) StatedTokens() int64 {
+	if !d.StatesTokens {
+		return 0
+	}
+	return int64(d.PromptTokens) + int64(d.MaxOutputTokens)
 }
 
 // expectedOutput returns the expected number of output tokens.
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -128,7 +128,7 @@
 	share := b.Fleet.CapacityShare()
 	for _, r := range b.Fleet.Regions(q.Service.Name) {
 		if r.Members == 0 || !r.Known || r.Summary.Servers == 0 || r.Summary.Cold != cold ||
-			!q.Route.Permits(r.Region) || slices.Contains(q.TriedRegions, r.Region) || !b.hasPermitted(q, view, r.Region) {
+			!q.permitsRegion(r.Region) || slices.Contains(q.TriedRegions, r.Region) || !b.hasPermitted(q, view, r.Region) {
 			continue
 		}
 		// This VM's share of the requests that these servers take now is used up.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -21,6 +21,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/freshness"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/revision"
@@ -57,6 +58,11 @@
 	// registry truncated its history or was restored, while a registry reader states
 	// that its reads succeed.
 	coveredListDelay = 10 * time.Second
+	// confirmingWatchTimeout and confirmingBatchPause replace the timeout of the operators'
+	// watch and the pause before it if keys that they remove have to be refused in time. A
+	// watch confirms the configuration as of its start, so their sum is the age of that.
+	confirmingWatchTimeout = 900 * time.Millisecond
+	confirmingBatchPause   = 100 * time.Millisecond
 	// recoveryPeriod is the time after a registry outage during which every VM of a
 	// large fleet uses largeBatchPause: entries that expired meanwhile are added
 	// again one by one.
@@ -149,6 +155,8 @@
 	// RegistryCovered reports whether a registry reader of the region has stated
 	// just now that its reads succeed. Nil means that none does.
 	RegistryCovered func() bool
+	// Knowledge keeps how recent the configuration is; nil keeps nothing.
+	Knowledge *freshness.Tracker
 }
 
 // Configuration is a configuration in force.
@@ -187,6 +195,9 @@
 	// serversAt is the revision up to which the servers were read, or nil.
 	serversAt atomic.Pointer[revision.Revision]
 	unseen    unseenReads
+	// readVersion is the version of the configuration that the registry's last read held,
+	// and readEra the era of that read. Only the goroutine of the operators' topic uses them.
+	readVersion, readEra uint64
 }
 
 // New returns a follower without a configuration.
@@ -269,9 +280,10 @@
 	f.markAvailable(topic)
 	f.applyList(topic, changes, at)
 	f.markRead(topic, at)
+	f.confirmList(topic, at, started)
 	f.reading[topic].Store(true)
 	for {
-		wait, pause := f.intervals()
+		wait, pause := f.intervals(topic)
 		received := f.Now()
 		background.Sleep(ctx, pause)
 		if topic == Servers {
@@ -280,7 +292,8 @@
 		if ctx.Err() != nil {
 			return true, ctx.Err()
 		}
-		wait = max(minWatchTimeout, wait-max(0, f.Now().Sub(received)-pause))
+		sentAt := f.Now()
+		wait = max(min(wait, minWatchTimeout), wait-max(0, sentAt.Sub(received)-pause))
 		f.calls.Inc(1)
 		changes, next, err := f.Registry.Watch(ctx, topic, at, wait)
 		if err != nil {
@@ -292,9 +305,38 @@
 		}
 		at = max(at, next)
 		f.markRead(topic, at)
+		f.confirmRead(topic, sentAt)
 	}
 }
 
+// confirmList records that a list of the operators' topic, which was sent at the given
+// instant, holds the newest configuration.
+func (f *Follower) confirmList(topic Topic, at revision.Revision, sentAt clock.Instant) {
+	if f.Knowledge == nil || topic != Operators {
+		return
+	}
+	if era := at.Era(); era > f.readEra && f.readEra > 0 {
+		f.Knowledge.Restored(f.Now())
+	}
+	f.readEra = at.Era()
+	f.confirmRead(topic, sentAt)
+}
+
+// confirmRead records that the registry's newest configuration is the one that was read last,
+// by a call that was sent at the given instant.
+func (f *Follower) confirmRead(topic Topic, sentAt clock.Instant) {
+	if f.Knowledge != nil && topic == Operators && f.readVersion > 0 {
+		f.Knowledge.ConfirmRead(f.readVersion, sentAt)
+	}
+}
+
+// confirms reports whether the operators' topic is read often enough to refuse removed keys in
+// time.
+func (f *Follower) confirms() bool {
+	table := f.Table()
+	return f.Knowledge != nil && f.Knowledge.Bound > 0 && table != nil && table.HasTeams()
+}
+
 // markRead records that the changes of a topic up to the revision are known.
 func (f *Follower) markRead(topic Topic, at revision.Revision) {
 	if topic == Servers {
@@ -310,9 +352,11 @@
 	return listStartTimeout
 }
 
-// intervals returns the timeout of the next watch and the pause before it.
-func (f *Follower) intervals() (wait, pause time.Duration) {
+// intervals returns the timeout of the next watch of a topic and the pause before it.
+func (f *Follower) intervals(topic Topic) (wait, pause time.Duration) {
 	switch {
+	case topic == Operators && f.confirms():
+		return confirmingWatchTimeout, confirmingBatchPause
 	case !f.LargeFleet():
 		return watchTimeout, batchPause
 	case f.RegistryReader(), f.recentlyRecovered():
@@ -428,6 +472,7 @@
 	now := f.Now()
 	switch {
 	case c.Table != nil:
+		f.readVersion = c.Table.Version
 		f.activate(c.Table, c.Raw, c.Revision, "registry")
 	case c.Server != nil:
 		if f.Roster.Put(*c.Server, c.Revision, source, now) {
@@ -522,7 +567,11 @@
 		return false
 	}
 	f.current.Store(&Configuration{Table: table, Raw: raw, Revision: rev, Since: f.Now()})
-	f.Log.Info("configuration in force", "version", table.Version, "revision", rev, "from", from,
+	if f.Knowledge != nil {
+		f.Knowledge.SetInForce(table.Version)
+	}
+	teams, _ := table.Teams()
+	f.Log.Info("configuration in force", "version", table.Version, "revision", rev, "from", from, "teams", teams,
 		"routes", table.RouteCount(), "services", len(table.Services))
 	return true
 }
@@ -531,6 +580,9 @@
 // offers is higher than the one in force and no fetch is running or recent. Fetch
 // returns the raw configuration that it received.
 func (f *Follower) FetchNewer(version uint64, fetch func(context.Context) ([]byte, error)) {
+	if f.Knowledge != nil {
+		f.Knowledge.Hear(version)
+	}
 	if c := f.current.Load(); c != nil && c.Table.Version >= version {
 		return
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -316,16 +316,16 @@
 	is := is.New(t)
 	f := newFollower(&fakeRegistry{})
 	f.LargeFleet = func() bool { return true }
-	_, readerPause := f.intervals()
+	_, readerPause := f.intervals(Servers)
 	f.RegistryReader = func() bool { return false }
 	f.markAvailable(Servers)
-	_, startPause := f.intervals()
+	_, startPause := f.intervals(Servers)
 	f.markUnavailable(Servers, ErrUnavailable.New("down"))
 	f.markAvailable(Servers)
-	_, recoveryPause := f.intervals()
+	_, recoveryPause := f.intervals(Servers)
 	is.Equal(recoveryPause, readerPause) // all VMs read often after an outage
 	f.recoveredAt.Store(int64(f.Now().Add(-recoveryPeriod)))
-	_, nonReaderPause := f.intervals()
+	_, nonReaderPause := f.intervals(Servers)
 	is.Equal(startPause, nonReaderPause) // 300 VMs that start don't
 	is.True(readerPause < nonReaderPause)
 	// Without records from the readers a VM must still learn of changes within
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/discovery"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/freshness"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/linkuse"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
@@ -128,6 +129,7 @@
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
 	brittle     *serverlimit.Tracker
+	knowledge   *freshness.Tracker
 	memory      *membudget.Budget
 	serverPool  *upstream.Pool
 	gatewayPool *upstream.Pool
@@ -150,6 +152,9 @@
 	// exitAt is when this process, which shuts down, ends the requests that have no
 	// response yet, on the boot-time clock; zero before the shutdown.
 	exitAt atomic.Int64
+	// outdated means that requests of teams are refused as the configuration may be out of
+	// date. Only the load exchange goroutine uses it.
+	outdated bool
 	// leaving is set when shutdown begins, lingering while callers' requests of any
 	// deadline are accepted then, and refusing once no new requests are accepted.
 	leaving   atomic.Bool
@@ -176,6 +181,7 @@
 
 func (e *Edge) assemble(settings *Settings) {
 	e.roster = roster.New(e.log)
+	e.knowledge = &freshness.Tracker{Bound: settings.RevocationBound}
 	e.mesh = mesh.New(mesh.Config{
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
@@ -189,11 +195,13 @@
 		OnNewerConfiguration: func(version uint64, fetch func(context.Context) ([]byte, error)) {
 			e.follower.FetchNewer(version, fetch)
 		},
+		Confirmation:      func() (uint64, time.Duration, bool) { return e.knowledge.Confirmation(e.now()) },
+		NeedsConfirmation: e.needsConfirmation, OnConfirmation: e.knowledge.ConfirmByVM,
 	})
 	e.follower = discovery.New(discovery.Config{
 		Registry: e.adapter.Registry(), Roster: e.roster, Now: e.now, Log: e.log,
 		Scope: e.metrics.Scope, Publish: e.mesh.Publish, Forget: e.mesh.Forget, LargeFleet: e.mesh.LargeFleet, RegistryReader: e.mesh.IsRegistryReader,
-		RegistryCovered: e.mesh.RegistryCovered,
+		RegistryCovered: e.mesh.RegistryCovered, Knowledge: e.knowledge,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
 	e.quarantine = quarantine.New(quarantine.Config{
@@ -240,7 +248,7 @@
 	e.relay = relay.New(relay.Config{
 		Memory: e.memory,
 		VM:     e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
-		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, Knowledge: e.knowledge, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
@@ -248,6 +256,36 @@
 	})
 }
 
+// askConfirmationAge is the age of the knowledge of the configuration from which this VM asks
+// others for theirs: older than that of a VM whose reads of the registry succeed.
+const askConfirmationAge = 1500 * time.Millisecond
+
+// needsConfirmation reports whether this VM should ask the other VMs how recent their
+// configuration is.
+func (e *Edge) needsConfirmation() bool {
+	table := e.follower.Table()
+	if e.knowledge.Bound == 0 || table == nil || !table.HasTeams() {
+		return false
+	}
+	age, known := e.knowledge.Age(e.now())
+	return !known || age > askConfirmationAge
+}
+
+// observeKnowledge updates the gauge of the age of the configuration, and logs when requests
+// for which a key is needed begin or end to be refused for it.
+func (e *Edge) observeKnowledge(now clock.Instant) {
+	table := e.follower.Table()
+	if e.knowledge.Bound == 0 || table == nil || !table.HasTeams() {
+		return
+	}
+	age, known := e.knowledge.Age(now)
+	e.metrics.Scope.Gauge("configuration_age_seconds").Update(age.Seconds())
+	if outdated := !e.knowledge.Permits(now); outdated != e.outdated {
+		e.outdated = outdated
+		e.log.Warn("configuration may be out of date: requests of teams are refused", "refused", outdated, "age", age, "known", known, "version", table.Version, "bound", e.knowledge.Bound)
+	}
+}
+
 // applyRecord applies a record of another VM.
 func (e *Edge) applyRecord(r record) {
 	switch r.Kind {
@@ -484,6 +522,7 @@
 
 func (e *Edge) updateGauges(now clock.Instant) {
 	s := e.metrics.Scope
+	e.observeKnowledge(now)
 	s.Gauge("members").Update(float64(len(e.mesh.Members())))
 	s.Gauge("backend_servers").Update(float64(len(e.roster.View().All())))
 	s.Gauge("unreached_servers").Update(float64(len(e.announcedUnreached)))
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -5,6 +5,8 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -12,6 +14,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
@@ -106,6 +109,10 @@
 	// or since the start of the process if it never has.
 	RegistryAgeMs int64
 	Members       []mesh.Member
+	// ConfigurationAgeMs is the time in milliseconds since the configuration was certainly the
+	// newest, or -1 if that isn't known.
+	ConfigurationAgeMs int64
+	Teams              []teamState
 	// Quarantine holds the prompt blocks with which requests are refused.
 	Quarantine []quarantine.State
 	Servers    []serverState
@@ -129,6 +136,30 @@
 	BreakerOpen  bool `json:"Open"`
 }
 
+// teamState is a team in the state dump.
+type teamState struct {
+	Name string
+	// Keys is the number of keys that the team has.
+	Keys        int
+	Priority    int
+	Limit       ingress.TeamLimit
+	HomeRegions []string
+}
+
+// maxDumpedTeams bounds the teams in the state dump.
+const maxDumpedTeams = 5000
+
+// teamStates returns the state of the teams in the order of their names.
+func teamStates(table *ingress.Table) []teamState {
+	var list []teamState
+	_, visit := table.Teams()
+	for t := range visit {
+		list = append(list, teamState{Name: t.Name, Keys: len(t.Keys), Priority: t.Priority, Limit: t.Limit, HomeRegions: t.HomeRegions})
+	}
+	slices.SortFunc(list, func(a, b teamState) int { return strings.Compare(a.Name, b.Name) })
+	return list[:min(len(list), maxDumpedTeams)]
+}
+
 // serveState writes the state dump as JSON.
 func (e *Edge) serveState(w http.ResponseWriter, _ *http.Request) {
 	now := e.now()
@@ -136,7 +167,13 @@
 		VM: e.self.VM, Incarnation: e.self.Incarnation, Ready: e.ready.Load(), Leaving: e.leaving.Load(),
 		Members: e.mesh.Members(), Quarantine: e.quarantine.States(now), RegistryAgeMs: e.registryAge(now).Milliseconds(),
 	}
+	if age, known := e.knowledge.Age(now); known {
+		s.ConfigurationAgeMs = age.Milliseconds()
+	} else {
+		s.ConfigurationAgeMs = -1
+	}
 	if c := e.follower.Current(); c != nil {
+		s.Teams = teamStates(c.Table)
 		s.Configuration, s.Revision, s.Era = c.Table.Version, c.Revision.Number(), c.Revision.Era()
 	}
 	peerUsage := e.mesh.PeerUsage()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -60,6 +60,14 @@
 	RetryWindow time.Duration
 	// Cold bounds the requests to cold backend servers.
 	Cold balance.Bounds
+	// RevocationBound is the time after the confirmation of a configuration from which keys
+	// that it removed open nothing, on VMs that are cut off too; zero means no bound.
+	RevocationBound time.Duration
+	// LimitWindow is the span in which what a team uses is compared with its limit, and
+	// LimitOverage and LimitSlack are the share of it and the units by which all VMs together
+	// may exceed it.
+	LimitWindow              time.Duration
+	LimitOverage, LimitSlack float64
 	// MemoryBytes is the memory that the process may use; zero means unknown.
 	MemoryBytes int64
 	// Cores is the VM's share of a processor core and LinkMbps the rate of its
@@ -151,7 +159,8 @@
 	if s.RetryWindow < minRetryWindow {
 		addFault("the retry window %v is below %v", s.RetryWindow, minRetryWindow)
 	}
-	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryCallsPerSecond < 0 || s.MaxDirectoryTTL < 0 || s.Cores < 0 || s.LinkMbps < 0 {
+	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryCallsPerSecond < 0 || s.MaxDirectoryTTL < 0 || s.Cores < 0 || s.LinkMbps < 0 ||
+		s.RevocationBound < 0 || s.LimitWindow < 0 || s.LimitOverage < 0 || s.LimitSlack < 0 {
 		addFault("a numeric setting is below 0")
 	}
 	if len(faults) > 0 {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,5 +1,5 @@
 // Package ingress defines the routing table that maps callers' requests to
-// services: routes by host and path prefix, services, and request size limits.
+// services: routes by host and path prefix, services, teams, and request size limits.
 //
 // A Table is immutable. A configuration update replaces the whole table.
 package ingress
@@ -74,6 +74,8 @@
 	Resumable bool
 	// HomeRegions are the regions that may serve the route; empty means all.
 	HomeRegions []string
+	// Public requests need no key, also if the table has teams.
+	Public bool
 }
 
 // Idempotent reports whether a request may be executed more than once.
@@ -147,11 +149,12 @@
 	Limits   Limits
 	Services map[string]*Service
 	hosts    map[string][]*Route
+	teams    teams
 }
 
-// NewTable returns a table of the given routes and services. It sets the
-// RelativePriority of each route.
-func NewTable(version uint64, routes []*Route, services []*Service, limits Limits) *Table {
+// NewTable returns a table of the given routes, services and teams. It sets the
+// RelativePriority of each route. Of teams with the same name or key the first one has it.
+func NewTable(version uint64, routes []*Route, services []*Service, limits Limits, teams ...*Team) *Table {
 	t := &Table{
 		Version: version, Limits: limits,
 		Services: make(map[string]*Service, len(services)),
@@ -165,6 +168,7 @@
 		t.hosts[host] = append(t.hosts[host], r)
 	}
 	setRelativePriorities(routes)
+	t.teams = newTeams(teams, routes)
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -23,6 +23,9 @@
 	// pingTimeout bounds the wait for the reply to a ping, after which the
 	// connection is closed: a connection can fail without an error.
 	pingTimeout = 1500 * time.Millisecond
+	// confirmInterval replaces pingInterval while this VM needs others to confirm its
+	// configuration.
+	confirmInterval = 300 * time.Millisecond
 	// redialDelay is the pause after a failed connection attempt.
 	redialDelay = 400 * time.Millisecond
 	// redialPeriod is the time since its last heartbeat during which an
@@ -320,16 +323,38 @@
 		if peerVersion > version {
 			l.mesh.offerConfiguration(client.Remote.VM, peerVersion)
 		}
+		interval := pingInterval
+		if l.mesh.NeedsConfirmation != nil && l.mesh.NeedsConfirmation() {
+			interval = confirmInterval
+			if !l.confirm(ctx, client, version) {
+				return
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-client.Done():
 			return
-		case <-time.After(pingInterval):
+		case <-time.After(interval):
 		}
 	}
 }
 
+// confirm asks the peer how recent its configuration is, and reports whether it answered.
+func (l *link) confirm(ctx context.Context, client *peer.Client, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	askedAt := l.mesh.Now()
+	answer, err := client.Confirmation(ctx, version)
+	if err != nil {
+		return false
+	}
+	if answer.Confirmed {
+		l.mesh.OnConfirmation(answer.Revision, askedAt, answer.Age)
+	}
+	return true
+}
+
 // offerConfiguration reports a member with a newer configuration through
 // OnNewerConfiguration.
 func (m *Mesh) offerConfiguration(vm string, version uint64) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -169,6 +169,13 @@
 	// higher version. Fetch requests it from that member or, without a
 	// connection to it, from another VM.
 	OnNewerConfiguration func(version uint64, fetch func(context.Context) ([]byte, error))
+	// Confirmation returns the version of the configuration in force and the time since it
+	// was certainly the newest, and false if that isn't known. NeedsConfirmation reports whether
+	// this VM should ask others for theirs, and OnConfirmation receives their answers: what was
+	// asked at an instant. Nil means that none is asked.
+	Confirmation      func() (version uint64, age time.Duration, known bool)
+	NeedsConfirmation func() bool
+	OnConfirmation    func(version uint64, askedAt clock.Instant, age time.Duration)
 }
 
 // Mesh is this VM's membership in the fleet.
@@ -651,4 +658,7 @@
 	}
 }
 
-var _ peer.Handler = handler{}
+var (
+	_ peer.Handler   = handler{}
+	_ peer.Confirmer = handler{}
+)
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// Confirmation implements peer.Confirmer.
+func (h handler) Confirmation() peer.Confirmation {
+	if h.Config.Confirmation == nil {
+		return peer.Confirmation{}
+	}
+	version, age, known := h.Config.Confirmation()
+	return peer.Confirmation{Revision: version, Confirmed: known, Age: age}
+}
+
 // OnMessage implements peer.Handler. It offers the configuration of a peer that has
 // a higher version. The peer's own connection can't be used to fetch it: that takes
 // a link from this VM to the peer or to another VM.
--- a/internal/relay/fingerprint.go
+++ b/internal/relay/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strconv"
 
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
 )
@@ -14,10 +15,14 @@
 
 // fingerprint identifies a request with its repeats: those with the same method,
 // host, path and query, body, and credentials of the caller. It is the same on all
-// VMs.
+// VMs. Where there are teams, the team and the ID of its key stand for the credentials.
 func (req *Request) fingerprint() uint64 {
 	h := sha256.New()
-	for _, part := range []string{req.Method, req.Host, req.Target, req.Header.Get("Authorization")} {
+	credentials := req.Header.Get("Authorization")
+	if req.Key != 0 {
+		credentials = req.Team + " " + strconv.FormatUint(uint64(req.Key), 16)
+	}
+	for _, part := range []string{req.Method, req.Host, req.Target, credentials} {
 		// The length keeps the parts apart. Writing to a hash returns no error.
 		_ = binary.Write(h, binary.LittleEndian, uint64(len(part)))
 		_, _ = h.Write([]byte(part))
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -218,6 +218,9 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if refusal.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	body := refusal.Detail + "\n"
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/resume"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
@@ -76,6 +77,9 @@
 	BytesAsRunes bool `json:"bytesAsRunes,omitempty"`
 	// Frames means that the sender reads a response in frames.
 	Frames bool `json:"frames,omitempty"`
+	// Team is the name of the request's team, and Key the ID of the key that it bears.
+	Team string        `json:"team,omitempty"`
+	Key  ingress.KeyID `json:"key,omitempty"`
 }
 
 // sendToRegion sends the request to a VM of another region, or to one of this region that
@@ -161,7 +165,7 @@
 		ID: x.req.ID, Hop: hop, Host: x.req.Host, Method: x.req.Method, Target: x.req.Target, Path: x.req.Path,
 		Header: x.req.Header, LastEventID: x.lastEventID, RemainingMs: x.remaining().Milliseconds(), WaitedMs: x.Now().Sub(x.req.Arrived).Milliseconds(),
 		Entry: x.VM, Service: x.service.Name, Configuration: x.table.Version, Server: server,
-		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), Once: !x.mayRepeat(), AttemptsLeft: attempts, Frames: true,
+		OwnLinksOnly: plan.Region != "" && plan.Region == x.Region, Origin: x.origin, Continues: x.continues(), Once: !x.mayRepeat(), AttemptsLeft: attempts, Frames: true, Team: x.req.Team, Key: x.req.Key,
 	}
 	head.encodeBytes()
 	data, err := json.Marshal(head)
@@ -384,7 +388,7 @@
 		ID: head.ID, Hop: head.Hop, Host: head.Host, Method: head.Method, Target: head.Target, Path: head.Path,
 		Header: head.Header, Body: body, Demand: r.Protocol.Demand(head.Header), LastEventID: head.LastEventID,
 		Arrived: now.Add(-time.Duration(max(0, head.WaitedMs)) * time.Millisecond), Deadline: deadline,
-		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, Once: head.Once, AttemptsLeft: max(1, head.AttemptsLeft), Frames: head.Frames,
+		Entry: head.Entry, OwnLinksOnly: head.OwnLinksOnly, Server: head.Server, Service: head.Service, Configuration: head.Configuration, Origin: head.Origin, Continues: head.Continues, Once: head.Once, AttemptsLeft: max(1, head.AttemptsLeft), Frames: head.Frames, Team: head.Team, Key: head.Key,
 	}, nil
 }
 
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -38,6 +38,8 @@
 func (anyProtocol) Outbound(*Request, Outbound) http.Header               { return http.Header{} }
 func (anyProtocol) Inbound(int, http.Header) Inbound                      { return Inbound{} }
 func (anyProtocol) Demand(http.Header) balance.Demand                     { return balance.Demand{} }
+func (anyProtocol) Key(h http.Header) string                              { return h.Get("Authorization") }
+func (anyProtocol) SetTeam(h http.Header, _ string)                       { h.Del("Authorization") }
 
 // hopTransaction returns a transaction of a route with the maximum number of
 // attempts.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,6 +97,10 @@
 	AttemptsLeft int
 	// Frames means that the VM that sent the request reads a response in frames.
 	Frames bool
+	// Team is the name of the team whose key the request bears, and Key the key's ID; "" and
+	// zero if it needs none.
+	Team string
+	Key  ingress.KeyID
 }
 
 // Outbound is what the gateway adds to a request for a backend server.
@@ -145,6 +149,11 @@
 	Inbound(status int, h http.Header) Inbound
 	// Demand returns the token counts and prefix blocks in a request header.
 	Demand(h http.Header) balance.Demand
+	// Key returns the key in a caller's request header, or "" if it has none or several.
+	Key(h http.Header) string
+	// SetTeam removes the key from a request header and sets the name of the team, or
+	// removes it if it is "".
+	SetTeam(h http.Header, team string)
 }
 
 // Peers selects the VMs to which requests are sent.
@@ -180,6 +189,10 @@
 	Quarantine *quarantine.Tracker
 	// Streams keeps where streams began.
 	Streams *resume.Tracker
+	// Knowledge is how recent the configuration is. It is used only if that has teams.
+	Knowledge Knowledge
+	// TeamLimits bounds what teams use; nil means no bound.
+	TeamLimits TeamLimits
 	// ServerPool holds the connections to backend servers, and GatewayPool
 	// those to other VMs.
 	ServerPool  *upstream.Pool
@@ -248,9 +261,12 @@
 // transaction is the state of one request while it is served.
 type transaction struct {
 	*Relay
-	req      *Request
-	table    *ingress.Table
-	route    *ingress.Route
+	req   *Request
+	table *ingress.Table
+	route *ingress.Route
+	// team is the team of the request, or nil, and units what was taken from its limit.
+	team     *ingress.Team
+	units    int64
 	service  *ingress.Service
 	w        pipeline.Response
 	budget   *retry.Window
@@ -332,8 +348,12 @@
 			if refusal := x.takeUp(ctx); refusal != nil {
 				return refusal
 			}
+			if refusal := x.takeUnits(ctx); refusal != nil {
+				return refusal
+			}
 			return x.serve(ctx)
 		})
+		x.returnUnits(refusal)
 	}
 	if refusal != nil && x.origin != nil {
 		r.Streams.BrokeOff(req.ID)
@@ -360,7 +380,7 @@
 // newTransaction determines the route, service, deadline and retry budget of
 // the request.
 func (r *Relay) newTransaction(req *Request, w pipeline.Response) (*transaction, *verdict.Refusal) {
-	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, origin: req.Origin, traits: req.traits(), patience: patience{now: r.Now}}
+	x := &transaction{Relay: r, req: req, w: w, table: r.Table(), lastEventID: req.LastEventID, origin: req.Origin, patience: patience{now: r.Now}}
 	if x.table == nil {
 		return x, verdict.Busy(verdict.CodeNoConfiguration, "no configuration is known yet", retryAfterFailure)
 	}
@@ -368,6 +388,10 @@
 	if x.route == nil {
 		return x, verdict.Refuse(http.StatusNotFound, verdict.CodeUnknownService, "no route has this host and path")
 	}
+	if refusal := x.identify(); refusal != nil {
+		return x, refusal
+	}
+	x.traits = req.traits()
 	name := req.Service
 	if !slices.ContainsFunc(x.route.TrafficSplit, func(s ingress.WeightedService) bool { return s.Service == name }) {
 		name = x.route.PickService(rand.Float64())
@@ -477,6 +501,9 @@
 		if refusal := x.quarantineRefusal(ctx); refusal != nil {
 			return refusal
 		}
+		if refusal := x.authorizationRefusal(ctx); refusal != nil {
+			return refusal
+		}
 		plan := x.choosePlan()
 		x.plan, x.plannedAt = plan, x.Now()
 		if plan.Reason == balance.ReasonNoRoom && x.waitForRoom(ctx) {
@@ -547,7 +574,7 @@
 // query returns the query for the next send of the request.
 func (x *transaction) query() balance.Query {
 	q := balance.Query{
-		Now: x.Now(), Route: x.route, Service: x.service, Demand: &x.req.Demand,
+		Now: x.Now(), Route: x.route, Team: x.team, Service: x.service, Demand: &x.req.Demand,
 		Bytes: len(x.req.Body), Remaining: x.remaining(),
 		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", OwnLinksOnly: x.req.OwnLinksOnly, Random: rand.Uint64(),
 	}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -122,7 +122,7 @@
 		version = x.table.Version
 	}
 	args := []any{
-		"request", x.req.ID, "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "route", route, "configuration", version, "entry", x.req.Entry, "result", result,
+		"request", x.req.ID, "fingerprint", strconv.FormatUint(x.traits.Fingerprint, 16), "route", route, "configuration", version, "entry", x.req.Entry, "team", x.req.Team, "result", result,
 		"at", x.destination, "softwareVersion", x.softwareVersion, "resumes", x.req.ResumedID, "after", x.req.LastEventID, "sends", x.sends, "ran", x.possibleRuns, "took", took, "first", x.timeToFirstByte(),
 		"waited", x.slotWait, "longestGap", x.longestGap, "events", x.events, "framing", x.framing, "unfinished", x.unfinishedBytes, "prompt", x.req.Demand.PromptTokens, "toRead", x.prefillTokens,
 		"document", x.req.Demand.LongSharedPrefixID(), "output", x.req.Demand.MaxOutputTokens, "hint", x.req.Demand.ExpectedOutputTokens,
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -210,6 +210,8 @@
 		return "leaving"
 	case x.isQuarantined(now):
 		return "quarantined"
+	case x.authorize() != nil:
+		return "not authorized"
 	case load.Link.Lost():
 		return "out of reach"
 	case !load.Admits(now):
@@ -265,7 +267,7 @@
 		idle = nonIdempotentMaxIdle
 	}
 	header := x.Protocol.Outbound(x.req, Outbound{
-		Server: plan.Server.ID, Remaining: x.remaining(), Priority: min(x.route.Priority, maxPriority),
+		Server: plan.Server.ID, Remaining: x.remaining(), Priority: x.table.Priority(x.route, x.team, maxPriority),
 		LastEventID: x.lastEventID, WeightsVersion: x.weightsVersion,
 	})
 	return &upstream.Call{
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -56,6 +56,7 @@
 const (
 	CodeBadRequest       Code = "bad-request"
 	CodeUnknownTeam      Code = "unknown-team"
+	CodeUnauthenticated  Code = "unauthenticated"
 	CodeUnknownModel     Code = "unknown-model"
 	CodeUnknownService   Code = "unknown-service"
 	CodeTooLarge         Code = "too-large"
