Revocation: VMs that aren't registry readers confirm the configuration every 3 s

Cause: each VM read the operators' keys once a second.

Change: registry readers of a large fleet read each second, the others every 3 s, and ask their peers from an age of 2 s on.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -60,8 +60,10 @@
 	coveredListDelay = 10 * time.Second
 	// confirmingWatchTimeout and confirmingBatchPause replace the timeout of the operators'
 	// watch and the pause before it if keys that they remove have to be refused in time. A
-	// watch confirms the configuration as of its start, so their sum is the age of that.
-	confirmingWatchTimeout = 900 * time.Millisecond
+	// watch confirms the configuration as of its start, so their sum is the age of that. The
+	// registry readers of a large fleet watch for readerWatchTimeout: the others ask them.
+	confirmingWatchTimeout = 2900 * time.Millisecond
+	readerWatchTimeout     = 900 * time.Millisecond
 	confirmingBatchPause   = 100 * time.Millisecond
 	// recoveryPeriod is the time after a registry outage during which every VM of a
 	// large fleet uses largeBatchPause: entries that expired meanwhile are added
@@ -356,6 +358,9 @@
 func (f *Follower) intervals(topic Topic) (wait, pause time.Duration) {
 	switch {
 	case topic == Operators && f.confirms():
+		if f.LargeFleet() && f.RegistryReader() {
+			return readerWatchTimeout, confirmingBatchPause
+		}
 		return confirmingWatchTimeout, confirmingBatchPause
 	case !f.LargeFleet():
 		return watchTimeout, batchPause
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -257,8 +257,8 @@
 }
 
 // askConfirmationAge is the age of the knowledge of the configuration from which this VM asks
-// others for theirs: older than that of a VM whose reads of the registry succeed.
-const askConfirmationAge = 1500 * time.Millisecond
+// others for theirs: a little before a VM that reads the registry seldom reads it again.
+const askConfirmationAge = 2 * time.Second
 
 // needsConfirmation reports whether this VM should ask the other VMs how recent their
 // configuration is.
