Balance: under limits of teams, refuse what can't be served in time

Change: where teams share the servers by limits, the least urgent requests of a service are refused at once if they would wait for longer than their latency objective, or if every permitted engine would need more time for a token than with which the service's long responses end in time. The prefill of a request itself doesn't count as a wait, so that large ones aren't refused for their size. Other deployments are served as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -197,6 +197,9 @@
 	LocalOnly, OwnLinksOnly bool
 	// Random selects the sampled servers and breaks ties.
 	Random uint64
+	// MaxTokenMs is the longest time per token, in milliseconds, with which long responses
+	// of the service end in time; zero means no bound.
+	MaxTokenMs float64
 }
 
 // permitsRegion reports whether the request may be served in a region, by the home regions of
@@ -281,6 +284,7 @@
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
 	calibration         calibration
+	outputs             outputs
 	seed                maphash.Seed
 }
 
@@ -290,6 +294,7 @@
 		Region: region, Domain: domain, Bounds: bounds, Tuning: tuning, Fleet: fleet,
 		Prefixes: NewPrefixIndex(), seed: maphash.MakeSeed(),
 		calibration: calibration{ratios: map[calibrationKey]calibrationRatio{}},
+		outputs:     outputs{long: map[string]float64{}},
 	}
 }
 
@@ -559,6 +564,12 @@
 			continue
 		}
 		e := b.estimate(q, s, load, cached[s.Key()])
+		if b.tooSlow(q, &e) {
+			if !found && !best.Postponed() {
+				best.Reason, best.RetryAfter = ReasonSlow, slowRetry
+			}
+			continue
+		}
 		if cold {
 			e.Score += coldPenaltyMs
 		}
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -119,6 +119,9 @@
 	TimeToFirstByte time.Duration
 	// Score orders the choices, in milliseconds; the lowest is best.
 	Score float64
+	// TokenMs is the time per token of the engine's streams with the request added, in
+	// milliseconds; zero for plain services.
+	TokenMs float64
 	// NeedsPrefillSlot means that the prompt waits for a prefill slot.
 	// MaxSlotWait is the longest wait for it, and PrefillGap the pause after it.
 	NeedsPrefillSlot        bool
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -126,7 +126,7 @@
 	decode := q.Demand.expectedOutput() * expectedStep
 	e := Estimate{
 		TimeToFirstByte: toDuration(first), UncachedTokens: uncached, PrefillTime: toDuration(prefill),
-		Score: first + decodeWeight*decode + prefillLoadWeight*prefill,
+		Score: first + decodeWeight*decode + prefillLoadWeight*prefill, TokenMs: max(step, s.tokenMs) + s.slowdown*b.Tuning.StepMsPerStream,
 	}
 	e.Score += recomputeMsPerKToken * float64(max(0, q.Demand.sharedTokens()-cached)) / 1000
 	e.Score += contentionPenaltyMs * square(b.occupancy(q, s))
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -140,6 +140,9 @@
 			cached = q.Demand.sharedTokens()
 		}
 		e := b.regionEstimate(q, r, share, cached)
+		if b.tooSlow(q, &e) {
+			continue
+		}
 		if best.Region == "" || e.Score < best.Estimate.Score {
 			best = Plan{Region: r.Region, Estimate: e}
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -65,6 +65,9 @@
 	// RelativePriority is the rank of Priority among the routes with the same
 	// first service, from 0 (highest) to 1 (lowest). NewTable sets it.
 	RelativePriority float64
+	// LeastUrgent means that no route with the same first service has a lower priority.
+	// NewTable sets it.
+	LeastUrgent bool
 	// MaxAttempts is the maximum number of backend servers that a request is
 	// sent to.
 	MaxAttempts  int
@@ -149,7 +152,9 @@
 	Limits   Limits
 	Services map[string]*Service
 	hosts    map[string][]*Route
-	teams    teams
+	// routes are all routes by the services to which they may go.
+	routes map[string][]*Route
+	teams  teams
 }
 
 // NewTable returns a table of the given routes, services and teams. It sets the
@@ -159,6 +164,7 @@
 		Version: version, Limits: limits,
 		Services: make(map[string]*Service, len(services)),
 		hosts:    map[string][]*Route{},
+		routes:   map[string][]*Route{},
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -166,6 +172,9 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, split := range r.TrafficSplit {
+			t.routes[split.Service] = append(t.routes[split.Service], r)
+		}
 	}
 	setRelativePriorities(routes)
 	t.teams = newTeams(teams, routes)
@@ -176,7 +185,7 @@
 }
 
 // setRelativePriorities sets the rank of each route's priority among the routes
-// with the same first service.
+// with the same first service, and which are the least urgent.
 func setRelativePriorities(routes []*Route) {
 	priorities := map[string][]int{}
 	for _, r := range routes {
@@ -194,7 +203,9 @@
 		if len(r.TrafficSplit) == 0 {
 			continue
 		}
-		if list := priorities[r.TrafficSplit[0].Service]; len(list) > 1 {
+		list := priorities[r.TrafficSplit[0].Service]
+		r.LeastUrgent = r.Priority == list[len(list)-1]
+		if len(list) > 1 {
 			r.RelativePriority = float64(slices.Index(list, r.Priority)) / float64(len(list)-1)
 		}
 	}
@@ -238,6 +249,9 @@
 	return homes, maxPermits > 0
 }
 
+// RoutesTo returns the routes that may go to a service. Callers must not modify the result.
+func (t *Table) RoutesTo(service string) []*Route { return t.routes[service] }
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
--- a/internal/ingress/team.go
+++ b/internal/ingress/team.go
@@ -82,6 +82,8 @@
 	// levels is the number of combinations with those of the teams.
 	routePriorities []int
 	levels          int
+	// limited means that at least one team has a limit.
+	limited bool
 }
 
 func newTeams(list []*Team, routes []*Route) teams {
@@ -102,6 +104,7 @@
 	priorities = sortedSet(priorities)
 	for _, team := range t.byName {
 		team.rank = slices.Index(priorities, team.Priority)
+		t.limited = t.limited || team.Limit.PerSecond > 0
 	}
 	for _, r := range routes {
 		t.routePriorities = append(t.routePriorities, r.Priority)
@@ -119,6 +122,9 @@
 // HasTeams reports whether requests have to name a team by its key.
 func (t *Table) HasTeams() bool { return len(t.teams.byName) > 0 }
 
+// HasLimits reports whether teams share the servers by limits.
+func (t *Table) HasLimits() bool { return t.teams.limited }
+
 // Team returns the team with the name, or nil.
 func (t *Table) Team(name string) *Team { return t.teams.byName[name] }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -397,6 +397,9 @@
 		name = x.route.PickService(rand.Float64())
 	}
 	x.setService(name)
+	if x.table.HasLimits() {
+		r.Balancer.RecordOutput(x.route, &req.Demand)
+	}
 	x.deadline = req.Arrived.Add(timeoutOf(x.route))
 	if req.Deadline != 0 {
 		x.deadline = min(x.deadline, req.Deadline)
@@ -591,6 +594,12 @@
 	if remaining < minRemaining || x.patience.isOver() {
 		return balance.Plan{Reason: "deadline"}
 	}
+	// Where teams share the servers by limits, what can't be served in time is not sent: it would
+	// take the time of others' requests.
+	bounded := x.table.HasLimits() && !x.arrived && x.origin == nil
+	if bounded {
+		q.MaxTokenMs = x.Balancer.MaxTokenMs(x.route, x.service, x.table.RoutesTo(x.service.Name))
+	}
 	var plan balance.Plan
 	if x.req.Server != "" {
 		plan = x.Balancer.ChooseServer(q, x.Roster.View(), x.req.Server)
@@ -608,6 +617,10 @@
 		return plan
 	}
 	first := x.Balancer.CalibratedFirstByte(x.route.Name, &plan, x.Now())
+	if bounded {
+		maxWait = balance.MaxQueueWait(x.route, x.Now().Sub(x.req.Arrived), maxWait)
+		first -= plan.Estimate.PrefillTime
+	}
 	if x.origin != nil {
 		// The caller has a part of the response already, and only some of the servers
 		// may go on with it. The wait of other requests says little about them.
@@ -661,7 +674,7 @@
 		return verdict.Busy(verdict.CodeDeadline, "the deadline is too near", 0)
 	}
 	code := verdict.CodeNoBackend
-	if plan.Reason == "too-late" {
+	if plan.Reason == "too-late" || plan.Reason == balance.ReasonSlow {
 		code = verdict.CodeOverloaded
 	}
 	after := jitter(plan.RetryAfter)
