Package quota: limits of teams over all VMs

Cause: the configuration's limits of teams (ratePerS, burst) were decoded and applied nowhere.

Each VM is entitled to an even share of a limit's rate, which it delegates to one owner at a time. The end of a delegation is stated on the owner's clock, from a lower bound of the time at which the request was sent, so that a late message can't extend it: the shares of two owners, or of the two sides of a partition, never exceed the whole.

--- /dev/null
+++ b/internal/quota/wallets.go
@@ -0,0 +1,459 @@
+package quota
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/ingress"
+)
+
+const (
+	// activeInterval is the time between two exchanges with an owner while there is demand,
+	// idleInterval otherwise, and urgentInterval while a request waits or a local
+	// allowance is used up.
+	activeInterval = 200 * time.Millisecond
+	idleInterval   = 2 * time.Second
+	urgentInterval = 50 * time.Millisecond
+	// unscaledVMs is the number of VMs up to which activeInterval applies. In a larger fleet it
+	// grows in proportion up to maxIntervalFactor, so that an owner answers about 300 to 900
+	// exchanges per second.
+	unscaledVMs       = 60
+	maxIntervalFactor = 2
+	// horizonMargin is the time for which units are requested in advance, besides an interval
+	// and the round trip to the owner. maxHorizon bounds all three: grants expire.
+	horizonMargin = 50 * time.Millisecond
+	maxHorizon    = 450 * time.Millisecond
+	// demandTime is the time constant of the smoothed demand.
+	demandTime = 500 * time.Millisecond
+	// urgentLevel is the part of the local allowance below which an exchange is triggered.
+	urgentLevel = 0.5
+	// scarceFor is for how long a response's statement that a team is scarce holds.
+	scarceFor = time.Second
+	// startupPeriod is the time after the start of this process in which the number of VMs
+	// may not be known, and startupVMs the number that is assumed until an owner has answered.
+	startupPeriod = 3 * time.Second
+	startupVMs    = 128
+	// maxWants bounds the teams in a request to an owner. The others follow in the next one.
+	maxWants = 1000
+	// leases is the number of grants that are kept with an expiry of their own.
+	leases = 4
+)
+
+// Limits are the limits above zero, by team.
+type Limits map[string]ingress.TeamLimit
+
+// LimitsOf returns the limits of a configuration.
+func LimitsOf(table *ingress.Table) Limits {
+	limits := Limits{}
+	_, visit := table.Teams()
+	for team := range visit {
+		if team.Limit.PerSecond > 0 {
+			limits[team.Name] = team.Limit
+		}
+	}
+	return limits
+}
+
+// Wallets holds the units that this VM may use. It is safe for concurrent use.
+type Wallets struct {
+	vm, incarnation string
+	bounds          Bounds
+	startedAt       clock.Instant
+	// firstStart means that no earlier process of any VM has delegated its share.
+	firstStart bool
+
+	// teams is replaced when the limits change.
+	teams atomic.Pointer[map[string]*wallet]
+
+	mu sync.Mutex
+	// active is the number of VMs as this VM knows, and heard as the owners do.
+	active, heard, vms int
+	limits             Limits
+
+	links [Shards]link
+}
+
+// link is the exchange with the owner of a shard.
+type link struct {
+	mu sync.Mutex
+	// listed are the wallets with something to request.
+	listed []*wallet
+	// urgent means that the next exchange can't wait.
+	urgent bool
+	// sentAt is when the last request was sent, and next when the next one is due if
+	// there is demand.
+	sentAt, next clock.Instant
+	// sequence is the number of the last request, and ended that of the last one that was
+	// answered or failed. roundTrip is the smoothed time until the answer.
+	sequence, ended uint64
+	roundTrip       time.Duration
+	// ownerVM is the VM that answered last and owner its incarnation, clock the instant on
+	// its clock in microseconds, and heardAt when the response arrived. Owner is "" after a
+	// failure.
+	ownerVM, owner string
+	clock          int64
+	heardAt        clock.Instant
+	// delegatedTo is the VM that may hold this VM's share until delegatedUntil.
+	delegatedTo    string
+	delegatedUntil clock.Instant
+	// epoch counts the times at which this VM delegated its share after it had it itself.
+	epoch  uint64
+	failed bool
+	// wake is called when an exchange may have become due.
+	wake func()
+}
+
+// wallet holds the units of a team.
+type wallet struct {
+	name  string
+	shard int
+
+	mu sync.Mutex
+	plan
+	// local is the rest of the local allowance. own are the units of this VM's share, as of
+	// ownTime, which counts in seconds, in the link's epoch.
+	local, own, ownTime float64
+	epoch               uint64
+	grants              [leases]lease
+	// asked are the units of requests since the last exchange, and spent those admitted.
+	asked, spent int64
+	askedAt      clock.Instant
+	// grantedAt is when the last response arrived.
+	grantedAt clock.Instant
+	// demand is the smoothed demand per second, and income that of the grants.
+	demand, income float64
+	// waiting are the units of requests that wait for the next exchange, and least those of
+	// the smallest request that found too few units.
+	waiting, least int64
+	// ahead and refill are the units for demand to come and for the local allowance in
+	// requests without an answer.
+	ahead, refill int64
+	// listed means that the link lists the wallet, and quiet that it has no demand.
+	listed, quiet bool
+	scarce        bool
+	scarceUntil   clock.Instant
+	retryAt       clock.Instant
+	// promised is the time from which the next refused request may be admitted.
+	promised clock.Instant
+	stats    Stats
+}
+
+type lease struct {
+	units   float64
+	expires clock.Instant
+}
+
+// Stats counts what happened to the requests of a team, in requests and units.
+type Stats struct {
+	Admitted, Refused, Granted uint64
+}
+
+// Decision is the result of Take.
+type Decision struct {
+	Granted bool
+	// Wait means that the next exchange may bring the units. Otherwise the request is to be
+	// refused, and RetryAfter is the time after which a retry may be admitted.
+	Wait       bool
+	RetryAfter time.Duration
+	// round is the sequence number of the exchange for which the request waits.
+	round uint64
+}
+
+// NewWallets returns the wallets of a VM's process without teams.
+func NewWallets(vm, incarnation string, bounds Bounds, firstStart bool, now clock.Instant) *Wallets {
+	w := &Wallets{vm: vm, incarnation: incarnation, bounds: bounds, startedAt: now, firstStart: firstStart, active: 1}
+	w.vms = w.knownVMs(now)
+	w.teams.Store(&map[string]*wallet{})
+	for i := range w.links {
+		w.links[i].delegatedUntil = now
+		if !firstStart {
+			w.links[i].delegatedUntil = now.Add(delegation)
+		}
+	}
+	return w
+}
+
+// knownVMs returns the number of VMs among which the limits are divided. The caller holds the
+// lock.
+func (w *Wallets) knownVMs(now clock.Instant) int {
+	n := max(1, w.active, w.heard)
+	if w.heard == 0 && now.Sub(w.startedAt) < startupPeriod {
+		n = max(n, startupVMs)
+	}
+	return n
+}
+
+// SetTeams replaces the limits. A new team begins with half a local allowance.
+func (w *Wallets) SetTeams(limits Limits, now clock.Instant) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits = limits
+	before, teams := *w.teams.Load(), make(map[string]*wallet, len(limits))
+	for name, limit := range limits {
+		t := before[name]
+		if t == nil {
+			t = &wallet{name: name, shard: ShardOf(name), plan: newPlan(limit, w.bounds, w.vms), askedAt: now, promised: now}
+			t.local = t.plan.local / 2
+			t.accrue(&w.links[t.shard], now)
+			t.own = 0
+		} else if t.limit != limit {
+			t.setPlan(newPlan(limit, w.bounds, w.vms))
+		}
+		teams[name] = t
+	}
+	w.teams.Store(&teams)
+}
+
+// SetActive sets the number of VMs that may be active, as this VM knows.
+func (w *Wallets) SetActive(vms int, now clock.Instant) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active = vms
+	w.updateVMs(now)
+}
+
+// updateVMs applies a changed number of VMs. The caller holds the lock.
+func (w *Wallets) updateVMs(now clock.Instant) {
+	n := w.knownVMs(now)
+	if n == w.vms {
+		return
+	}
+	assumed := w.vms == startupVMs && n < startupVMs
+	w.vms = n
+	for _, t := range *w.teams.Load() {
+		p := newPlan(t.limit, w.bounds, n)
+		if assumed {
+			// The wallet began with half an allowance of a larger fleet.
+			t.credit((p.local - t.plan.local) / 2)
+		}
+		t.setPlan(p)
+	}
+}
+
+// HasLimits reports whether a team has a limit.
+func (w *Wallets) HasLimits() bool { return len(*w.teams.Load()) > 0 }
+
+func (t *wallet) setPlan(p plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan = p
+	t.local, t.own = min(t.local, p.local), min(t.own, p.capacity/p.vms)
+	if p.lease < maxLease {
+		t.grants = [leases]lease{}
+	}
+}
+
+func (t *wallet) credit(units float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.local += max(0, units)
+}
+
+// Take takes the units of a request. The team has a limit.
+func (w *Wallets) Take(team *ingress.Team, units int64, now clock.Instant) Decision {
+	t := (*w.teams.Load())[team.Name]
+	if t == nil {
+		return Decision{Granted: true} // it has no limit by the newest configuration
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	units = max(0, units)
+	t.asked += units
+	return w.take(t, units, now, 0)
+}
+
+// Retry is Take for a request that has waited by an earlier decision.
+func (w *Wallets) Retry(team *ingress.Team, units int64, now clock.Instant, before Decision) Decision {
+	t := (*w.teams.Load())[team.Name]
+	if t == nil {
+		return Decision{Granted: true}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return w.take(t, max(0, units), now, before.round)
+}
+
+// take decides on a request; waitsFor is the exchange for which it waits already, or zero. The
+// caller holds the lock of the wallet.
+func (w *Wallets) take(t *wallet, units int64, now clock.Instant, waitsFor uint64) Decision {
+	link := &w.links[t.shard]
+	need := float64(units)
+	held := t.held(now)
+	if held+rounding < need {
+		t.accrue(link, now)
+		held += t.own
+	}
+	if held+rounding >= need {
+		t.spend(need, now)
+		t.spent += units
+		t.stats.Admitted++
+		low := held-need < urgentLevel*max(t.plan.local, t.demand*activeInterval.Seconds())
+		t.announce(link, low && !t.isScarce(now))
+		return Decision{Granted: true}
+	}
+	if t.least == 0 || units < t.least {
+		t.least = units
+	}
+	never := need > t.largest()
+	if never || t.isScarce(now) || link.hasFailed(now) {
+		t.announce(link, false)
+		return t.refuse(need, held, never, now)
+	}
+	next := t.announce(link, true)
+	if waitsFor == 0 || !link.awaits(waitsFor) {
+		t.waiting += units
+		waitsFor = next
+	}
+	return Decision{Wait: true, RetryAfter: t.retryAfter(need, held, now), round: waitsFor}
+}
+
+// Refuse refuses a request that has waited in vain.
+func (w *Wallets) Refuse(team *ingress.Team, units int64, now clock.Instant) Decision {
+	t := (*w.teams.Load())[team.Name]
+	if t == nil {
+		return Decision{Granted: true}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refuse(float64(units), t.held(now)+t.own, false, now)
+}
+
+// refuse refuses a request. Those that are refused one after the other are told later
+// times, at which there are units for each.
+func (t *wallet) refuse(need, held float64, never bool, now clock.Instant) Decision {
+	t.stats.Refused++
+	if never {
+		return Decision{RetryAfter: maxRetryAfter}
+	}
+	after := t.retryAfter(need, held, now)
+	t.promised = max(t.promised, now).Add(secondsUntil(need, max(t.income, t.share())))
+	return Decision{RetryAfter: after}
+}
+
+// retryAfter returns the time until there are enough units for a request and for those that
+// were refused before.
+func (t *wallet) retryAfter(need, held float64, now clock.Instant) time.Duration {
+	after := secondsUntil(need-held, max(t.income, t.share()))
+	return min(maxRetryAfter, max(after, t.retryAt.Sub(now), t.promised.Sub(now)))
+}
+
+func (t *wallet) isScarce(now clock.Instant) bool { return t.scarce && now < t.scarceUntil }
+
+// held returns the units that can be spent, without those of this VM's share.
+func (t *wallet) held(now clock.Instant) float64 {
+	sum := t.local
+	for i := range t.grants {
+		if t.grants[i].expires > now {
+			sum += t.grants[i].units
+		}
+	}
+	return sum
+}
+
+// spend takes units: first those that expire soonest, then the local allowance, then those
+// of this VM's share.
+func (t *wallet) spend(units float64, now clock.Instant) {
+	for units > 0 {
+		var first *lease
+		for i := range t.grants {
+			if g := &t.grants[i]; g.units > 0 && g.expires > now && (first == nil || g.expires < first.expires) {
+				first = g
+			}
+		}
+		if first == nil {
+			break
+		}
+		taken := min(units, first.units)
+		first.units -= taken
+		units -= taken
+	}
+	taken := min(units, t.local)
+	t.local -= taken
+	if units -= taken; units > rounding {
+		t.own = max(0, t.own-units)
+	}
+}
+
+// accrue adds the units of this VM's share for the time in which it is not delegated.
+func (t *wallet) accrue(l *link, now clock.Instant) {
+	l.mu.Lock()
+	epoch, since := l.epoch, now.Sub(l.delegatedUntil).Seconds()
+	l.mu.Unlock()
+	if epoch != t.epoch || since <= 0 {
+		// What the share had brought before was given up when it was delegated.
+		t.epoch, t.own, t.ownTime = epoch, 0, 0
+	}
+	if since > t.ownTime {
+		t.own = min(t.own+t.share()*(since-t.ownTime), t.plan.capacity/t.vms)
+		t.ownTime = since
+	}
+}
+
+// announce lists the wallet for the next exchange. If that is urgent, it returns its sequence
+// number.
+func (t *wallet) announce(l *link, urgent bool) uint64 {
+	if t.listed && !t.quiet && !urgent {
+		return 0
+	}
+	t.quiet = false
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !t.listed {
+		t.listed = true
+		l.listed = append(l.listed, t)
+	}
+	l.urgent = l.urgent || urgent
+	l.next = min(l.next, l.sentAt.Add(activeInterval))
+	if l.wake != nil {
+		l.wake()
+	}
+	return l.sequence + 1
+}
+
+// awaits reports whether the exchange with the sequence number has not ended yet.
+func (l *link) awaits(sequence uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return sequence > l.ended
+}
+
+func (l *link) hasFailed(now clock.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
+// Return gives back the units of a request that was admitted and didn't run.
+func (w *Wallets) Return(team *ingress.Team, units int64, now clock.Instant) {
+	t := (*w.teams.Load())[team.Name]
+	if t == nil || units <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked, t.spent = max(0, t.asked-units), max(0, t.spent-units)
+	t.add(float64(units), now.Add(t.lease), now)
+}
+
+// add adds units: to the local allowance as far as it lacks some, and otherwise as a lease.
+func (t *wallet) add(units float64, expires, now clock.Instant) {
+	local := max(0, min(units, t.plan.local-t.local))
+	t.local += local
+	if units -= local; units <= 0 {
+		return
+	}
+	first := &t.grants[0]
+	for i := range t.grants {
+		g := &t.grants[i]
+		if g.units <= 0 || g.expires <= now {
+			*g = lease{units: units, expires: expires}
+			return
+		}
+		if g.expires < first.expires {
+			first = g
+		}
+	}
+	first.units += units
+}
