Edge: exchange of units of teams' limits between VMs

Cause: relay.TeamLimits had no implementation.

Change: teamLimits implements it with package quota.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,6 +129,7 @@
 	quarantine  *quarantine.Tracker
 	limits      *serverlimit.Tracker
 	brittle     *serverlimit.Tracker
+	teamLimits  *teamLimits
 	knowledge   *freshness.Tracker
 	memory      *membudget.Budget
 	serverPool  *upstream.Pool
@@ -244,11 +245,16 @@
 		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, probe: e.serverPool.Probe, urgent: make(chan *roster.Server, urgentQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
 		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits, brittle: e.brittle,
 	}
+	e.teamLimits = newTeamLimits(settings, limitsConfig{
+		Self: e.self, Now: e.now, Log: e.log, Scope: e.metrics.Scope.SubScope("team_limit"), Table: e.follower.Table,
+		Members: e.mesh.Members, ActiveVMs: e.mesh.ActiveVMs, Accepts: e.ready.Load,
+		Capacity: settings.capacity, Pool: e.gatewayPool,
+	})
 	e.memory = membudget.New(int64(bodyMemoryShare * float64(settings.MemoryBytes)))
 	e.relay = relay.New(relay.Config{
 		Memory: e.memory,
 		VM:     e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
-		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, Knowledge: e.knowledge, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
+		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, Knowledge: e.knowledge, TeamLimits: e.teamLimits, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
 		Leaving: e.leaving.Load, Refusing: e.refusing.Load, UsageChanged: e.signalUsageChange,
@@ -474,6 +480,7 @@
 	}
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.poller.run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.runLoadExchange(groupCtx)) })
+	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.teamLimits.run(groupCtx)) })
 	e.log.Info("started", "vm", e.self.VM, "incarnation", e.self.Incarnation, "region", e.self.Region,
 		"failureDomain", e.self.FailureDomain, "callers", settings.CallerListen, "control", settings.ControlListen,
 		"hops", settings.HopListen, "operators", settings.OperatorListen, "seeds", settings.Seeds, "capacity", settings.capacity(), "version", version.String())
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
+	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
@@ -43,6 +44,7 @@
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.PathHop, e.relay.HopHandler())
 	r.Method(http.MethodPost, relay.PathCancelHop, e.relay.CancelHopHandler())
+	r.Method(http.MethodPost, pathQuota, e.teamLimits)
 	return r
 }
 
@@ -144,20 +146,26 @@
 	Priority    int
 	Limit       ingress.TeamLimit
 	HomeRegions []string
+	// Usage is the state of the limit at this VM; nil if there is none.
+	Usage *limitState `json:",omitempty"`
 }
 
 // maxDumpedTeams bounds the teams in the state dump.
 const maxDumpedTeams = 5000
 
 // teamStates returns the state of the teams in the order of their names.
-func teamStates(table *ingress.Table) []teamState {
+func (e *Edge) teamStates(table *ingress.Table, now clock.Instant) []teamState {
 	var list []teamState
 	_, visit := table.Teams()
 	for t := range visit {
 		list = append(list, teamState{Name: t.Name, Keys: len(t.Keys), Priority: t.Priority, Limit: t.Limit, HomeRegions: t.HomeRegions})
 	}
 	slices.SortFunc(list, func(a, b teamState) int { return strings.Compare(a.Name, b.Name) })
-	return list[:min(len(list), maxDumpedTeams)]
+	list = list[:min(len(list), maxDumpedTeams)]
+	for i := range list {
+		list[i].Usage = e.teamLimits.state(list[i].Name, now)
+	}
+	return list
 }
 
 // serveState writes the state dump as JSON.
@@ -173,7 +181,7 @@
 		s.ConfigurationAgeMs = -1
 	}
 	if c := e.follower.Current(); c != nil {
-		s.Teams = teamStates(c.Table)
+		s.Teams = e.teamStates(c.Table, now)
 		s.Configuration, s.Revision, s.Era = c.Table.Version, c.Revision.Number(), c.Revision.Era()
 	}
 	peerUsage := e.mesh.PeerUsage()
