Balance: a longer retry time for engines that are too slow

Cause: callers that were refused for slow engines came back after 1.6 to 2.8 s, while the overload lasted for about 6 s, and were refused again.

Change: 3 s before jitter.

--- a/internal/balance/tokentime.go
+++ b/internal/balance/tokentime.go
@@ -26,7 +26,7 @@
 	tokenTimeMargin = 1.3
 	// slowRetry is the time after which an engine that is too slow may have ended some of its
 	// streams.
-	slowRetry = 2 * time.Second
+	slowRetry = 3 * time.Second
 )
 
 // ReasonSlow means that the servers produce tokens so slowly that long responses would not end in
