--- a/internal/balance/cold_limiter.go
+++ b/internal/balance/cold_limiter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 const (
@@ -66,5 +67,5 @@
 // server tolerates. Rank is the VM's rank among the region's VMs for this
 // server; the shares of all ranks add up to the total.
 func ColdAllowance(perSecond float64, vms, rank int) int {
-	return partOf(int(perSecond*(1-coldReserve)), vms, rank)
+	return spread.Part(int(perSecond*(1-coldReserve)), vms, rank)
 }
--- a/internal/balance/room.go
+++ b/internal/balance/room.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
+	"github.com/chestnutspring/chestnutspring/internal/spread"
 )
 
 const (
@@ -29,17 +30,7 @@
 // VMs that may use a server with the given slots, which falls over at that many refusals
 // in a second. The shares of all ranks add up to the slots, and to one refusal less.
 func ShareOfRoom(slots, fallsAt, vms, rank int) RoomShare {
-	return RoomShare{Slots: partOf(slots, vms, rank), Refusals: partOf(max(0, fallsAt-1), vms, rank)}
-}
-
-// partOf returns the part of the VM with the given rank of a total that is divided evenly.
-func partOf(total, vms, rank int) int {
-	vms = max(1, vms)
-	part := total / vms
-	if rank < total%vms {
-		part++
-	}
-	return part
+	return RoomShare{Slots: spread.Part(slots, vms, rank), Refusals: spread.Part(max(0, fallsAt-1), vms, rank)}
 }
 
 // Room bounds the requests that this VM sends to a server that falls over if it has to
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -22,3 +22,14 @@
 // the key: each gets a share of the keys in proportion to its weight, and removing
 // a member moves only its own keys.
 func RendezvousScore(x uint64, weight float64) float64 { return -weight / math.Log(Unit(x)) }
+
+// Part returns the part of the member with the given rank, starting at 0, of a total that is
+// divided evenly. The parts of all ranks add up to the total.
+func Part(total, members, rank int) int {
+	members = max(1, members)
+	part := total / members
+	if rank < total%members {
+		part++
+	}
+	return part
+}
