balance: slow start of servers that have just started or recovered

With the switch off, a VM with three engines that run 40 of 64 requests sends 45 of a burst of 60 to an engine whose cold time has just ended.

Change: the balancer keeps a controller for each server that restarted, was first listed after this VM's start or cold, was confirmed after refused connections, closed its breaker, or responds again. A window that is used up makes the server be passed over; if the other servers are unusable or late, the one with the most room is used, so that no request is refused for a window. The cold limiter is unchanged and decides alone while the server is cold. Prompts to such servers bypass the prefill coordinator, whose sends would count at one VM. Engines in their slow start are polled in each round; in a small region by each VM, as reports are not forwarded there. Region summaries count the window instead of the slots. balance.Tuning.SlowStart switches it off. RecordSuccess takes the time. The fixtures of two poller tests get a Fleet, which the poller now asks for ranks.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -52,6 +52,8 @@
 	// CrossRegionMsPerKB is the score per KB sent to or received from another
 	// region.
 	CrossRegionMsPerKB float64
+	// SlowStart bounds the requests in flight at servers that have just started or recovered.
+	SlowStart bool
 }
 
 // DefaultTuning is for engines that serve a model of about eight billion
@@ -70,6 +72,7 @@
 	CrossRegionMsPerKB: 6,
 	// Events of about 100 bytes per ten tokens, plus framing.
 	AnswerBytesPerToken: 15,
+	SlowStart:           true,
 }
 
 const (
@@ -228,6 +231,9 @@
 	// VM's share of its rate then.
 	Cold      bool
 	Allowance int
+	// BeyondWindow means that the server is in its slow start and this VM has used up its part
+	// of the window there.
+	BeyondWindow bool
 }
 
 // Fleet provides what the balancer needs to know about the other VMs.
@@ -266,6 +272,8 @@
 	Tuning   Tuning
 	Fleet    Fleet
 	Prefixes *PrefixIndex
+	// Log gets the begins and ends of slow starts; nil means none.
+	Log Logger
 
 	loads sync.Map // roster.ServerKey to *Load
 	// coldLimiters are by server ID, because an incarnation may be used before its
@@ -281,6 +289,7 @@
 	// the bits of a float64.
 	prefillSlowdownBits atomic.Uint64
 	calibration         calibration
+	slowStarts          slowStarts
 	seed                maphash.Seed
 }
 
@@ -300,7 +309,13 @@
 		return l.(*Load)
 	}
 	limiter, _ := b.coldLimiters.LoadOrStore(key.ID, &ColdLimiter{})
-	l, _ := b.loads.LoadOrStore(key, &Load{coldLimiter: limiter.(*ColdLimiter)})
+	created := &Load{coldLimiter: limiter.(*ColdLimiter), id: key.ID}
+	if b.Tuning.SlowStart {
+		created.slowStart = b
+	} else {
+		created.examined.Store(true)
+	}
+	l, _ := b.loads.LoadOrStore(key, created)
 	return l.(*Load)
 }
 
@@ -366,7 +381,7 @@
 	cached := b.Prefixes.cachedTokens(q.Demand.PrefixBlocks, q.Now)
 	servers := view.Usable(q.Service.Name, b.Region)
 	if b.Fleet.LargeRegion() && len(servers) > sampledSameDomain+sampledOtherDomains+homeServerCount {
-		if plan := b.bestServer(q, view, b.sample(q, servers, cached), cached, best); plan.Server != nil {
+		if plan := b.bestServer(q, view, b.sample(q, servers, cached), cached, best); plan.Server != nil && !plan.BeyondWindow {
 			return plan
 		}
 	}
@@ -531,14 +546,21 @@
 }
 
 // bestServer returns a plan with the lowest-scoring usable server. If there is
-// none, it returns best with the reason.
+// none, it returns best with the reason. A server in its slow start whose window is used up is
+// chosen only if the others are unusable or late: no request is refused for a window.
 func (b *Balancer) bestServer(q *Query, view *roster.View, servers []*roster.Server, cached map[roster.ServerKey]int, best Plan) Plan {
 	found := false
+	// beyond has the server with the most room of those whose windows this VM has used up.
+	var beyond Plan
+	room := 0
 	for _, s := range servers {
 		if slices.Contains(q.Tried, s.Key()) {
 			continue
 		}
 		load := b.Load(s.Key())
+		if !load.examined.Load() {
+			b.examine(s, load, view, q.Now)
+		}
 		if !q.permits(s, load) {
 			best.Reason = reasonUnless(found, best.Reason, "no-server-of-version")
 			continue
@@ -559,6 +581,17 @@
 			continue
 		}
 		e := b.estimate(q, s, load, cached[s.Key()])
+		if w := load.window.Load(); w != nil && !cold {
+			e.InTime = b.inTime(q, &e)
+			if left := w.Room(b.shareOfWindow(s, int(e.ActiveRequests), false), load.ownRequests(), q.Now); left <= 0 {
+				b.slowStarts.passedOver.Add(1)
+				e.Score += fullPenaltyMs
+				if beyond.Server == nil || left > room || left == room && e.Score < beyond.Estimate.Score {
+					room, beyond = left, Plan{Server: s, Load: load, Estimate: e, BeyondWindow: true}
+				}
+				continue
+			}
+		}
 		if cold {
 			e.Score += coldPenaltyMs
 		}
@@ -567,6 +600,10 @@
 			best = Plan{Server: s, Load: load, Estimate: e, Cold: cold, Allowance: allowance}
 		}
 	}
+	if beyond.Server != nil && (!found || b.late(q, &best) && beyond.Estimate.Score < best.Estimate.Score) {
+		b.slowStarts.beyond.Add(1)
+		return beyond
+	}
 	return best
 }
 
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -136,6 +136,9 @@
 	ActiveRequests float64
 	PrefillBacklog time.Duration
 	ReportAge      time.Duration
+	// InTime is the time to the first byte up to which a server in its slow start responds in
+	// time; zero means that the response is not judged.
+	InTime time.Duration
 }
 
 func toDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/breaker"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/rampup"
 )
 
 const (
@@ -81,6 +82,15 @@
 	Room        Room
 	// coldLimiter is shared by all incarnations of the server.
 	coldLimiter *ColdLimiter
+	// slowStart is told of slow starts; it is nil if they are switched off. Window is nil if this server has none, and examined is set once it was
+	// decided whether this incarnation has just started.
+	slowStart *Balancer
+	id        string
+	window    atomic.Pointer[rampup.Controller]
+	examined  atomic.Bool
+	// planned is the number of requests of this VM that will be sent after their wait for a
+	// prefill slot.
+	planned atomic.Int64
 
 	active, memory atomic.Int64
 	// prefillUntil is the instant at which all prompts that are known here to have
@@ -210,6 +220,9 @@
 // RecordForwardedReport records a report that another VM received. Such a report
 // does not show whether this VM can reach the server.
 func (l *Load) RecordForwardedReport(r Report) {
+	if w := l.window.Load(); w != nil {
+		w.RecordReport(r.Running, r.Queued, r.ReceivedAt)
+	}
 	if before := l.report.Swap(&r); before == nil || r.ReceivedAt.Sub(before.ReceivedAt) > standstillGap {
 		l.reportingSince.Store(int64(r.ReceivedAt))
 	}
@@ -224,12 +237,12 @@
 	return l.Link.Doubtful() || l.MayHaveRestarted() || now < clock.Instant(l.suspectUntil.Load()) || l.noProgressFor(now) > suspectAfter
 }
 
-// Calm reports whether the server is neither suspect nor busy: by its last report
+// Calm reports whether the server is neither suspect nor in its slow start nor busy: by its last report
 // nothing waits there and less than half of its slots and memory are in use, and
 // requests of this VM that are in progress there progress.
 func (l *Load) Calm(slots int, now clock.Instant) bool {
 	r := l.report.Load()
-	return l.hasReport(now) && r.Queued == 0 &&
+	return l.window.Load() == nil && l.hasReport(now) && r.Queued == 0 &&
 		2*r.Running < slots && 2*r.MemoryUsed < r.MemoryTotal &&
 		!l.Suspected(now) && (l.active.Load() == 0 || l.SilentFor(now) < progressAge)
 }
@@ -260,6 +273,7 @@
 func (l *Load) RecordRestart(started int64, now clock.Instant, coldPeriod time.Duration) {
 	l.ConfirmRunning(now)
 	if l.restartedAs.Swap(started) != started {
+		l.beginSlowStart("restarted", now)
 		l.coldUntil.Store(int64(now.Add(coldPeriod)))
 	}
 }
@@ -268,7 +282,13 @@
 func (l *Load) MarkLost(now clock.Instant) { storeMax(&l.lostAt, int64(now)) }
 
 // ConfirmRunning records that the listed process has run since the given instant.
-func (l *Load) ConfirmRunning(since clock.Instant) { storeMax(&l.confirmedAt, int64(since)) }
+func (l *Load) ConfirmRunning(since clock.Instant) {
+	lost := l.MayHaveRestarted()
+	storeMax(&l.confirmedAt, int64(since))
+	if lost && !l.MayHaveRestarted() {
+		l.beginSlowStart("confirmed after refused connections", since)
+	}
+}
 
 // MayHaveRestarted reports whether no process listened at the server's address, and its
 // listed process has not been confirmed since.
@@ -451,6 +471,7 @@
 	memory  int64
 	prefill int64
 	sentAt  clock.Instant
+	inTime  time.Duration
 	started bool
 	ended   bool
 	ticket  *Ticket
@@ -461,7 +482,7 @@
 
 // Begin records that a request is sent to the server.
 func (l *Load) Begin(d *Demand, e *Estimate, now clock.Instant) *InFlight {
-	f := &InFlight{load: l, sentAt: now, memory: int64(d.finalMemory()), prefill: int64(e.PrefillTime)}
+	f := &InFlight{load: l, sentAt: now, memory: int64(d.finalMemory()), prefill: int64(e.PrefillTime), inTime: e.InTime}
 	l.active.Add(1)
 	l.pendingPrefill.Add(f.prefill)
 	l.memory.Add(f.memory)
@@ -481,6 +502,9 @@
 	if !f.started {
 		storeMax(&f.load.latestStarted, int64(f.sentAt))
 		f.start()
+		if w := f.load.window.Load(); w != nil && f.inTime > 0 {
+			w.RecordResponse(f.sentAt, now.Sub(f.sentAt) <= f.inTime, now)
+		}
 	}
 }
 
@@ -488,6 +512,9 @@
 func (f *InFlight) RecordRefused(now clock.Instant) {
 	f.ticket.Refuse(now)
 	f.load.recordData(now)
+	if w := f.load.window.Load(); w != nil {
+		w.RecordFailure(f.sentAt, now)
+	}
 	if !f.started {
 		f.start()
 	}
@@ -530,13 +557,24 @@
 func (l *Load) RecordFailure(now clock.Instant) {
 	l.Breaker.RecordFailure(now)
 	l.errorShare.add(1)
+	l.RecordServerError(now)
+}
+
+// RecordServerError records that the server failed a request, for its window only.
+func (l *Load) RecordServerError(now clock.Instant) {
+	if w := l.window.Load(); w != nil {
+		w.RecordFailure(0, now)
+	}
 }
 
 // RecordErrorResponse records a request that the server answered with an error.
 func (l *Load) RecordErrorResponse(clock.Instant) { l.errorShare.add(1) }
 
 // RecordSuccess records a request that the server answered.
-func (l *Load) RecordSuccess() {
+func (l *Load) RecordSuccess(now clock.Instant) {
+	if l.Breaker.IsOpen() {
+		l.beginSlowStart("breaker closed", now)
+	}
 	l.Breaker.RecordSuccess()
 	l.errorShare.add(0)
 }
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -275,7 +275,7 @@
 				plan.Load.RecordErrorResponse(now)
 			}
 		} else {
-			plan.Load.RecordSuccess()
+			plan.Load.RecordSuccess(now)
 		}
 		now = now.Add(10 * time.Millisecond)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -204,6 +204,7 @@
 		RegistryCovered: e.mesh.RegistryCovered, Knowledge: e.knowledge,
 	})
 	e.balancer = balance.New(e.self.Region, e.self.FailureDomain, settings.Cold, balance.DefaultTuning, e.mesh)
+	e.balancer.Log = e.log
 	e.quarantine = quarantine.New(quarantine.Config{
 		VM: e.self.VM, Now: e.now, Log: e.log, Scope: e.metrics.Scope, Running: e.isRunning, Servers: e.engineCount, ServersOf: e.serverCount,
 		PublishOwn: e.mesh.PublishOwnPart, Publish: e.mesh.Publish,
@@ -526,6 +527,11 @@
 	s.Gauge("members").Update(float64(len(e.mesh.Members())))
 	s.Gauge("backend_servers").Update(float64(len(e.roster.View().All())))
 	s.Gauge("unreached_servers").Update(float64(len(e.announcedUnreached)))
+	starts := e.balancer.TakeSlowStarts(now)
+	s.Gauge("slow_start_servers").Update(float64(starts.Servers))
+	s.Gauge("slow_start_window").Update(float64(starts.Window))
+	s.Counter("slow_start_passed_over").Inc(starts.PassedOver)
+	s.Counter("slow_start_beyond").Inc(starts.Beyond)
 	s.Gauge("open_server_connections").Update(float64(e.serverPool.OpenConnections()))
 	s.Gauge("body_memory_bytes").Update(float64(e.memory.Held()))
 	s.Gauge("open_hop_connections").Update(float64(e.gatewayPool.OpenConnections()))
--- a/internal/edge/exhausted_test.go
+++ b/internal/edge/exhausted_test.go
@@ -30,7 +30,7 @@
 		table := ingress.NewTable(1, nil, []*ingress.Service{{Name: "writer", Engine: engine}}, ingress.Limits{})
 		p := &poller{
 			region: "r", table: func() *ingress.Table { return table }, now: clock.Boot, log: slog.New(slog.DiscardHandler),
-			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, nil), fetcher: exhaustedFetcher{},
+			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, oneVMFleet{}), fetcher: exhaustedFetcher{},
 			probe:     func(context.Context, string) error { return upstream.ErrExhausted.New("too many open files") },
 			onFailure: func(*roster.Server) { t.Error("announced as lost") },
 		}
--- a/internal/edge/poller.go
+++ b/internal/edge/poller.go
@@ -192,6 +192,7 @@
 		}
 	}
 	p.balancer.RemoveUnlisted(view, p.now())
+	p.balancer.AdvanceSlowStarts(table.Services, view, p.now())
 }
 
 // shouldPoll reports whether this VM polls an engine in this round.
@@ -203,6 +204,9 @@
 	if rank == 0 {
 		return offset%calmPollRounds == 0 || !load.Calm(s.Slots, p.now())
 	}
+	if load.InSlowStart() && !p.balancer.Fleet.LargeRegion() {
+		return true // reports are not forwarded here, and the window depends on them
+	}
 	if !load.Suspected(p.now()) {
 		return offset%(backupPollRounds*max(1, vms-1)) == 0
 	}
@@ -247,6 +251,7 @@
 	case lost && !wasLost:
 		p.log.Warn("backend server unresponsive", "server", s.ID, "service", s.Service, "error", err)
 	case !lost && wasLost:
+		load.RecordLinkRestored(p.now())
 		load.Breaker.Reset() // what failed over the lost link says little about the server
 		p.log.Info("backend server responding again", "server", s.ID, "service", s.Service)
 	}
--- a/internal/edge/poller_test.go
+++ b/internal/edge/poller_test.go
@@ -62,7 +62,7 @@
 		fetcher, refused := &refusingFetcher{}, atomic.Int32{}
 		p := &poller{
 			region: "r", table: func() *ingress.Table { return table }, roster: servers,
-			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, nil), fetcher: fetcher,
+			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, oneVMFleet{}), fetcher: fetcher,
 			now: clock.Synthetic(), log: slog.New(slog.DiscardHandler), inFlight: map[roster.ServerKey]bool{}, urgent: make(chan *roster.Server, urgentQueueLength),
 			serverRank: func(string, string) (int, int) { return 1, 0 },
 			onFailure:  func(*roster.Server) {}, onRefused: func(*roster.Server) { refused.Add(1) },
@@ -121,7 +121,7 @@
 		fetcher, announced := &linkFetcher{}, atomic.Int32{}
 		p := &poller{
 			region: "r", table: func() *ingress.Table { return table }, roster: servers,
-			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, nil), fetcher: fetcher, probe: fetcher.probe,
+			balancer: balance.New("r", "a", balance.Bounds{}, balance.DefaultTuning, oneVMFleet{}), fetcher: fetcher, probe: fetcher.probe,
 			now: clock.Synthetic(), log: slog.New(slog.DiscardHandler), inFlight: map[roster.ServerKey]bool{}, urgent: make(chan *roster.Server, urgentQueueLength),
 			serverRank: func(string, string) (int, int) { return 1, 0 },
 			onFailure:  func(*roster.Server) { announced.Add(1) }, onRefused: func(*roster.Server) {}, onReport: func(string, balance.Report) {},
@@ -160,3 +160,10 @@
 		<-done
 	})
 }
+
+// oneVMFleet is the Fleet of a region with one VM, as far as polls need it.
+type oneVMFleet struct{ balance.Fleet }
+
+func (oneVMFleet) ServerRank(string, string) (vms, rank int) { return 1, 0 }
+func (oneVMFleet) KnowsFleet() bool                          { return true }
+func (oneVMFleet) LargeRegion() bool                         { return false }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -99,9 +99,9 @@
 
 // sendLocal sends the request to a backend server of this region. In a large
 // region a long prompt is sent through the server's prefill coordinator, unless the
-// server's rate is divided among the VMs.
+// server's rate or window is divided among the VMs.
 func (x *transaction) sendLocal(ctx context.Context, plan balance.Plan) outcome {
-	if plan.Estimate.NeedsPrefillSlot && x.req.Server == "" && !plan.Cold && plan.Load.RateLimiter.Limit() == 0 {
+	if plan.Estimate.NeedsPrefillSlot && x.req.Server == "" && !plan.Cold && plan.Load.RateLimiter.Limit() == 0 && !plan.Load.InSlowStart() {
 		if vm, address := x.Peers.PrefillCoordinator(plan.Server.ID, plan.Server.FailureDomain); address != "" {
 			x.triedServers = append(x.triedServers, plan.Server.Key())
 			x.Balancer.RecordSend(&x.req.Demand, plan.Server.Key(), x.Now())
@@ -118,7 +118,9 @@
 	x.triedServers = append(x.triedServers, s.Key())
 	x.destination, x.softwareVersion, x.sentToVM, x.prefillTokens = s.ID, s.SoftwareVersion, false, plan.Estimate.UncachedTokens
 	x.connection = ""
+	load.Plan(1)
 	started := x.waitForPrefillSlot(ctx, &plan)
+	load.Plan(-1)
 	now := x.Now()
 	ticket, reason := x.admit(&plan, started, now)
 	if reason != "" {
@@ -418,6 +420,9 @@
 		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
 	}
 	plan.Load.RecordErrorResponse(x.Now())
+	if e.StatusCode >= http.StatusInternalServerError {
+		plan.Load.RecordServerError(x.Now())
+	}
 	reason := "status " + http.StatusText(e.StatusCode)
 	if !whole {
 		// It may be incomplete, or have no end.
@@ -519,7 +524,7 @@
 	}
 	e.Release()
 	took := x.Now().Sub(work.SentAt())
-	plan.Load.RecordSuccess()
+	plan.Load.RecordSuccess(x.Now())
 	x.Balancer.RecordDuration(x.service.Name, took)
 	x.Balancer.RecordResponseTime(plan.Load, x.service, took, now)
 	return outcome{delivered: true, mayHaveArrived: true}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -236,7 +236,7 @@
 func (x *transaction) finishStream(s *streamSource) outcome {
 	s.Release()
 	if s.load != nil {
-		s.load.RecordSuccess()
+		s.load.RecordSuccess(x.Now())
 		x.Balancer.RecordDuration(x.service.Name, x.Now().Sub(s.work.SentAt()))
 	}
 	return outcome{delivered: true, mayHaveArrived: true}
