balance, rampup: first window of a restarted server ignores earlier requests

Cause: found in review. The first window was at least the requests in flight, which right after a restart are those of the process before, from its last report. Region summaries counted the window of cold servers too, whose room is given by their rate. A request that got no first byte within the time for one, and was then sent elsewhere, did not count as slow.

Change: only the window after a cold time begins at the requests in flight; summaries of cold servers count their slots as before; the end of a request without a first byte counts as slow if it is past its time.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -583,7 +583,7 @@
 		e := b.estimate(q, s, load, cached[s.Key()])
 		if w := load.window.Load(); w != nil && !cold {
 			e.InTime = b.inTime(q, &e)
-			if left := w.Room(b.shareOfWindow(s, int(e.ActiveRequests), false), load.ownRequests(), q.Now); left <= 0 {
+			if left := w.Room(b.shareOfWindow(s), load.ownRequests(), q.Now); left <= 0 {
 				b.slowStarts.passedOver.Add(1)
 				e.Score += fullPenaltyMs
 				if beyond.Server == nil || left > room || left == room && e.Score < beyond.Estimate.Score {
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -536,6 +536,9 @@
 	f.ticket.End()
 	if !f.started {
 		f.start()
+		if w := f.load.window.Load(); w != nil && f.inTime > 0 && now.Sub(f.sentAt) > f.inTime {
+			w.RecordResponse(f.sentAt, false, now)
+		}
 	}
 	f.load.active.Add(-1)
 	f.load.memory.Add(-f.memory)
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -251,7 +251,7 @@
 			s.MinActive = use.active
 		}
 		s.Servers++
-		s.Slots += load.windowSlots(max(1, server.Slots), now)
+		s.Slots += load.windowSlots(max(1, server.Slots), isCold(service, server, load, view, now), now)
 		s.Active += use.active
 		s.PrefillBacklogMs += use.prefillBacklogMs
 		s.Memory += use.memory
--- a/internal/balance/slow_start.go
+++ b/internal/balance/slow_start.go
@@ -87,9 +87,10 @@
 // prefill slot.
 func (l *Load) ownRequests() int { return int(l.active.Load() + l.planned.Load()) }
 
-// windowSlots returns the server's slots that the region may use now.
-func (l *Load) windowSlots(slots int, now clock.Instant) int {
-	if w := l.window.Load(); w != nil {
+// windowSlots returns the slots of a server that the region may use now. Those of a cold server
+// are bounded by its rate.
+func (l *Load) windowSlots(slots int, cold bool, now clock.Instant) int {
+	if w := l.window.Load(); w != nil && !cold {
 		return min(slots, max(1, w.State(now).Window))
 	}
 	return slots
@@ -142,14 +143,13 @@
 	return first
 }
 
-// shareOfWindow returns this VM's share of the window of a server with the given number of
-// requests in flight.
-func (b *Balancer) shareOfWindow(s *roster.Server, inFlight int, cold bool) rampup.Share {
+// shareOfWindow returns this VM's share of the window of a server.
+func (b *Balancer) shareOfWindow(s *roster.Server) rampup.Share {
 	vms, rank := b.Fleet.ServerRank(s.ID, s.FailureDomain)
 	if !b.Fleet.KnowsFleet() {
 		rank = max(rank, vms-1) // VMs that start together would all take the part of the first
 	}
-	return rampup.Share{Slots: max(1, s.Slots), VMs: vms, Rank: rank, InFlight: inFlight, Cold: cold}
+	return rampup.Share{Slots: max(1, s.Slots), VMs: vms, Rank: rank}
 }
 
 // inTime returns the time to the first byte up to which a response is in time.
@@ -197,8 +197,11 @@
 		if w == nil {
 			return true // it goes on under another entry
 		}
-		cold := isCold(services[s.Service], s, load, view, now)
-		if end := w.Advance(b.shareOfWindow(s, int(load.totalUsage(now).active), cold), now); end != rampup.NotEnded {
+		share := b.shareOfWindow(s)
+		if share.Cold = isCold(services[s.Service], s, load, view, now); share.Cold {
+			share.InFlight = int(load.totalUsage(now).active)
+		}
+		if end := w.Advance(share, now); end != rampup.NotEnded {
 			b.endSlowStart(load, string(end), now)
 		}
 		return true
--- a/internal/rampup/rampup.go
+++ b/internal/rampup/rampup.go
@@ -56,20 +56,25 @@
 	// VMs is the number of VMs that send to the server, and Rank that of this one among
 	// them, starting at 0.
 	VMs, Rank int
-	// InFlight is the number of requests of all VMs at the server, as far as this VM knows.
-	InFlight int
 	// Cold means that the rate of a cold server bounds the requests. The window begins when
-	// the cold time ends.
-	Cold bool
+	// the cold time ends. InFlight is the number of requests of all VMs at the cold server, as
+	// far as this VM knows.
+	Cold     bool
+	InFlight int
 }
 
 // full is the window at which the controller ends: all slots, or one request for each VM
 // if there are fewer slots, so that each VM has sent one.
 func (s *Share) full() float64 { return float64(max(s.Slots, s.VMs, 1)) }
 
-// start is the first window. It is not below what the server carried while it was cold.
+// start is the first window. It is not below what the server carries while it is cold.
+// Otherwise the requests in flight may be those of the process before.
 func (s *Share) start() float64 {
-	return min(float64(max(minStart, s.Slots/startFraction, s.InFlight)), s.full())
+	first := max(minStart, s.Slots/startFraction)
+	if s.Cold {
+		first = max(first, s.InFlight)
+	}
+	return min(float64(first), s.full())
 }
 
 // part returns this VM's part of a window.
