rampup: growth needs responses to requests sent at the present window

Change: only responses to requests that were sent since the window last changed count, a quarter of this VM's part of them before a step, and the window ends only after a step at its full size. Growth above the window of the last cut is 1.125 instead of 1.25 a step.

--- a/internal/rampup/rampup.go
+++ b/internal/rampup/rampup.go
@@ -30,12 +30,15 @@
 	stepInterval = 200 * time.Millisecond
 	// fastGrowth is the growth in a step while nothing is known to be too much, and
 	// slowGrowth that above the window of the last cut, or without demand for the window.
-	fastGrowth, slowGrowth = 2, 1.25
+	fastGrowth, slowGrowth = 2, 1.125
 	// failureCut and slowCut are the fractions of the window that remain after a refusal or
 	// failure, and after a slow response.
 	failureCut, slowCut = 0.5, 0.7
 	// demandShare is the part of the window in use from which demand counts as full.
 	demandShare = 0.5
+	// answeredShare is the number of responses in time before a growth step, as a fraction of this
+	// VM's part of the window. The first ones alone don't show whether the others wait.
+	answeredShare = 0.25
 	// maxQueueShare is the number of requests that may wait at an engine for each running one
 	// without holding the window: a snapshot shows requests that have just arrived as waiting.
 	maxQueueShare = 0.25
@@ -86,7 +89,7 @@
 // The reasons why a controller ends. NotEnded means that it goes on.
 const (
 	NotEnded End = ""
-	// Full means that the window reached the slots.
+	// Full means that the window reached the slots, and responses were in time then.
 	Full End = "full"
 	// Busy means that requests run in all slots, whoever sent them.
 	Busy End = "all slots in use"
@@ -109,13 +112,16 @@
 	cuts                    int
 	// failedTries is the number of cuts since the last response in time or good report.
 	failedTries int
-	// What was observed since the last step: responses in time; a choice that the window
-	// prevented; a sign that the window is too large.
-	inTime, limited, held bool
-	reportAt              clock.Instant
-	running               int
-	reported              bool // since the last step, of requests that ran with no long queue
-	end                   End
+	// inTime is the number of responses in time to requests that were sent since grownAt, when
+	// the window last changed: responses to earlier ones say nothing of the larger window.
+	inTime  int
+	grownAt clock.Instant
+	// What was observed since the last step: a choice that the window prevented; a sign that the
+	// window is too large; a report of requests that ran with no long queue.
+	limited, held, reported bool
+	reportAt                clock.Instant
+	running                 int
+	end                     End
 }
 
 // New returns the controller of a server that started or recovered at the given time.
@@ -132,7 +138,7 @@
 }
 
 // clear forgets what was observed since the last step. The caller holds the lock.
-func (c *Controller) clear() { c.inTime, c.limited, c.held, c.reported = false, false, false, false }
+func (c *Controller) clear() { c.limited, c.held, c.reported = false, false, false }
 
 // RecordResponse records that the response to a request began, and whether it did so in time.
 func (c *Controller) RecordResponse(sentAt clock.Instant, inTime bool, now clock.Instant) {
@@ -141,7 +147,10 @@
 	switch {
 	case sentAt < c.began:
 	case inTime:
-		c.inTime, c.failedTries = true, 0
+		c.failedTries = 0
+		if sentAt >= c.grownAt {
+			c.inTime++
+		}
 	default:
 		c.cut(slowCut, sentAt, now)
 	}
@@ -185,6 +194,7 @@
 		c.window = 0 // a refusal takes no time, so that one request in flight at a time would be many
 	}
 	c.threshold, c.cutAt = max(c.window, minStart), now
+	c.grownAt, c.inTime = now, 0
 	c.cuts++
 	c.failedTries++
 }
@@ -218,6 +228,7 @@
 	}
 	if s.Cold || !c.open {
 		c.open, c.window, c.threshold, c.steppedAt = true, s.start(), 0, now
+		c.grownAt, c.inTime = now, 0
 		c.peak = max(c.peak, c.window)
 		if s.Cold {
 			c.badAt = now
@@ -236,16 +247,21 @@
 // step decides on one growth step. The caller holds the lock.
 func (c *Controller) step(s *Share, now clock.Instant) {
 	reports := c.reportAt != 0 && now.Sub(c.reportAt) < maxReportAge
-	served := c.inTime || c.reported
+	part := s.part(c.window)
+	served := c.reported || c.inTime > 0 && float64(c.inTime) >= answeredShare*float64(part)
 	// A VM whose part is zero learns nothing from responses of its own. Where reports don't
 	// show either how the server serves the others, time alone lets it send its first request.
-	blind := s.part(c.window) == 0 && (!reports || c.running == 0)
+	blind := part == 0 && (!reports || c.running == 0)
 	switch {
 	case reports && c.running >= s.Slots:
 		c.end = Busy
 	case now.Sub(c.badAt) >= quietTime:
 		c.end = Quiet
 	case c.held, !served && !blind:
+	case c.window >= s.full():
+		if served {
+			c.end = Full
+		}
 	default:
 		demand := c.limited || blind || reports && float64(c.running) >= demandShare*c.window
 		growth := slowGrowth
@@ -253,10 +269,7 @@
 			growth = fastGrowth
 		}
 		c.window = min(max(c.window*growth, c.window+1), s.full())
-		c.peak = max(c.peak, c.window)
-		if served && c.window >= s.full() {
-			c.end = Full
-		}
+		c.peak, c.grownAt, c.inTime = max(c.peak, c.window), now, 0
 	}
 }
 
