balance: servers that refuse requests don't count as better than a used-up window

Cause: found in review. Plain servers that reject requests when they are full have a short estimate, so they were not late and got the requests that a window kept from a recovered server, to refuse them again.

Change: a server that has just refused a request for lack of capacity counts like one that is late, so that the recovered server may be used beyond its window. The state dump shows the window of a server.

Result: with three engines that have just refused, more than the 8 requests of the window go to the fresh one (TestWindowRefusesNoRequest). go test -race of rampup, spread, balance, relay and edge passes, staticcheck has no findings.

--- a/internal/balance/slow_start.go
+++ b/internal/balance/slow_start.go
@@ -87,11 +87,20 @@
 // prefill slot.
 func (l *Load) ownRequests() int { return int(l.active.Load() + l.planned.Load()) }
 
+// Window returns the number of requests in flight that all VMs of the region may have at a
+// server in its slow start, or zero.
+func (l *Load) Window(now clock.Instant) int {
+	if w := l.window.Load(); w != nil {
+		return w.State(now).Window
+	}
+	return 0
+}
+
 // windowSlots returns the slots of a server that the region may use now. Those of a cold server
 // are bounded by its rate.
 func (l *Load) windowSlots(slots int, cold bool, now clock.Instant) int {
-	if w := l.window.Load(); w != nil && !cold {
-		return min(slots, max(1, w.State(now).Window))
+	if l.InSlowStart() && !cold {
+		return min(slots, max(1, l.Window(now)))
 	}
 	return slots
 }
@@ -166,8 +175,12 @@
 	return limit
 }
 
-// late reports whether a response by the plan is expected too late.
+// late reports whether a response by the plan is expected too late, or its server has just
+// refused a request for lack of capacity.
 func (b *Balancer) late(q *Query, plan *Plan) bool {
+	if plan.Load.full(q.Now) {
+		return true
+	}
 	first := b.CalibratedFirstByte(q.Route.Name, plan, q.Now)
 	objective := q.Route.LatencyObjective
 	return first > q.Remaining || objective > 0 && first > objective
@@ -221,9 +234,9 @@
 func (b *Balancer) TakeSlowStarts(now clock.Instant) SlowStarts {
 	out := SlowStarts{PassedOver: b.slowStarts.passedOver.Swap(0), Beyond: b.slowStarts.beyond.Swap(0)}
 	b.slowStarts.active.Range(func(_, v any) bool {
-		if w := v.(*Load).window.Load(); w != nil {
+		if load := v.(*Load); load.InSlowStart() {
 			out.Servers++
-			out.Window += w.State(now).Window
+			out.Window += load.Window(now)
 		}
 		return true
 	})
--- a/internal/balance/slow_start_test.go
+++ b/internal/balance/slow_start_test.go
@@ -87,15 +87,20 @@
 	is.True(!c.fresh.InSlowStart())
 }
 
-// Guards against requests that are refused, or left at servers that are late, for a window.
+// Guards against requests that are refused, or left at servers that are late or refuse them, for
+// a window.
 func TestWindowRefusesNoRequest(t *testing.T) {
 	late, failing := newSlowStartCase(), newSlowStartCase()
 	late.report(Report{Running: 64, Queued: 200})
 	for i := range 3 {
 		failing.b.Load(roster.ServerKey{ID: fmt.Sprint("writer", i), Started: 1}).Exclude(failing.now)
 	}
-	if l, f := late.burst(t, 40), failing.burst(t, 40); l != 40 || f != 40 {
-		t.Errorf("%d and %d of 40 requests sent to the fresh engine", l, f)
+	full := newSlowStartCase()
+	for i := range 3 {
+		full.b.Load(roster.ServerKey{ID: fmt.Sprint("writer", i), Started: 1}).RecordRefusal(full.now.Add(time.Second))
+	}
+	if l, f, r := late.burst(t, 40), failing.burst(t, 40), full.burst(t, 40); l != 40 || f != 40 || r <= 8 {
+		t.Errorf("%d, %d and %d of 40 requests sent to the fresh engine", l, f, r)
 	}
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -130,10 +130,13 @@
 	// RequestLimit is the number of requests per second that the server takes from all
 	// VMs together; zero means that it names no limit.
 	RequestLimit float64
-	OwnUsage     any  `json:"Own"`
-	PeerUsage    any  `json:"Others"`
-	Unresponsive bool `json:"Lost"`
-	BreakerOpen  bool `json:"Open"`
+	// SlowStartWindow is the number of requests in flight that the region's VMs together may have
+	// at a server in its slow start; zero means that it is in none.
+	SlowStartWindow int
+	OwnUsage        any  `json:"Own"`
+	PeerUsage       any  `json:"Others"`
+	Unresponsive    bool `json:"Lost"`
+	BreakerOpen     bool `json:"Open"`
 }
 
 // teamState is a team in the state dump.
@@ -182,7 +185,7 @@
 		load := e.balancer.Load(server.Key())
 		s.Servers = append(s.Servers, serverState{
 			Server: server, Revision: server.Revision.Number(), Era: server.Revision.Era(),
-			Leaving: view.Leaving(server), PausedMs: load.Pause.Remaining(now).Milliseconds(), RequestLimit: load.RateLimiter.Limit(), OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Link.Lost(), BreakerOpen: load.Breaker.IsOpen(),
+			Leaving: view.Leaving(server), PausedMs: load.Pause.Remaining(now).Milliseconds(), RequestLimit: load.RateLimiter.Limit(), SlowStartWindow: load.Window(now), OwnUsage: load.OwnUsage(now), PeerUsage: peerUsage[server.ID], Unresponsive: load.Link.Lost(), BreakerOpen: load.Breaker.IsOpen(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
