Quota: agents of regions in fleets above 12 VMs

Cause: with 60 VMs or more an even share of the local allowances is smaller than a request (0.3 x 148,000 / 300 = 148 tokens at 4,000 tokens a second), so that each request would wait for an exchange with the owner, up to 160 ms between regions. An eighth of a latency objective of 500 ms is 62 ms: teams below their limits would be refused. Each VM would also exchange five messages a second with an owner that may have 0.144 of a core.

Change: in a fleet of more than 12 VMs one VM of each region, its agent, holds an even share of the local allowances among the regions, exchanges messages with the owner, and supplies the others of its region, which ask it when a request comes. They still delegate their shares to the owner every 2 s. A VM whose agent fails asks the owner. Units that are requested but not answered yet are not requested again, a grant that is too small is of whole requests, and a request that can never be admitted counts as no demand.

--- a/internal/edge/teamlimits.go
+++ b/internal/edge/teamlimits.go
@@ -52,6 +52,10 @@
 	unsupportedFor = 30 * time.Second
 )
 
+// agentRetry is the time after a failed exchange with the agent of the region in which the owner
+// is asked instead: until the members know that a VM is unreachable.
+const agentRetry = 2 * time.Second
+
 // The bounds that apply if the settings state none.
 const (
 	defaultLimitWindow  = 8 * time.Second
@@ -93,11 +97,14 @@
 	// answered has a channel for each shard that is closed and replaced when an exchange has
 	// ended.
 	answered [quota.Shards]atomic.Pointer[chan struct{}]
-	// due has a channel for each shard that triggers the exchange with its owner.
-	due [quota.Shards]chan struct{}
-	// unsupported holds until when VMs count as no owners.
-	unsupportedMu sync.Mutex
-	unsupported   map[string]clock.Instant
+	// due and supplyDue have a channel for each shard that triggers the exchange with its owner
+	// and with the agent of the region.
+	due, supplyDue [quota.Shards]chan struct{}
+	// peersMu guards unsupported, which holds until when VMs count as no owners and agents,
+	// and agents, the agents of the region and until when they are not asked.
+	peersMu     sync.Mutex
+	unsupported map[string]clock.Instant
+	agents      [quota.Shards]agent
 
 	// refusedMu guards refused: when a request of a team was last refused, and whether the
 	// beginning was logged.
@@ -106,6 +113,12 @@
 	series    map[string]*teamSeries
 }
 
+// agent is the VM that supplies this one with units.
+type agent struct {
+	vm, address string
+	notBefore   clock.Instant
+}
+
 type refusal struct {
 	last   clock.Instant
 	logged bool
@@ -133,9 +146,15 @@
 	for i := range l.due {
 		answered := make(chan struct{})
 		l.answered[i].Store(&answered)
-		l.due[i] = make(chan struct{}, 1)
+		l.due[i], l.supplyDue[i] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
-	l.wallets.OnDue(func(shard int) { notify(l.due[shard]) })
+	l.wallets.OnDue(func(shard int, supply bool) {
+		if supply {
+			notify(l.supplyDue[shard])
+		} else {
+			notify(l.due[shard])
+		}
+	})
 	return l
 }
 
@@ -202,7 +221,14 @@
 func (l *teamLimits) run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	for shard := range quota.Shards {
-		wg.Go(func() { l.runShard(ctx, shard) })
+		wg.Go(func() {
+			l.runExchanges(ctx, l.due[shard], func() (clock.Instant, bool) { return l.wallets.NextExchange(shard) },
+				func(alone bool) func() { return l.exchange(ctx, shard, alone) })
+		})
+		wg.Go(func() {
+			l.runExchanges(ctx, l.supplyDue[shard], func() (clock.Instant, bool) { return l.wallets.NextSupply(shard) },
+				func(bool) func() { return l.supply(ctx, shard) })
+		})
 	}
 	wg.Go(func() {
 		ticker := time.NewTicker(memberTick)
@@ -220,6 +246,9 @@
 			now, active := l.Now(), l.ActiveVMs()
 			l.wallets.SetActive(active, now)
 			l.ledger.SetActive(active, now)
+			for shard := range quota.Shards {
+				l.updateRole(shard, active, now)
+			}
 			if n%int(limitTick/memberTick) == 0 {
 				l.observe(now)
 			}
@@ -229,8 +258,9 @@
 	return ctx.Err()
 }
 
-// runShard exchanges messages with the owner of a shard.
-func (l *teamLimits) runShard(ctx context.Context, shard int) {
+// runExchanges begins an exchange each time that next says so, up to quota.MaxInFlight at once.
+// Due is signalled when next may have changed. Begin is told whether no other is in flight.
+func (l *teamLimits) runExchanges(ctx context.Context, due <-chan struct{}, next func() (clock.Instant, bool), begin func(alone bool) func()) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var wg sync.WaitGroup
@@ -238,9 +268,9 @@
 	ended, inFlight := make(chan struct{}, quota.MaxInFlight), 0
 	for ctx.Err() == nil {
 		wait := limitTick
-		if due, limited := l.wallets.NextExchange(shard); limited && inFlight < quota.MaxInFlight {
-			if wait = min(due.Sub(l.Now()), limitTick); wait <= 0 {
-				exchange := l.exchange(ctx, shard, inFlight == 0)
+		if at, any := next(); any && inFlight < quota.MaxInFlight {
+			if wait = min(at.Sub(l.Now()), limitTick); wait <= 0 {
+				exchange := begin(inFlight == 0)
 				inFlight++
 				wg.Go(func() { exchange(); ended <- struct{}{} })
 				continue
@@ -251,29 +281,66 @@
 		case <-ctx.Done():
 		case <-ended:
 			inFlight--
-		case <-l.due[shard]:
+		case <-due:
 		case <-timer.C:
 		}
 	}
 }
 
-// owner returns the VM that is the owner of a shard and its address for hops, which is "" for
-// this VM.
-func (l *teamLimits) owner(shard int) (vm, address string) {
+// updateRole sets what this VM is for a shard among the active VMs.
+func (l *teamLimits) updateRole(shard, active int, now clock.Instant) {
+	var role quota.Role
+	var next agent
+	if active > quota.MaxUnsupplied {
+		members := l.Members()
+		regions := map[string]bool{l.Self.Region: true}
+		for i := range members {
+			regions[members[i].Region] = true
+		}
+		candidates, addresses := l.candidates(func(m *mesh.Member) bool { return m.Region == l.Self.Region })
+		at := quota.Agent(shard, candidates)
+		if next = (agent{vm: candidates[at].VM, address: addresses[at]}); next.address == "" {
+			role.Regions = len(regions)
+		} else {
+			role.Supplied = true
+		}
+	}
+	l.peersMu.Lock()
+	before := l.agents[shard]
+	if next.vm == before.vm && now < before.notBefore {
+		next.notBefore, role = before.notBefore, quota.Role{}
+	}
+	l.agents[shard] = next
+	l.peersMu.Unlock()
+	if next.vm != before.vm {
+		l.Log.Info("agent of the region for the teams' limits has changed", "shard", shard, "agent", next.vm, "before", before.vm, "vms", active)
+	}
+	l.wallets.SetRole(shard, role, now)
+}
+
+// candidates returns the VMs that accept requests and fulfil a condition, and this one if it
+// accepts requests or is the only one, with their addresses for hops. That of this VM is "".
+func (l *teamLimits) candidates(fulfils func(m *mesh.Member) bool) ([]quota.Candidate, []string) {
 	members, now := l.Members(), l.Now()
-	candidates := make([]quota.Candidate, 0, len(members)+1)
-	addresses := make([]string, 0, len(members)+1)
-	l.unsupportedMu.Lock()
+	candidates, addresses := make([]quota.Candidate, 0, len(members)+1), make([]string, 0, len(members)+1)
+	l.peersMu.Lock()
+	defer l.peersMu.Unlock()
 	for i := range members {
 		m := &members[i]
-		if m.AcceptsRequests() && now >= l.unsupported[m.VM] {
+		if m.AcceptsRequests() && fulfils(m) && now >= l.unsupported[m.VM] {
 			candidates, addresses = append(candidates, quota.Candidate{VM: m.VM, Capacity: m.Capacity}), append(addresses, m.Hops)
 		}
 	}
-	l.unsupportedMu.Unlock()
 	if l.Accepts() || len(candidates) == 0 {
 		candidates, addresses = append(candidates, quota.Candidate{VM: l.Self.VM, Capacity: l.Capacity()}), append(addresses, "")
 	}
+	return candidates, addresses
+}
+
+// owner returns the VM that is the owner of a shard and its address for hops, which is "" for
+// this VM.
+func (l *teamLimits) owner(shard int) (vm, address string) {
+	candidates, addresses := l.candidates(func(*mesh.Member) bool { return true })
 	at := quota.Owner(shard, candidates)
 	return candidates[at].VM, addresses[at]
 }
@@ -298,8 +365,41 @@
 		} else {
 			l.fail(r, vm, err)
 		}
-		answered := make(chan struct{})
-		close(*l.answered[shard].Swap(&answered))
+		l.signalAnswer(shard)
+	}
+}
+
+// signalAnswer wakes the requests that wait for an exchange.
+func (l *teamLimits) signalAnswer(shard int) {
+	answered := make(chan struct{})
+	close(*l.answered[shard].Swap(&answered))
+}
+
+// supply returns a function that exchanges one message with the agent of the region. After a
+// failure the owner is asked for a while.
+func (l *teamLimits) supply(ctx context.Context, shard int) func() {
+	l.peersMu.Lock()
+	to := l.agents[shard]
+	l.peersMu.Unlock()
+	sentAt := l.Now()
+	r := l.wallets.RequestSupply(shard, sentAt)
+	return func() {
+		response, err := l.send(ctx, to.vm, to.address, r)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			l.wallets.Apply(r, to.vm, response, sentAt, l.Now())
+		} else {
+			l.fail(r, to.vm, err)
+			l.peersMu.Lock()
+			if now := l.Now(); l.agents[shard].vm == to.vm {
+				l.agents[shard].notBefore = now.Add(agentRetry)
+			}
+			l.peersMu.Unlock()
+			l.updateRole(shard, l.ActiveVMs(), l.Now())
+		}
+		l.signalAnswer(shard)
 	}
 }
 
@@ -321,12 +421,12 @@
 // fail records that an exchange with the owner of a shard failed, and logs the first failure.
 func (l *teamLimits) fail(r *quota.Request, vm string, err error) {
 	if errorx.IsOfType(err, errQuotaUnsupported) {
-		l.unsupportedMu.Lock()
+		l.peersMu.Lock()
 		l.unsupported[vm] = l.Now().Add(unsupportedFor)
-		l.unsupportedMu.Unlock()
+		l.peersMu.Unlock()
 	}
 	if l.wallets.Failed(r) {
-		l.Log.Warn("owner of the teams' limits does not answer", "shard", r.Shard, "owner", vm, "error", err)
+		l.Log.Warn("owner or agent of the teams' limits does not answer", "shard", r.Shard, "vm", vm, "agent", r.Supply, "error", err)
 	}
 	l.Scope.Counter("exchange_failures").Inc(1)
 }
@@ -345,7 +445,7 @@
 func (l *teamLimits) send(ctx context.Context, vm, address string, r *quota.Request) (*quota.Response, error) {
 	if vm == l.Self.VM {
 		l.update()
-		return l.ledger.Exchange(r, l.Now()), nil
+		return l.answer(r), nil
 	}
 	body, err := json.Marshal(r)
 	if err != nil {
@@ -381,6 +481,14 @@
 	return response, nil
 }
 
+// answer answers a request as the owner of the shard or as the agent of the region.
+func (l *teamLimits) answer(r *quota.Request) *quota.Response {
+	if r.Supply {
+		return l.wallets.Supply(r, l.Now())
+	}
+	return l.ledger.Exchange(r, l.Now())
+}
+
 // ServeHTTP answers the requests of other VMs for units.
 func (l *teamLimits) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxQuotaBytes))
@@ -390,7 +498,7 @@
 		return
 	}
 	l.update()
-	response := l.ledger.Exchange(r, l.Now())
+	response := l.answer(r)
 	if response == nil {
 		http.Error(w, "malformed request", http.StatusBadRequest)
 		return
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -11,20 +11,25 @@
 // requests that wait, one is sent every urgentInterval, and a round trip takes longer.
 const MaxInFlight = 4
 
+// supplyInterval replaces urgentInterval for the exchange with the agent of the region.
+const supplyInterval = 25 * time.Millisecond
+
 // roundTripSamples is the number of exchanges over which the round trip is smoothed.
 const roundTripSamples = 8
 
 // retryInterval is the minimum time between two exchanges if the first failed.
 const retryInterval = 2 * activeInterval
 
-// OnDue sets the function that is called when the exchange of a shard may be due earlier than
-// NextExchange said. It must not block or call the wallets.
-func (w *Wallets) OnDue(wake func(shard int)) {
-	for i := range w.links {
-		l := &w.links[i]
-		l.mu.Lock()
-		l.wake = func() { wake(i) }
-		l.mu.Unlock()
+// OnDue sets the function that is called when the exchange of a shard with its owner, or with the
+// agent of the region, may be due earlier than NextExchange or NextSupply said. It must not
+// block or call the wallets.
+func (w *Wallets) OnDue(wake func(shard int, supply bool)) {
+	for i := range Shards {
+		for _, l := range []*link{&w.owners[i], &w.agents[i]} {
+			l.mu.Lock()
+			l.wake = func() { wake(i, l == &w.agents[i]) }
+			l.mu.Unlock()
+		}
 	}
 }
 
@@ -34,7 +39,7 @@
 	if !w.HasLimits() {
 		return 0, false
 	}
-	l := &w.links[shard]
+	l := &w.owners[shard]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	soon := l.sentAt.Add(urgentInterval)
@@ -52,10 +57,25 @@
 	}
 }
 
+// NextSupply returns when the next exchange with the agent of the region is due, and false if
+// there is none to make.
+func (w *Wallets) NextSupply(shard int) (clock.Instant, bool) {
+	l := &w.agents[shard]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.listed) == 0 || !w.supplied[shard].Load() {
+		return 0, false
+	}
+	if l.urgent {
+		return min(l.next, l.sentAt.Add(supplyInterval)), true
+	}
+	return l.next, true
+}
+
 // Release returns a request that takes the share of a shard back from the VM to which it is
 // delegated, if that is no longer the owner, and that VM.
 func (w *Wallets) Release(shard int, owner string, now clock.Instant) (r *Request, from string) {
-	l := &w.links[shard]
+	l := &w.owners[shard]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.delegatedTo == "" || l.delegatedTo == owner || now >= l.delegatedUntil || l.owner == "" || l.ownerVM != l.delegatedTo {
@@ -66,7 +86,7 @@
 
 // Released records that a request of Release was answered.
 func (w *Wallets) Released(shard int, now clock.Instant) {
-	l := &w.links[shard]
+	l := &w.owners[shard]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.delegatedTo, l.delegatedUntil = "", now
@@ -98,7 +118,7 @@
 	active := max(1, w.active)
 	w.mu.Unlock()
 
-	l := &w.links[shard]
+	l := &w.owners[shard]
 	l.mu.Lock()
 	if l.ownerVM != owner {
 		l.owner = ""
@@ -112,10 +132,32 @@
 		r.DelegateMs = delegation.Milliseconds()
 		l.delegatedTo, l.delegatedUntil = owner, now.Add(delegation)
 	}
+	w.addWants(l, r, active, now)
+	return r
+}
+
+// minAhead is the number of requests that have to be expected while units of an agent are valid,
+// so that a VM asks for them in advance. Otherwise they would often expire unused.
+const minAhead = 3
+
+// RequestSupply returns the request to the agent of the region.
+func (w *Wallets) RequestSupply(shard int, now clock.Instant) *Request {
+	l := &w.agents[shard]
+	l.mu.Lock()
+	l.sequence++
+	r := &Request{VM: w.vm, Incarnation: w.incarnation, Shard: shard, Sequence: l.sequence, Supply: true}
+	w.addWants(l, r, 1, now)
+	return r
+}
+
+// addWants adds what the listed wallets want to a request, and sets when the next one is due.
+// It releases the lock of the link.
+func (w *Wallets) addWants(l *link, r *Request, active int, now clock.Instant) {
 	n := min(len(l.listed), maxWants)
 	listed := l.listed[:n:n]
 	l.listed = append(make([]*wallet, 0, len(l.listed)), l.listed[n:]...)
-	busy, horizon := len(l.listed) > 0, min(maxHorizon, w.interval(active)+l.roundTrip+horizonMargin)
+	busy, interval := len(l.listed) > 0, w.interval(active)
+	horizon := min(maxHorizon, interval+l.roundTrip+horizonMargin)
 	l.sentAt, l.urgent, l.next = now, false, now.Add(idleInterval)
 	l.mu.Unlock()
 
@@ -125,7 +167,7 @@
 		if teams[t.name] != t {
 			continue
 		}
-		want, active, keep := t.want(now, horizon)
+		want, active, keep := t.want(now, horizon, r.Supply)
 		busy = busy || active
 		if want.Wanted > 0 || want.Refill > 0 {
 			r.Teams = append(r.Teams, want)
@@ -138,9 +180,8 @@
 	defer l.mu.Unlock()
 	l.listed = append(l.listed, kept...)
 	if busy {
-		l.next = min(l.next, now.Add(w.interval(active)))
+		l.next = min(l.next, now.Add(interval))
 	}
-	return r
 }
 
 // interval returns the time between two exchanges while there is demand.
@@ -151,7 +192,7 @@
 
 // want returns what is requested for a team, whether it has demand, and whether it is to be
 // listed for the next exchange too.
-func (t *wallet) want(now clock.Instant, horizon time.Duration) (want Want, active, keep bool) {
+func (t *wallet) want(now clock.Instant, horizon time.Duration, supplied bool) (want Want, active, keep bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if elapsed := now.Sub(t.askedAt).Seconds(); elapsed > 0 {
@@ -159,6 +200,9 @@
 		t.askedAt = now
 	}
 	held, waiting, expected := t.held(now), float64(t.waiting), t.demand*horizon.Seconds()
+	if supplied && expected < minAhead*t.size {
+		expected = 0
+	}
 	want = Want{Team: t.name, Spent: t.spent, Demand: int64(t.demand)}
 	want.ahead = ceil(expected - max(0, held-waiting) - float64(t.ahead))
 	if want.Wanted = ceil(waiting-held) + want.ahead; want.Wanted > 0 {
@@ -180,6 +224,14 @@
 // ceil returns the number of whole units that cover x; 0 if x is not above 0.
 func ceil(x float64) int64 { return int64(math.Ceil(max(0, x-rounding))) }
 
+// linkOf returns the exchange to which a request belongs.
+func (w *Wallets) linkOf(q *Request) *link {
+	if q.Supply {
+		return &w.agents[q.Shard]
+	}
+	return &w.owners[q.Shard]
+}
+
 // end records that a request to the owner of a shard has ended.
 func (w *Wallets) end(q *Request) {
 	teams := *w.teams.Load()
@@ -196,11 +248,13 @@
 func (w *Wallets) Apply(q *Request, owner string, r *Response, sentAt, now clock.Instant) {
 	shard := q.Shard
 	w.end(q)
-	w.mu.Lock()
-	if w.heard = r.Active; w.heard > 0 {
-		w.updateVMs(now)
+	if !q.Supply {
+		w.mu.Lock()
+		if w.heard = r.Active; w.heard > 0 {
+			w.updateVMs(now)
+		}
+		w.mu.Unlock()
 	}
-	w.mu.Unlock()
 	teams := *w.teams.Load()
 	var early time.Duration
 	for i := range r.Teams {
@@ -212,7 +266,7 @@
 			early = after
 		}
 	}
-	l := &w.links[shard]
+	l := w.linkOf(q)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ownerVM, l.owner, l.clock, l.heardAt, l.failed = owner, r.Owner, r.Clock, now, false
@@ -229,7 +283,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	granted := max(0, g.Granted)
-	if expires := sentAt.Add(t.lease); granted > 0 && expires > now {
+	lease := t.lease
+	if g.ValidMs > 0 {
+		lease = min(lease, time.Duration(g.ValidMs)*time.Millisecond)
+	}
+	if expires := sentAt.Add(lease); granted > 0 && expires > now {
 		t.add(float64(granted), expires, now)
 		t.stats.Granted += uint64(granted)
 	}
@@ -238,6 +296,10 @@
 		t.grantedAt = now
 	}
 	t.scarce, t.scarceUntil = g.Scarce, now.Add(scarceFor)
+	if g.ValidMs > 0 {
+		// The agent is near, and may have units again at any time.
+		t.scarceUntil = now.Add(supplyInterval)
+	}
 	if !g.Scarce {
 		t.retryAt, t.promised = 0, 0
 		return 0
@@ -255,7 +317,7 @@
 // whether the request before was answered.
 func (w *Wallets) Failed(q *Request) bool {
 	w.end(q)
-	l := &w.links[q.Shard]
+	l := w.linkOf(q)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first := !l.failed
@@ -301,7 +363,7 @@
 
 // LinkState returns the state of the exchange with the owner of a team's shard.
 func (w *Wallets) LinkState(team string) LinkState {
-	l := &w.links[ShardOf(team)]
+	l := w.link(ShardOf(team))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return LinkState{Owner: l.ownerVM, AnsweredAt: l.heardAt, Failed: l.failed}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -78,7 +78,7 @@
 				delete(s.buckets, name)
 			} else if limit != b.limit {
 				s.refill(b)
-				b.plan = newPlan(limit, l.bounds, l.active)
+				b.plan = newPlan(limit, l.bounds, l.active, 0)
 				s.refill(b)
 			}
 		}
@@ -86,7 +86,7 @@
 	for name, limit := range limits {
 		s := &l.shards[ShardOf(name)]
 		if s.buckets[name] == nil {
-			s.buckets[name] = &bucket{plan: newPlan(limit, l.bounds, l.active), entitled: s.entitled, at: s.at}
+			s.buckets[name] = &bucket{plan: newPlan(limit, l.bounds, l.active, 0), entitled: s.entitled, at: s.at}
 		}
 	}
 }
@@ -104,7 +104,7 @@
 		s.advance(now)
 		for _, b := range s.buckets {
 			s.refill(b)
-			b.plan = newPlan(b.limit, l.bounds, vms)
+			b.plan = newPlan(b.limit, l.bounds, vms, 0)
 			s.refill(b)
 		}
 	}
@@ -223,32 +223,38 @@
 // grant takes what a VM wants from the bucket. A VM's demand goes before the refill of local
 // allowances.
 func (s *ledgerShard) grant(b *bucket, w *Want) Grant {
-	g := Grant{Team: w.Team}
-	if wanted, level := max(0, w.Wanted), int64(b.level+rounding); wanted <= level {
-		g.Granted = wanted
-	} else {
-		g.Scarce = true
-		if level >= w.Least {
-			g.Granted = level
-		}
-		// A part of a request's units would expire unused.
-		if w.Unit > 0 && g.Granted > 0 {
-			g.Granted -= (g.Granted - w.Least) % w.Unit
-		}
-	}
+	g := Grant{Team: w.Team, Granted: w.portion(int64(b.level + rounding))}
+	g.Scarce = g.Granted < w.Wanted
 	b.level -= float64(g.Granted)
 	if g.Scarce {
 		g.RetryAfterMs = s.timeUntil(b, float64(max(1, w.Least))).Milliseconds()
 		return g
 	}
 	if spare := int64(b.level - refillLevel*s.capacity(b)); spare > 0 && w.Refill > 0 {
-		refill := min(spare, w.Refill)
+		// The half that is left is for the next VM.
+		refill := min((spare+1)/2, w.Refill)
 		g.Granted += refill
 		b.level -= float64(refill)
 	}
 	return g
 }
 
+// portion returns what is granted if a number of units is available. If that is not enough, it
+// is for whole requests: a part of a request's units would expire unused.
+func (w *Want) portion(available int64) int64 {
+	wanted, least := max(0, w.Wanted), max(0, w.Least)
+	switch {
+	case wanted <= available:
+		return wanted
+	case available < least:
+		return 0
+	case w.Unit > 0:
+		return available - (available-least)%w.Unit
+	default:
+		return max(0, available)
+	}
+}
+
 // maxRetryAfter bounds the time after which a caller is told to try again.
 const maxRetryAfter = 8 * time.Second
 
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -17,6 +17,9 @@
 	// DelegateMs is for how long after At the sender's share is delegated, in milliseconds.
 	// Zero takes the delegation back.
 	DelegateMs int64 `json:"delegateMs,omitempty"`
+	// Supply means that the receiver is the agent of the sender's region: it passes on units
+	// of its own wallets.
+	Supply bool `json:"supply,omitempty"`
 	// Fresh means that an earlier process of the VM may have delegated the share.
 	Fresh bool   `json:"fresh,omitempty"`
 	Teams []Want `json:"teams,omitempty"`
@@ -54,6 +57,9 @@
 type Grant struct {
 	Team    string `json:"t"`
 	Granted int64  `json:"g,omitempty"`
+	// ValidMs is the time in milliseconds from the request for which units of an agent are
+	// valid.
+	ValidMs int64 `json:"v,omitempty"`
 	// Scarce means that less was granted than wanted, and RetryAfterMs is the time in
 	// milliseconds until the bucket holds enough for the smallest request.
 	Scarce       bool  `json:"s,omitempty"`
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -22,7 +22,17 @@
 // Owner returns the index of the candidate that is the owner of a shard, or -1 without
 // candidates. It is the same at all VMs that know the same candidates.
 func Owner(shard int, candidates []Candidate) int {
-	key := spread.Mix(xxhash.Sum64String("quota/" + strconv.Itoa(shard)))
+	return choose("quota/"+strconv.Itoa(shard), candidates)
+}
+
+// Agent returns the index of the candidate, of the VMs of a region, that is its agent for a
+// shard, or -1 without candidates.
+func Agent(shard int, candidates []Candidate) int {
+	return choose("quota-agent/"+strconv.Itoa(shard), candidates)
+}
+
+func choose(name string, candidates []Candidate) int {
+	key := spread.Mix(xxhash.Sum64String(name))
 	best, highest := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -34,24 +34,25 @@
 }
 
 // The excess of a window is Overage x (rate x window + burst) + Slack. What may be used beyond
-// rate x window + burst are the parts below, 0.785 of it together; the rest is left for
-// VMs that restart, each of which begins with half a local allowance, and for requests that begin
-// to run some time after their admission.
+// rate x window + burst are the parts below, 0.915 of it together; the rest is left for
+// VMs that restart, each of which begins with half of an even share of the local allowances, and
+// for requests that begin to run some time after their admission.
 const (
 	// localPart is the part for the local allowances of all VMs.
 	localPart = 0.3
 	// bucketPart is the part that the buckets may hold above the burst.
 	bucketPart = 0.15
 	// leasePart is the part for grants that were not used yet, which bounds the validity of
-	// leases.
-	leasePart = 0.255
+	// leases. Those that a region's agent passes on are valid for supplyLease of it more.
+	leasePart   = 0.255
+	supplyLease = 0.5
 	// ratePart is the part by which the rate of all shares exceeds the limit. It makes up for
 	// shares of VMs that have failed and for grants that are lost.
 	ratePart = 0.08
 	// smallExcess is the excess in units below which there are no local allowances: they
 	// would be of a few units, or less than one. smallBucketPart then replaces bucketPart.
 	smallExcess     = 100
-	smallBucketPart = 0.6
+	smallBucketPart = 0.5
 	// maxRateFactor bounds the rate of an owner as a multiple of the limit's, and
 	// maxShareFactor that of a share.
 	maxRateFactor  = 1.05
@@ -74,15 +75,16 @@
 	vms   float64
 }
 
-// newPlan returns the plan of a limit above zero among vms VMs.
-func newPlan(limit ingress.TeamLimit, b Bounds, vms int) plan {
+// newPlan returns the plan of a limit above zero among vms VMs, of which this VM holds a portion
+// of the local allowances.
+func newPlan(limit ingress.TeamLimit, b Bounds, vms int, portion float64) plan {
 	rate, window := limit.PerSecond, b.Window.Seconds()
 	excess := b.Overage*(rate*window+limit.Burst) + b.Slack
 	p := plan{limit: limit, vms: float64(max(1, vms))}
 	p.rate = rate * min(maxShareFactor, 1+ratePart*excess/(rate*window))
 	p.lease = min(maxLease, time.Duration(leasePart*excess/p.rate*float64(time.Second)))
 	p.capacity = limit.Burst + bucketPart*excess
-	p.local = localPart * excess / p.vms
+	p.local = localPart * excess * portion
 	if excess < smallExcess {
 		p.makeSmall(excess, b)
 	}
@@ -103,7 +105,7 @@
 	}
 	// The buckets, and the grants that were not used yet, hold at most the capacity and the
 	// rate times the validity of leases.
-	p.rate = max(0, min(p.rate, (whole+0.999-p.capacity)/(window+p.lease.Seconds())))
+	p.rate = max(0, min(p.rate, (whole+0.999-p.capacity)/(window+(1+supplyLease)*p.lease.Seconds())))
 }
 
 // share returns the rate of a VM's share in units per second.
--- a/internal/quota/wallets.go
+++ b/internal/quota/wallets.go
@@ -31,6 +31,8 @@
 	urgentLevel = 0.5
 	// scarceFor is for how long a response's statement that a team is scarce holds.
 	scarceFor = time.Second
+	// sizeSamples is the number of requests over which their units are averaged.
+	sizeSamples = 8
 	// startupPeriod is the time after the start of this process in which the number of VMs
 	// may not be known, and startupVMs the number that is assumed until an owner has answered.
 	startupPeriod = 3 * time.Second
@@ -70,9 +72,29 @@
 	mu sync.Mutex
 	// active is the number of VMs as this VM knows, and heard as the owners do.
 	active, heard, vms int
-	limits             Limits
+	// trusted means that the number is known: an owner has answered or startupPeriod has
+	// passed.
+	trusted bool
+	roles   [Shards]Role
+
+	// owners are the exchanges with the owners, and agents those with the agents of the
+	// region. The wallets of a shard use the agent's if supplied is set.
+	owners, agents [Shards]link
+	supplied       [Shards]atomic.Bool
+}
 
-	links [Shards]link
+// MaxUnsupplied is the number of VMs up to which each holds local allowances of its own.
+const MaxUnsupplied = 12
+
+// Role is what a VM is for a shard. In a small fleet each VM holds an even share of the local
+// allowances and exchanges messages with the owner. In a large one such a share would not
+// cover a request; there one VM of each region, its agent, holds an even share among the regions
+// and supplies the others of its region.
+type Role struct {
+	// Supplied means that an agent supplies this VM.
+	Supplied bool
+	// Regions is the number of regions if this VM is its region's agent, or else 0.
+	Regions int
 }
 
 // link is the exchange with the owner of a shard.
@@ -122,8 +144,9 @@
 	askedAt      clock.Instant
 	// grantedAt is when the last response arrived.
 	grantedAt clock.Instant
-	// demand is the smoothed demand per second, and income that of the grants.
-	demand, income float64
+	// demand is the smoothed demand per second, income that of the grants, and size that of
+	// the units of a request.
+	demand, income, size float64
 	// waiting are the units of requests that wait for the next exchange, and least those of
 	// the smallest request that found too few units.
 	waiting, least int64
@@ -166,10 +189,10 @@
 	w := &Wallets{vm: vm, incarnation: incarnation, bounds: bounds, startedAt: now, firstStart: firstStart, active: 1}
 	w.vms = w.knownVMs(now)
 	w.teams.Store(&map[string]*wallet{})
-	for i := range w.links {
-		w.links[i].delegatedUntil = now
+	for i := range w.owners {
+		w.owners[i].delegatedUntil = now
 		if !firstStart {
-			w.links[i].delegatedUntil = now.Add(delegation)
+			w.owners[i].delegatedUntil = now.Add(delegation)
 		}
 	}
 	return w
@@ -179,27 +202,28 @@
 // lock.
 func (w *Wallets) knownVMs(now clock.Instant) int {
 	n := max(1, w.active, w.heard)
-	if w.heard == 0 && now.Sub(w.startedAt) < startupPeriod {
+	if w.trusted = w.trusted || w.heard > 0 || now.Sub(w.startedAt) >= startupPeriod; !w.trusted {
 		n = max(n, startupVMs)
 	}
 	return n
 }
 
-// SetTeams replaces the limits. A new team begins with half a local allowance.
+// SetTeams replaces the limits. A new team begins with half of an even share of the local
+// allowances.
 func (w *Wallets) SetTeams(limits Limits, now clock.Instant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limits = limits
 	before, teams := *w.teams.Load(), make(map[string]*wallet, len(limits))
 	for name, limit := range limits {
 		t := before[name]
 		if t == nil {
-			t = &wallet{name: name, shard: ShardOf(name), plan: newPlan(limit, w.bounds, w.vms), askedAt: now, promised: now}
-			t.local = t.plan.local / 2
-			t.accrue(&w.links[t.shard], now)
+			t = &wallet{name: name, shard: ShardOf(name), askedAt: now, promised: now}
+			t.plan = w.plan(t, limit)
+			t.local = min(t.plan.local, newPlan(limit, w.bounds, w.vms, 1/float64(w.vms)).local/2)
+			t.accrue(&w.owners[t.shard], now)
 			t.own = 0
 		} else if t.limit != limit {
-			t.setPlan(newPlan(limit, w.bounds, w.vms))
+			t.setPlan(w.plan(t, limit))
 		}
 		teams[name] = t
 	}
@@ -214,22 +238,80 @@
 	w.updateVMs(now)
 }
 
+// SetRole sets what this VM is for a shard.
+func (w *Wallets) SetRole(shard int, role Role, now clock.Instant) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if role == w.roles[shard] {
+		return
+	}
+	w.roles[shard] = role
+	w.setPlans()
+	w.setSupplied(shard, role.Supplied)
+}
+
+// setSupplied moves the wallets that are listed for an exchange to the link that is used now.
+func (w *Wallets) setSupplied(shard int, supplied bool) {
+	from, to := &w.owners[shard], &w.agents[shard]
+	if !supplied {
+		from, to = to, from
+	}
+	w.supplied[shard].Store(supplied)
+	from.mu.Lock()
+	listed := from.listed
+	from.listed = nil
+	from.mu.Unlock()
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	to.listed, to.failed = append(to.listed, listed...), to.failed && !supplied
+	to.next = min(to.next, to.sentAt.Add(activeInterval))
+}
+
+// link returns the exchange that the wallets of a shard use.
+func (w *Wallets) link(shard int) *link {
+	if w.supplied[shard].Load() {
+		return &w.agents[shard]
+	}
+	return &w.owners[shard]
+}
+
+// plan returns the plan of a wallet for a limit. The caller holds the lock.
+func (w *Wallets) plan(t *wallet, limit ingress.TeamLimit) plan {
+	portion := 1 / float64(w.vms)
+	if role := w.roles[t.shard]; role.Supplied {
+		portion = 0
+	} else if role.Regions > 0 && w.trusted {
+		portion = 1 / float64(role.Regions)
+	}
+	return newPlan(limit, w.bounds, w.vms, portion)
+}
+
+// setPlans updates all plans. The caller holds the lock.
+func (w *Wallets) setPlans() {
+	for _, t := range *w.teams.Load() {
+		t.setPlan(w.plan(t, t.limit))
+		if w.roles[t.shard].Regions > 0 {
+			// An agent's local allowances are larger than what it began with.
+			t.mu.Lock()
+			t.announce(&w.owners[t.shard], false)
+			t.mu.Unlock()
+		}
+	}
+}
+
 // updateVMs applies a changed number of VMs. The caller holds the lock.
 func (w *Wallets) updateVMs(now clock.Instant) {
-	n := w.knownVMs(now)
-	if n == w.vms {
+	assumed, before := !w.trusted, w.vms
+	if w.vms = w.knownVMs(now); w.vms == before && assumed == !w.trusted {
 		return
 	}
-	assumed := w.vms == startupVMs && n < startupVMs
-	w.vms = n
-	for _, t := range *w.teams.Load() {
-		p := newPlan(t.limit, w.bounds, n)
-		if assumed {
-			// The wallet began with half an allowance of a larger fleet.
-			t.credit((p.local - t.plan.local) / 2)
+	if assumed && w.trusted {
+		// The wallets began with half of a share of startupVMs.
+		for _, t := range *w.teams.Load() {
+			t.credit((w.plan(t, t.limit).local - newPlan(t.limit, w.bounds, before, 1/float64(before)).local) / 2)
 		}
-		t.setPlan(p)
 	}
+	w.setPlans()
 }
 
 // HasLimits reports whether a team has a limit.
@@ -260,7 +342,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	units = max(0, units)
+	if float64(units) > t.largest() {
+		// It can never be admitted, and is no reason to request units.
+		return t.refuse(float64(units), 0, true, now)
+	}
 	t.asked += units
+	t.size += (float64(units) - t.size) / sizeSamples
 	return w.take(t, units, now, 0)
 }
 
@@ -278,11 +365,11 @@
 // take decides on a request; waitsFor is the exchange for which it waits already, or zero. The
 // caller holds the lock of the wallet.
 func (w *Wallets) take(t *wallet, units int64, now clock.Instant, waitsFor uint64) Decision {
-	link := &w.links[t.shard]
+	link := w.link(t.shard)
 	need := float64(units)
 	held := t.held(now)
 	if held+rounding < need {
-		t.accrue(link, now)
+		t.accrue(&w.owners[t.shard], now)
 		held += t.own
 	}
 	if held+rounding >= need {
@@ -296,8 +383,7 @@
 	if t.least == 0 || units < t.least {
 		t.least = units
 	}
-	never := need > t.largest()
-	if never || t.isScarce(now) || link.hasFailed(now) {
+	if never := need > t.largest(); never || t.isScarce(now) || link.hasFailed() {
 		t.announce(link, false)
 		return t.refuse(need, held, never, now)
 	}
@@ -419,7 +505,7 @@
 	return sequence > l.ended
 }
 
-func (l *link) hasFailed(now clock.Instant) bool {
+func (l *link) hasFailed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.failed
