--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -34,9 +34,9 @@
 }
 
 // NextExchange returns when the next exchange with the owner of a shard is due, and false if
-// no team has a limit.
+// no team of the shard has a limit.
 func (w *Wallets) NextExchange(shard int) (clock.Instant, bool) {
-	if !w.HasLimits() {
+	if !w.limited[shard].Load() {
 		return 0, false
 	}
 	l := &w.owners[shard]
--- a/internal/quota/wallets.go
+++ b/internal/quota/wallets.go
@@ -66,8 +66,9 @@
 	// firstStart means that no earlier process of any VM has delegated its share.
 	firstStart bool
 
-	// teams is replaced when the limits change.
-	teams atomic.Pointer[map[string]*wallet]
+	// teams is replaced when the limits change. limited tells which shards have teams.
+	teams   atomic.Pointer[map[string]*wallet]
+	limited [Shards]atomic.Bool
 
 	mu sync.Mutex
 	// active is the number of VMs as this VM knows, and heard as the owners do.
@@ -214,6 +215,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	before, teams := *w.teams.Load(), make(map[string]*wallet, len(limits))
+	var limited [Shards]bool
 	for name, limit := range limits {
 		t := before[name]
 		if t == nil {
@@ -225,9 +227,12 @@
 		} else if t.limit != limit {
 			t.setPlan(w.plan(t, limit))
 		}
-		teams[name] = t
+		teams[name], limited[t.shard] = t, true
 	}
 	w.teams.Store(&teams)
+	for i := range limited {
+		w.limited[i].Store(limited[i])
+	}
 }
 
 // SetActive sets the number of VMs that may be active, as this VM knows.
