fairqueue: order within a class, removal in logarithmic time, order by start tag

Cause: requests of a team can be ordered by class and arrival only, and removing one from a long queue searches it. The order between teams is by the finish tag, so that a team of low weight waits for many requests of a team of high weight although it has used less than its share.

Change: items have a rank and a due time, which order those of a team and class; both are zero for the present users, whose order stays that of arrival. The queued items of a team and class are a heap. Queue.ByStart orders teams by start tag. WorkAheadOfItem estimates the work before an item with a rank.

--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -5,7 +5,12 @@
 // shares. Gate adds slots, blocking acquisition and the expected wait.
 package fairqueue
 
-import "slices"
+import (
+	"container/heap"
+	"slices"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
 
 // Priorities is the number of priority classes within a team.
 const Priorities = 3
@@ -19,15 +24,73 @@
 	Priority int
 	// Cost is the expected service time in seconds.
 	Cost float64
+	// Rank orders the items of a team within a class; 0 is served first. Items of the
+	// same rank are served by Due, and those with the same Due in the order of arrival.
+	Rank int
+	Due  clock.Instant
+	// Value belongs to the caller.
+	Value any
 
 	waiter *waiter
+	// number is the item's place in the order of arrival, and index its place in the heap
+	// plus one; zero means not queued.
+	number uint64
+	index  int
+}
+
+// itemHeap holds the queued items of a team and class; the first one is served next.
+type itemHeap []*Item
+
+var _ heap.Interface = (*itemHeap)(nil)
+
+func (h itemHeap) Len() int { return len(h) }
+
+func (h itemHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	switch {
+	case a.Rank != b.Rank:
+		return a.Rank < b.Rank
+	case a.Due != b.Due:
+		return a.Due < b.Due
+	default:
+		return a.number < b.number
+	}
+}
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i+1, j+1
+}
+
+// Push implements heap.Interface.
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	*h = append(*h, it)
+	it.index = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *itemHeap) Pop() any {
+	last := len(*h) - 1
+	it := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	it.index = 0
+	return it
 }
 
 // Queue is a weighted fair queue. The state of a team is kept after its last
 // item is removed, until the whole queue is empty. Queue is not safe for
 // concurrent use.
 type Queue struct {
+	// ByStart means that the team with the lowest start tag is served next, instead of the
+	// one with the lowest finish tag. A team of low weight that has used less than its share
+	// then doesn't wait for teams of high weight.
+	ByStart bool
+
 	teams map[string]*teamQueue
+	// pushed is the number of items pushed so far.
+	pushed uint64
 	// backlogged lists the teams with queued items.
 	backlogged []*teamQueue
 	// virtualTime is the start tag of the item served last.
@@ -42,7 +105,7 @@
 	weight float64
 	// startTag is the virtual start time of the team's next item.
 	startTag float64
-	items    [Priorities][]*Item
+	items    [Priorities]itemHeap
 	count    int
 	cost     classCosts
 }
@@ -79,7 +142,9 @@
 		q.weight += t.weight
 	}
 	class := clampPriority(it.Priority)
-	t.items[class] = append(t.items[class], it)
+	q.pushed++
+	it.number = q.pushed
+	heap.Push(&t.items[class], it)
 	t.count++
 	t.cost[class] += it.Cost
 	q.length++
@@ -104,12 +169,15 @@
 // so that a team can't gain slots by marking all its requests as urgent.
 func (q *Queue) Peek(eligibility func(team string) Eligibility) *Item {
 	var best *Item
-	bestClass, bestFinish := 0, 0.0
+	bestClass, bestTag := 0, 0.0
 	for _, t := range q.backlogged {
 		head := t.head()
-		class, finish := clampPriority(head.Priority), t.startTag+head.Cost/t.weight
+		class, tag := clampPriority(head.Priority), t.startTag
+		if !q.ByStart {
+			tag += head.Cost / t.weight
+		}
 		isFirst := func() bool {
-			return best == nil || class < bestClass || class == bestClass && finish < bestFinish
+			return best == nil || class < bestClass || class == bestClass && tag < bestTag
 		}
 		if !isFirst() {
 			continue
@@ -122,7 +190,7 @@
 		case WithinShare:
 		}
 		if isFirst() {
-			best, bestClass, bestFinish = head, class, finish
+			best, bestClass, bestTag = head, class, tag
 		}
 	}
 	return best
@@ -144,11 +212,10 @@
 		return false
 	}
 	class := clampPriority(it.Priority)
-	i := slices.Index(t.items[class], it)
-	if i < 0 {
+	if i := it.index - 1; i < 0 || i >= len(t.items[class]) || t.items[class][i] != it {
 		return false
 	}
-	t.items[class] = slices.Delete(t.items[class], i, i+1)
+	heap.Remove(&t.items[class], it.index-1)
 	t.count--
 	t.cost[class] -= it.Cost
 	q.length--
@@ -165,14 +232,32 @@
 	if q.length == 0 {
 		return 0
 	}
-	class := clampPriority(priority)
-	own, start := 0.0, q.virtualTime
-	total := q.weight
+	class, own := clampPriority(priority), 0.0
+	if t := q.teams[team]; t != nil {
+		own = t.cost.upTo(class)
+	}
+	return q.workAhead(team, weight, class, own, own == 0)
+}
+
+// WorkAheadOfItem is WorkAhead of a new item of the lowest class that is served after items of
+// its own team with the total cost own.
+func (q *Queue) WorkAheadOfItem(team string, weight, own float64) float64 {
+	if q.length == 0 {
+		return 0
+	}
+	t := q.teams[team]
+	return q.workAhead(team, weight, Priorities-1, own, t == nil || t.count == 0)
+}
+
+// workAhead is WorkAhead of an item that is served after the work own of its team. Joins means
+// that the team's weight is not yet part of the total.
+func (q *Queue) workAhead(team string, weight float64, class int, own float64, joins bool) float64 {
+	start, total := q.virtualTime, q.weight
 	weight = effectiveWeight(weight)
 	if t := q.teams[team]; t != nil {
-		own, start = t.cost.upTo(class), max(t.startTag, q.virtualTime)
+		start = max(t.startTag, q.virtualTime)
 	}
-	if own == 0 {
+	if joins {
 		total += weight
 	}
 	// Other teams are served until their tags reach the new item's start tag.
@@ -187,7 +272,7 @@
 	i := slices.Index(q.backlogged, t)
 	q.backlogged = slices.Delete(q.backlogged, i, i+1)
 	q.weight -= t.weight
-	t.items = [Priorities][]*Item{}
+	t.items = [Priorities]itemHeap{}
 	t.cost = classCosts{}
 	if q.length == 0 {
 		clear(q.teams)
