admission: fair order between teams while a service is contended

Cause: a VM sends each request to a server at once, whatever the team. When all slots are taken, servers refuse or queue requests in the order of arrival, so that a team gets a part of the slots in proportion to the requests that it sends: one team with 250 requests a second leaves fifteen with 45 together a served share of about a half.

Change: package admission decides per service and VM which requests pass, wait or are refused. It is asked only for requests of callers, and only if the configuration has teams or a plain service's servers refused requests within 5 s. It holds nothing while the chosen server has a free slot as far as this VM knows and no server has refused requests lately. Otherwise it bounds this VM's requests by its share of the slots and what others leave free or, while servers refuse requests, by a window that shrinks with refusals and grows with served requests. Waiting requests are ordered by weighted share of the teams, then by priority and remaining time. A team that has used less than its share is let pass at the end of its hold; others are refused, after an eighth of the latency objective at most, with a retry time that covers the team's refused requests.

--- /dev/null
+++ b/internal/admission/load_test.go
@@ -0,0 +1,327 @@
+package admission
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/clock"
+)
+
+// simulation is a region of VMs in front of servers that refuse requests without a free slot, in
+// simulated time. VMs know one another's requests as of the last exchange.
+type simulation struct {
+	// servers have slots each, and work is the mean time of a request.
+	servers, slots, vms int
+	work                time.Duration
+	objective           time.Duration
+	// exchange is the time between two exchanges of usage; zero means none.
+	exchange time.Duration
+	// gated means that requests pass a gate.
+	gated bool
+	// maxSends is the number of servers that a request is sent to.
+	maxSends int
+
+	now      clock.Instant
+	events   eventHeap
+	draw     *rand.Rand
+	busy     []int
+	own      [][]int // by VM and server
+	known    [][]int // what the VMs announced last
+	gates    []*Gate
+	waiting  map[*Request]*simulated
+	results  map[string]*result
+	refusals int
+	longest  time.Duration // of the holds of refused requests
+}
+
+// result counts the requests of a team.
+type result struct {
+	sent, served int
+	longest      time.Duration // until a request began
+}
+
+func (r *result) share() float64 { return float64(r.served) / float64(max(1, r.sent)) }
+
+type event struct {
+	at  clock.Instant
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	heap.Push(&s.events, event{s.now.Add(d), run})
+}
+
+// team sends requests at random moments to the VM that pick returns.
+func (s *simulation) team(name string, perSecond, weight float64, pick func() int) {
+	s.results[name] = &result{}
+	var next func()
+	next = func() {
+		s.after(time.Duration(s.draw.ExpFloat64()/perSecond*float64(time.Second)), next)
+		s.results[name].sent++
+		s.arrive(&simulated{vm: pick(), request: &Request{Team: name, HasTeams: name != "", Weight: weight, Arrived: s.now, Objective: s.objective}})
+	}
+	s.after(0, next)
+}
+
+func (s *simulation) anyVM() int { return s.draw.IntN(s.vms) }
+
+type simulated struct {
+	vm, sends int
+	tried     []int
+	request   *Request
+}
+
+func (s *simulation) start(seed uint64) {
+	s.draw = rand.New(rand.NewPCG(seed, 1))
+	s.now = clock.Instant(time.Hour)
+	s.busy = make([]int, s.servers)
+	s.results, s.waiting = map[string]*result{}, map[*Request]*simulated{}
+	for vm := range s.vms {
+		s.own, s.known = append(s.own, make([]int, s.servers)), append(s.known, make([]int, s.servers))
+		s.gates = append(s.gates, New(float64(vm)/float64(s.vms)))
+	}
+	if s.exchange > 0 {
+		var exchange func()
+		exchange = func() {
+			for vm := range s.vms {
+				copy(s.known[vm], s.own[vm])
+			}
+			s.after(s.exchange, exchange)
+		}
+		s.after(0, exchange)
+	}
+	var tick func()
+	tick = func() {
+		for vm := range s.vms {
+			s.advance(vm)
+		}
+		s.after(AdvanceInterval, tick)
+	}
+	s.after(0, tick)
+}
+
+func (s *simulation) run(d time.Duration) {
+	for end := s.now.Add(d); s.events[0].at < end; {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+}
+
+// reset begins to count results anew.
+func (s *simulation) reset() {
+	for _, r := range s.results {
+		*r = result{}
+	}
+	s.refusals = 0
+}
+
+// active returns the requests of all VMs at a server, as a VM knows them.
+func (s *simulation) active(vm, server int) int {
+	n := s.own[vm][server]
+	for other := range s.vms {
+		if other != vm {
+			n += s.known[other][server]
+		}
+	}
+	return n
+}
+
+func (s *simulation) occupancy(vm int) Occupancy {
+	o := Occupancy{Servers: s.servers, Slots: s.servers * s.slots, Share: 1 / float64(s.vms)}
+	for server := range s.servers {
+		o.Own += s.own[vm][server]
+		o.Active += float64(s.active(vm, server))
+	}
+	return o
+}
+
+// choose returns the server that a VM takes for the least occupied one of those that haven't
+// refused the request in this round.
+func (s *simulation) choose(q *simulated) int {
+	best, lowest := 0, math.MaxInt
+	for _, server := range s.draw.Perm(s.servers) {
+		if n := s.active(q.vm, server); n < lowest && !slices.Contains(q.tried, server) {
+			best, lowest = server, n
+		}
+	}
+	return best
+}
+
+func (s *simulation) arrive(q *simulated) {
+	if !s.gated {
+		s.send(q)
+		return
+	}
+	o := s.occupancy(q.vm)
+	q.request.Returned = q.sends > 0
+	switch s.gates[q.vm].Arrive(q.request, o.Active >= float64(o.Slots)*0.9, func() Occupancy { return o }, s.now) {
+	case Pass:
+		s.send(q)
+	case Wait:
+		s.waiting[q.request] = q
+		s.advance(q.vm)
+	default:
+		s.longest = max(s.longest, q.request.Held)
+	}
+}
+
+func (s *simulation) advance(vm int) {
+	for _, r := range s.gates[vm].Advance(func() Occupancy { return s.occupancy(vm) }, s.now) {
+		q := s.waiting[r]
+		delete(s.waiting, r)
+		if r.Decision == Pass {
+			s.send(q)
+		} else {
+			s.longest = max(s.longest, r.Held)
+		}
+	}
+}
+
+// send sends a request to a server, and again if it refuses.
+func (s *simulation) send(q *simulated) {
+	server := s.choose(q)
+	q.sends++
+	if q.tried = append(q.tried, server); len(q.tried) == s.servers {
+		q.tried = nil
+	}
+	if s.busy[server] >= s.slots {
+		s.refusals++
+		if s.gated {
+			s.gates[q.vm].RecordRefusal(q.sends, s.occupancy(q.vm), s.now)
+			s.gates[q.vm].End(q.request, false, s.now)
+			s.advance(q.vm)
+		}
+		if q.sends < s.maxSends {
+			s.arrive(q)
+		}
+		return
+	}
+	s.busy[server]++
+	s.own[q.vm][server]++
+	result := s.results[q.request.Team]
+	result.longest = max(result.longest, s.now.Sub(q.request.Arrived))
+	s.after(time.Duration((0.5+s.draw.Float64())*float64(s.work)), func() {
+		s.busy[server]--
+		s.own[q.vm][server]--
+		result.served++
+		if s.gated {
+			s.gates[q.vm].End(q.request, true, s.now)
+			s.advance(q.vm)
+		}
+	})
+}
+
+// served returns the requests of all teams that were served.
+func (s *simulation) served() int {
+	n := 0
+	for _, r := range s.results {
+		n += r.served
+	}
+	return n
+}
+
+// fifteenAndOne runs fifteen teams with 45 requests a second together and, if the rate is above
+// zero, one more team.
+func fifteenAndOne(s *simulation, rate float64) (fifteen, one *result) {
+	s.servers, s.slots, s.work, s.objective, s.maxSends = 2, 8, 100*time.Millisecond, time.Second, 5
+	s.start(7)
+	for n := range 15 {
+		s.team(string(rune('a'+n)), 3, 1, s.anyVM)
+	}
+	s.results["one"] = &result{}
+	if rate > 0 {
+		s.team("one", rate, 1, s.anyVM)
+	}
+	s.run(10 * time.Second) // until the window has settled
+	s.reset()
+	s.run(40 * time.Second)
+	fifteen = &result{}
+	for name, r := range s.results {
+		if name != "one" {
+			fifteen.sent, fifteen.served = fifteen.sent+r.sent, fifteen.served+r.served
+			fifteen.longest = max(fifteen.longest, r.longest)
+		}
+	}
+	return fifteen, s.results["one"]
+}
+
+// Guards against the first load pattern of the requirements: one team with 250 requests a second
+// beside fifteen with 45 together takes the slots from these.
+func TestFifteenTeamsAreServedAsIfAloneBesideOne(t *testing.T) {
+	for name, s := range map[string]*simulation{
+		"three VMs": {vms: 3, exchange: 100 * time.Millisecond}, "23 VMs that don't know one another's requests": {vms: 23},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := *s
+			alone := *s
+			aloneFifteen, _ := fifteenAndOne(&alone, 0)
+			beforeFifteen, _ := fifteenAndOne(&before, 250)
+			s.gated = true
+			fifteen, one := fifteenAndOne(s, 250)
+			t.Logf("fifteen alone %.3f, without a gate %.3f, with it %.3f (longest wait %v); one %.3f; served %d without, %d with; refusals %d without, %d with; longest hold of refused %v",
+				aloneFifteen.share(), beforeFifteen.share(), fifteen.share(), fifteen.longest, one.share(), before.served(), s.served(), before.refusals, s.refusals, s.longest)
+			if fifteen.share() < 0.98*aloneFifteen.share() {
+				t.Errorf("the fifteen teams are served with %.3f, alone with %.3f", fifteen.share(), aloneFifteen.share())
+			}
+			if s.longest > s.objective/8 {
+				t.Errorf("a refused request was held for %v", s.longest)
+			}
+			if float64(s.served()) < 0.9*float64(before.served()) {
+				t.Errorf("%d requests were served, without a gate %d", s.served(), before.served())
+			}
+		})
+	}
+}
+
+// Guards against the second load pattern of the requirements: a plain service that is overloaded
+// refuses requests that the gateway sends again and again. As many are served with fewer refusals.
+func TestOverloadedPlainServiceRefusesFewerRequests(t *testing.T) {
+	for name, vms := range map[string]int{"three VMs": 3, "23 VMs": 23} {
+		t.Run(name, func(t *testing.T) {
+			run := func(gated bool, rate float64) *simulation {
+				s := &simulation{vms: vms, gated: gated, servers: 6, slots: 6, work: 45 * time.Millisecond, objective: 550 * time.Millisecond, maxSends: 5}
+				if vms < 10 {
+					s.exchange = 100 * time.Millisecond
+				}
+				s.start(11)
+				s.team("", rate, 1, s.anyVM)
+				s.run(10 * time.Second)
+				s.reset()
+				s.run(30 * time.Second)
+				return s
+			}
+			for _, rate := range []float64{400, 700, 1000} { // of 800 that the servers can run
+				before, after := run(false, rate), run(true, rate)
+				t.Logf("%.0f a second: served %d without a gate, %d with; refusals %d without, %d with; longest hold of refused %v",
+					rate, before.served(), after.served(), before.refusals, after.refusals, after.longest)
+				if float64(after.served()) < 0.95*float64(before.served()) {
+					t.Errorf("%.0f a second: %d requests were served, without a gate %d", rate, after.served(), before.served())
+				}
+				if rate > 800 && 3*after.refusals > 2*before.refusals {
+					t.Errorf("%.0f a second: servers refused %d requests, without a gate %d", rate, after.refusals, before.refusals)
+				}
+				if after.longest > after.objective/8 {
+					t.Errorf("a refused request was held for %v", after.longest)
+				}
+			}
+		})
+	}
+}
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -271,3 +271,32 @@
 	}
 	return s
 }
+
+// Occupancy is how far the servers of a service in this region are in use.
+type Occupancy struct {
+	// Slots is the number of the slots of the servers that take requests, Own the number of
+	// this VM's requests there, and Active that of all VMs as far as this VM knows.
+	Slots, Own int
+	Active     float64
+	// Servers is the number of these servers.
+	Servers int
+	// Share is this VM's fraction of the slots.
+	Share float64
+}
+
+// Occupancy returns how far the servers of a service in this region that this VM reaches are
+// in use.
+func (b *Balancer) Occupancy(service *ingress.Service, view *roster.View, now clock.Instant) Occupancy {
+	o := Occupancy{Share: b.Fleet.CapacityShare()}
+	for _, server := range view.Usable(service.Name, b.Region) {
+		load := b.Load(server.Key())
+		if load.Link.Lost() || !load.Breaker.Ready(now) || load.noProgressFor(now) > unresponsiveAfter {
+			continue
+		}
+		o.Servers++
+		o.Slots += max(1, server.Slots)
+		o.Own += int(load.active.Load())
+		o.Active += load.totalUsage(now).active
+	}
+	return o
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -244,6 +244,7 @@
 	// roomWaiters is the number of requests that wait for room at a server.
 	roomWaiters atomic.Int32
 	budgets     serviceBudgets
+	admission   admissionGates
 	started     clock.Instant
 	// hopCount is the number of hops that were sent, and accepted holds those of other
 	// VMs that are being served.
@@ -313,6 +314,10 @@
 	hopsWithoutServer int
 	// roomWait is the time spent waiting for room at a server that falls over for refusals.
 	roomWait time.Duration
+	// pass is the permission to be sent to a server, or nil, and admissionHeld for how long
+	// the request waited for those before it.
+	pass          *pass
+	admissionHeld time.Duration
 	// slotWait is the time spent waiting for prefill slots.
 	slotWait time.Duration
 	// prefillTokens is the number of prompt tokens that the last backend server
@@ -494,6 +499,7 @@
 // serve tries backend servers and regions until the request is answered or may
 // not be retried.
 func (x *transaction) serve(ctx context.Context) *verdict.Refusal {
+	defer x.endAdmission(false)
 	for {
 		if ctx.Err() != nil {
 			return x.contextRefusal(ctx)
@@ -509,6 +515,11 @@
 		if plan.Reason == balance.ReasonNoRoom && x.waitForRoom(ctx) {
 			continue
 		}
+		if held, refusal := x.awaitAdmission(ctx, &plan); refusal != nil {
+			return refusal
+		} else if held {
+			continue
+		}
 		var out outcome
 		switch {
 		case plan.Server == nil && plan.Region == "":
@@ -521,6 +532,7 @@
 		x.lastOutcome = &out
 		x.arrived = x.arrived || out.mayHaveArrived
 		x.recordSend(plan, &out)
+		x.recordAdmissionOutcome(&plan, &out)
 		if out.delivered {
 			return nil
 		}
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -3,10 +3,12 @@
 import (
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnutspring/chestnutspring/internal/admission"
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
@@ -34,6 +36,43 @@
 	// in flight, and passedOver the connections that weren't used for a request as they had
 	// carried it before.
 	strayResponses, passedOver tally.Counter
+	// admissionTeams are the teams by which decisions on waiting requests are counted.
+	admissionTeams boundedNames
+}
+
+// maxTeamSeries bounds the series of a metric by team. The rest are counted as otherTeams.
+const (
+	maxTeamSeries = 64
+	otherTeams    = "other"
+)
+
+// boundedNames keeps the first maxTeamSeries-1 names. The zero value is ready to use.
+type boundedNames struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+// bound returns the name, or otherTeams if too many others came before.
+func (b *boundedNames) bound(name string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.names[name] {
+		if len(b.names) >= maxTeamSeries-1 {
+			return otherTeams
+		}
+		if b.names == nil {
+			b.names = map[string]bool{}
+		}
+		b.names[name] = true
+	}
+	return name
+}
+
+// countAdmission counts the decision on a request that was held or refused as its service is
+// contended.
+func (m *Metrics) countAdmission(decision admission.Decision, team string) {
+	tags := map[string]string{"decision": decision.String(), "team": m.admissionTeams.bound(team)}
+	m.scope.Tagged(tags).Counter("admission").Inc(1)
 }
 
 // NewMetrics returns the metrics of requests, registered under the scope.
