--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -209,7 +209,7 @@
 	o := occupancy()
 	started := 0
 	for g.queue.Len() > 0 {
-		r := g.queue.Peek(anyTeam).Value.(*Request)
+		r := g.queue.First().Value.(*Request)
 		if !g.hasRoom(&o, r, started, now) {
 			break
 		}
@@ -235,9 +235,6 @@
 	return decided
 }
 
-// anyTeam has all teams served in fair order.
-func anyTeam(string) fairqueue.Eligibility { return fairqueue.AboveShare }
-
 // Cancel removes a waiting request whose caller has left. It reports whether the request still
 // waited.
 func (g *Gate) Cancel(r *Request, now clock.Instant) bool {
@@ -296,15 +293,18 @@
 	g.window.recordServed(g.inFlight+1, now)
 }
 
-// RecordRefusal records that a server refused a request, which had been sent that many times. The
-// first refusal counts only if it shows that the whole service lacks room: a server may refuse
-// requests for a reason of its own, such as its end, while others have room.
-func (g *Gate) RecordRefusal(sends int, o Occupancy, now clock.Instant) {
+// RecordRefusal records that a server refused a request for lack of room, which had been sent that
+// many times, and reports whether it may be sent again. The first refusal counts only if it shows
+// that the whole service lacks room: a server may refuse requests for a reason of its own, such as
+// its end, while others have room. Retries cost a budget that all teams share, so that teams that
+// use more than their shares get none.
+func (g *Gate) RecordRefusal(r *Request, sends int, o Occupancy, now clock.Instant) bool {
 	if !g.Refusing(now) && sends < 2 && o.Servers > 1 && o.Active < contendedShare*float64(o.Slots) {
-		return
+		return true
 	}
 	g.window.share = o.Share * float64(o.Slots)
 	g.window.recordRefusal(g.inFlight, g.meanDuration(), now)
+	return !r.HasTeams || g.withinShare(g.teamOf(r, now), now)
 }
 
 // Refusing reports whether a server has refused a request for lack of room within
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -24,14 +24,14 @@
 	// servers refuse one in seven requests of VMs with five slots each, and one in three of VMs
 	// with less than one.
 	borrowIncrease      = 0.01
-	windowIncrease      = 0.05
+	windowIncrease      = 0.07
 	windowDecrease      = 0.3
 	windowDecreaseShare = 0.1
 	// minShareUsed is the lowest window as a fraction of this VM's share of the slots, and
 	// minWindow the lowest of all, in requests. If the configuration has no teams, nobody gains
 	// from slots that stay free, and the lowest window is the share, and up to fewSlots also
 	// aboveShare requests: VMs with few slots each use them at different times.
-	minShareUsed = 0.75
+	minShareUsed = 0.85
 	minWindow    = 0.2
 	aboveShare   = 0.75
 	fewSlots     = 3
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -204,12 +204,13 @@
 	}
 	if s.busy[server] >= s.slots {
 		s.refusals++
+		mayReturn := true
 		if s.gated {
-			s.gates[q.vm].RecordRefusal(q.sends, s.occupancy(q.vm), s.now)
+			mayReturn = s.gates[q.vm].RecordRefusal(q.request, q.sends, s.occupancy(q.vm), s.now)
 			s.gates[q.vm].End(q.request, false, s.now)
 			s.advance(q.vm)
 		}
-		if q.sends < s.maxSends {
+		if mayReturn && q.sends < s.maxSends {
 			s.arrive(q)
 		}
 		return
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -83,16 +83,15 @@
 // item is removed, until the whole queue is empty. Queue is not safe for
 // concurrent use.
 type Queue struct {
-	// ByStart means that the team with the lowest start tag is served next, instead of the
-	// one with the lowest finish tag. A team of low weight that has used less than its share
-	// then doesn't wait for teams of high weight.
+	// ByStart means that items are served by First instead of Peek. It is set before the
+	// first Push.
 	ByStart bool
 
 	teams map[string]*teamQueue
 	// pushed is the number of items pushed so far.
 	pushed uint64
-	// backlogged lists the teams with queued items.
-	backlogged []*teamQueue
+	// backlogged lists the teams with queued items. If ByStart is set, it is a heap.
+	backlogged teamHeap
 	// virtualTime is the start tag of the item served last.
 	virtualTime float64
 	length      int
@@ -103,6 +102,10 @@
 type teamQueue struct {
 	name   string
 	weight float64
+	// place is the team's place in the heap of backlogged teams, and since the number of the
+	// item by which it got there.
+	place int
+	since uint64
 	// startTag is the virtual start time of the team's next item.
 	startTag float64
 	items    [Priorities]itemHeap
@@ -110,6 +113,38 @@
 	cost     classCosts
 }
 
+// teamHeap is a heap of teams by start tag, and by the time since when they are backlogged.
+type teamHeap []*teamQueue
+
+var _ heap.Interface = (*teamHeap)(nil)
+
+func (h teamHeap) Len() int { return len(h) }
+
+func (h teamHeap) Less(i, j int) bool {
+	return h[i].startTag < h[j].startTag || h[i].startTag == h[j].startTag && h[i].since < h[j].since
+}
+
+func (h teamHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+
+// Push implements heap.Interface.
+func (h *teamHeap) Push(x any) {
+	t := x.(*teamQueue)
+	t.place = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *teamHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return t
+}
+
 // classCosts is the total cost of queued items per priority class.
 type classCosts [Priorities]float64
 
@@ -138,7 +173,12 @@
 	if t.count == 0 {
 		t.weight = effectiveWeight(it.Weight)
 		t.startTag = max(t.startTag, q.virtualTime)
-		q.backlogged = append(q.backlogged, t)
+		t.since = q.pushed
+		if q.ByStart {
+			heap.Push(&q.backlogged, t)
+		} else {
+			q.backlogged = append(q.backlogged, t)
+		}
 		q.weight += t.weight
 	}
 	class := clampPriority(it.Priority)
@@ -172,10 +212,7 @@
 	bestClass, bestTag := 0, 0.0
 	for _, t := range q.backlogged {
 		head := t.head()
-		class, tag := clampPriority(head.Priority), t.startTag
-		if !q.ByStart {
-			tag += head.Cost / t.weight
-		}
+		class, tag := clampPriority(head.Priority), t.startTag+head.Cost/t.weight
 		isFirst := func() bool {
 			return best == nil || class < bestClass || class == bestClass && tag < bestTag
 		}
@@ -196,11 +233,24 @@
 	return best
 }
 
+// First returns the first item of the team with the lowest start tag, or nil if the queue is
+// empty. A team of low weight that has used less than its share doesn't wait for teams of high
+// weight, as it does by finish tag.
+func (q *Queue) First() *Item {
+	if len(q.backlogged) == 0 {
+		return nil
+	}
+	return q.backlogged[0].head()
+}
+
 // Serve removes a queued item and charges its cost to its team.
 func (q *Queue) Serve(it *Item) {
 	t := q.teams[it.Team]
 	q.virtualTime = max(q.virtualTime, t.startTag)
 	t.startTag += it.Cost / t.weight
+	if q.ByStart {
+		heap.Fix(&q.backlogged, t.place)
+	}
 	q.Remove(it)
 }
 
@@ -269,8 +319,12 @@
 // until the whole queue is empty, so that a team can't reset its charges by
 // emptying its own queue.
 func (q *Queue) deactivate(t *teamQueue) {
-	i := slices.Index(q.backlogged, t)
-	q.backlogged = slices.Delete(q.backlogged, i, i+1)
+	if q.ByStart {
+		heap.Remove(&q.backlogged, t.place)
+	} else {
+		i := slices.Index(q.backlogged, t)
+		q.backlogged = slices.Delete(q.backlogged, i, i+1)
+	}
 	q.weight -= t.weight
 	t.items = [Priorities]itemHeap{}
 	t.cost = classCosts{}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -235,20 +235,29 @@
 	}
 }
 
-// recordAdmissionOutcome informs the gate of a send to a server.
+// recordAdmissionOutcome informs the gate of a send to a server. A request that was refused for
+// lack of room may be sent again only if its team uses less than its share.
 func (x *transaction) recordAdmissionOutcome(plan *balance.Plan, out *outcome) {
-	refused := plan.Server != nil && !x.sentToVM && out.notRun && out.mayHaveArrived
-	if refused && (x.table.HasTeams() || x.service.Engine == nil) {
-		v, ok := x.admission.services.Load(x.service.Name)
-		if !ok {
-			v, _ = x.admission.services.LoadOrStore(x.service.Name, x.newAdmissionGate())
-		}
-		g := v.(*admissionGate)
-		g.mu.Lock()
-		g.gate.RecordRefusal(x.sends, x.occupancy()(), x.Now())
-		g.mu.Unlock()
+	defer x.endAdmission(out.delivered)
+	if plan.Server == nil || x.sentToVM || !out.notRun || !out.mayHaveArrived || !x.table.HasTeams() && x.service.Engine != nil {
+		return
+	}
+	v, ok := x.admission.services.Load(x.service.Name)
+	if !ok {
+		v, _ = x.admission.services.LoadOrStore(x.service.Name, x.newAdmissionGate())
+	}
+	r, g, o := x.admissionRequest(), v.(*admissionGate), x.occupancy()()
+	g.mu.Lock()
+	mayReturn := g.gate.RecordRefusal(r, x.sends, o, x.Now())
+	g.mu.Unlock()
+	switch {
+	case x.pass == nil:
+	case !mayReturn:
+		out.final = true
+	case r.HasTeams && x.possibleRuns == 0 && len(x.triedServers) >= o.Servers:
+		// All servers were full when they were tried. The request is held before the next try.
+		x.triedServers = nil
 	}
-	x.endAdmission(out.delivered)
 }
 
 // recordAdmission counts and logs the decision on a request that was held or refused.
