retry: whether most of a window's retries are left

Change: Window.Ample reports whether more retries of the span are left than were used, so that admission can keep the rest for some of the requests.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -68,6 +68,18 @@
 	return w.remaining()
 }
 
+// Ample reports whether at least half of the retries of the span are left.
+func (w *Window) Ample(now clock.Instant) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	used := 0.0
+	for _, n := range w.retries {
+		used += n
+	}
+	return w.remaining() > used
+}
+
 // remaining returns the number of retries left. Callers must hold w.mu.
 func (w *Window) remaining() float64 {
 	remaining := w.slack
