admission: other regions, servers that queue, and load below capacity

And a request that this region had no room for was refused without a look at others.

Change: the wait at the server is left out of the duration; up to two queued requests for each slot are accepted, and a wait of 0.3 of the objective. Teams above their shares get retries while more of the budget is left than was used. A VM that knows the others' requests borrows slots while less than 0.8 are in use; the window grows fast up to two requests. A request that the gate refuses is sent to another region if that has free slots (Balancer.RoomElsewhere).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -42,6 +42,8 @@
 	// this VM's requests there and Active that of all VMs, as far as this VM knows.
 	Slots, Own int
 	Active     float64
+	// Known means that Active includes the requests of the other VMs.
+	Known bool
 	// Servers is the number of the servers.
 	Servers int
 	// Share is the fraction of the slots that this VM may always use.
@@ -296,15 +298,15 @@
 // RecordRefusal records that a server refused a request for lack of room, which had been sent that
 // many times, and reports whether it may be sent again. The first refusal counts only if it shows
 // that the whole service lacks room: a server may refuse requests for a reason of its own, such as
-// its end, while others have room. Retries cost a budget that all teams share, so that teams that
-// use more than their shares get none.
-func (g *Gate) RecordRefusal(r *Request, sends int, o Occupancy, now clock.Instant) bool {
+// its end, while others have room. Retries cost a budget that all teams share: unless it is ample,
+// teams that use more than their shares get none.
+func (g *Gate) RecordRefusal(r *Request, sends int, ample bool, o Occupancy, now clock.Instant) bool {
 	if !g.Refusing(now) && sends < 2 && o.Servers > 1 && o.Active < contendedShare*float64(o.Slots) {
 		return true
 	}
 	g.window.share = o.Share * float64(o.Slots)
 	g.window.recordRefusal(g.inFlight, g.meanDuration(), now)
-	return !r.HasTeams || g.withinShare(g.teamOf(r, now), now)
+	return !r.HasTeams || ample || g.withinShare(g.teamOf(r, now), now)
 }
 
 // Refusing reports whether a server has refused a request for lack of room within
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -14,15 +14,18 @@
 	// contendedShare is the known share of the slots in use from which one refusal shows that
 	// the service lacks room: requests don't spread over the servers evenly.
 	contendedShare = 0.8
+	// knownShare is the share of the slots in use up to which this VM borrows slots of the others
+	// while servers refuse requests, if it knows the others' requests.
+	knownShare = 0.8
 	// initialWindowShare is the window after the first refusal, as a fraction of the requests
 	// in flight.
 	initialWindowShare = 0.9
 	// windowIncrease is added to the window for a request that was served while all of it was in
-	// use, borrowIncrease if it exceeds this VM's share of the slots. windowDecrease and
-	// windowDecreaseShare of the window are subtracted for a refusal. A VM that knows nothing of
-	// the others' requests finds free slots by refusals only: in the overload of load_test.go
-	// servers refuse one in seven requests of VMs with five slots each, and one in three of VMs
-	// with less than one.
+	// use, borrowIncrease if it exceeds this VM's share of the slots and fastSlots. windowDecrease
+	// and windowDecreaseShare of the window are subtracted for a refusal. A VM that knows nothing
+	// of the others' requests finds free slots by refusals only: a slower increase leaves slots
+	// free, a faster one gets requests of teams within their shares refused.
+	fastSlots           = 2
 	borrowIncrease      = 0.01
 	windowIncrease      = 0.07
 	windowDecrease      = 0.3
@@ -40,7 +43,9 @@
 	ditherPeriod = time.Second
 	// serverQueueShare is the wait at the servers that this VM accepts, as a fraction of the
 	// latency objective, while the servers queue requests instead of refusing them.
-	serverQueueShare = 0.25
+	// It is at most maxServerQueue requests for each slot.
+	maxServerQueue   = 2
+	serverQueueShare = 0.3
 )
 
 // window bounds the requests in flight while servers refuse requests.
@@ -78,7 +83,7 @@
 func (w *window) recordServed(inFlight int, now clock.Instant) {
 	switch {
 	case !w.active(now) || float64(inFlight)+1 < w.size:
-	case w.size < w.share:
+	case w.size < max(w.share, fastSlots):
 		w.size += windowIncrease
 	default:
 		w.size += borrowIncrease
@@ -102,16 +107,17 @@
 	if o.Slots == 0 {
 		return true // nothing is known of the servers
 	}
-	own := float64(max(o.Own+started, g.inFlight))
+	own, slots := float64(max(o.Own+started, g.inFlight)), float64(o.Slots)
+	// Requests that began here don't show in the servers' load yet.
+	active := o.Active + own - float64(o.Own)
 	g.window.share = o.Share * float64(o.Slots)
 	if g.window.active(now) {
 		g.limit = max(g.window.size, math.Floor(g.window.share))
-		return own < g.window.limit(now)
+		return own < g.window.limit(now) || o.Known && active < knownShare*slots
 	}
-	// Requests that began here and don't show in the servers' load yet.
-	active := o.Active + own - float64(o.Own)
-	slots := float64(o.Slots)
-	queue := slots * min(1, serverQueueShare*r.Objective.Seconds()/g.meanDuration().Seconds())
+	// The duration of a request includes its wait at the server.
+	work := g.meanDuration().Seconds() * min(1, slots/max(active, 1))
+	queue := slots * min(maxServerQueue, serverQueueShare*r.Objective.Seconds()/work)
 	g.limit = max(o.Share*(slots+queue), own+slots+queue-active)
 	return own < g.limit
 }
--- a/internal/balance/region.go
+++ b/internal/balance/region.go
@@ -278,6 +278,8 @@
 	// this VM's requests there, and Active that of all VMs as far as this VM knows.
 	Slots, Own int
 	Active     float64
+	// Known means that Active includes the requests of the other VMs.
+	Known bool
 	// Servers is the number of these servers.
 	Servers int
 	// Share is this VM's fraction of the slots.
@@ -287,7 +289,8 @@
 // Occupancy returns how far the servers of a service in this region that this VM reaches are
 // in use.
 func (b *Balancer) Occupancy(service *ingress.Service, view *roster.View, now clock.Instant) Occupancy {
-	o := Occupancy{Share: b.Fleet.CapacityShare()}
+	// In a large region, other VMs' requests show in the reports of engines only.
+	o := Occupancy{Share: b.Fleet.CapacityShare(), Known: service.Engine != nil || !b.Fleet.LargeRegion()}
 	for _, server := range view.Usable(service.Name, b.Region) {
 		load := b.Load(server.Key())
 		if load.Link.Lost() || !load.Breaker.Ready(now) || load.noProgressFor(now) > unresponsiveAfter {
@@ -300,3 +303,19 @@
 	}
 	return o
 }
+
+// maxRoomOccupancy is the share of another region's slots in use up to which it has room for
+// requests for which this one has none: what is known of it is up to a second old.
+const maxRoomOccupancy = 0.8
+
+// RoomElsewhere reports whether another region that may serve the request has free slots.
+func (b *Balancer) RoomElsewhere(q *Query) bool {
+	if q.LocalOnly {
+		return false
+	}
+	return slices.ContainsFunc(b.Fleet.Regions(q.Service.Name), func(r RegionSummary) bool {
+		s := &r.Summary
+		return r.Members > 0 && r.Known && !s.Cold && !s.Limited && q.permitsRegion(r.Region) && !slices.Contains(q.TriedRegions, r.Region) &&
+			s.Active+b.recentSends(r.Region, q.Service.Name).count(q.Now)/b.Fleet.CapacityShare() < maxRoomOccupancy*float64(s.Slots)
+	})
+}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -111,12 +111,15 @@
 }
 
 // awaitAdmission lets a caller's request pass that is about to be sent to a server of this region,
-// or holds it while the service is contended. Held means that it was, so that another plan may be
-// better now.
+// or holds it while the service is contended. Held means that another plan may be better now, as
+// the request was held or is to go to another region.
 func (x *transaction) awaitAdmission(ctx context.Context, plan *balance.Plan) (held bool, refusal *verdict.Refusal) {
 	if plan.Server == nil {
 		x.endAdmission(false)
-		return false, nil
+		if plan.Region == "" && x.possibleRuns == 0 {
+			refusal = x.admissionRefusal
+		}
+		return false, refusal
 	}
 	// A request that may have run, or whose caller has a part of the response, isn't held: it
 	// can't be refused as not run.
@@ -145,12 +148,30 @@
 	case admission.Pass:
 		x.pass = &pass{gate: g, request: r}
 	case admission.Refuse, admission.Late:
-		return held, verdict.Busy(verdict.CodeOverloaded, "no backend server can begin in time: waiting requests of this and other teams go first", jitter(r.RetryAfter))
+		x.admissionRefusal = verdict.Busy(verdict.CodeOverloaded, "no backend server can begin in time: waiting requests of this and other teams go first", jitter(r.RetryAfter))
+		if !x.leaveRegion() {
+			return held, x.admissionRefusal
+		}
+		held = true
 	case admission.Wait: // the request has ended
 	}
 	return held, nil
 }
 
+// leaveRegion excludes this region from the next choice if another one has room, and reports
+// whether that is so.
+func (x *transaction) leaveRegion() bool {
+	q := x.query()
+	if !x.Balancer.RoomElsewhere(&q) {
+		return false
+	}
+	for _, s := range x.Roster.View().Usable(x.service.Name, x.Region) {
+		x.triedServers = append(x.triedServers, s.Key())
+	}
+	x.triedRegions = append(x.triedRegions, x.Region)
+	return true
+}
+
 // admissionRequest returns the request as the gate sees it.
 func (x *transaction) admissionRequest() *admission.Request {
 	objective := x.route.LatencyObjective
@@ -248,7 +269,7 @@
 	}
 	r, g, o := x.admissionRequest(), v.(*admissionGate), x.occupancy()()
 	g.mu.Lock()
-	mayReturn := g.gate.RecordRefusal(r, x.sends, o, x.Now())
+	mayReturn := g.gate.RecordRefusal(r, x.sends, x.budget.Ample(x.Now()), o, x.Now())
 	g.mu.Unlock()
 	switch {
 	case x.pass == nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -318,6 +318,9 @@
 	// the request waited for those before it.
 	pass          *pass
 	admissionHeld time.Duration
+	// admissionRefusal is the refusal of a request that waits no longer for servers of this
+	// region, or nil.
+	admissionRefusal *verdict.Refusal
 	// slotWait is the time spent waiting for prefill slots.
 	slotWait time.Duration
 	// prefillTokens is the number of prompt tokens that the last backend server
