--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -108,8 +108,9 @@
 		return true // nothing is known of the servers
 	}
 	own, slots := float64(max(o.Own+started, g.inFlight)), float64(o.Slots)
-	// Requests that began here don't show in the servers' load yet.
-	active := o.Active + own - float64(o.Own)
+	// Others of this VM's requests may be sent through another VM, and show in the reports of
+	// their servers already.
+	active := o.Active + float64(started)
 	g.window.share = o.Share * float64(o.Slots)
 	if g.window.active(now) {
 		g.limit = max(g.window.size, math.Floor(g.window.share))
