--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,13 +58,12 @@
 	// registry truncated its history or was restored, while a registry reader states
 	// that its reads succeed.
 	coveredListDelay = 10 * time.Second
-	// confirmingWatchTimeout and confirmingBatchPause replace the timeout of the operators'
-	// watch and the pause before it if keys that they remove have to be refused in time. A
-	// watch confirms the configuration as of its start, so their sum is the age of that. The
-	// registry readers of a large fleet watch for readerWatchTimeout: the others ask them.
-	confirmingWatchTimeout = 2900 * time.Millisecond
-	readerWatchTimeout     = 900 * time.Millisecond
-	confirmingBatchPause   = 100 * time.Millisecond
+	// If keys that the operators remove have to be refused within a bound, the operators' watch
+	// waits for confirmShare of it, on the registry readers of a large fleet for
+	// readerConfirmShare: the others ask them. A watch confirms the configuration as of its
+	// start, so that this is its age. confirmingBatchPause replaces the pause before it.
+	confirmShare, readerConfirmShare = 0.58, 0.18
+	confirmingBatchPause             = 100 * time.Millisecond
 	// recoveryPeriod is the time after a registry outage during which every VM of a
 	// large fleet uses largeBatchPause: entries that expired meanwhile are added
 	// again one by one.
@@ -358,10 +357,11 @@
 func (f *Follower) intervals(topic Topic) (wait, pause time.Duration) {
 	switch {
 	case topic == Operators && f.confirms():
+		share := confirmShare
 		if f.LargeFleet() && f.RegistryReader() {
-			return readerWatchTimeout, confirmingBatchPause
+			share = readerConfirmShare
 		}
-		return confirmingWatchTimeout, confirmingBatchPause
+		return time.Duration(share * float64(f.Knowledge.Bound)), confirmingBatchPause
 	case !f.LargeFleet():
 		return watchTimeout, batchPause
 	case f.RegistryReader(), f.recentlyRecovered():
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -263,9 +263,9 @@
 	})
 }
 
-// askConfirmationAge is the age of the knowledge of the configuration from which this VM asks
-// others for theirs: a little before a VM that reads the registry seldom reads it again.
-const askConfirmationAge = 2 * time.Second
+// askConfirmationShare is the age of the knowledge of the configuration from which this VM asks
+// others for theirs, as a fraction of the bound: before it reads the registry again itself.
+const askConfirmationShare = 0.4
 
 // needsConfirmation reports whether this VM should ask the other VMs how recent their
 // configuration is.
@@ -275,7 +275,7 @@
 		return false
 	}
 	age, known := e.knowledge.Age(e.now())
-	return !known || age > askConfirmationAge
+	return !known || age > time.Duration(askConfirmationShare*float64(e.knowledge.Bound))
 }
 
 // observeKnowledge updates the gauge of the age of the configuration, and logs when requests
