Revocation: the age of a confirmation is up to twice the wait of its watch

Cause: a watch confirms the configuration as of its start.

Change: watches wait for 0.32 of the bound; VMs of a large fleet that aren't registry readers read without waiting, each 0.6 of it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,12 +58,13 @@
 	// registry truncated its history or was restored, while a registry reader states
 	// that its reads succeed.
 	coveredListDelay = 10 * time.Second
-	// If keys that the operators remove have to be refused within a bound, the operators' watch
-	// waits for confirmShare of it, on the registry readers of a large fleet for
-	// readerConfirmShare: the others ask them. A watch confirms the configuration as of its
-	// start, so that this is its age. confirmingBatchPause replaces the pause before it.
-	confirmShare, readerConfirmShare = 0.58, 0.18
-	confirmingBatchPause             = 100 * time.Millisecond
+	// If keys that the operators remove have to be refused within a bound, the configuration
+	// is confirmed more often. A watch confirms it as of its start, so that one of
+	// confirmingWatchShare of the bound leaves it up to twice as old; those of the registry
+	// readers of a large fleet, which the others ask, wait for readerWatchShare. The others
+	// learn of changes from the readers, and read without waiting each confirmingReadShare.
+	confirmingWatchShare, readerWatchShare, confirmingReadShare = 0.32, 0.18, 0.6
+	confirmingBatchPause                                        = 100 * time.Millisecond
 	// recoveryPeriod is the time after a registry outage during which every VM of a
 	// large fleet uses largeBatchPause: entries that expired meanwhile are added
 	// again one by one.
@@ -357,11 +358,15 @@
 func (f *Follower) intervals(topic Topic) (wait, pause time.Duration) {
 	switch {
 	case topic == Operators && f.confirms():
-		share := confirmShare
-		if f.LargeFleet() && f.RegistryReader() {
-			share = readerConfirmShare
+		bound := float64(f.Knowledge.Bound)
+		switch {
+		case !f.LargeFleet():
+			return time.Duration(confirmingWatchShare * bound), confirmingBatchPause
+		case f.RegistryReader():
+			return time.Duration(readerWatchShare * bound), confirmingBatchPause
+		default:
+			return time.Millisecond, time.Duration(confirmingReadShare * bound)
 		}
-		return time.Duration(share * float64(f.Knowledge.Bound)), confirmingBatchPause
 	case !f.LargeFleet():
 		return watchTimeout, batchPause
 	case f.RegistryReader(), f.recentlyRecovered():
