Tests of untrusted clients against the real processes, before the change

Crowds of clients hold headers, bodies, responses and connections at one chestnut-edge (72 MB, 600 descriptors) and one chestnut-gateway. The checks are that the process lives, that its peak resident memory is at most 60 MB and its open descriptors at most 525, and that one ordinary request is answered afterwards.

--- /dev/null
+++ b/test/clients/process_test.go
@@ -0,0 +1,209 @@
+package clients
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/testbed"
+	"github.com/chestnutspring/chestnutspring/internal/wire"
+	"github.com/chestnutspring/chestnutspring/platform/platformtest"
+)
+
+// waitTimeout bounds the wait for a condition; only a process that hangs reaches it.
+const waitTimeout = time.Minute
+
+func waitUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", waitTimeout, what)
+		}
+	}
+}
+
+// openDescriptors returns the number of open descriptors of a process.
+func openDescriptors(pid int) int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// peakRSSMb returns the peak of a process's resident memory in MiB.
+func peakRSSMb(t *testing.T, pid int) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kb >> 10
+		}
+	}
+	t.Fatal("the process has no resident memory")
+	return 0
+}
+
+// limited returns the path of a script that runs a program with few descriptors.
+func limited(t *testing.T, binary string) string {
+	t.Helper()
+	script := filepath.Join(t.TempDir(), "limited")
+	if err := os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", descriptors, binary), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return script
+}
+
+const (
+	// largeService is a service whose responses have largeBytes.
+	largeService = "large"
+	largeBytes   = 4 << 20
+)
+
+// respondLarge writes a large response to a request.
+func respondLarge(conn net.Conn, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: x\r\nContent-Length: %d\r\n\r\n", request.Header.Get("Request-Id"), largeBytes)
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	_, _ = conn.Write(bytes.Repeat([]byte("x"), largeBytes))
+}
+
+// startEdge starts a deployment with one chestnut-edge, whose binary was built before.
+func startEdge(t *testing.T, binary string) target {
+	t.Helper()
+	d, err := platformtest.NewDeployment()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	services := platformtest.WithServices(platformtest.DefaultTimeout, largeService)
+	d.Configure(func(config map[string]any) {
+		services(config)
+		config["limits"].(map[string]any)["maxBodyBytes"] = 4 << 20
+	})
+	if _, err := d.Start("i-1", platformtest.PlainService, "north-a", ""); err != nil {
+		t.Fatal(err)
+	}
+	stop, err := d.StartRaw("i-2", largeService, "north-a", respondLarge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	vm := platformtest.NewVM("north-a-1", "north-a")
+	settings := strings.Replace(d.Settings(vm, d.StoreAddress, []string{vm.ControlAddress}, time.Second),
+		"memoryMb = 200", fmt.Sprintf("memoryMb = %d\nmaxFds = %d", memoryMb, descriptors), 1)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(limited(t, binary))
+	cmd.Env = append(os.Environ(), "CHESTNUTSPRING_BOOT="+path)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-exited
+	})
+	client, requests := platformtest.NewClient(), 0
+	return target{
+		pid: cmd.Process.Pid,
+		address: func(port string) string {
+			return map[string]string{
+				"callers": vm.CallerAddress, "ready": vm.ReadyAddress, "directory": vm.DirectoryAddress,
+				"operators": vm.OperatorAddress, "hops": vm.HopAddress, "control": vm.ControlAddress,
+			}[port]
+		},
+		alive: func() bool {
+			select {
+			case <-exited:
+				return false
+			default:
+				return true
+			}
+		},
+		answered: func() bool {
+			requests++
+			a := client.Do(t.Context(), vm.CallerAddress, platformtest.PathUnsafe, fmt.Sprintf("q-%d", requests), platformtest.DefaultTimeout, nil)
+			return vm.IsReady() && a.Status == http.StatusOK && a.Complete
+		},
+	}
+}
+
+// startGateway starts a deployment with a chestnut-gateway in each region and returns one.
+func startGateway(t *testing.T, binary string) target {
+	t.Helper()
+	root, err := testbed.ModuleRoot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bed, err := testbed.Start(t.Context(), testbed.Config{
+		Deployment: filepath.Join(root, "examples", "kite-consortium"), GatewayBinary: limited(t, binary), GatewaysPerRegion: 1, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(bed.Close)
+	g := bed.GatewaysOf(bed.Regions()[0])[0]
+	return target{
+		pid: g.PID(),
+		address: func(port string) string {
+			if port == "operators" {
+				return strings.TrimPrefix(g.OperatorURL(), "http://")
+			}
+			return g.CallerAddress()
+		},
+		alive: g.Alive,
+		answered: func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+			defer cancel()
+			for _, url := range []string{"http://" + g.CallerAddress() + wire.PathEntries, g.OperatorURL() + "/readyz"} {
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+				if err != nil {
+					return false
+				}
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					return false
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		},
+	}
+}
