One definition of a valid response in upstream

Cause: responses were checked by net/http only, which accepts status 600 and 999, two spaces before the status, versions 2.0 and 1.2, folded lines, a space before a colon and a length beside chunks; it ignores chunks in version 1.0, so that they became the body. A body followed by more bytes than its length counted as whole, as did a response without length to an upload of which the server had read a part.

Change: the bytes of a status line and header are checked as they are read (valid.go), before net/http parses them. Bytes after a whole response fail it unless they start another response, which servers here send as copies. A response without length or chunks fails if the server's side has not acknowledged the request. A connection that carried a body above 64 KB is not reused, as its rest may be unread in the buffers of both sides; that to another VM is, as VMs say when they close with the body unread. relay, hops, polls and chestnut-gateway's dispatch use it, as all of them use the pool. The cases are seeds of the fuzzer of upstream.

TestBytesWithoutEndAreBounded held that a body longer than its size is complete.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -235,6 +235,7 @@
 		e.gatewayPool.Dialer = settings.PeerDialer
 	}
 	e.gatewayPool.Dialer = settings.Meter.Dialer(e.gatewayPool.Dialer, linkuse.Hops)
+	e.gatewayPool.ServersStateUnread = true
 	// The response to a hop holds that of a backend server.
 	e.gatewayPool.MaxHeadBytes = 2 * upstream.DefaultMaxHeadBytes
 	dials := e.metrics.Scope.Counter("dials")
--- a/internal/sockets/peek.go
+++ b/internal/sockets/peek.go
@@ -52,3 +52,19 @@
 	}
 	return pending
 }
+
+// Unsent returns the number of written bytes that the other side has not acknowledged, and
+// whether that is known.
+func Unsent(c net.Conn) (bytes int, known bool) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { bytes, failed = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return bytes, err == nil && failed == nil
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 const (
@@ -20,6 +22,10 @@
 	// response is read. It fits the socket buffers, so that a server that responds
 	// early can't block both sides.
 	inlineBodyBytes = 16 << 10
+	// maxReusedBodyBytes is the largest body after which a connection is reused: what a
+	// receive buffer holds at first. The rest of a larger one may be unread, in the buffers of
+	// both sides, when an early response comes.
+	maxReusedBodyBytes = 64 << 10
 	// extraStrayResponses is the number of responses to other requests that are skipped beyond
 	// one for each request that the connection has carried.
 	extraStrayResponses = 2
@@ -59,8 +65,9 @@
 	*http.Response
 	conn       *conn
 	stopCancel func() bool
-	// sent is true once the whole request has been written.
-	sent *atomic.Bool
+	sent       *sending
+	// uploaded means that the request's body has more than maxReusedBodyBytes.
+	uploaded bool
 	// complete is true once the body has been read to its end, and failed once a
 	// read failed.
 	complete, failed bool
@@ -70,6 +77,14 @@
 	PassedOver int
 }
 
+// sending is the state of the writing of a request.
+type sending struct {
+	// whole is true once the whole request has been written.
+	whole atomic.Bool
+	// ended is closed when nothing more is written.
+	ended chan struct{}
+}
+
 // Do sends the request once and reads the header of its response. The connection
 // is closed when ctx ends; that of a HEAD request serves no other one. The error is
 // ErrUnsent if certainly no byte was sent, or else ErrBroken.
@@ -96,7 +111,7 @@
 		c.reset()
 		return nil, ErrBroken.New("write: %v", err)
 	}
-	x := &Exchange{conn: c, stopCancel: stop, sent: sent, PassedOver: passedOver}
+	x := &Exchange{conn: c, stopCancel: stop, sent: sent, uploaded: len(call.Body) > maxReusedBodyBytes, PassedOver: passedOver}
 	if err := x.readHead(call); err != nil {
 		stop()
 		c.reset()
@@ -119,13 +134,12 @@
 var errStray = errors.New("answers of other requests")
 
 // errNoResponse means that a server sent a status that neither is a response's nor
-// precedes one.
+// precedes one: it switched protocols.
 var errNoResponse = errors.New("status of no response")
 
-// write sends the request. A large body is written in the background; sent becomes
-// true when it has been written completely.
-func (c *conn) write(call *Call) (sent *atomic.Bool, err error) {
-	sent = &atomic.Bool{}
+// write sends the request. A large body is written in the background.
+func (c *conn) write(call *Call) (sent *sending, err error) {
+	sent = &sending{ended: make(chan struct{})}
 	var head bytes.Buffer
 	head.Grow(512 + min(len(call.Body), inlineBodyBytes))
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
@@ -137,7 +151,8 @@
 	if len(call.Body) <= inlineBodyBytes {
 		head.Write(call.Body)
 		_, err = c.Write(head.Bytes())
-		sent.Store(true)
+		sent.whole.Store(true)
+		close(sent.ended)
 		return sent, err
 	}
 	if _, err := c.Write(head.Bytes()); err != nil {
@@ -146,8 +161,9 @@
 	go func() {
 		// A write error shows when the response is read.
 		if _, err := c.Write(call.Body); err == nil {
-			sent.Store(true)
+			sent.whole.Store(true)
 		}
+		close(sent.ended)
 	}()
 	return sent, nil
 }
@@ -178,12 +194,19 @@
 	x.conn.head.begin(x.conn.pool.MaxHeadBytes)
 	maxStray, strayBytes := x.conn.carried.number()+extraStrayResponses, int64(maxStrayBytes)
 	for {
+		// The bytes after an informational response are in the buffer already.
+		buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
+		if err := x.conn.head.beginCheck(buffered); err != nil {
+			return err
+		}
 		resp, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return err
 		}
 		switch {
-		case resp.StatusCode < http.StatusContinue, resp.StatusCode == http.StatusSwitchingProtocols:
+		case !resp.ProtoAtLeast(1, 1) && x.conn.head.check.hasCoding:
+			return errInvalidHead // net/http would read the chunks as the body
+		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return errNoResponse
 		case resp.StatusCode < http.StatusOK:
 			continue
@@ -210,6 +233,10 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF) && !x.failed:
+		if err := x.checkEnd(); err != nil {
+			x.failed = true
+			return n, err
+		}
 		x.complete = true
 	default:
 		x.failed = true
@@ -217,6 +244,41 @@
 	return n, err
 }
 
+// wasSent reports, at the end of the connection, whether the server has the whole request. A
+// request of which nothing is unsent has just been written, or its writing has failed.
+func (x *Exchange) wasSent() bool {
+	if unsent, known := sockets.Unsent(x.conn.Conn); known && unsent > 0 {
+		return false
+	}
+	select {
+	case <-x.sent.ended:
+	case <-time.After(maxDrainTime):
+	}
+	return x.sent.whole.Load()
+}
+
+// checkEnd returns why a body that was read to its end is not valid, or nil. Bytes that
+// follow it are seen if they have arrived. Those after the response to a HEAD request, which
+// may be its body, are not looked at: its connection serves no other request.
+func (x *Exchange) checkEnd() error {
+	if FramingOf(x.Response) == FramedByClose {
+		if !x.wasSent() {
+			return errEndedEarly
+		}
+		return nil
+	}
+	if x.Request.Method == http.MethodHead {
+		return nil
+	}
+	if x.conn.reader.Buffered() == 0 && sockets.Peek(x.conn.Conn) == sockets.Bytes {
+		_, _ = x.conn.reader.Peek(1) // bytes have arrived, so that it doesn't wait
+	}
+	if after, _ := x.conn.reader.Peek(x.conn.reader.Buffered()); !isResponseStart(after) {
+		return errBytesAfter
+	}
+	return nil
+}
+
 // Complete reports whether the response has been read to its end.
 func (x *Exchange) Complete() bool { return x.complete }
 
@@ -232,14 +294,14 @@
 // request; otherwise it is closed.
 func (x *Exchange) Release() {
 	x.drain()
-	if !x.stopCancel() || !x.complete || !x.sent.Load() {
+	if !x.stopCancel() || !x.complete || !x.sent.whole.Load() {
 		x.conn.reset()
 		return
 	}
 	// A copy of the response to a HEAD request has a length but no body, which only its
 	// request tells.
 	isHead := x.Request.Method == http.MethodHead
-	if x.Close || isHead || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
+	if x.Close || isHead || x.uploaded && !x.conn.pool.ServersStateUnread || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -19,6 +19,9 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 x\r\nKeep-Alive: timeout=-1\r\nContent-Length: 99999999999999999999\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nok"))
 	f.Add([]byte("\x00\xff\r\n\r\n"))
+	for _, c := range append(responseCases, earlyCases...) {
+		f.Add([]byte(c.text))
+	}
 	f.Fuzz(func(t *testing.T, response []byte) {
 		p := NewPool(clock.Boot, time.Second)
 		near, far := net.Pipe()
@@ -37,6 +40,9 @@
 		defer cancel()
 		e, err := p.Do(ctx, &Call{Address: "server", Method: http.MethodGet, Target: "/", Host: "server", MaxIdle: time.Minute})
 		if err == nil {
+			if e.StatusCode < http.StatusOK || e.StatusCode > maxStatus {
+				t.Errorf("status %d", e.StatusCode)
+			}
 			_, _ = io.Copy(io.Discard, io.LimitReader(e, 1<<20))
 			e.Release()
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,6 +85,9 @@
 	MaxHeadBytes int
 	// IdleTimeout is the idle timeout of a connection whose server does not announce one.
 	IdleTimeout time.Duration
+	// ServersStateUnread means that the servers close a connection, and say so in the header
+	// of the response, on which they have not read the whole body of a request.
+	ServersStateUnread bool
 	// MaxIdlePerAddress bounds the idle connections to an address; zero means no bound.
 	MaxIdlePerAddress int
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,6 +27,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	serveOn(t, l, script)
+	return l.Addr().String()
+}
+
+// serveOn runs script for each connection that the listener accepts.
+func serveOn(t *testing.T, l net.Listener, script func(n int, c net.Conn, r *bufio.Reader)) {
+	t.Helper()
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for n := 0; ; n++ {
@@ -40,7 +47,6 @@
 			}()
 		}
 	}()
-	return l.Addr().String()
 }
 
 func readRequest(r *bufio.Reader) (*http.Request, []byte) {
@@ -315,7 +321,7 @@
 		"a body without length":       {ok + "\r\n", line, 0, true},
 		"chunks":                      {ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + line + "\r\n", 0, true},
 		"a slow body":                 {ok + "\r\n", "x", 20 * time.Millisecond, true},
-		"a body longer than its size": {ok + "Content-Length: 4096\r\n\r\n", line, 0, false},
+		"a body longer than its size": {ok + "Content-Length: 4096\r\n\r\n" + line + line, line, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := serve(t, func(_ int, conn net.Conn, r *bufio.Reader) {
@@ -338,11 +344,7 @@
 						_, err = io.Copy(io.Discard, e)
 						e.Release()
 					}
-					if name == "a body longer than its size" {
-						if err != nil {
-							t.Errorf("a complete body: %v", err)
-						}
-					} else if err == nil {
+					if err == nil {
 						t.Error("the bytes were accepted as an answer")
 					}
 					if took := time.Since(started); took > 2*time.Second || !c.untilDeadline && ctx.Err() != nil {
