Bounds of what clients may hold, in one place: internal/listenlimit

Cause: each listener had bounds of its own or none. The callers' port took headers of 64 KB without a bound of all together, the ports for readiness, the directory and operators of 1 MB (the library's default), the port for hops of 144 KB; connections were bounded on the control port only.

Change: every listener of chestnut-edge and chestnut-gateway gets its bounds from a listenlimit.Port: bytes and time of a header, time of a body and of an idle connection, connections by port and address, and the memory of headers, which comes from the budget that bodies had (chestnut-gateway's bodies are counted now too). At a bound the oldest connection that has sent no whole request is closed first, then one that was idle beyond its announced time; one with a request is kept. The default number of connections follows from the memory and the descriptors ([limits] maxFds is read now), a quarter of which stays for servers, VMs and the registry. Idle connections of callers stay open for 20 s instead of 2.5 s, as the operators let clients be idle for 15 s; the announced time stays 2 s.

--- a/cmd/chestnut-edge/main.go
+++ b/cmd/chestnut-edge/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/command"
 	"github.com/chestnutspring/chestnutspring/internal/edge"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 	"github.com/chestnutspring/chestnutspring/platform"
@@ -32,11 +33,12 @@
 )
 
 type flags struct {
-	Settings     string           `help:"Path of the settings file." env:"CHESTNUTSPRING_BOOT" default:"${settings}"`
-	OperatorPort int              `help:"Port for metrics and the state dump." env:"CHESTNUT_OPERATOR_PORT" default:"9464"`
-	LogLevel     slog.Level       `help:"Minimum log level: debug, info, warn or error." env:"CHESTNUT_LOG_LEVEL" default:"info"`
-	Check        bool             `help:"Check the settings file and exit." env:"-"`
-	Version      kong.VersionFlag `help:"Print the version and exit." env:"-"`
+	SettingsPath string     `name:"settings" help:"Path of the settings file." env:"CHESTNUTSPRING_BOOT" default:"${settings}"`
+	OperatorPort int        `help:"Port for metrics and the state dump." env:"CHESTNUT_OPERATOR_PORT" default:"9464"`
+	LogLevel     slog.Level `help:"Minimum log level: debug, info, warn or error." env:"CHESTNUT_LOG_LEVEL" default:"info"`
+	listenlimit.Settings
+	Check   bool             `help:"Check the settings file and exit." env:"-"`
+	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
 }
 
 func main() {
@@ -54,11 +56,16 @@
 }
 
 func run(f *flags, hangup <-chan os.Signal) int {
-	settings, err := platform.LoadSettings(f.Settings, f.OperatorPort)
+	settings, err := platform.LoadSettings(f.SettingsPath, f.OperatorPort)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chestnut-edge:", err)
 		return command.ExitSettings
 	}
+	settings.Clients = f.Settings
+	if err := settings.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, "chestnut-edge:", err)
+		return command.ExitSettings
+	}
 	if f.Check {
 		fmt.Println("the settings are correct")
 		return 0
@@ -83,7 +90,7 @@
 	go func() {
 		ticker := time.NewTicker(settingsPollInterval)
 		defer ticker.Stop()
-		lastModified := modTime(f.Settings)
+		lastModified := modTime(f.SettingsPath)
 		for {
 			select {
 			case <-ctx.Done():
@@ -91,14 +98,14 @@
 			case <-hangup:
 				log.Info("SIGHUP received")
 			case <-ticker.C:
-				if modTime(f.Settings) == lastModified {
+				if modTime(f.SettingsPath) == lastModified {
 					continue
 				}
 			}
-			lastModified = modTime(f.Settings)
-			settings, err := platform.LoadSettings(f.Settings, f.OperatorPort)
+			lastModified = modTime(f.SettingsPath)
+			settings, err := platform.LoadSettings(f.SettingsPath, f.OperatorPort)
 			if err != nil {
-				log.Error("settings not reloaded", "path", f.Settings, "error", err)
+				log.Error("settings not reloaded", "path", f.SettingsPath, "error", err)
 				continue
 			}
 			select {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -44,19 +44,25 @@
 // isIdle reports whether no request is in flight on the connection.
 func (c connState) isIdle() bool { return c.state == http.StateIdle || c.state == http.StateNew }
 
-// New returns a Server that wraps the given one. It sets the ConnState and
-// ConnContext hooks and the idle timeout of the given server and wraps its handler.
+// New returns a Server that wraps the given one. It adds a ConnState hook, sets the
+// ConnContext hook, raises the idle timeout to the announced time and wraps its handler.
 func New(server *http.Server) *Server { return NewWith(server, KeepAlive, keepAliveMargin) }
 
 // NewWith is like New, but callers may reuse an idle connection for keepAlive,
 // and the server closes it margin later.
 func NewWith(server *http.Server, keepAlive, margin time.Duration) *Server {
 	s := &Server{http: server, idleTimeout: keepAlive + margin, conns: map[net.Conn]connState{}}
-	server.ConnState = s.trackConn
+	next := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		s.trackConn(c, state)
+		if next != nil {
+			next(c, state)
+		}
+	}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
-	server.IdleTimeout = s.idleTimeout
+	server.IdleTimeout = max(server.IdleTimeout, s.idleTimeout)
 	server.Handler = WithKeepAliveHeader(server.Handler, keepAlive)
 	return s
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/freshness"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/linkuse"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
@@ -42,12 +43,6 @@
 	// hopDialTimeout bounds connection setup to a VM of another region. It
 	// allows for a few round trips.
 	hopDialTimeout = 600 * time.Millisecond
-	// headerTimeout bounds the time in which a caller must send the request
-	// header. It is above the limit that operators configure for callers.
-	headerTimeout = 6 * time.Second
-	// maxHeaderBytes bounds a request header before the configured limit is
-	// checked.
-	maxHeaderBytes = 64 << 10
 	// keepAlive is the announced time for which callers may reuse an idle
 	// connection. The server keeps it open keepAliveMargin longer.
 	keepAlive       = 2 * time.Second
@@ -79,9 +74,6 @@
 	// memory limit of the Go runtime; above it the garbage collector runs more
 	// often.
 	memoryLimitShare = 0.7
-	// bodyMemoryShare is the share of the VM's memory for the bodies of requests and the
-	// buffered parts of responses. Each connection takes more besides.
-	bodyMemoryShare = 0.15
 	// largeRegionIntervals is the number of exchange intervals between two load
 	// exchanges in a large region.
 	largeRegionIntervals = 3
@@ -131,6 +123,7 @@
 	brittle     *serverlimit.Tracker
 	knowledge   *freshness.Tracker
 	memory      *membudget.Budget
+	limiter     *listenlimit.Limiter
 	serverPool  *upstream.Pool
 	gatewayPool *upstream.Pool
 
@@ -245,10 +238,12 @@
 		fetcher: e.adapter, now: e.now, log: e.log, inFlight: map[roster.ServerKey]bool{}, probe: e.serverPool.Probe, urgent: make(chan *roster.Server, urgentQueueLength), onFailure: e.queueSuspect, onRefused: e.queueRefused,
 		serverRank: e.mesh.ServerRank, onReport: e.queueReport, onLeaving: e.follower.MarkLeaving, requestLimits: e.limits, brittle: e.brittle,
 	}
-	e.memory = membudget.New(int64(bodyMemoryShare * float64(settings.MemoryBytes)))
+	bounds := settings.Clients.Resolve(settings.MemoryBytes, listenlimit.Descriptors(settings.Descriptors))
+	e.memory = membudget.New(bounds.PendingBytes)
+	e.limiter = listenlimit.New(bounds, e.memory, e.log, e.metrics.Scope)
 	e.relay = relay.New(relay.Config{
-		Memory: e.memory,
-		VM:     e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
+		Memory: e.memory, BodyTimeout: bounds.BodyTimeout,
+		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
 		Peers: e.mesh, Protocol: e.adapter.Protocol(), Quarantine: e.quarantine, RequestLimits: e.limits, Brittle: e.brittle, Streams: e.streams, Knowledge: e.knowledge, ServerPool: e.serverPool, GatewayPool: e.gatewayPool,
 		Now: e.now, Log: e.log, Metrics: relay.NewMetrics(e.metrics.Scope), RetrySlack: settings.RetrySlack, RetryWindow: settings.RetryWindow,
 		ServerLeaves: e.follower.MarkLeaving, ServerLost: e.poller.serverLost, LinkFailed: e.poller.queueCheck, IsRunning: e.isRunning,
@@ -458,17 +453,18 @@
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, groupCtx := errgroup.WithContext(runCtx)
-	callers := drain.NewWith(e.callerServer(), keepAlive, keepAliveMargin)
-	hops := drain.NewWith(&http.Server{
-		Handler: e.hopRouter(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHopHeaderBytes, ErrorLog: e.httpLog(),
-	}, hopKeepAlive, keepAliveMargin)
+	callerPort, hopPort, controlPort := e.limiter.Port(callerKind), e.limiter.Port(hopKind(e.limiter.HeaderBytes)), e.limiter.Port(controlKind)
+	callers := drain.NewWith(callerPort.Apply(&http.Server{Handler: e.relay.CallerHandler(), ErrorLog: e.httpLog()}), keepAlive, keepAliveMargin)
+	hops := drain.NewWith(hopPort.Apply(&http.Server{Handler: e.hopRouter(), ErrorLog: e.httpLog()}), hopKeepAlive, keepAliveMargin)
 	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, hops) })
-	group.Go(func() error { return callers.Serve(ports.callers) })
-	group.Go(func() error { return hops.Serve(ports.hops) })
+	group.Go(func() error { return callers.Serve(callerPort.Listener(ports.callers)) })
+	group.Go(func() error { return hops.Serve(hopPort.Listener(ports.hops)) })
 	for _, s := range e.serveAuxiliary(group, ports) {
 		group.Go(func() error { return background.CloseWhenDone(groupCtx, s) })
 	}
-	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.mesh.Serve(groupCtx, ports.control)) })
+	group.Go(func() error {
+		return background.IgnoreErrorAfterDone(groupCtx, e.mesh.Serve(groupCtx, controlPort.Listener(ports.control)))
+	})
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.mesh.Run(groupCtx)) })
 	for _, topic := range []discovery.Topic{discovery.Operators, discovery.Servers} {
 		group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, e.follower.Run(groupCtx, topic)) })
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/quarantine"
@@ -22,9 +23,21 @@
 	"github.com/chestnutspring/chestnutspring/internal/roster"
 )
 
-// maxHopHeaderBytes bounds the header of a request from another VM, which
-// contains the caller's header in base64.
-const maxHopHeaderBytes = 2*maxHeaderBytes + 16<<10
+// The ports and their shares of the connections. The callers' and the hops' are the largest,
+// as a hop may follow from each request of a caller.
+var (
+	callerKind    = listenlimit.Kind{Name: "callers", Share: 0.42, KeepAlive: keepAlive + keepAliveMargin}
+	controlKind   = listenlimit.Kind{Name: "control", Share: 0.08, Messages: true}
+	readyKind     = listenlimit.Kind{Name: "ready", Share: 0.02}
+	directoryKind = listenlimit.Kind{Name: "directory", Share: 0.06}
+	operatorKind  = listenlimit.Kind{Name: "operators", Share: 0.02}
+)
+
+// hopKind returns the kind of the port for requests of other VMs, whose header contains that
+// of the caller in base64.
+func hopKind(headerBytes int) listenlimit.Kind {
+	return listenlimit.Kind{Name: "hops", Share: 0.4, HeaderBytes: 2*headerBytes + 16<<10, KeepAlive: hopKeepAlive + keepAliveMargin}
+}
 
 // auxiliaryTimeout bounds the transfer of a request and of its response on the ports for
 // readiness, the directory and operators.
@@ -32,13 +45,6 @@
 
 type record = gossip.Record
 
-func (e *Edge) callerServer() *http.Server {
-	return &http.Server{
-		Handler: e.relay.CallerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.httpLog(),
-	}
-}
-
 func (e *Edge) hopRouter() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.PathHop, e.relay.HopHandler())
@@ -54,21 +60,22 @@
 	var servers []*http.Server
 	for _, s := range []struct {
 		listener net.Listener
+		kind     listenlimit.Kind
 		handler  http.Handler
 	}{
-		{p.ready, e.adapter.ReadyHandler(e.ready.Load)},
-		{p.directory, e.adapter.DirectoryHandler(e.entries, min(entryTTL, e.maxDirectoryTTL()))},
-		{p.operators, operators},
+		{p.ready, readyKind, e.adapter.ReadyHandler(e.ready.Load)},
+		{p.directory, directoryKind, e.adapter.DirectoryHandler(e.entries, min(entryTTL, e.maxDirectoryTTL()))},
+		{p.operators, operatorKind, operators},
 	} {
 		if s.listener == nil {
 			continue
 		}
-		server := &http.Server{
-			Handler: closeAfterBody(s.handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: auxiliaryTimeout,
-			WriteTimeout: auxiliaryTimeout, IdleTimeout: time.Minute, ErrorLog: e.httpLog(),
-		}
+		port := e.limiter.Port(s.kind)
+		server := port.Apply(&http.Server{
+			Handler: closeAfterBody(s.handler), ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, ErrorLog: e.httpLog(),
+		})
 		servers = append(servers, server)
-		group.Go(func() error { return background.IgnoreClosed(server.Serve(s.listener)) })
+		group.Go(func() error { return background.IgnoreClosed(server.Serve(port.Listener(s.listener))) })
 	}
 	return servers
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/linkuse"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -70,6 +71,11 @@
 	LimitOverage, LimitSlack float64
 	// MemoryBytes is the memory that the process may use; zero means unknown.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the process may have open; zero means that
+	// its own limit applies.
+	Descriptors int
+	// Clients are the bounds of what clients may hold.
+	Clients listenlimit.Settings
 	// Cores is the VM's share of a processor core and LinkMbps the rate of its
 	// network link in Mbit/s; zero means unknown.
 	Cores, LinkMbps float64
@@ -160,9 +166,10 @@
 		addFault("the retry window %v is below %v", s.RetryWindow, minRetryWindow)
 	}
 	if s.Cold.ColdOverage < 0 || s.Cold.ColdSlack < 0 || s.RetrySlack < 0 || s.RegistryCallsPerSecond < 0 || s.MaxDirectoryTTL < 0 || s.Cores < 0 || s.LinkMbps < 0 ||
-		s.RevocationBound < 0 || s.LimitWindow < 0 || s.LimitOverage < 0 || s.LimitSlack < 0 {
+		s.RevocationBound < 0 || s.LimitWindow < 0 || s.LimitOverage < 0 || s.LimitSlack < 0 || s.Descriptors < 0 {
 		addFault("a numeric setting is below 0")
 	}
+	faults = append(faults, s.Clients.Check()...)
 	if len(faults) > 0 {
 		return ErrSettings.New("%s", strings.Join(faults, "; "))
 	}
--- a/internal/filter/body/body.go
+++ b/internal/filter/body/body.go
@@ -9,9 +9,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
@@ -20,12 +22,15 @@
 // bytesPerToken is the assumed size of a token in the content of messages.
 const bytesPerToken = 4
 
-// New returns the filter. It runs after the filters that only need the headers,
+// New returns the filter. The budget holds the bodies for as long as their requests last; nil
+// means that there is no bound. It runs after the filters that only need the headers,
 // so that they can refuse a request before its body is read.
-func New() pipeline.Filter {
+func New(budget *membudget.Budget) pipeline.Filter {
 	return func(next pipeline.Handler) pipeline.Handler {
 		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
-			if refusal := readBody(req); refusal != nil {
+			memory := budget.Account()
+			defer memory.Close()
+			if refusal := readBody(req, memory); refusal != nil {
 				return refusal
 			}
 			if req.Service == nil {
@@ -38,11 +43,17 @@
 	}
 }
 
-func readBody(req *pipeline.Request) *verdict.Refusal {
+// retryAfterMemory is when a request may be sent again for which there was no memory.
+const retryAfterMemory = time.Second
+
+func readBody(req *pipeline.Request, memory *membudget.Account) *verdict.Refusal {
 	if req.RawBody == nil {
 		return nil
 	}
-	data, err := io.ReadAll(io.LimitReader(req.RawBody, wire.MaxBodyBytes+1))
+	data, err := readAll(io.LimitReader(req.RawBody, wire.MaxBodyBytes+1), memory)
+	if errors.Is(err, errNoMemory) {
+		return verdict.Busy(verdict.CodeOverloaded, err.Error(), retryAfterMemory)
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -57,6 +68,28 @@
 	return nil
 }
 
+// errNoMemory means that the bodies of the requests in progress hold all the memory for them.
+var errNoMemory = errors.New("the requests in flight hold all the memory for bodies")
+
+// readAll reads to the end of r into memory of the account.
+func readAll(r io.Reader, memory *membudget.Account) ([]byte, error) {
+	var data []byte
+	for {
+		var ok bool
+		if data, ok = memory.Reserve(data, 0); !ok {
+			return nil, errNoMemory
+		}
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 func refuseSize() *verdict.Refusal {
 	return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is larger than 1 MiB")
 }
--- a/internal/filter/body/body_test.go
+++ b/internal/filter/body/body_test.go
@@ -25,7 +25,7 @@
 	set.Index()
 	req := &pipeline.Request{Snapshot: &snapshot.Snapshot{Config: set}, RawBody: body}
 	accept := pipeline.HandlerFunc(func(context.Context, *pipeline.Request, pipeline.Response) *verdict.Refusal { return nil })
-	return req, New()(accept).Handle(context.Background(), req, nil)
+	return req, New(nil)(accept).Handle(context.Background(), req, nil)
 }
 
 func TestBadBodiesAreRefused(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,8 @@
 	"github.com/chestnutspring/chestnutspring/internal/fleet"
 	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/limits"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/metrics"
 	"github.com/chestnutspring/chestnutspring/internal/placement"
 	"github.com/chestnutspring/chestnutspring/internal/published"
@@ -31,8 +33,6 @@
 )
 
 const (
-	// headerTimeout is the maximum time for receiving the headers of a request.
-	headerTimeout = 10 * time.Second
 	// bodyTimeout is the maximum time for receiving a whole request.
 	bodyTimeout = 60 * time.Second
 	// incarnationBytes is the number of random bytes in an incarnation.
@@ -52,6 +52,9 @@
 	metrics   *metrics.Metrics
 	tls       *tlsConfigs
 	listeners *listeners
+	// clients bounds what clients may hold, and memory the bodies and headers of requests.
+	clients *listenlimit.Limiter
+	memory  *membudget.Budget
 
 	fleet      *fleet.Fleet
 	config     *configwatch.Watcher
@@ -80,6 +83,9 @@
 	g.log = log.With("vm", g.self.VM)
 	g.publisher = snapshot.NewPublisher(g.self)
 	g.metrics = metrics.New()
+	bounds := clientBounds(settings)
+	g.memory = membudget.New(bounds.PendingBytes)
+	g.clients = listenlimit.New(bounds, g.memory, g.log, g.metrics.Scope)
 	var err error
 	if g.tls, err = loadTLS(settings); err != nil {
 		return nil, err
@@ -155,25 +161,30 @@
 // component fails, it returns the error without draining.
 func (g *gateway) run(ctx context.Context) error {
 	handlers := g.handlers()
-	callers := drain.New(&http.Server{
-		Handler: handlers.callers, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
-		MaxHeaderBytes: maxHeaderBytes, TLSConfig: g.tls.callers, ErrorLog: g.httpLog(),
-	})
-	forwards := &http.Server{
-		Handler: handlers.forward, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	callerPort, forwardPort := g.clients.Port(callerKind), g.clients.Port(forwardKind)
+	controlPort, operatorPort := g.clients.Port(controlKind), g.clients.Port(operatorKind)
+	callers := drain.New(callerPort.Apply(&http.Server{
+		Handler: handlers.callers, ReadTimeout: g.clients.BodyTimeout, TLSConfig: g.tls.callers, ErrorLog: g.httpLog(),
+	}))
+	forwards := forwardPort.Apply(&http.Server{
+		Handler:   handlers.forward,
 		TLSConfig: g.tls.peerServer, Protocols: forwardProtocols(g.tls.peerServer != nil), HTTP2: forward.ServerHTTP2(), ErrorLog: g.httpLog(),
-	}
-	operators := &http.Server{Handler: handlers.operators, ReadHeaderTimeout: headerTimeout, ErrorLog: g.httpLog()}
+	})
+	// Other gateways keep idle connections open for the next request.
+	forwards.IdleTimeout = 0
+	operators := operatorPort.Apply(&http.Server{Handler: handlers.operators, ErrorLog: g.httpLog()})
 
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	group, groupCtx := errgroup.WithContext(backgroundCtx)
 	group.Go(func() error { return background.CloseWhenDone(groupCtx, callers, forwards, operators) })
-	group.Go(func() error { return callers.Serve(g.listeners.callers) })
-	group.Go(func() error { return serveForward(forwards, g.listeners.forward) })
-	group.Go(func() error { return background.IgnoreClosed(operators.Serve(g.listeners.operators)) })
+	group.Go(func() error { return callers.Serve(callerPort.Listener(g.listeners.callers)) })
+	group.Go(func() error { return serveForward(forwards, forwardPort.Listener(g.listeners.forward)) })
+	group.Go(func() error {
+		return background.IgnoreClosed(operators.Serve(operatorPort.Listener(g.listeners.operators)))
+	})
 	group.Go(func() error {
-		return background.IgnoreErrorAfterDone(groupCtx, g.fleet.Serve(groupCtx, g.listeners.control))
+		return background.IgnoreErrorAfterDone(groupCtx, g.fleet.Serve(groupCtx, controlPort.Listener(g.listeners.control)))
 	})
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.fleet.Run(groupCtx)) })
 	group.Go(func() error { return background.IgnoreErrorAfterDone(groupCtx, g.config.Run(groupCtx)) })
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -43,7 +43,7 @@
 		residency.New(),
 		deadline.New(g.now),
 		hopguard.New(),
-		body.New(),
+		body.New(g.memory),
 		settle.MarkKeyChecked(),
 		g.booking.Filter(),
 		admission.New(admission.Config{Limiter: g.limiter, Now: g.now, Log: g.log, Scope: g.metrics.Scope}),
--- a/internal/gateway/path_bench_test.go
+++ b/internal/gateway/path_bench_test.go
@@ -69,7 +69,7 @@
 		Backend: server, Peer: server, Publisher: publisher, Now: clock.Boot, Log: log, Scope: tally.NoopScope,
 	})
 	handler := pipeline.Chain(last,
-		settle.New(bookings), identify.New(), residency.New(), deadline.New(clock.Boot), hopguard.New(), body.New(),
+		settle.New(bookings), identify.New(), residency.New(), deadline.New(clock.Boot), hopguard.New(), body.New(nil),
 		settle.MarkKeyChecked(), bookings.Filter(), admission.New(admission.Config{Now: clock.Boot, Log: log, Scope: tally.NoopScope}),
 	)
 	return httpapi.NewCallers(httpapi.CallersConfig{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,17 +1,34 @@
 package gateway
 
 import (
+	"cmp"
 	"log"
 	"net"
 	"net/http"
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
+	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 )
 
-// maxHeaderBytes is the maximum size of the headers of a request.
-const maxHeaderBytes = wire.MaxHeaderBytes
+// The ports and their shares of the connections.
+var (
+	callerKind   = listenlimit.Kind{Name: "callers", Share: 0.6, KeepAlive: drain.KeepAlive}
+	forwardKind  = listenlimit.Kind{Name: "forward", Share: 0.2, Messages: true}
+	controlKind  = listenlimit.Kind{Name: "control", Share: 0.1, Messages: true}
+	operatorKind = listenlimit.Kind{Name: "operators", Share: 0.1}
+)
+
+// clientBounds returns the bounds of what clients may hold. The default of a header and of the
+// time for a whole request are those that callers were told.
+func clientBounds(s *Settings) listenlimit.Bounds {
+	clients := s.Clients
+	clients.MaxHeaderBytes = cmp.Or(clients.MaxHeaderBytes, wire.MaxHeaderBytes)
+	clients.BodyTimeout = cmp.Or(clients.BodyTimeout, bodyTimeout)
+	return clients.Resolve(s.MemoryMB<<20, listenlimit.Descriptors(s.Descriptors))
+}
 
 // forwardProtocols enables only HTTP/2, with or without TLS.
 func forwardProtocols(withTLS bool) *http.Protocols {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 )
 
 // Settings are the static settings of a gateway, read from flags and environment
@@ -32,6 +34,10 @@
 	CallerTLSCert string `name:"caller-tls-cert" help:"Certificate towards callers (PEM file)." env:"CHESTNUT_CALLER_TLS_CERT"`
 	CallerTLSKey  string `name:"caller-tls-key" help:"Key towards callers (PEM file)." env:"CHESTNUT_CALLER_TLS_KEY"`
 
+	MemoryMB    int64                `name:"memory-mb" help:"Memory of this process in MiB; 0 means unknown." env:"CHESTNUT_MEMORY_MB"`
+	Descriptors int                  `help:"Open descriptors that this process may have; 0 means its own limit." env:"CHESTNUT_MAX_DESCRIPTORS"`
+	Clients     listenlimit.Settings `embed:""`
+
 	Linger   time.Duration `help:"Time after SIGTERM in which new work is still taken." env:"CHESTNUT_LINGER" default:"3s"`
 	LogLevel slog.Level    `help:"Lowest level of log lines: debug, info, warn or error." env:"CHESTNUT_LOG_LEVEL" default:"info"`
 }
@@ -70,6 +76,10 @@
 	if s.Linger < 0 {
 		faults = append(faults, "--linger: is below 0")
 	}
+	if s.MemoryMB < 0 || s.Descriptors < 0 {
+		faults = append(faults, "--memory-mb or --descriptors: is below 0")
+	}
+	faults = append(faults, s.Clients.Check()...)
 	if len(faults) > 0 {
 		return ErrSettings.New("%s", strings.Join(faults, "; "))
 	}
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -18,7 +19,8 @@
 )
 
 const (
-	// bodyTimeout bounds how long a caller may take to send the request body.
+	// bodyTimeout bounds how long a caller may take to send the request body, unless
+	// Config.BodyTimeout does.
 	bodyTimeout = 10 * time.Second
 	// defaultMaxBodyBytes bounds the request body if the configuration sets no
 	// limit.
@@ -75,12 +77,12 @@
 	now := r.Now()
 	req, err := r.Protocol.Accept(hr, now)
 	if err != nil {
-		boundTransfer(w, now, 0)
+		r.boundTransfer(w, now, 0)
 		closeAfterUnreadBody(w, hr)
 		return nil, verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, err.Error())
 	}
 	table := r.Table()
-	boundTransfer(w, now, latestEnd(req, table, now))
+	r.boundTransfer(w, now, latestEnd(req, table, now))
 	if r.Refusing() {
 		closeAfterUnreadBody(w, hr)
 		return req, verdict.Busy(verdict.CodeShuttingDown, "this VM is shutting down", retryAfterFailure)
@@ -139,8 +141,8 @@
 
 // boundTransfer bounds how long the peer may take to send the body of a request and to
 // read its response, by the request's deadline; zero means that it has none.
-func boundTransfer(w http.ResponseWriter, now, deadline clock.Instant) {
-	read, write := bodyTimeout, defaultTimeout
+func (r *Relay) boundTransfer(w http.ResponseWriter, now, deadline clock.Instant) {
+	read, write := cmp.Or(r.BodyTimeout, bodyTimeout), defaultTimeout
 	if deadline != 0 {
 		write = max(0, deadline.Sub(now))
 		read = min(read, write)
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -360,7 +360,7 @@
 // readHop reads a request of another VM. The body is held by the account.
 func (r *Relay) readHop(w http.ResponseWriter, hr *http.Request, memory *membudget.Account) (*Request, error) {
 	now := r.Now()
-	boundTransfer(w, now, 0)
+	r.boundTransfer(w, now, 0)
 	data, err := base64.StdEncoding.DecodeString(hr.Header.Get(headerHop))
 	if err != nil {
 		return nil, err
@@ -376,7 +376,7 @@
 		return nil, errorx.IllegalArgument.New("hop without id, entry, method or target")
 	}
 	deadline := now.Add(time.Duration(head.RemainingMs) * time.Millisecond)
-	boundTransfer(w, now, deadline)
+	r.boundTransfer(w, now, deadline)
 	body, err := readBody(w, hr, maxHopBytes, memory)
 	if err != nil {
 		return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -203,6 +203,9 @@
 	// Memory bounds what the bodies of requests and the buffered parts of responses hold
 	// together; nil means no bound.
 	Memory *membudget.Budget
+	// BodyTimeout bounds how long a caller may take to send the body of a request; zero means
+	// the default.
+	BodyTimeout time.Duration
 	// UsageChanged is called when this VM's use of a backend server has changed
 	// so much that the other VMs should be informed at once.
 	UsageChanged func()
