--- a/internal/listenlimit/conn.go
+++ b/internal/listenlimit/conn.go
@@ -131,8 +131,7 @@
 	c.release()
 }
 
-// Close implements net.Conn. It counts a connection that was closed as its header was too
-// large or late, or as it was idle.
+// Close implements net.Conn. It counts a connection that was closed as it was silent or idle.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	p := c.port
@@ -141,10 +140,8 @@
 		age := time.Since(c.since)
 		switch {
 		case p.kind.Messages:
-		case !c.requested && c.received.Load() >= int64(p.headerBytes()):
-			p.closed[byHeader].Inc(1)
 		case !c.requested && age >= p.HeaderTimeout:
-			p.closed[byTime].Inc(1)
+			p.refuse(byTime)
 		case c.in == &p.idle && age >= p.IdleTimeout:
 			p.closed[byIdleTime].Inc(1)
 		}
--- a/internal/listenlimit/listenlimit_test.go
+++ b/internal/listenlimit/listenlimit_test.go
@@ -225,6 +225,26 @@
 	is.Equal(entries, 0)
 }
 
+func TestHeadersThatAreTooLargeOrLateAreCounted(t *testing.T) {
+	is := is.New(t)
+	b := limits(100)
+	b.HeaderTimeout = 100 * time.Millisecond
+	scope := tally.NewTestScope("", nil)
+	s := serve(t, b, Kind{Name: "callers", Share: 1})
+	s.port.closed = map[limit]tally.Counter{}
+	for _, by := range []limit{byHeader, byTime} {
+		s.port.closed[by] = scope.Counter(string(by))
+	}
+	s.dial(get + "A: " + strings.Repeat("x", b.HeaderBytes+headerSlop))
+	s.dial("")
+	s.dial(get)
+	s.dial(get + "\r\n") // is served
+	time.Sleep(300 * time.Millisecond)
+	counters := scope.Snapshot().Counters()
+	is.Equal(counters["header+"].Value(), int64(1))
+	is.Equal(counters["header_time+"].Value(), int64(2))
+}
+
 func TestConnectionWithMessagesIsInUseFromItsFirstByte(t *testing.T) {
 	is := is.New(t)
 	p := New(limits(2), nil, slog.New(slog.DiscardHandler), tally.NoopScope).Port(Kind{Name: "control", Share: 1, Messages: true})
--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -17,6 +17,9 @@
 // logInterval is the least time between two log lines of a port.
 const logInterval = time.Second
 
+// headerSlop is the number of bytes by which net/http lets a header exceed its limit.
+const headerSlop = 4096
+
 // Kind is what a port is for.
 type Kind struct {
 	Name string
@@ -258,6 +261,15 @@
 		return
 	}
 	p.leaveList(c)
+	if state == http.StateActive {
+		// net/http also reports this state when a header was too large or late.
+		switch {
+		case c.received.Load() >= int64(p.headerBytes()+headerSlop):
+			p.refuse(byHeader)
+		case !c.requested && time.Since(c.since) >= p.HeaderTimeout:
+			p.refuse(byTime)
+		}
+	}
 	c.requested = true
 	if state == http.StateActive {
 		c.awaiting.Store(false)
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -37,6 +37,10 @@
 	f.Add(`{"Verdict":1,"Code":"overloaded","Status":503,"RetryAfter":1000000000}`, "1")
 	f.Add(`{"Verdict":-1,"RetryAfter":-9223372036854775808}`, "-5")
 	f.Add(`[`, "")
+	// The statuses and numbers that upstream's table of invalid responses has.
+	for _, number := range []string{"000", "099", "20", "600", "999", "2000", "0200", "+20"} {
+		f.Add(`{"Verdict":0,"Code":"backend-failed","Status":`+number+`}`, number)
+	}
 	f.Fuzz(func(t *testing.T, refusal, ran string) {
 		x := hopTransaction(3)
 		before := x.attemptsLeft()
--- a/soak/descriptors_test.go
+++ b/soak/descriptors_test.go
@@ -23,8 +23,8 @@
 	requestsAfter = 20
 )
 
-// Guards against a VM that runs out of descriptors: it goes on, says so in its log, and
-// serves all again once callers leave.
+// Guards against a VM that runs out of descriptors: it closes connections before, says so in
+// its log, and serves all again once callers leave.
 func TestLackOfDescriptorsDoesNotLast(t *testing.T) {
 	h := startEndless(t)
 	script := filepath.Join(h.Dir, "limited")
@@ -73,8 +73,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(string(log), "accepting a connection failed") {
-		t.Error("the log doesn't say that connections can't be accepted")
+	if !strings.Contains(string(log), "connections closed at a limit") {
+		t.Error("the log doesn't say that connections are closed at a limit")
+	}
+	if strings.Contains(string(log), "accepting a connection failed") {
+		t.Error("the process ran out of descriptors")
 	}
 	if strings.Contains(string(log), "backend server unresponsive") {
 		t.Error("a server counts as unresponsive")
