--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -243,7 +243,8 @@
 	if time.Since(p.loggedAt) < logInterval {
 		return
 	}
-	p.log.Warn("connections closed at a limit", "port", p.kind.Name, "limit", string(by), "closed", p.unlogged,
+	// The lock isn't held across the write of the line.
+	go p.log.Warn("connections closed at a limit", "port", p.kind.Name, "limit", string(by), "closed", p.unlogged,
 		"connections", p.count, "maxConnections", p.max, "withoutRequest", p.fresh.Len(), "idle", p.idle.Len(),
 		"pendingBytes", p.budget.Held(), "maxPendingBytes", p.PendingBytes)
 	p.loggedAt, p.unlogged = time.Now(), 0
