admission: free slots for a team of one VM; tests in one table

Cause: in a trial with a team whose 180 requests a second all come to one of 23 VMs, beside a team with 40 at all VMs, 4,705 requests were served in 40 s instead of 5,720 without a gate: the window grows slowly above the VM's share.

Change: borrowIncrease is 0.013 instead of 0.01. 0.02 serves 5,497, but the team of all VMs only with 0.814, and with 0.04 the fifteen teams at 23 VMs miss their bound. The tests of the load patterns are one table, which counts 40 s everywhere, also the load below capacity; a test of the load above.

Tests of admission, relay, fairqueue, balance, retry and edge pass with -race.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -26,7 +26,7 @@
 	// of the others' requests finds free slots by refusals only: a slower increase leaves slots
 	// free, a faster one gets requests of teams within their shares refused.
 	fastSlots           = 2
-	borrowIncrease      = 0.01
+	borrowIncrease      = 0.013
 	windowIncrease      = 0.07
 	windowDecrease      = 0.3
 	windowDecreaseShare = 0.1
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -15,6 +15,9 @@
 // alone, or of all teams without a gate.
 const lowestShare = 0.95
 
+// countedTime is the time for which results are counted.
+const countedTime = 40 * time.Second
+
 // simulation is a region of VMs in front of servers that refuse requests without a free slot, in
 // simulated time. VMs know one another's requests as of the last exchange, and each has its part of
 // the retry budget.
@@ -49,10 +52,7 @@
 }
 
 // result counts the requests of a team.
-type result struct {
-	sent, served int
-	longest      time.Duration // until a request began
-}
+type result struct{ sent, served int }
 
 func (r *result) share() float64 { return float64(r.served) / float64(max(1, r.sent)) }
 
@@ -61,6 +61,7 @@
 	run func()
 }
 
+// eventHeap implements heap.Interface.
 type eventHeap []event
 
 func (h eventHeap) Len() int           { return len(h) }
@@ -245,7 +246,6 @@
 func (s *simulation) begin(q *simulated, server int) {
 	s.busy[server]++
 	result, inTime := s.results[q.request.Team], s.now.Sub(q.request.Arrived) <= s.objective
-	result.longest = max(result.longest, s.now.Sub(q.request.Arrived))
 	s.after(time.Duration((0.5+s.draw.Float64())*float64(s.work)), func() {
 		s.busy[server]--
 		s.own[q.vm][server]--
@@ -272,139 +272,120 @@
 	return n
 }
 
-// fifteenAndOne runs fifteen teams with 45 requests a second together and, if the rate is above
-// zero, one more team.
-func fifteenAndOne(s *simulation, rate float64) (fifteen, one *result) {
-	s.servers, s.slots, s.objective, s.maxSends = 2, 8, time.Second, 5
-	if s.work == 0 {
-		s.work = 100 * time.Millisecond
-	}
+// fifteenAndOne runs fifteen teams with 45 requests a second together beside one more team in front
+// of two servers with eight slots each, which can run 160 a second.
+func fifteenAndOne(s simulation, rate float64) (after *simulation, fifteen, one result) {
+	s.servers, s.slots, s.work, s.objective, s.maxSends = 2, 8, 100*time.Millisecond, time.Second, 5
 	s.start(7)
 	for n := range 15 {
 		s.team(string(rune('a'+n)), 3, 1, s.anyVM)
 	}
-	s.results["one"] = &result{}
-	if rate > 0 {
+	if s.results["one"] = (&result{}); rate > 0 {
 		s.team("one", rate, 1, s.anyVM)
 	}
 	s.run(10 * time.Second) // until the window has settled
 	s.reset()
-	s.run(40 * time.Second)
-	fifteen = &result{}
-	for name, r := range s.results {
-		if name != "one" {
-			fifteen.sent, fifteen.served = fifteen.sent+r.sent, fifteen.served+r.served
-			fifteen.longest = max(fifteen.longest, r.longest)
-		}
+	s.run(countedTime)
+	one = *s.results["one"]
+	for _, r := range s.results {
+		fifteen.sent, fifteen.served = fifteen.sent+r.sent, fifteen.served+r.served
 	}
-	return fifteen, s.results["one"]
+	fifteen.sent, fifteen.served = fifteen.sent-one.sent, fifteen.served-one.served
+	return &s, fifteen, one
 }
 
-// Guards against the first load pattern of the requirements: one team with 250 requests a second
-// beside fifteen with 45 together takes the slots from these.
+// Guards against the first load pattern of the requirements, one team with 250 requests a second that
+// takes the slots from fifteen others, and against a gate that costs many served requests while the
+// servers can run all (the lower rates are 59, 78 and 94 % of that).
 func TestFifteenTeamsAreServedAsIfAloneBesideOne(t *testing.T) {
-	for name, s := range map[string]*simulation{
-		"three VMs": {vms: 3, exchange: 100 * time.Millisecond}, "23 VMs that don't know one another's requests": {vms: 23},
+	for name, s := range map[string]simulation{
+		"three VMs, servers that refuse": {vms: 3, exchange: 100 * time.Millisecond},
+		"23 VMs, servers that refuse":    {vms: 23}, // which don't know one another's requests
+		"three VMs, servers that queue":  {vms: 3, exchange: 100 * time.Millisecond, queueing: true},
+		"23 VMs, servers that queue":     {vms: 23, exchange: 500 * time.Millisecond, queueing: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			before := *s
-			alone := *s
-			aloneFifteen, _ := fifteenAndOne(&alone, 0)
-			beforeFifteen, _ := fifteenAndOne(&before, 250)
-			s.gated = true
-			fifteen, one := fifteenAndOne(s, 250)
-			t.Logf("fifteen alone %.3f, without a gate %.3f, with it %.3f (longest wait %v); one %.3f; served %d without, %d with; refusals %d without, %d with; longest hold of refused %v",
-				aloneFifteen.share(), beforeFifteen.share(), fifteen.share(), fifteen.longest, one.share(), before.served(), s.served(), before.refusals, s.refusals, s.longest)
-			if fifteen.share() < lowestShare*aloneFifteen.share() {
-				t.Errorf("the fifteen teams are served with %.3f, alone with %.3f", fifteen.share(), aloneFifteen.share())
-			}
-			if s.longest > s.objective/8 {
-				t.Errorf("a refused request was held for %v", s.longest)
-			}
-			if float64(s.served()) < lowestShare*float64(before.served()) {
-				t.Errorf("%d requests were served, without a gate %d", s.served(), before.served())
+			_, alone, _ := fifteenAndOne(s, 0)
+			gated := s
+			gated.gated = true
+			for _, rate := range []float64{50, 80, 105, 250} {
+				before, fifteenBefore, oneBefore := fifteenAndOne(s, rate)
+				after, fifteen, one := fifteenAndOne(gated, rate)
+				t.Logf("%.0f a second, without a gate and with it: fifteen %.3f %.3f (alone %.3f), one %.3f %.3f, served %d %d, refusals %d %d, longest hold of refused %v",
+					rate, fifteenBefore.share(), fifteen.share(), alone.share(), oneBefore.share(), one.share(), before.served(), after.served(), before.refusals, after.refusals, after.longest)
+				if fifteen.share() < lowestShare*alone.share() {
+					t.Errorf("%.0f a second: the fifteen teams are served with %.3f, alone with %.3f", rate, fifteen.share(), alone.share())
+				}
+				after.check(t, rate, before)
+				if capacity := 160 * int(countedTime/time.Second); s.queueing && rate > 160 && float64(after.served()) < 0.9*float64(capacity) {
+					t.Errorf("%.0f a second: %d served of %d that the servers can run", rate, after.served(), capacity)
+				}
 			}
 		})
 	}
 }
 
+// check fails the test if the gate costs served requests or holds refused ones for too long.
+func (s *simulation) check(t *testing.T, rate float64, before *simulation) {
+	t.Helper()
+	if float64(s.served()) < lowestShare*float64(before.served()) {
+		t.Errorf("%.0f a second: %d requests were served, without a gate %d", rate, s.served(), before.served())
+	}
+	if s.longest > s.objective/8 {
+		t.Errorf("%.0f a second: a refused request was held for %v", rate, s.longest)
+	}
+}
+
 // Guards against the second load pattern of the requirements: a plain service that is overloaded
 // refuses requests that the gateway sends again and again. As many are served with fewer refusals.
 func TestOverloadedPlainServiceRefusesFewerRequests(t *testing.T) {
-	for name, vms := range map[string]int{"three VMs": 3, "23 VMs": 23} {
+	for name, s := range map[string]simulation{"three VMs": {vms: 3, exchange: 100 * time.Millisecond}, "23 VMs": {vms: 23}} {
 		t.Run(name, func(t *testing.T) {
-			run := func(gated bool, rate float64) *simulation {
-				s := &simulation{vms: vms, gated: gated, servers: 6, slots: 6, work: 45 * time.Millisecond, objective: 550 * time.Millisecond, maxSends: 5}
-				if vms < 10 {
-					s.exchange = 100 * time.Millisecond
-				}
+			run := func(s simulation, gated bool, rate float64) *simulation {
+				s.gated, s.servers, s.slots, s.work, s.objective, s.maxSends = gated, 6, 6, 45*time.Millisecond, 550*time.Millisecond, 5
 				s.start(11)
 				s.team("", rate, 1, s.anyVM)
 				s.run(10 * time.Second)
 				s.reset()
-				s.run(30 * time.Second)
-				return s
+				s.run(countedTime)
+				return &s
 			}
 			for _, rate := range []float64{400, 700, 1000} { // of 800 that the servers can run
-				before, after := run(false, rate), run(true, rate)
-				t.Logf("%.0f a second: served %d without a gate, %d with; refusals %d without, %d with; longest hold of refused %v",
+				before, after := run(s, false, rate), run(s, true, rate)
+				t.Logf("%.0f a second, without a gate and with it: served %d %d, refusals %d %d, longest hold of refused %v",
 					rate, before.served(), after.served(), before.refusals, after.refusals, after.longest)
-				if float64(after.served()) < lowestShare*float64(before.served()) {
-					t.Errorf("%.0f a second: %d requests were served, without a gate %d", rate, after.served(), before.served())
-				}
+				after.check(t, rate, before)
 				if rate > 800 && after.refusals >= before.refusals {
 					t.Errorf("%.0f a second: servers refused %d requests, without a gate %d", rate, after.refusals, before.refusals)
 				}
-				if after.longest > after.objective/8 {
-					t.Errorf("a refused request was held for %v", after.longest)
-				}
 			}
 		})
 	}
 }
 
-// Guards against the same load pattern in front of servers that queue requests: the queue of one
-// team's requests delays those of all.
-func TestFifteenTeamsAreServedBesideOneByServersThatQueue(t *testing.T) {
-	for name, s := range map[string]*simulation{
-		"three VMs": {vms: 3, exchange: 100 * time.Millisecond, queueing: true},
-		"23 VMs":    {vms: 23, exchange: 500 * time.Millisecond, queueing: true},
-	} {
+// Guards against a team whose requests all come to one VM: it may use the slots that the other VMs
+// leave free, but not those of another team there.
+func TestTeamOfOneVMBesideOneOfAll(t *testing.T) {
+	for name, s := range map[string]simulation{"three VMs": {vms: 3, exchange: 100 * time.Millisecond}, "23 VMs": {vms: 23}} {
 		t.Run(name, func(t *testing.T) {
-			before := *s
-			beforeFifteen, _ := fifteenAndOne(&before, 250)
-			s.gated = true
-			fifteen, one := fifteenAndOne(s, 250)
-			t.Logf("fifteen without a gate %.3f, with it %.3f (longest wait %v); one %.3f; served %d without, %d with",
-				beforeFifteen.share(), fifteen.share(), fifteen.longest, one.share(), before.served(), s.served())
-			if fifteen.share() < lowestShare {
-				t.Errorf("the fifteen teams are served with %.3f", fifteen.share())
+			run := func(s simulation, gated bool) *simulation {
+				s.gated, s.servers, s.slots, s.work, s.objective, s.maxSends = gated, 2, 8, 100*time.Millisecond, time.Second, 5
+				s.start(5)
+				s.team("of one VM", 180, 1, func() int { return 0 })
+				s.team("of all", 40, 1, s.anyVM)
+				s.run(10 * time.Second)
+				s.reset()
+				s.run(countedTime)
+				return &s
 			}
-			if capacity := 40 * s.servers * s.slots * int(time.Second/s.work); 10*s.served() < 9*capacity {
-				t.Errorf("%d requests were served of %d that the servers can run", s.served(), capacity)
+			before, after := run(s, false), run(s, true)
+			own := after.results["of one VM"].served
+			t.Logf("without a gate and with it: team of all VMs %.3f %.3f, served %d %d, of the one VM %d", before.results["of all"].share(), after.results["of all"].share(), before.served(), after.served(), own)
+			if after.results["of all"].share() < lowestShare {
+				t.Errorf("the team of all VMs is served with %.3f", after.results["of all"].share())
 			}
-		})
-	}
-}
-
-// Guards against a gate that costs many served requests while the servers can run all of them, as a whole.
-func TestGateCostsLittleBelowCapacity(t *testing.T) {
-	for name, s := range map[string]*simulation{
-		"three VMs, servers that queue":  {vms: 3, exchange: 100 * time.Millisecond, queueing: true},
-		"23 VMs, servers that queue":     {vms: 23, exchange: 500 * time.Millisecond, queueing: true},
-		"three VMs, servers that refuse": {vms: 3, exchange: 100 * time.Millisecond},
-		"23 VMs, servers that refuse":    {vms: 23},
-	} {
-		t.Run(name, func(t *testing.T) {
-			for _, rate := range []float64{50, 80, 105} { // with the fifteen teams 59, 78 and 94 % of the capacity
-				before, after := *s, *s
-				_, oneBefore := fifteenAndOne(&before, rate)
-				after.gated = true
-				fifteen, one := fifteenAndOne(&after, rate)
-				t.Logf("one team with %.0f a second: served %d without a gate, %d with; the one %.3f without, %.3f with; the fifteen %.3f with", rate, before.served(), after.served(), oneBefore.share(), one.share(), fifteen.share())
-				if float64(after.served()) < lowestShare*float64(before.served()) {
-					t.Errorf("one team with %.0f a second: %d served, without a gate %d", rate, after.served(), before.served())
-				}
+			if share := 160 * int(countedTime/time.Second) / s.vms; own < 3*share/2 {
+				t.Errorf("%d requests of the one VM were served, its share of the slots runs %d", own, share)
 			}
 		})
 	}
