Quota: the owner changes between messages only; leases that join keep the earlier expiry

Cause: found by reading. With a message in flight a changed owner was asked at once, which lost the clock that is needed to take the share back from the one before: the share was then unused for 3 s. A grant that joined others when all four places were in use could get a later expiry than its own, which the bound does not allow.

Change: another VM becomes the owner if no message is in flight or the last one failed; the earlier expiry holds. An agent whose owner does not answer says so, so that its region's VMs refuse without a wait.

--- a/internal/edge/teamlimits.go
+++ b/internal/edge/teamlimits.go
@@ -104,7 +104,10 @@
 	// and agents, the agents of the region and until when they are not asked.
 	peersMu     sync.Mutex
 	unsupported map[string]clock.Instant
-	agents      [quota.Shards]agent
+	agents      [quota.Shards]supplier
+	// owners are the VMs to which the last messages went. Only the goroutine of the shard's
+	// exchange uses them.
+	owners [quota.Shards]supplier
 
 	// refusedMu guards refused: when a request of a team was last refused, and whether the
 	// beginning was logged.
@@ -113,8 +116,8 @@
 	series    map[string]*teamSeries
 }
 
-// agent is the VM that supplies this one with units.
-type agent struct {
+// supplier is an owner or agent. It is not asked before an instant.
+type supplier struct {
 	vm, address string
 	notBefore   clock.Instant
 }
@@ -290,7 +293,7 @@
 // updateRole sets what this VM is for a shard among the active VMs.
 func (l *teamLimits) updateRole(shard, active int, now clock.Instant) {
 	var role quota.Role
-	var next agent
+	var next supplier
 	if active > quota.MaxUnsupplied {
 		members := l.Members()
 		regions := map[string]bool{l.Self.Region: true}
@@ -299,7 +302,7 @@
 		}
 		candidates, addresses := l.candidates(func(m *mesh.Member) bool { return m.Region == l.Self.Region })
 		at := quota.Agent(shard, candidates)
-		if next = (agent{vm: candidates[at].VM, address: addresses[at]}); next.address == "" {
+		if next = (supplier{vm: candidates[at].VM, address: addresses[at]}); next.address == "" {
 			role.Regions = len(regions)
 		} else {
 			role.Supplied = true
@@ -345,14 +348,15 @@
 	return candidates[at].VM, addresses[at]
 }
 
-// exchange returns a function that exchanges one message with the owner of a shard. If the owner
-// has changed, and no other message is in flight, the share of this VM is first taken back
-// from the one before.
+// exchange returns a function that exchanges one message with the owner of a shard. Another VM
+// becomes the owner if no other message is in flight, so that the share of this VM can be taken
+// back from the one before, or if that one does not answer.
 func (l *teamLimits) exchange(ctx context.Context, shard int, alone bool) func() {
-	vm, address := l.owner(shard)
-	if alone {
-		l.release(ctx, shard, vm)
+	if alone || l.wallets.OwnerFailed(shard) {
+		l.owners[shard].vm, l.owners[shard].address = l.owner(shard)
+		l.release(ctx, shard, l.owners[shard].vm)
 	}
+	vm, address := l.owners[shard].vm, l.owners[shard].address
 	sentAt := l.Now()
 	r := l.wallets.Request(shard, vm, sentAt)
 	return func() {
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -84,6 +84,10 @@
 	return w.newRequest(l, shard, now), l.delegatedTo
 }
 
+// OwnerFailed reports whether the last exchange with the owner of a shard failed. Then there is
+// nothing to release.
+func (w *Wallets) OwnerFailed(shard int) bool { return w.owners[shard].hasFailed() }
+
 // Released records that a request of Release was answered.
 func (w *Wallets) Released(shard int, now clock.Instant) {
 	l := &w.owners[shard]
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -21,6 +21,7 @@
 	paused   clock.Instant
 	cut      clock.Instant // until when the VM exchanges no messages
 	owner    string        // the owner that it assumes
+	asked    string        // the owner to which the last message went
 	inFlight int           // the number of exchanges in flight
 	supplies int           // the number of exchanges in flight with the agent
 	waiting  []simWait
@@ -167,16 +168,17 @@
 	}
 	v.inFlight++
 	ended, process := false, v.process
-	owner := s.vm(v.owner)
 	var r *Request
 	from := ""
-	if v.inFlight == 1 {
+	if v.inFlight == 1 || v.wallets.OwnerFailed(shard) {
+		v.asked = v.owner
 		r, from = v.wallets.Release(shard, v.owner, s.now)
 	}
+	owner := s.vm(v.asked)
 	if r != nil {
 		owner = s.vm(from)
 	} else {
-		r = v.wallets.Request(shard, v.owner, s.now)
+		r = v.wallets.Request(shard, v.asked, s.now)
 	}
 	sentAt, answered := s.now, r.DelegateMs == 0 && from != ""
 	ends := func(run func()) {
--- a/internal/quota/supply.go
+++ b/internal/quota/supply.go
@@ -50,7 +50,7 @@
 	g.ValidMs = max(1, valid.Milliseconds())
 	t.asked += g.Granted
 	missing := max(0, want.Wanted-g.Granted)
-	if missing > 0 && t.isScarce(now) {
+	if missing > 0 && (t.isScarce(now) || l.hasFailed()) {
 		g.Scarce = true
 		g.RetryAfterMs = t.retryAfter(float64(max(1, want.Least)), held-float64(g.Granted), now).Milliseconds()
 	}
--- a/internal/quota/wallets.go
+++ b/internal/quota/wallets.go
@@ -98,7 +98,7 @@
 	Regions int
 }
 
-// link is the exchange with the owner of a shard.
+// link is the exchange with the owner of a shard, or with the agent of the region.
 type link struct {
 	mu sync.Mutex
 	// listed are the wallets with something to request.
@@ -546,5 +546,5 @@
 			first = g
 		}
 	}
-	first.units += units
+	first.units, first.expires = first.units+units, min(first.expires, expires)
 }
