Soak: teams under faults

Cause: the soak knew neither keys nor home regions nor limits of teams.

Change: TestTeamsUnderFaults runs the real programs with teams whose keys are removed and added, one bound to a region and one above its limit, beside the other faults and restores of the registry. It checks that no request runs with a key that was removed more than 5 s before it was sent, that no key reaches a server, that servers get the right team, and homes and limits over all VMs.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 FAULT_VMS ?= 2
 faults:
 	CHESTNUT_FAULT_SEEDS="$(FAULT_SEEDS)" CHESTNUT_FAULT_TIME=$(FAULT_TIME) CHESTNUT_FAULT_VMS=$(FAULT_VMS) \
-		go test -count=1 -v -timeout 60m -run TestFaultSoak ./soak
+		go test -count=1 -v -timeout 60m -run 'TestFaultSoak|TestTeamsUnderFaults' ./soak
 
 # Measures the slopes in docs/CAPACITY.md (cost as a function of size). Takes
 # about five minutes on an idle machine.
--- a/soak/check.go
+++ b/soak/check.go
@@ -48,6 +48,9 @@
 	if h.CountRuns {
 		h.checkOverlaps(requests)
 	}
+	if h.Teams {
+		h.checkTeams(requests, runs)
+	}
 	h.checkLimits(requests)
 	h.checkVersions()
 	h.checkDeadlyRequest(requests, runs)
--- a/soak/runs.go
+++ b/soak/runs.go
@@ -75,10 +75,13 @@
 
 // configure writes a new version of the configuration and returns it.
 func (h *Harness) configure() uint64 {
-	if !h.CountRuns {
-		return h.Configure(nil)
+	switch {
+	case h.Teams:
+		return h.Configure(h.teams.edit)
+	case h.CountRuns:
+		return h.Configure(h.changing.edit)
 	}
-	return h.Configure(h.changing.edit)
+	return h.Configure(nil)
 }
 
 // checkOverlaps checks that no server works on a stream while it goes on at another one.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,9 @@
 	// these, and checks that streams run at one server at a time. Without a Binary the test
 	// program runs the VMs; a Binary opens the connections between them directly.
 	CountRuns bool
+	// Teams adds teams with keys that are removed and added, home regions and limits, and
+	// checks what servers get for them.
+	Teams bool
 }
 
 const (
@@ -93,6 +96,8 @@
 	deadly bool
 	// after is the number of events after which the request takes a stream up.
 	after int
+	// key is the key that the request bears, if there are teams.
+	key string
 	// repeatedAt is when the client sent the request again under its ID, or zero.
 	repeatedAt time.Time
 }
@@ -109,6 +114,7 @@
 	followed followedStreams
 	changing changingRoute
 	copies   copies
+	teams    teams
 
 	mu         sync.Mutex
 	replicas   map[string]*replica // by ID
@@ -159,8 +165,9 @@
 		runRNG: rand.New(rand.NewPCG(config.Seed, 9)), copyRNG: rand.New(rand.NewPCG(config.Seed, 10)),
 		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, standstills: map[string][]period{}, started: time.Now(),
 	}
+	h.teams.removedAt = map[string]time.Time{}
 	defer h.stopAll()
-	if h.CountRuns {
+	if h.CountRuns || h.Teams {
 		h.configure()
 	}
 	d.SetDeadlyBlock(deadlyBlock)
@@ -169,7 +176,7 @@
 	if err := h.startAll(); err != nil {
 		return nil, nil, err
 	}
-	if !h.CountRuns {
+	if !h.CountRuns && !h.Teams {
 		// These make replicas refuse or crash so often that few requests run.
 		h.nameLimits()
 		h.continueOddly()
@@ -187,12 +194,19 @@
 				})
 			}
 		}
+		if h.Teams {
+			continue
+		}
 		seed := h.versionRNG.Uint64()
 		clients.Go(func() { h.followStreams(ctx, p, rand.New(rand.NewPCG(seed, 7))) })
 	}
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(h.MeanFaultInterval)))
 		h.injectFault()
+		if h.Teams {
+			h.injectTeamFault()
+			continue
+		}
 		if h.CountRuns {
 			h.injectRunFault()
 			continue
@@ -206,7 +220,9 @@
 	}
 	h.clearFaults()
 	h.checkRecovery()
-	h.checkSoundTakeUps()
+	if !h.Teams {
+		h.checkSoundTakeUps()
+	}
 	cancel()
 	clients.Wait()
 	h.check()
@@ -420,6 +436,10 @@
 			time.AfterFunc(time.Duration(rng.IntN(100))*time.Millisecond, cancel)
 		}
 		var header http.Header
+		if h.Teams {
+			r.key = h.teams.draw(rng)
+			header = headerOf(r.key)
+		}
 		if h.deadly.Load() && rng.Float64() < deadlyShare && strings.Contains(r.path, "/stream/") {
 			header = platformtest.Prompt(r.id, "aa:200,"+deadlyBlock+":40")
 		}
@@ -442,7 +462,12 @@
 		served := h.waitFor(recoveryTimeout, func() bool {
 			id := fmt.Sprintf("q-%d", h.lastID.Add(1))
 			r := request{id: id, path: platformtest.PathSafe + "x", vm: p.Name, sentAt: time.Now()}
-			r.answer = client.Do(context.Background(), p.CallerAddress, r.path, id, 2*time.Second, nil)
+			var header http.Header
+			if h.Teams {
+				r.key = steadyTeam + "-key"
+				header = headerOf(r.key)
+			}
+			r.answer = client.Do(context.Background(), p.CallerAddress, r.path, id, 2*time.Second, header)
 			r.endedAt = time.Now()
 			h.mu.Lock()
 			h.requests = append(h.requests, r)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,6 +85,12 @@
 	runSeeds(t, seeds, Config{CountRuns: true, Binary: binary, VMs: vms, Engines: 1, FaultDuration: faultDuration, MeanFaultInterval: 400 * time.Millisecond})
 }
 
+// TestTeamsUnderFaults does the same with teams: their keys, home regions and limits.
+func TestTeamsUnderFaults(t *testing.T) {
+	seeds, faultDuration, vms := soakSettings(t, []string{"7"}, 15*time.Second)
+	runSeeds(t, seeds, Config{Teams: true, Binary: buildEdge(t), VMs: vms, Engines: 2, FaultDuration: faultDuration, MeanFaultInterval: 700 * time.Millisecond})
+}
+
 // soakSettings returns the seeds, the time of the faults and the number of VMs in each
 // region: those given, or what the environment states.
 func soakSettings(t *testing.T, seeds []string, faultDuration time.Duration) ([]string, time.Duration, int) {
@@ -136,7 +142,7 @@
 				}
 				t.Log("seed", seed, "\n"+strings.Join(faultLog, "\n"))
 			} else {
-				t.Log(faultLog[len(faultLog)-1])
+				t.Log(strings.Join(faultLog[max(0, len(faultLog)-3):], "\n"))
 			}
 		})
 	}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -82,7 +82,11 @@
 func (h *Harness) writeSettings(p *process, firstStart bool) error {
 	vm := p.VM
 	vm.FirstStart = firstStart
-	return os.WriteFile(p.settingsPath, []byte(h.Settings(vm, p.storeProxy.Address, h.seeds, grace)), 0o600)
+	settings := h.Settings(vm, p.storeProxy.Address, h.seeds, grace)
+	if h.Teams {
+		settings = teamSettings(settings)
+	}
+	return os.WriteFile(p.settingsPath, []byte(settings), 0o600)
 }
 
 // followedStreams are the streams that clients followed.
