configcheck: findings and differences of a decoded configuration

Cause: a platform configuration is decoded leniently, so that entries that can never match and limits that contradict each other only show when requests fail.

Findings are objects.Fault, which gets a severity; faults of the product's own objects have none and are printed as before.

--- a/internal/objects/fault.go
+++ b/internal/objects/fault.go
@@ -15,8 +15,23 @@
 	ErrRead = Errors.NewType("read")
 )
 
-// Fault is a fault in a set of objects.
+// Severity is the severity of a finding.
+type Severity string
+
+// The severities of findings.
+const (
+	// SeverityError means that the configuration must not be published.
+	SeverityError Severity = "error"
+	// SeverityWarning means that an entry has no effect or probably not the intended one.
+	SeverityWarning Severity = "warning"
+	// SeverityChange is a difference from the configuration in force.
+	SeverityChange Severity = "change"
+)
+
+// Fault is a finding in a set of objects or in a configuration.
 type Fault struct {
+	// Severity is empty for SeverityError in sets of objects.
+	Severity Severity `json:"severity,omitempty"`
 	// File and Line are the position of the object or field. They are empty if
 	// the set wasn't read from files.
 	File string `json:"file,omitempty"`
@@ -34,15 +49,21 @@
 // String returns the fault on one line.
 func (f Fault) String() string {
 	var b strings.Builder
-	if f.File != "" {
+	if f.File != "" && f.Line > 0 {
 		fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
 	}
+	if f.File != "" && f.Line == 0 {
+		fmt.Fprintf(&b, "%s: ", f.File)
+	}
 	if f.Kind != "" {
 		fmt.Fprintf(&b, "%s %s: ", f.Kind, f.Name)
 	}
 	if f.Field != "" {
 		fmt.Fprintf(&b, "%s: ", f.Field)
 	}
+	if f.Severity != "" && f.Severity != SeverityError {
+		fmt.Fprintf(&b, "%s: ", f.Severity)
+	}
 	b.WriteString(f.Message)
 	if f.Suggestion != "" {
 		fmt.Fprintf(&b, " (%s)", f.Suggestion)
@@ -118,6 +139,10 @@
 	return row[len(b)]
 }
 
+// NearestName returns the candidate nearest to name, or "" if each differs in more than half
+// of name's length.
+func NearestName(name string, candidates []string) string { return nearestName(name, candidates) }
+
 // didYouMean returns the suggestion for an unknown name: the nearest candidate
 // or, if none is near, the first few candidates.
 func didYouMean(name string, candidates []string) string {
