--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -40,6 +40,9 @@
 	Errors = errorx.NewNamespace("ctl")
 	// ErrFile is the type of errors for files that can't be read or written.
 	ErrFile = Errors.NewType("file")
+	// ErrInput is the type of errors for platform configurations that can't be read or
+	// aren't JSON. The exit code is ExitUsage.
+	ErrInput = Errors.NewType("input")
 	// ErrGateway is the type of errors for gateways that are unreachable or
 	// respond unexpectedly.
 	ErrGateway = Errors.NewType("gateway")
@@ -59,27 +62,31 @@
 
 // Commands is the kong grammar of chestnutctl.
 type Commands struct {
-	Check   CheckCommand   `cmd:"" help:"Check all objects in a directory and list every fault. Exits with 1 if there are faults."`
-	Bundle  BundleCommand  `cmd:"" help:"Write the manifest and the parts to publish."`
-	Diff    DiffCommand    `cmd:"" help:"List the differences between two sets of objects, each from a directory of objects, a bundle or the configuration service. Exits with 1 if they differ."`
-	Dump    DumpCommand    `cmd:"" help:"Print the state dump of a gateway."`
-	Explain ExplainCommand `cmd:"" help:"Explain which regions and backend servers may serve a team's requests. Exits with 1 if none may."`
+	Check         CheckCommand         `cmd:"" help:"Check all objects in a directory and list every fault. Exits with 1 if there are faults."`
+	CheckPlatform CheckPlatformCommand `cmd:"" help:"Check a platform configuration before it is published, and list its differences from the one in force. Exits with 1 if there are errors, and with 2 if a file can't be read."`
+	Bundle        BundleCommand        `cmd:"" help:"Write the manifest and the parts to publish."`
+	Diff          DiffCommand          `cmd:"" help:"List the differences between two sets of objects, each from a directory of objects, a bundle or the configuration service. Exits with 1 if they differ."`
+	Dump          DumpCommand          `cmd:"" help:"Print the state dump of a gateway."`
+	Explain       ExplainCommand       `cmd:"" help:"Explain which regions and backend servers may serve a team's requests. Exits with 1 if none may."`
 }
 
 // HandleError prints the error of a command, if any, and returns its exit code.
 func HandleError(env *Env, err error) int {
 	var faults *objects.FaultError
+	// Kong joins errors, which errorx.IsOfType doesn't look into.
+	var typed *errorx.Error
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.Is(err, errFound):
 		return ExitFound
 	case errors.As(err, &faults):
-		for _, f := range faults.Faults {
-			fmt.Fprintln(env.Err, f)
-		}
+		printFindings(env.Err, faults.Faults)
 		fmt.Fprintf(env.Err, "%d faults\n", len(faults.Faults))
 		return ExitFound
+	case errors.As(err, &typed) && typed.IsOfType(ErrInput):
+		fmt.Fprintln(env.Err, "chestnutctl:", err)
+		return ExitUsage
 	default:
 		fmt.Fprintln(env.Err, "chestnutctl:", err)
 		return ExitFailure
@@ -88,12 +95,21 @@
 
 // CheckCommand checks the objects in a directory.
 type CheckCommand struct {
-	Dir string `arg:"" help:"Directory of YAML files."`
+	Dir  string `arg:"" help:"Directory of YAML files."`
+	JSON bool   `name:"json" help:"Print the findings as JSON."`
 }
 
 // Run executes the command.
 func (c *CheckCommand) Run(env *Env) error {
 	set, err := objects.Load(c.Dir)
+	var faults *objects.FaultError
+	if c.JSON && (err == nil || errors.As(err, &faults)) {
+		var findings []objects.Fault
+		if faults != nil {
+			findings = faults.Faults
+		}
+		return printJSON(env.Out, findings)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -167,3 +169,35 @@
 	_, _, code = run(&ExplainCommand{Dir: exampleDir, Team: "nobody", Target: "wind-writer"})
 	is.Equal(code, ExitFailure)
 }
+
+// Guards against scripts that publish a configuration with errors, and against a second form of
+// findings beside that of the product's own objects.
+func TestCheckPlatformHasExitCodesAndPrintsTextAndJSON(t *testing.T) {
+	is := is.New(t)
+	write := func(name, text string) string {
+		path := filepath.Join(t.TempDir(), name)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	old := write("old.json", `{"version":1,"routes":[],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1}}`)
+	next := write("next.json", `{"version":2,"routes":[],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":2}}`)
+	out, _, code := run(&CheckPlatformCommand{File: next, InForce: old})
+	is.Equal(code, ExitOK)
+	is.Equal(out, next+":1: limits: change: body bytes 1 -> 2\n0 errors, 0 warnings, 1 changes\n")
+	out, _, code = run(&CheckPlatformCommand{File: old, InForce: next, JSON: true})
+	is.Equal(code, ExitFound)
+	is.True(strings.Contains(out, `"severity": "error"`))
+	is.True(strings.Contains(out, `"field": "version"`))
+	is.Equal(HandleError(&Env{Err: io.Discard}, errors.Join(ErrInput.New("as kong returns it"))), ExitUsage)
+	for _, unreadable := range []string{"nowhere", write("broken.json", "{")} {
+		_, _, code = run(&CheckPlatformCommand{File: unreadable})
+		is.Equal(code, ExitUsage)
+		_, _, code = run(&CheckPlatformCommand{File: old, InForce: unreadable})
+		is.Equal(code, ExitUsage)
+	}
+	out, _, code = run(&CheckCommand{Dir: editedExample(t, "home: jeju", "home: nowhere"), JSON: true})
+	is.Equal(code, ExitFound)
+	is.True(strings.Contains(out, `"severity": "error"`))
+	_, _, code = run(&CheckCommand{Dir: exampleDir, JSON: true})
+	is.Equal(code, ExitOK)
+}
