Tests of untrusted clients without wire names

TestPlatformNamesStayInPlatformFolder failed, as the server of large responses named a field of the platform.

--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -1,7 +1,6 @@
 package clients
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -73,19 +72,14 @@
 }
 
 const (
-	// largeService is a service whose responses have largeBytes.
+	// largeService is a service whose responses have largeBytes and then go on slowly.
 	largeService = "large"
 	largeBytes   = 4 << 20
 )
 
 // respondLarge writes a large response to a request.
 func respondLarge(conn net.Conn, request *http.Request) {
-	_, _ = io.Copy(io.Discard, request.Body)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: x\r\nContent-Length: %d\r\n\r\n", request.Header.Get("Request-Id"), largeBytes)
-	if _, err := io.WriteString(conn, head); err != nil {
-		return
-	}
-	_, _ = conn.Write(bytes.Repeat([]byte("x"), largeBytes))
+	platformtest.EndlessBodies["body with length"].Write(conn, request, largeBytes)
 }
 
 // startEdge starts a deployment with one chestnut-edge, whose binary was built before.
