Headers that hold the memory keep it for at least 250 ms

Cause: a header for which there was no memory closed the oldest one at once.

Change: a connection is closed for another header only after it has held its memory for 250 ms; the other one waits, at most the time for a header.

--- a/internal/listenlimit/conn.go
+++ b/internal/listenlimit/conn.go
@@ -23,6 +23,15 @@
 	parsedLineCost = 100
 )
 
+const (
+	// minHoldTime is how long a connection may hold the memory of a header before it is closed
+	// for another one. Without it, clients that connect again at once make more garbage than
+	// is collected in time.
+	minHoldTime = 250 * time.Millisecond
+	// roomInterval is the time between two attempts to get memory for a header.
+	roomInterval = 20 * time.Millisecond
+)
+
 // errNoMemory means that the headers and bodies in progress hold all the memory for them.
 var errNoMemory = errors.New("no memory for the request header")
 
@@ -87,10 +96,14 @@
 	cost := headerByteCost*len(p) + headerLineCost*lines
 	c.received.Add(int64(len(p)))
 	c.lines.Add(int64(lines))
-	for !c.take(cost) {
-		if !c.port.makeRoom(c) {
+	for began := time.Now(); !c.take(cost); {
+		if c.port.makeRoom(c) {
+			continue
+		}
+		if time.Since(began) >= c.port.HeaderTimeout {
 			return false
 		}
+		time.Sleep(roomInterval)
 	}
 	return true
 }
--- a/internal/listenlimit/listenlimit_test.go
+++ b/internal/listenlimit/listenlimit_test.go
@@ -205,6 +205,7 @@
 	for range 4 {
 		s.dial(long)
 	}
+	time.Sleep(2 * minHoldTime)
 	is.True(isClosed(first))
 	is.True(s.port.budget.Held() <= b.PendingBytes+int64(s.count())*membudget.FreeBytes)
 	ordinary := s.dial(get + "\r\n") // has its free bytes
--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -287,7 +287,9 @@
 // having sent a whole request, and reports whether there was one.
 func (p *Port) makeRoom(needed *conn) bool {
 	p.mu.Lock()
-	c := p.oldest(func(o *conn) bool { return o != needed && o.held.Load() > membudget.FreeBytes })
+	c := p.oldest(func(o *conn) bool {
+		return o != needed && o.held.Load() > membudget.FreeBytes && time.Since(o.since) >= minHoldTime
+	})
 	if c != nil {
 		p.remove(c)
 		p.refuse(byBytes)
