Token time: a margin of 1.1; platform names of teams in the platform's folder

Change: 1.1 times; the stand-in platform builds teams and their bounds.

Result: the test of names and the tests of balance and quota pass.

--- a/internal/balance/tokentime.go
+++ b/internal/balance/tokentime.go
@@ -23,7 +23,7 @@
 	// tokenTimeMargin is the time per token up to which an engine gets the least urgent
 	// requests, as a multiple of the longest one with which long responses end in time. The
 	// measured time per token includes prefills, after which it falls again.
-	tokenTimeMargin = 1.3
+	tokenTimeMargin = 1.1
 	// slowRetry is the time after which an engine that is too slow may have ended some of its
 	// streams.
 	slowRetry = 3 * time.Second
--- a/internal/edge/teamrefusals.go
+++ b/internal/edge/teamrefusals.go
@@ -38,7 +38,7 @@
 		age = now.Sub(link.AnsweredAt)
 	}
 	l.Log.Warn(message, append([]any{
-		"team", team.Name, "ratePerSecond", team.Limit.PerSecond, "burst", team.Limit.Burst, "tokens", team.Limit.Tokens,
+		"team", team.Name, "limit", team.Limit.PerSecond, "burst", team.Limit.Burst, "tokens", team.Limit.Tokens,
 		"demand", int64(s.Demand), "allowance", int64(s.Local), "maxAllowance", int64(s.LocalMax), "leased", int64(s.Leased), "ownShare", int64(s.Own),
 		"scarce", s.Scarce, "vms", s.VMs, "owner", link.Owner, "ownerFailed", link.Failed, "exchangeAge", age,
 	}, more...)...)
--- a/internal/quota/wallets_test.go
+++ b/internal/quota/wallets_test.go
@@ -76,7 +76,7 @@
 	is.True(w.Take(team, 1_000_000, now).Granted) // no limit any more
 	is.Equal(len(l.shards[ShardOf("t")].buckets), 0)
 	table := ingress.NewTable(1, nil, nil, ingress.Limits{}, &ingress.Team{Name: "none"}, team)
-	is.Equal(len(LimitsOf(table)), 1) // ratePerS 0 is no limit
+	is.Equal(len(LimitsOf(table)), 1) // a rate of 0 is no limit
 }
 
 // Guards against grants and shares that are used after they have been given to others: those of
--- a/soak/teams.go
+++ b/soak/teams.go
@@ -19,10 +19,10 @@
 	// revocationBound is the time after the confirmation of a configuration from which the
 	// keys that it removed open nothing.
 	revocationBound = 5 * time.Second
-	// limitRate and limitBurst are the limit of the limited team in requests, limitTeamWindow the
+	// limitRate is the limit of the limited team and its burst in requests, limitTeamWindow the
 	// span in which its requests are counted, and limitTeamOverage and limitTeamSlack by how
 	// much they may exceed the limit.
-	limitRate, limitBurst            = 20, 20
+	limitRate                        = 20
 	limitTeamWindow                  = 8 * time.Second
 	limitTeamOverage, limitTeamSlack = 0.25, 40
 	// revocationShare is the number of changes of keys for each other fault.
@@ -51,13 +51,11 @@
 func (t *teams) edit(config map[string]any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	team := func(name, key string, rate int, homes ...string) map[string]any {
-		return map[string]any{"name": name, "apiKeys": []string{key}, "priority": 1, "unit": "requests", "ratePerS": rate, "burst": rate, "homeRegions": homes}
-	}
-	config["tenants"] = []any{
-		team(steadyTeam, steadyTeam+"-key", 0), team(changingTeam, changingKey(t.key), 0),
-		team(homedTeam, homedTeam+"-key", 0, platformtest.Zones[homeZone]), team(limitedTeam, limitedTeam+"-key", limitRate),
-	}
+	platformtest.AddTeams(config,
+		platformtest.Team{Name: steadyTeam, Key: steadyTeam + "-key"},
+		platformtest.Team{Name: changingTeam, Key: changingKey(t.key)},
+		platformtest.Team{Name: homedTeam, Key: homedTeam + "-key", Homes: []string{platformtest.Zones[homeZone]}},
+		platformtest.Team{Name: limitedTeam, Key: limitedTeam + "-key", PerSecond: limitRate})
 }
 
 // draw returns the key of a random team. Clients of the changing team go on with a removed key
@@ -100,11 +98,8 @@
 // headerOf returns the header of a request with the key.
 func headerOf(key string) http.Header { return http.Header{"Authorization": {"Bearer " + key}} }
 
-// teamSettings adds the bounds of teams to a settings file.
-func teamSettings(settings string) string {
-	return strings.Replace(settings, "[bounds]\n", fmt.Sprintf("[bounds]\nstrictRevoke = true\nrevokeMs = %d\nquotaWindowS = %v\nquotaOverage = %v\nquotaSlack = %v\n",
-		revocationBound.Milliseconds(), limitTeamWindow.Seconds(), limitTeamOverage, limitTeamSlack), 1)
-}
+// teamBounds are the bounds of teams in the settings of the VMs.
+var teamBounds = platformtest.TeamBounds{Revocation: revocationBound, LimitWindow: limitTeamWindow, LimitOverage: limitTeamOverage, LimitSlack: limitTeamSlack}
 
 // checkTeams checks what servers received against the keys of the requests.
 func (h *Harness) checkTeams(requests []request, runs map[string][]platformtest.Execution) {
@@ -135,7 +130,7 @@
 		}
 		most = max(most, last-first+1)
 	}
-	allowed := (limitRate*limitTeamWindow.Seconds()+limitBurst)*(1+limitTeamOverage) + limitTeamSlack
+	allowed := (limitRate*limitTeamWindow.Seconds()+limitRate)*(1+limitTeamOverage) + limitTeamSlack
 	if float64(most) > allowed {
 		h.recordViolation("%d requests of the limited team ran within %v, %v allowed", most, limitTeamWindow, allowed)
 	}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -84,7 +84,7 @@
 	vm.FirstStart = firstStart
 	settings := h.Settings(vm, p.storeProxy.Address, h.seeds, grace)
 	if h.Teams {
-		settings = teamSettings(settings)
+		settings = teamBounds.AddTo(settings)
 	}
 	return os.WriteFile(p.settingsPath, []byte(settings), 0o600)
 }
