--- a/review/standin-2/wire.go
+++ b/review/standin-2/wire.go
@@ -4,7 +4,7 @@
 	"bytes"
 	_ "embed"
 	"encoding/json"
-	"fmt"
+	"strconv"
 	"strings"
 	"text/template"
 )
@@ -60,12 +60,15 @@
 
 // settings returns the settings file of a VM.
 func settings(v *vm, registry string, seeds []string) string {
-	var out strings.Builder
+	quoted := make([]string, len(seeds))
+	for i, seed := range seeds {
+		quoted[i] = strconv.Quote(seed)
+	}
 	values := struct {
 		*vm
 		Registry, Seeds string
-	}{v, registry, fmt.Sprintf("%q", strings.Join(seeds, `", "`))}
-	values.Seeds = strings.ReplaceAll(values.Seeds, `\"`, `"`)
+	}{v, registry, strings.Join(quoted, ", ")}
+	var out strings.Builder
 	if err := template.Must(template.New("").Parse(settingsText)).Execute(&out, values); err != nil {
 		panic(err)
 	}
