test/clients: crowds that send bodies, and the bytes that a process has not read

Cause: the tests of untrusted clients looked at the process alone. Bytes that a process has received and not read count as its VM's memory, and no test had bodies that are large, chunked, held short of their end, over the limit, or on the ports that read none.

The bound is the memory that the process is told to have, for the process and its unread bytes together; the latter are summed from the kernel's table of TCP sockets.

--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -28,19 +28,32 @@
 // lines, bodies and responses that never end, and more connections than descriptors.
 // One crowd at a time: the bounds are for one process.
 func TestUntrustedClientsDoNotEndAProcess(t *testing.T) {
-	edge := filepath.Join(t.TempDir(), "chestnut-edge")
-	if out, err := exec.Command("go", "build", "-o", edge, "../../cmd/chestnut-edge").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	edge := buildEdge(t)
 	for _, c := range slices.Concat(commonCrowds, edgeCrowds) {
-		t.Run("edge/"+c.port+"/"+c.name, func(t *testing.T) { withstand(t, startEdge(t, edge), c) })
+		t.Run("edge/"+c.port+"/"+c.name, func(t *testing.T) { withstand(t, startEdge(t, edge, connectionLimits).target, c) })
 	}
 	gateway := testbed.BuildGateway(t)
-	t.Setenv("CHESTNUT_MEMORY_MB", fmt.Sprint(memoryMb))
-	t.Setenv("GOMEMLIMIT", fmt.Sprintf("%dMiB", memoryMb*7/10))
+	connectionLimits.setGateway(t)
 	body := crowd{name: "bodies of 1 MB short of their last byte", port: "callers", connections: 80, first: "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n\r\n", piece: longValue, atOnce: 1<<20 - 1<<10}
 	operators := crowd{name: "header of 900 KB", port: "operators", connections: 100, first: "GET /readyz HTTP/1.1\r\nHost: x\r\nA: ", piece: longValue, atOnce: 900 << 10}
 	for _, c := range slices.Concat(commonCrowds, []crowd{body, operators}) {
-		t.Run("gateway/"+c.port+"/"+c.name, func(t *testing.T) { withstand(t, startGateway(t, gateway), c) })
+		t.Run("gateway/"+c.port+"/"+c.name, func(t *testing.T) { withstand(t, startGateway(t, gateway, connectionLimits), c) })
+	}
+}
+
+// buildEdge builds chestnut-edge and returns its path.
+func buildEdge(t *testing.T) string {
+	t.Helper()
+	edge := filepath.Join(t.TempDir(), "chestnut-edge")
+	if out, err := exec.Command("go", "build", "-o", edge, "../../cmd/chestnut-edge").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
 	}
+	return edge
+}
+
+// setGateway sets the memory of the gateways that the test starts.
+func (l limits) setGateway(t *testing.T) {
+	t.Helper()
+	t.Setenv("CHESTNUT_MEMORY_MB", fmt.Sprint(l.memoryMb))
+	t.Setenv("GOMEMLIMIT", fmt.Sprintf("%dMiB", l.memoryMb*7/10))
 }
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -11,13 +11,24 @@
 	"time"
 )
 
-const (
-	// memoryMb is the memory that the process under test is told to have, in MiB, and maxRSSMb
-	// the bound of what it takes at its peak.
-	memoryMb, maxRSSMb = 72, 60
+// limits are what the process under test has, and the bounds of what it takes at its peak.
+type limits struct {
+	// memoryMb is the memory that the process is told to have, in MiB. It also bounds the
+	// process and the bytes that it has received and not read.
+	memoryMb int
+	// maxRSSMb bounds the process alone.
+	maxRSSMb int
 	// descriptors is the number of descriptors of the process, and maxOpen the bound of those
 	// that are open while a crowd is there: the others are for servers, VMs and the registry.
-	descriptors, maxOpen = 600, 525
+	descriptors, maxOpen int
+	// oneCore pins the process to one core, as on the users' platform.
+	oneCore bool
+}
+
+// connectionLimits are those of the tests with headers and connections.
+var connectionLimits = limits{memoryMb: 72, maxRSSMb: 60, descriptors: 600, maxOpen: 525}
+
+const (
 	// crowdTime is how long a crowd stays.
 	crowdTime = 3 * time.Second
 	// reconnectPause is the pause of a client whose connection was closed.
@@ -36,6 +47,13 @@
 	piece       string
 	// atOnce is negative for clients that send pieces without end.
 	atOnce int
+	// last completes the request. Each client in wholeEvery sends it; zero means none.
+	last       string
+	wholeEvery int
+	// refusals, if set, records the responses, and gives each request an ID of its own.
+	refusals *refusals
+	// connect, if set, is what each client does instead, again and again.
+	connect func(ctx context.Context, address string)
 	// trickles means that a client then sends a byte now and then.
 	trickles bool
 	// leaves means that a client closes the connection at once and opens the next one.
@@ -88,10 +106,14 @@
 // run has the crowd at the address until ctx ends.
 func (c crowd) run(ctx context.Context, address string) {
 	var all sync.WaitGroup
-	for range c.connections {
+	for i := range c.connections {
 		all.Go(func() {
 			for ctx.Err() == nil {
-				c.connect(ctx, address)
+				if c.connect != nil {
+					c.connect(ctx, address)
+				} else {
+					c.hold(ctx, address, c.wholeEvery > 0 && i%c.wholeEvery == 0)
+				}
 				if !c.leaves {
 					sleep(ctx, reconnectPause)
 				}
@@ -101,8 +123,9 @@
 	all.Wait()
 }
 
-// connect opens one connection and holds it until it is closed or ctx ends.
-func (c crowd) connect(ctx context.Context, address string) {
+// hold opens one connection and holds it until it is closed or ctx ends. Whole means that it
+// completes its request.
+func (c crowd) hold(ctx context.Context, address string, whole bool) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
@@ -112,7 +135,12 @@
 		return
 	}
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	if _, err := io.WriteString(conn, c.first); err != nil {
+	first, id := c.first, ""
+	if c.refusals != nil {
+		id = c.refusals.newID()
+		first = strings.Replace(first, "Request-Id: c\r\n", "Request-Id: "+id+"\r\n", 1)
+	}
+	if _, err := io.WriteString(conn, first); err != nil {
 		return
 	}
 	for sent := 0; c.atOnce == endless || sent < c.atOnce; sent += len(c.piece) {
@@ -120,6 +148,11 @@
 			return
 		}
 	}
+	if whole {
+		if _, err := io.WriteString(conn, c.last); err != nil {
+			return
+		}
+	}
 	for c.trickles {
 		if !sleep(ctx, trickleInterval) {
 			return
@@ -132,6 +165,9 @@
 		<-ctx.Done()
 		return
 	}
+	if c.refusals != nil {
+		c.refusals.read(id, conn)
+	}
 	_, _ = io.Copy(io.Discard, conn) // until either side closes
 }
 
@@ -150,12 +186,31 @@
 
 // target is a process under test.
 type target struct {
+	limits
 	pid     int
 	address func(port string) string
 	// alive reports whether the process runs, and answered whether it serves one ordinary request.
 	alive, answered func() bool
 }
 
+// usage is the highest use of memory and descriptors by a process so far.
+type usage struct {
+	// totalMb is that of the process and of the bytes that it has received and not read,
+	// and unreadMb the part of the latter, in MiB.
+	totalMb, unreadMb, descriptors int
+}
+
+// observe looks at the process until ctx ends.
+func (u *usage) observe(ctx context.Context, t *testing.T, p target) {
+	for sleep(ctx, 20*time.Millisecond) {
+		u.descriptors = max(u.descriptors, openDescriptors(p.pid))
+		unread := unreadBytes(p.pid) >> 20
+		if total := memoryMb(t, p.pid, "VmRSS:") + unread; total > u.totalMb {
+			u.totalMb, u.unreadMb = total, unread
+		}
+	}
+}
+
 // withstand has a crowd at a process, and fails the test if the process ends, takes more
 // than its memory or descriptors, or doesn't serve an ordinary request afterwards.
 func withstand(t *testing.T, p target, c crowd) {
@@ -163,26 +218,24 @@
 	waitUntil(t, "an ordinary request is served before", p.answered)
 	ctx, cancel := context.WithTimeout(t.Context(), crowdTime)
 	defer cancel()
-	var sampling sync.WaitGroup
-	open := 0
-	sampling.Go(func() {
-		for ctx.Err() == nil {
-			open = max(open, openDescriptors(p.pid))
-			sleep(ctx, 20*time.Millisecond)
-		}
-	})
+	var observing sync.WaitGroup
+	var most usage
+	observing.Go(func() { most.observe(ctx, t, p) })
 	c.run(ctx, p.address(c.port))
-	sampling.Wait()
+	observing.Wait()
 	if !p.alive() {
 		t.Fatal("the process has ended")
 	}
-	peak := peakRSSMb(t, p.pid)
-	t.Logf("peak of %d MB and of %d descriptors", peak, open)
-	if peak > maxRSSMb {
-		t.Errorf("the process took %d MB; bound %d", peak, maxRSSMb)
+	peak := memoryMb(t, p.pid, "VmHWM:")
+	t.Logf("peak of %d MB, of %d MB with %d MB unread, and of %d descriptors", peak, most.totalMb, most.unreadMb, most.descriptors)
+	if peak > p.maxRSSMb {
+		t.Errorf("the process took %d MB; bound %d", peak, p.maxRSSMb)
+	}
+	if most.totalMb > p.memoryMb {
+		t.Errorf("the process and its unread bytes took %d MB; bound %d", most.totalMb, p.memoryMb)
 	}
-	if open > maxOpen {
-		t.Errorf("the process had %d descriptors open; bound %d", open, maxOpen)
+	if most.descriptors > p.maxOpen {
+		t.Errorf("the process had %d descriptors open; bound %d", most.descriptors, p.maxOpen)
 	}
 	waitUntil(t, "an ordinary request is served afterwards", p.answered)
 }
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chestnutspring/chestnutspring/internal/testbed"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
 	"github.com/chestnutspring/chestnutspring/platform/platformtest"
@@ -41,31 +43,44 @@
 	return len(entries)
 }
 
-// peakRSSMb returns the peak of a process's resident memory in MiB.
-func peakRSSMb(t *testing.T, pid int) int {
+// memoryMb returns a field of a process's status that is a number of kB, in MiB; zero if the
+// process has ended.
+func memoryMb(t *testing.T, pid int, field string) int {
 	t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+		if value, found := strings.CutPrefix(line, field); found {
 			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
 			if err != nil {
-				t.Fatal(err)
+				t.Error(err)
 			}
 			return kb >> 10
 		}
 	}
-	t.Fatal("the process has no resident memory")
 	return 0
 }
 
-// limited returns the path of a script that runs a program with few descriptors.
-func limited(t *testing.T, binary string) string {
+// limited returns the path of a script that runs a program within the limits.
+func (l limits) limited(t *testing.T, binary string) string {
 	t.Helper()
+	pin := ""
+	if l.oneCore {
+		var allowed unix.CPUSet
+		if err := unix.SchedGetaffinity(0, &allowed); err != nil {
+			t.Fatal(err)
+		}
+		core := 0
+		for !allowed.IsSet(core) {
+			core++
+		}
+		pin = fmt.Sprintf("taskset -c %d ", core)
+	}
 	script := filepath.Join(t.TempDir(), "limited")
-	if err := os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", descriptors, binary), 0o700); err != nil {
+	if err := os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -n %d\nexec %s%s \"$@\"\n", l.descriptors, pin, binary), 0o700); err != nil {
 		t.Fatal(err)
 	}
 	return script
@@ -82,8 +97,16 @@
 	platformtest.EndlessBodies["body with length"].Write(conn, request, largeBytes)
 }
 
+// edgeTarget is a chestnut-edge under test.
+type edgeTarget struct {
+	target
+	deployment *platformtest.Deployment
+	vm         platformtest.VM
+	refusals   *refusals
+}
+
 // startEdge starts a deployment with one chestnut-edge, whose binary was built before.
-func startEdge(t *testing.T, binary string) target {
+func startEdge(t *testing.T, binary string, l limits) edgeTarget {
 	t.Helper()
 	d, err := platformtest.NewDeployment()
 	if err != nil {
@@ -98,6 +121,9 @@
 	if _, err := d.Start("i-1", platformtest.PlainService, "north-a", ""); err != nil {
 		t.Fatal(err)
 	}
+	if _, err := d.Start("e-1", platformtest.EngineService, "north-a", ""); err != nil {
+		t.Fatal(err)
+	}
 	stop, err := d.StartRaw("i-2", largeService, "north-a", respondLarge)
 	if err != nil {
 		t.Fatal(err)
@@ -105,7 +131,7 @@
 	t.Cleanup(stop)
 	vm := platformtest.NewVM("north-a-1", "north-a")
 	settings := strings.Replace(d.Settings(vm, d.StoreAddress, []string{vm.ControlAddress}, time.Second),
-		"memoryMb = 200", fmt.Sprintf("memoryMb = %d\nmaxFds = %d", memoryMb, descriptors), 1)
+		"memoryMb = 200", fmt.Sprintf("memoryMb = %d\nmaxFds = %d", l.memoryMb, l.descriptors), 1)
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
@@ -114,7 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(limited(t, binary))
+	cmd := exec.Command(l.limited(t, binary))
 	cmd.Env = append(os.Environ(), "CHESTNUTSPRING_BOOT="+path)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -131,8 +157,8 @@
 		<-exited
 	})
 	client, requests := platformtest.NewClient(), 0
-	return target{
-		pid: cmd.Process.Pid,
+	return edgeTarget{deployment: d, vm: vm, refusals: &refusals{}, target: target{
+		limits: l, pid: cmd.Process.Pid,
 		address: func(port string) string {
 			return map[string]string{
 				"callers": vm.CallerAddress, "ready": vm.ReadyAddress, "directory": vm.DirectoryAddress,
@@ -152,18 +178,18 @@
 			a := client.Do(t.Context(), vm.CallerAddress, platformtest.PathUnsafe, fmt.Sprintf("q-%d", requests), platformtest.DefaultTimeout, nil)
 			return vm.IsReady() && a.Status == http.StatusOK && a.Complete
 		},
-	}
+	}}
 }
 
 // startGateway starts a deployment with a chestnut-gateway in each region and returns one.
-func startGateway(t *testing.T, binary string) target {
+func startGateway(t *testing.T, binary string, l limits) target {
 	t.Helper()
 	root, err := testbed.ModuleRoot()
 	if err != nil {
 		t.Fatal(err)
 	}
 	bed, err := testbed.Start(t.Context(), testbed.Config{
-		Deployment: filepath.Join(root, "examples", "kite-consortium"), GatewayBinary: limited(t, binary), GatewaysPerRegion: 1, Seed: 1,
+		Deployment: filepath.Join(root, "examples", "kite-consortium"), GatewayBinary: l.limited(t, binary), GatewaysPerRegion: 1, Seed: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -171,10 +197,13 @@
 	t.Cleanup(bed.Close)
 	g := bed.GatewaysOf(bed.Regions()[0])[0]
 	return target{
-		pid: g.PID(),
+		limits: l, pid: g.PID(),
 		address: func(port string) string {
-			if port == "operators" {
+			switch port {
+			case "operators":
 				return strings.TrimPrefix(g.OperatorURL(), "http://")
+			case "forward":
+				return g.ForwardAddress()
 			}
 			return g.CallerAddress()
 		},
