Bodies in segments that the budget holds exactly; stalled ones give way

What callers saw: with 2,000 clients and 144 MB, whole bodies of 4 MB and bodies that were announced far over the limit took 230 and 235 MB together with their unread bytes; after a crowd, the largest legal body was refused as long as bodies that nobody finished held the memory.

Cause: a body's buffer grew by doubling, so that its garbage was as large as the body, beside the budget. A body that announced too large a size was read up to the limit first. A body that was held short of its end kept its memory until its deadline, while others were refused.

Change: a body is read into segments of up to 64 KB that never move (membudget.Segments); the relay, retries, hops and the pool send them as they are. chestnut-gateway joins them once, as it decodes JSON. A size over the limit, or over what the budget could ever hold, is refused before a byte is read. If the budget has no memory, the message that has made no progress of 1 KB for 500 ms and has stalled for longest is ended, as not run, and its memory goes to the one that asks. A refusal of chestnut-gateway that comes before the body is read no longer waits for it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/filter/deadline"
 	"github.com/chestnutspring/chestnutspring/internal/health"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
@@ -116,7 +117,7 @@
 	started := s.Now()
 	out := newRequest(ctx, req, server)
 	exchange, err := s.exchange(ctx, req, server, &upstream.Call{
-		Method: out.Method, Target: out.URL.RequestURI(), Header: out.Header, Body: req.Body,
+		Method: out.Method, Target: out.URL.RequestURI(), Header: out.Header, Body: membudget.Segments{req.Body},
 	})
 	if err != nil {
 		s.observeError(ctx, server, started, err)
--- a/internal/edge/teamlimits.go
+++ b/internal/edge/teamlimits.go
@@ -16,6 +16,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/mesh"
 	"github.com/chestnutspring/chestnutspring/internal/quota"
 	"github.com/chestnutspring/chestnutspring/internal/relay"
@@ -458,7 +459,7 @@
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
 	e, err := l.Pool.Do(ctx, &upstream.Call{
-		Address: address, Method: http.MethodPost, Target: pathQuota, Host: address, Body: body, MaxIdle: quotaMaxIdle,
+		Address: address, Method: http.MethodPost, Target: pathQuota, Host: address, Body: membudget.Segments{body}, MaxIdle: quotaMaxIdle,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/filter/body/body.go
+++ b/internal/filter/body/body.go
@@ -29,6 +29,9 @@
 	return func(next pipeline.Handler) pipeline.Handler {
 		return pipeline.HandlerFunc(func(ctx context.Context, req *pipeline.Request, w pipeline.Response) *verdict.Refusal {
 			memory := budget.Account()
+			if req.InterruptBody != nil {
+				memory = budget.Evictable(req.InterruptBody)
+			}
 			defer memory.Close()
 			if refusal := readBody(req, memory); refusal != nil {
 				return refusal
@@ -50,8 +53,12 @@
 	if req.RawBody == nil {
 		return nil
 	}
-	data, err := readAll(io.LimitReader(req.RawBody, wire.MaxBodyBytes+1), memory)
-	if errors.Is(err, errNoMemory) {
+	segments, err := memory.ReadAll(io.LimitReader(req.RawBody, wire.MaxBodyBytes+1), req.BodyBytes)
+	var data []byte
+	if err == nil && segments.Len() <= wire.MaxBodyBytes {
+		data, err = memory.Join(segments)
+	}
+	if errors.Is(err, membudget.ErrNoMemory) {
 		return verdict.Busy(verdict.CodeOverloaded, err.Error(), retryAfterMemory)
 	}
 	if err != nil {
@@ -61,35 +68,13 @@
 		}
 		return verdict.Refuse(http.StatusBadRequest, verdict.CodeBadRequest, "the body could not be read")
 	}
-	if len(data) > wire.MaxBodyBytes {
+	if segments.Len() > wire.MaxBodyBytes {
 		return refuseSize()
 	}
 	req.Body, req.RawBody = data, nil
 	return nil
 }
 
-// errNoMemory means that the bodies of the requests in progress hold all the memory for them.
-var errNoMemory = errors.New("the requests in flight hold all the memory for bodies")
-
-// readAll reads to the end of r into memory of the account.
-func readAll(r io.Reader, memory *membudget.Account) ([]byte, error) {
-	var data []byte
-	for {
-		var ok bool
-		if data, ok = memory.Reserve(data, 0); !ok {
-			return nil, errNoMemory
-		}
-		n, err := r.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 func refuseSize() *verdict.Refusal {
 	return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is larger than 1 MiB")
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -89,19 +89,21 @@
 	}
 	remaining := min(time.Duration(milliseconds)*time.Millisecond, wire.MaxTimeout)
 	req = &pipeline.Request{
-		ID:         r.Header.Get(wire.HeaderRequestID),
-		Snapshot:   s.Publisher.Load(),
-		Hop:        pipeline.Hop(r.Header.Get(wire.HeaderHop)),
-		VisitedVMs: visited,
-		Sender:     r.Header.Get(wire.HeaderIncarnation),
-		Team:       r.Header.Get(wire.HeaderTeam),
-		Method:     method,
-		Path:       path,
-		Header:     r.Header,
-		RawBody:    http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
-		Priority:   pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
-		Deadline:   s.Now().Add(remaining),
-		Key:        r.Header.Get(wire.HeaderIdempotencyKey),
+		ID:            r.Header.Get(wire.HeaderRequestID),
+		Snapshot:      s.Publisher.Load(),
+		Hop:           pipeline.Hop(r.Header.Get(wire.HeaderHop)),
+		VisitedVMs:    visited,
+		Sender:        r.Header.Get(wire.HeaderIncarnation),
+		Team:          r.Header.Get(wire.HeaderTeam),
+		Method:        method,
+		Path:          path,
+		Header:        r.Header,
+		RawBody:       http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
+		BodyBytes:     r.ContentLength,
+		InterruptBody: answer.InterruptBody(w),
+		Priority:      pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
+		Deadline:      s.Now().Add(remaining),
+		Key:           r.Header.Get(wire.HeaderIdempotencyKey),
 	}
 	known := req.Hop == pipeline.HopOwner || req.Hop == pipeline.HopRegion
 	return req, visited[len(visited)-1], known && req.ID != ""
--- a/internal/httpapi/callers.go
+++ b/internal/httpapi/callers.go
@@ -75,6 +75,10 @@
 			refusal = c.CorrectRefusal(req, refusal)
 		}
 		if refusal != nil {
+			if req.RawBody != nil && r.ContentLength != 0 {
+				// Otherwise the HTTP server would wait for the unread body before it responds.
+				w.Header().Set("Connection", "close")
+			}
 			answer.Refuse(out, refusal)
 		}
 	}
@@ -84,17 +88,19 @@
 // valid, but without a deadline, if a refusal is returned.
 func (c *callers) parseRequest(w http.ResponseWriter, r *http.Request) (*pipeline.Request, *verdict.Refusal) {
 	req := &pipeline.Request{
-		ID:       uuid.NewString(),
-		CallerID: callerID(r),
-		Snapshot: c.Publisher.Load(),
-		Hop:      pipeline.HopEntry,
-		Team:     r.Header.Get(wire.HeaderTeam),
-		Method:   r.Method,
-		Path:     r.URL.RequestURI(),
-		Header:   r.Header,
-		RawBody:  http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
-		Priority: pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
-		Key:      r.Header.Get(wire.HeaderIdempotencyKey),
+		ID:            uuid.NewString(),
+		CallerID:      callerID(r),
+		Snapshot:      c.Publisher.Load(),
+		Hop:           pipeline.HopEntry,
+		Team:          r.Header.Get(wire.HeaderTeam),
+		Method:        r.Method,
+		Path:          r.URL.RequestURI(),
+		Header:        r.Header,
+		RawBody:       http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes),
+		BodyBytes:     r.ContentLength,
+		InterruptBody: answer.InterruptBody(w),
+		Priority:      pipeline.ParsePriority(r.Header.Get(wire.HeaderPriority)),
+		Key:           r.Header.Get(wire.HeaderIdempotencyKey),
 	}
 	timeout, ok := parseTimeout(r.Header.Get(wire.HeaderTimeout))
 	if !ok {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -91,7 +91,11 @@
 	Header http.Header
 	// RawBody is the unread body; the body filter reads it into Body.
 	RawBody io.Reader
-	Body    []byte
+	// BodyBytes is the length of RawBody that the sender states, or -1.
+	BodyBytes int64
+	// InterruptBody, if set, makes a read of RawBody fail.
+	InterruptBody func()
+	Body          []byte
 
 	// Chat is set for model requests.
 	Chat Chat
--- a/internal/relay/fingerprint.go
+++ b/internal/relay/fingerprint.go
@@ -27,6 +27,6 @@
 		_ = binary.Write(h, binary.LittleEndian, uint64(len(part)))
 		_, _ = h.Write([]byte(part))
 	}
-	_, _ = h.Write(req.Body)
+	_, _ = req.Body.WriteTo(h)
 	return binary.LittleEndian.Uint64(h.Sum(nil))
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -9,8 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/joomcode/errorx"
-
+	"github.com/chestnutspring/chestnutspring/internal/answer"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
@@ -32,7 +31,7 @@
 // CallerHandler returns the HTTP handler for requests of callers.
 func (r *Relay) CallerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-		memory := r.Memory.Account()
+		memory := r.bodyAccount(w)
 		defer memory.Close()
 		out := NewWriter(w)
 		out.beforeHeader = r.closeIfLeaving
@@ -101,7 +100,7 @@
 	req.Body, err = readBody(w, hr, limits.MaxBodyBytes, memory)
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, membudget.ErrNoMemory):
 		w.Header().Set("Connection", "close")
 		return req, verdict.Busy(verdict.CodeOverloaded, err.Error(), jitter(retryAfterFailure))
 	case errors.As(err, &large):
@@ -154,13 +153,20 @@
 	_ = control.SetWriteDeadline(time.Now().Add(write + writeMargin))
 }
 
-// errNoMemory means that the body of a request exceeds the memory for all of them.
-var errNoMemory = errorx.ExternalError.New("the requests in flight hold all the memory for bodies")
+// bodyAccount returns the account of the body of a request. If the body stalls while others
+// need the memory, its read fails.
+func (r *Relay) bodyAccount(w http.ResponseWriter) *membudget.Account {
+	return r.Memory.Evictable(answer.InterruptBody(w))
+}
 
-// readBody reads the body of a request within the bounds of boundTransfer. The error is
-// errNoMemory if the account has no memory for it.
-func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64, memory *membudget.Account) ([]byte, error) {
-	body, err := readAll(http.MaxBytesReader(w, hr.Body, maxBytes), hr.ContentLength, memory)
+// readBody reads the body of a request within the bounds of boundTransfer. The error is a
+// *http.MaxBytesError if it is too large, at once if it says so, or membudget.ErrNoMemory.
+func readBody(w http.ResponseWriter, hr *http.Request, maxBytes int64, memory *membudget.Account) (membudget.Segments, error) {
+	if hr.ContentLength > maxBytes {
+		closeAfterUnreadBody(w, hr)
+		return nil, &http.MaxBytesError{Limit: maxBytes}
+	}
+	body, err := memory.ReadAll(http.MaxBytesReader(w, hr.Body, maxBytes), hr.ContentLength)
 	if err == nil {
 		// The connection is read on for as long as the request lasts, to learn whether the
 		// peer disconnects.
@@ -169,26 +175,6 @@
 	return body, err
 }
 
-// readAll reads to the end of r into memory of the account. It expects the given number of
-// bytes, or, if that is negative, any.
-func readAll(r io.Reader, expected int64, memory *membudget.Account) ([]byte, error) {
-	var body []byte
-	for {
-		var ok bool
-		if body, ok = memory.Reserve(body, int(max(0, expected))+1); !ok {
-			return nil, errNoMemory
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // closeAfterUnreadBody has the connection closed after the response to a request whose
 // body is not read. Otherwise the HTTP server would wait for it before it responds.
 func closeAfterUnreadBody(w http.ResponseWriter, hr *http.Request) {
--- a/internal/relay/hop.go
+++ b/internal/relay/hop.go
@@ -262,13 +262,13 @@
 // HopHandler returns the HTTP handler for requests of other VMs.
 func (r *Relay) HopHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
-		memory := r.Memory.Account()
+		memory := r.bodyAccount(w)
 		defer memory.Close()
 		out := NewWriter(w)
 		id := ""
 		defer r.refuseAfterPanic(out, &id)
 		req, err := r.readHop(w, hr, memory)
-		if errors.Is(err, errNoMemory) {
+		if errors.Is(err, membudget.ErrNoMemory) {
 			r.Log.Warn("hop refused", "remote", hr.RemoteAddr, "error", err)
 			w.Header().Set("Connection", "close")
 			writeHopRefusal(w, verdict.Busy(verdict.CodeOverloaded, err.Error(), jitter(retryAfterFailure)), 0, false)
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -46,14 +46,14 @@
 	is.Equal(x.possibleRuns, 0)
 
 	// Small bodies are read all the same, and large ones once there is memory.
-	got, err := readAll(strings.NewReader("small"), -1, x.Memory.Account())
+	got, err := x.Memory.Account().ReadAll(strings.NewReader("small"), -1)
 	is.NoErr(err)
-	is.Equal(string(got), "small")
+	is.Equal(string(got.AppendTo(nil)), "small")
 	other.Close()
 	account := x.Memory.Account()
-	got, err = readAll(bytes.NewReader(body), int64(len(body)), account)
+	got, err = account.ReadAll(bytes.NewReader(body), int64(len(body)))
 	is.NoErr(err)
-	is.True(bytes.Equal(got, body))
+	is.True(bytes.Equal(got.AppendTo(nil), body))
 	account.Close()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,7 +61,7 @@
 	Method, Target, Path string
 	// Header holds the fields that are forwarded to the backend server.
 	Header http.Header
-	Body   []byte
+	Body   membudget.Segments
 	Demand balance.Demand
 	// LastEventID is the ID of the event after which a stream resumes, or "".
 	LastEventID string
@@ -596,7 +596,7 @@
 func (x *transaction) query() balance.Query {
 	q := balance.Query{
 		Now: x.Now(), Route: x.route, Team: x.team, Service: x.service, Demand: &x.req.Demand,
-		Bytes: len(x.req.Body), Remaining: x.remaining(),
+		Bytes: x.req.Body.Len(), Remaining: x.remaining(),
 		Tried: x.triedServers, TriedRegions: x.triedRegions, LocalOnly: x.req.Entry != "", OwnLinksOnly: x.req.OwnLinksOnly, Random: rand.Uint64(),
 	}
 	if x.origin != nil {
--- a/internal/upstream/abandoned_test.go
+++ b/internal/upstream/abandoned_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/linktest"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 )
 
 // Guards against issue 48 (TWICE): a request that its sender gave up, and sent elsewhere,
@@ -19,7 +20,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	request := call(server.Address, "1")
-	request.Method, request.Body = http.MethodPost, make([]byte, linktest.UnreadBodyBytes)
+	request.Method, request.Body = http.MethodPost, membudget.Segments{make([]byte, linktest.UnreadBodyBytes)}
 	_, err := newPool().Do(ctx, request)
 	is.True(err != nil)
 	is.Equal(server.ReceivesRequest(t), false)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
@@ -49,7 +50,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   membudget.Segments
 	// MaxIdle is the maximum idle time of a pooled connection that is reused. None is reused
 	// if it is negative.
 	MaxIdle time.Duration
@@ -111,7 +112,7 @@
 		c.reset()
 		return nil, ErrBroken.New("write: %v", err)
 	}
-	x := &Exchange{conn: c, stopCancel: stop, sent: sent, uploaded: len(call.Body) > maxReusedBodyBytes, PassedOver: passedOver}
+	x := &Exchange{conn: c, stopCancel: stop, sent: sent, uploaded: call.Body.Len() > maxReusedBodyBytes, PassedOver: passedOver}
 	if err := x.readHead(call); err != nil {
 		stop()
 		c.reset()
@@ -140,16 +141,17 @@
 // write sends the request. A large body is written in the background.
 func (c *conn) write(call *Call) (sent *sending, err error) {
 	sent = &sending{ended: make(chan struct{})}
+	length := call.Body.Len()
 	var head bytes.Buffer
-	head.Grow(512 + min(len(call.Body), inlineBodyBytes))
+	head.Grow(512 + min(length, inlineBodyBytes))
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	writeHeader(&head, call.Header)
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead && call.Method != http.MethodDelete {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	if length > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead && call.Method != http.MethodDelete {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(call.Body) <= inlineBodyBytes {
-		head.Write(call.Body)
+	if length <= inlineBodyBytes {
+		_, _ = call.Body.WriteTo(&head)
 		_, err = c.Write(head.Bytes())
 		sent.whole.Store(true)
 		close(sent.ended)
@@ -160,7 +162,7 @@
 	}
 	go func() {
 		// A write error shows when the response is read.
-		if _, err := c.Write(call.Body); err == nil {
+		if _, err := call.Body.WriteTo(c); err == nil {
 			sent.whole.Store(true)
 		}
 		close(sent.ended)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 )
 
 // serve runs script for each connection and returns the address.
@@ -65,7 +66,7 @@
 func call(address, id string) *Call {
 	return &Call{
 		Address: address, Method: http.MethodPost, Target: "/p?q=%2F", Host: "h", Header: http.Header{"Id": {id}},
-		Body: []byte("body"), MaxIdle: time.Minute,
+		Body: membudget.Segments{[]byte("body")}, MaxIdle: time.Minute,
 		MatchResponse: func(h http.Header) bool { return h.Get("Id") == id },
 	}
 }
@@ -222,7 +223,7 @@
 	})
 	p := newPool()
 	long := call(address, "1")
-	long.Body = bytes.Repeat([]byte("x"), 8<<20)
+	long.Body = membudget.Segments{bytes.Repeat([]byte("x"), 8<<20)}
 	body, _, err := exchange(t, p, long)
 	is.NoErr(err)
 	is.Equal(body, "too long")
--- a/internal/upstream/valid_test.go
+++ b/internal/upstream/valid_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
+
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 )
 
 // responseCase is what a server sends and what the sender of the request gets: a whole
@@ -194,7 +196,7 @@
 					p := newPool()
 					p.Dialer = &net.Dialer{Control: setSmallBuffers}
 					upload := call(l.Addr().String(), "1")
-					upload.Body = bytes.Repeat([]byte("u"), uploadBytes)
+					upload.Body = membudget.Segments{bytes.Repeat([]byte("u"), uploadBytes)}
 					body, x, err := exchange(t, p, upload)
 					is.Equal(p.OpenConnections(), 0) // it never returns to the pool
 					switch {
@@ -219,7 +221,7 @@
 	})
 	for range 50 {
 		upload := call(address, "1")
-		upload.Body = bytes.Repeat([]byte("u"), uploadBytes)
+		upload.Body = membudget.Segments{bytes.Repeat([]byte("u"), uploadBytes)}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		x, err := newPool().Do(ctx, upload)
 		is.NoErr(err)
