Receive buffers of all connections are bounded, and grow for the few that are read

What callers saw: bytes that a process has received and not read count as its VM's memory. A crowd of 2,000 that sent chunks of one byte held 226 MB of them at a VM of 144 MB, one of 300 that read no responses 26 MB in connections to servers at a VM of 64 MB.

Cause: the kernel chose the receive buffers, up to megabytes for each connection, accepted, waiting to be accepted, or opened to a server. Bounds.MostMemory counted 16 KB a connection for all of it, and nothing bounded the connections to servers but the descriptors.

Change: sockets.Listen and the pools' dialer give each connection a small receive buffer before its other side may send, and listeners a short backlog. A window doubles while a large message arrives, no faster than what has arrived, from a budget of its own (2 % of the memory), so that a body of 4 MB doesn't take a round trip for each 16 KB; one that has grown beyond 64 KB ends with its response. upstream.Total bounds the connections to servers and VMs, for all pools together. Bounds.Resolve knows the ports, gives buffers the largest size with which the sum of all bounds fits the memory, and otherwise allows fewer connections; the soft limit of the Go runtime is what unread bytes leave.

Tests of the sum: for any memory and descriptors (listenlimit), and for the ports of either program on the machines of the users' deployments. The count of MostMemory is stricter: it was without unread bytes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/pipeline"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 	"github.com/chestnutspring/chestnutspring/internal/verdict"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
@@ -51,6 +52,12 @@
 
 // Config configures a Sender.
 type Config struct {
+	// Buffers are those of connections to backend servers, and Windows holds what receive
+	// buffers take that grow. MaxConnections bounds the connections; zero means no bound.
+	Buffers        sockets.Buffers
+	Windows        *membudget.Budget
+	MaxConnections int
+
 	Now   clock.Clock
 	Log   *slog.Logger
 	Scope tally.Scope
@@ -75,7 +82,11 @@
 // New returns a Sender with its own connection pool.
 func New(config Config) *Sender {
 	pool := upstream.NewPool(config.Now, dialTimeout)
-	pool.Dialer = &net.Dialer{Timeout: dialTimeout}
+	pool.SetBuffers(dialTimeout, config.Buffers, config.Windows)
+	pool.Dialer = &net.Dialer{Timeout: dialTimeout, Control: config.Buffers.Control}
+	if config.MaxConnections > 0 {
+		upstream.NewTotal(config.MaxConnections, pool)
+	}
 	pool.MaxHeadBytes, pool.IdleTimeout, pool.MaxIdlePerAddress = maxHeadBytes, idleTimeout, maxIdlePerServer
 	scope := config.Scope.SubScope("dispatch")
 	return &Sender{
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -19,6 +19,10 @@
 // nobody could tell whether it ran.
 func (s *Sender) sendOnce(ctx context.Context, req *pipeline.Request, server *objects.BackendServer, w pipeline.Response) *verdict.Refusal {
 	started := s.Now()
+	if !s.pool.Total.Take() {
+		return verdict.Busy(verdict.CodeOverloaded, "this VM has no more connections to backend servers", retryAfterFailure)
+	}
+	defer s.pool.Total.Give()
 	conn, err := s.pool.Dialer.DialContext(ctx, "tcp", server.Spec.Address)
 	if err != nil {
 		s.observeError(ctx, server, started, err)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -44,7 +44,7 @@
 // isIdle reports whether no request is in flight on the connection.
 func (c connState) isIdle() bool { return c.state == http.StateIdle || c.state == http.StateNew }
 
-// New returns a Server that wraps the given one. It adds a ConnState hook, sets the
+// New returns a Server that wraps the given one. It adds a ConnState hook and a
 // ConnContext hook, raises the idle timeout to the announced time and wraps its handler.
 func New(server *http.Server) *Server { return NewWith(server, KeepAlive, keepAliveMargin) }
 
@@ -59,7 +59,11 @@
 			next(c, state)
 		}
 	}
+	nextContext := server.ConnContext
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, c)
+		}
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
 	server.IdleTimeout = max(server.IdleTimeout, s.idleTimeout)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,10 +70,6 @@
 	// graceMargin is how long before the end of the grace time the process
 	// exits by itself.
 	graceMargin = 400 * time.Millisecond
-	// memoryLimitShare is the share of the VM's memory that is set as the soft
-	// memory limit of the Go runtime; above it the garbage collector runs more
-	// often.
-	memoryLimitShare = 0.7
 	// largeRegionIntervals is the number of exchange intervals between two load
 	// exchanges in a large region.
 	largeRegionIntervals = 3
@@ -176,6 +172,9 @@
 func (e *Edge) assemble(settings *Settings) {
 	e.roster = roster.New(e.log)
 	e.knowledge = &freshness.Tracker{Bound: settings.RevocationBound}
+	bounds := settings.Clients.Resolve(settings.MemoryBytes, listenlimit.Descriptors(settings.Descriptors), portKinds(0)...)
+	e.memory = membudget.New(bounds.PendingBytes)
+	e.limiter = listenlimit.New(bounds, e.memory, e.log, e.metrics.Scope)
 	e.mesh = mesh.New(mesh.Config{
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
@@ -221,11 +220,16 @@
 		InTouch: e.mesh.HeardFromAll, UnseenVersions: e.unseenVersions, PublishOwn: e.mesh.PublishOwnPart,
 	})
 	e.serverPool = upstream.NewPool(e.now, serverDialTimeout)
+	e.serverPool.SetBuffers(serverDialTimeout, bounds.OutgoingBuffers(), e.limiter.Windows)
 	if settings.ServerDialer != nil {
 		e.serverPool.Dialer = settings.ServerDialer
 	}
 	e.serverPool.Dialer = settings.Meter.Dialer(e.serverPool.Dialer, linkuse.Servers)
 	e.gatewayPool = upstream.NewPool(e.now, hopDialTimeout)
+	e.gatewayPool.SetBuffers(hopDialTimeout, bounds.OutgoingBuffers(), e.limiter.Windows)
+	if bounds.Outgoing > 0 {
+		upstream.NewTotal(bounds.PooledConnections(), e.serverPool, e.gatewayPool)
+	}
 	if settings.PeerDialer != nil {
 		e.gatewayPool.Dialer = settings.PeerDialer
 	}
@@ -245,9 +249,6 @@
 		Members: e.mesh.Members, ActiveVMs: e.mesh.ActiveVMs, Accepts: e.ready.Load,
 		Capacity: settings.capacity, Pool: e.gatewayPool,
 	})
-	bounds := settings.Clients.Resolve(settings.MemoryBytes, listenlimit.Descriptors(settings.Descriptors))
-	e.memory = membudget.New(bounds.PendingBytes)
-	e.limiter = listenlimit.New(bounds, e.memory, e.log, e.metrics.Scope)
 	e.relay = relay.New(relay.Config{
 		Memory: e.memory, BodyTimeout: bounds.BodyTimeout,
 		VM: e.self.VM, Region: e.self.Region, Table: e.follower.Table, Roster: e.roster, Balancer: e.balancer,
@@ -444,9 +445,9 @@
 func (e *Edge) Run(ctx context.Context, reload <-chan *Settings) error {
 	settings := e.settings.Load()
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
+		debug.SetMemoryLimit(e.limiter.MemoryLimit(settings.MemoryBytes))
 	}
-	ports, err := listenAll(settings, e.log)
+	ports, err := listenAll(settings, &e.limiter.Bounds, e.log)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -60,7 +60,7 @@
 func TestFailedComponentEndsTheProcess(t *testing.T) {
 	is := is.New(t)
 	e := newSilentEdge()
-	open, err := listenAll(e.settings.Load(), e.log)
+	open, err := listenAll(e.settings.Load(), &e.limiter.Bounds, e.log)
 	is.NoErr(err)
 	done := make(chan error, 1)
 	go func() { done <- e.serve(context.Background(), open, nil) }()
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/linkuse"
+	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 	"github.com/chestnutspring/chestnutspring/internal/upstream"
 )
 
@@ -17,22 +19,23 @@
 
 // listenAll opens all ports. A process that can't open the operators' port serves
 // without it, as callers don't depend on it. The error is ErrListen.
-func listenAll(s *Settings, log *slog.Logger) (*ports, error) {
+func listenAll(s *Settings, bounds *listenlimit.Bounds, log *slog.Logger) (*ports, error) {
 	p := &ports{}
 	for _, port := range []struct {
 		address  string
 		into     *net.Listener
+		bounds   listenlimit.Kind
 		kind     linkuse.Kind
 		optional bool
 	}{
-		{s.CallerListen, &p.callers, linkuse.Callers, false}, {s.ReadyListen, &p.ready, linkuse.Auxiliary, false},
-		{s.ControlListen, &p.control, linkuse.Records, false}, {s.DirectoryListen, &p.directory, linkuse.Auxiliary, false},
-		{s.HopListen, &p.hops, linkuse.Hops, false}, {s.OperatorListen, &p.operators, linkuse.Auxiliary, true},
+		{s.CallerListen, &p.callers, callerKind, linkuse.Callers, false}, {s.ReadyListen, &p.ready, readyKind, linkuse.Auxiliary, false},
+		{s.ControlListen, &p.control, controlKind, linkuse.Records, false}, {s.DirectoryListen, &p.directory, directoryKind, linkuse.Auxiliary, false},
+		{s.HopListen, &p.hops, hopKind(bounds.HeaderBytes), linkuse.Hops, false}, {s.OperatorListen, &p.operators, operatorKind, linkuse.Auxiliary, true},
 	} {
 		if port.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", port.address)
+		l, err := sockets.Listen(port.address, bounds.Buffers(port.bounds))
 		if err != nil && port.optional {
 			log.Warn("operators' port unavailable; serving without it", "address", port.address, "error", err)
 			continue
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -27,7 +27,7 @@
 // The ports and their shares of the connections. The callers' and the hops' are the largest,
 // as a hop may follow from each request of a caller.
 var (
-	callerKind    = listenlimit.Kind{Name: "callers", Share: 0.42, KeepAlive: keepAlive + keepAliveMargin}
+	callerKind    = listenlimit.Kind{Name: "callers", Share: 0.42, Bodies: true, KeepAlive: keepAlive + keepAliveMargin}
 	controlKind   = listenlimit.Kind{Name: "control", Share: 0.08, Messages: true}
 	readyKind     = listenlimit.Kind{Name: "ready", Share: 0.02}
 	directoryKind = listenlimit.Kind{Name: "directory", Share: 0.06}
@@ -37,7 +37,12 @@
 // hopKind returns the kind of the port for requests of other VMs, whose header contains that
 // of the caller in base64.
 func hopKind(headerBytes int) listenlimit.Kind {
-	return listenlimit.Kind{Name: "hops", Share: 0.4, HeaderBytes: 2*headerBytes + 16<<10, KeepAlive: hopKeepAlive + keepAliveMargin}
+	return listenlimit.Kind{Name: "hops", Share: 0.4, Bodies: true, HeaderBytes: 2*headerBytes + 16<<10, KeepAlive: hopKeepAlive + keepAliveMargin}
+}
+
+// portKinds returns the kinds of all ports.
+func portKinds(headerBytes int) []listenlimit.Kind {
+	return []listenlimit.Kind{callerKind, hopKind(headerBytes), controlKind, readyKind, directoryKind, operatorKind}
 }
 
 // auxiliaryTimeout bounds the transfer of a request and of its response on the ports for
@@ -74,7 +79,7 @@
 		}
 		port := e.limiter.Port(s.kind)
 		server := port.Apply(&http.Server{
-			Handler: closeAfterBody(s.handler), ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, ErrorLog: e.httpLog(),
+			Handler: listenlimit.CloseAfterBody(s.handler), ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, ErrorLog: e.httpLog(),
 		})
 		servers = append(servers, server)
 		group.Go(func() error { return background.IgnoreClosed(server.Serve(port.Listener(s.listener))) })
@@ -82,17 +87,6 @@
 	return servers
 }
 
-// closeAfterBody returns a handler that closes the connection after a request with a body,
-// which next doesn't read. Otherwise the HTTP server would wait for it before it responds.
-func closeAfterBody(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // maxDirectoryTTL returns the configured TTL bound, or entryTTL if there is none.
 func (e *Edge) maxDirectoryTTL() time.Duration {
 	if ttl := e.settings.Load().MaxDirectoryTTL; ttl > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -27,6 +28,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/placement"
 	"github.com/chestnutspring/chestnutspring/internal/published"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 	"github.com/chestnutspring/chestnutspring/internal/version"
 
 	bookingfilter "github.com/chestnutspring/chestnutspring/internal/filter/booking"
@@ -35,6 +37,9 @@
 const (
 	// bodyTimeout is the maximum time for receiving a whole request.
 	bodyTimeout = 60 * time.Second
+	// operatorTimeout bounds the transfer of a request and of its response on the operators'
+	// port.
+	operatorTimeout = 10 * time.Second
 	// incarnationBytes is the number of random bytes in an incarnation.
 	incarnationBytes = 8
 	// drainTimeout is the maximum duration of a shutdown. It is longer than the
@@ -71,6 +76,10 @@
 	if err != nil {
 		return err
 	}
+	// A lower limit in the environment stays in force.
+	if memory := settings.MemoryMB << 20; memory > 0 {
+		debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), g.clients.MemoryLimit(memory)))
+	}
 	return g.run(ctx)
 }
 
@@ -90,7 +99,7 @@
 	if g.tls, err = loadTLS(settings); err != nil {
 		return nil, err
 	}
-	if g.listeners, err = listen(settings); err != nil {
+	if g.listeners, err = listen(settings, &bounds); err != nil {
 		return nil, err
 	}
 	g.assemble()
@@ -136,19 +145,20 @@
 	callers, forward, control, operators net.Listener
 }
 
-func listen(settings *Settings) (*listeners, error) {
+func listen(settings *Settings, bounds *listenlimit.Bounds) (*listeners, error) {
 	l := &listeners{}
 	ports := []struct {
 		address string
 		into    *net.Listener
+		kind    listenlimit.Kind
 	}{
-		{settings.CallerListen, &l.callers},
-		{settings.ForwardListen, &l.forward},
-		{settings.ControlListen, &l.control},
-		{settings.OperatorListen, &l.operators},
+		{settings.CallerListen, &l.callers, callerKind},
+		{settings.ForwardListen, &l.forward, forwardKind},
+		{settings.ControlListen, &l.control, controlKind},
+		{settings.OperatorListen, &l.operators, operatorKind},
 	}
 	for _, p := range ports {
-		listener, err := net.Listen("tcp", p.address)
+		listener, err := sockets.Listen(p.address, bounds.Buffers(p.kind))
 		if err != nil {
 			return nil, ErrListen.Wrap(err, "%s", p.address)
 		}
@@ -172,7 +182,9 @@
 	})
 	// Other gateways keep idle connections open for the next request.
 	forwards.IdleTimeout = 0
-	operators := operatorPort.Apply(&http.Server{Handler: handlers.operators, ErrorLog: g.httpLog()})
+	operators := operatorPort.Apply(&http.Server{
+		Handler: listenlimit.CloseAfterBody(handlers.operators), ReadTimeout: operatorTimeout, WriteTimeout: operatorTimeout, ErrorLog: g.httpLog(),
+	})
 
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -29,7 +29,7 @@
 // handlers creates the filter pipeline and the handlers of the HTTP ports.
 func (g *gateway) handlers() handlers {
 	peer := forward.NewClient(forward.Config{Self: g.self, Now: g.now, Log: g.log, TLS: g.tls.peerClient})
-	g.backend = dispatch.New(dispatch.Config{Now: g.now, Log: g.log, Scope: g.metrics.Scope, Observe: g.fleet.Observe})
+	g.backend = dispatch.New(dispatch.Config{Buffers: g.clients.OutgoingBuffers(), Windows: g.clients.Windows, MaxConnections: g.clients.PooledConnections(), Now: g.now, Log: g.log, Scope: g.metrics.Scope, Observe: g.fleet.Observe})
 	issuer := booking.NewIssuer(g.self, g.now)
 	g.booking = bookingfilter.New(bookingfilter.Config{
 		Self: g.self, Issuer: issuer, Peer: peer, Now: g.now, Log: g.log, Scope: g.metrics.Scope,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,8 +15,8 @@
 
 // The ports and their shares of the connections.
 var (
-	callerKind   = listenlimit.Kind{Name: "callers", Share: 0.6, KeepAlive: drain.KeepAlive}
-	forwardKind  = listenlimit.Kind{Name: "forward", Share: 0.2, Messages: true}
+	callerKind   = listenlimit.Kind{Name: "callers", Share: 0.6, Bodies: true, KeepAlive: drain.KeepAlive}
+	forwardKind  = listenlimit.Kind{Name: "forward", Share: 0.2, Bodies: true, Messages: true}
 	controlKind  = listenlimit.Kind{Name: "control", Share: 0.1, Messages: true}
 	operatorKind = listenlimit.Kind{Name: "operators", Share: 0.1}
 )
@@ -27,7 +27,7 @@
 	clients := s.Clients
 	clients.MaxHeaderBytes = cmp.Or(clients.MaxHeaderBytes, wire.MaxHeaderBytes)
 	clients.BodyTimeout = cmp.Or(clients.BodyTimeout, bodyTimeout)
-	return clients.Resolve(s.MemoryMB<<20, listenlimit.Descriptors(s.Descriptors))
+	return clients.Resolve(s.MemoryMB<<20, listenlimit.Descriptors(s.Descriptors), callerKind, forwardKind, controlKind, operatorKind)
 }
 
 // forwardProtocols enables only HTTP/2, with or without TLS.
--- a/internal/listenlimit/conn.go
+++ b/internal/listenlimit/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 const (
@@ -42,6 +43,8 @@
 	remote netip.AddrPort
 	// awaiting is true while the header of a request is awaited or read.
 	awaiting atomic.Bool
+	// window is the receive buffer on a port with bodies, or nil.
+	window *sockets.Window
 
 	// The lock of the port guards these. since is when the connection was accepted or became
 	// idle, and requested is true once it has sent a whole request.
@@ -66,9 +69,14 @@
 	}
 	if c.port.kind.Messages {
 		c.beginUse()
+		c.window.Received(n)
 		return n, err
 	}
-	if c.awaiting.Load() && !c.hold(p[:n]) {
+	if !c.awaiting.Load() {
+		c.window.Received(n)
+		return n, err
+	}
+	if !c.hold(p[:n]) {
 		c.port.mu.Lock()
 		c.port.refuse(byBytes)
 		c.port.mu.Unlock()
@@ -142,6 +150,7 @@
 	c.ended = true
 	c.mu.Unlock()
 	c.release()
+	c.window.End()
 }
 
 // Close implements net.Conn. It counts a connection that was closed as it was silent or idle.
--- a/internal/listenlimit/listenlimit_test.go
+++ b/internal/listenlimit/listenlimit_test.go
@@ -14,22 +14,28 @@
 
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
 
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
 )
 
+// ports are those of a process with bodies on most of its connections.
+var ports = []Kind{{Name: "callers", Share: 0.8, Bodies: true}, {Name: "control", Share: 0.1, Messages: true}, {Name: "ready", Share: 0.1}}
+
 // Guards against bounds that each hold but exceed the memory or the descriptors of a VM
-// together.
+// together, unread bytes included.
 func TestAllBoundsTogetherFitTheVM(t *testing.T) {
 	for _, vm := range []struct {
 		memoryMb    int64
 		descriptors int
-	}{{144, 3075}, {536, 8192}} {
+	}{{144, 3075}, {160, 4100}, {184, 4100}, {284, 4100}, {424, 10250}, {536, 8192}} {
 		is := is.New(t)
-		b := (&Settings{}).Resolve(vm.memoryMb<<20, vm.descriptors)
-		t.Logf("%d MB, %d descriptors: %d connections, %d MB pending, %d MB at most", vm.memoryMb, vm.descriptors, b.Connections, b.PendingBytes>>20, b.MostMemory(vm.descriptors)>>20)
-		is.True(b.MostMemory(vm.descriptors) <= vm.memoryMb<<20)
+		b := (&Settings{}).Resolve(vm.memoryMb<<20, vm.descriptors, ports...)
+		t.Logf("%d MB, %d descriptors: %d connections, receive buffers of %d KB, %d MB pending, %d MB unread, %d MB at most, soft limit %d MB", vm.memoryMb, vm.descriptors,
+			b.Connections, b.ReceiveBytes>>10, b.PendingBytes>>20, b.UnreadMemory()>>20, b.MostMemory()>>20, b.MemoryLimit(vm.memoryMb<<20)>>20)
+		is.True(b.MostMemory() <= vm.memoryMb<<20)
 		is.True(b.Connections <= vm.descriptors*3/4)                           // a quarter is for servers, VMs and the registry
+		is.True(b.Connections+b.Outgoing <= vm.descriptors)                    //
 		is.True(b.Connections >= 1500)                                         // a normal VM has some hundreds
 		is.True(b.PendingBytes >= 2*4<<20)                                     // bodies within the operators' limits
 		is.True(b.HeaderBytes > 16<<10 && b.HeaderTimeout > 3*time.Second)     // so are headers
@@ -38,6 +44,23 @@
 	}
 }
 
+// The same for any machine on which the process fits without requests.
+func TestAllBoundsTogetherFitAnyVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		memory, descriptors := rapid.Int64Range(48, 4096).Draw(t, "MB")<<20, rapid.IntRange(200, 20_000).Draw(t, "descriptors")
+		b := (&Settings{}).Resolve(memory, descriptors, ports...)
+		if b.Connections > minConnections && b.MostMemory() > memory {
+			t.Fatalf("%d bytes of %d", b.MostMemory(), memory)
+		}
+		if b.MemoryLimit(memory)+b.UnreadMemory() > memory {
+			t.Fatalf("soft limit of %d beside %d unread of %d", b.MemoryLimit(memory), b.UnreadMemory(), memory)
+		}
+		if b.Connections+b.Outgoing > descriptors {
+			t.Fatalf("%d connections of %d", b.Connections+b.Outgoing, descriptors)
+		}
+	})
+}
+
 func TestUnknownMemoryAndDescriptorsAreBounded(t *testing.T) {
 	is := is.New(t)
 	b := (&Settings{}).Resolve(0, 0)
--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 // logInterval is the least time between two log lines of a port.
@@ -25,6 +26,10 @@
 	Name string
 	// Share is the port's share of the connections.
 	Share float64
+	// Bodies means that the requests on the port have bodies that are read.
+	Bodies bool
+	// BufferBytes is what each connection holds in buffers beside those of HTTP/1.
+	BufferBytes int
 	// Messages means that the connections don't carry HTTP/1 requests one after another, so
 	// that a connection counts as in use from its first byte.
 	Messages bool
@@ -34,6 +39,12 @@
 	KeepAlive time.Duration
 }
 
+// receives reports whether the port receives bodies or messages.
+func (k Kind) receives() bool { return k.Bodies || k.Messages }
+
+// Connections returns the most connections of the port.
+func (k Kind) Connections(b *Bounds) int { return max(1, int(k.Share*float64(b.Connections))) }
+
 // limit is the name of a bound in metrics and log lines.
 type limit string
 
@@ -49,14 +60,17 @@
 // Limiter gives the ports of a process their bounds.
 type Limiter struct {
 	Bounds
-	budget *membudget.Budget
-	log    *slog.Logger
-	scope  tally.Scope
+	// Windows holds the memory of receive buffers that grow, and Control that of the messages
+	// of other VMs and of their receive buffers.
+	Windows, Control *membudget.Budget
+	budget           *membudget.Budget
+	log              *slog.Logger
+	scope            tally.Scope
 }
 
 // New returns a limiter. The budget holds the headers, and the bodies that the process reads.
 func New(bounds Bounds, budget *membudget.Budget, log *slog.Logger, scope tally.Scope) *Limiter {
-	return &Limiter{Bounds: bounds, budget: budget, log: log, scope: scope.SubScope("listen")}
+	return &Limiter{Bounds: bounds, Windows: membudget.New(bounds.WindowBytes), Control: membudget.New(bounds.ControlBytes), budget: budget, log: log, scope: scope.SubScope("listen")}
 }
 
 // Port is a port with its bounds.
@@ -84,7 +98,7 @@
 // Port returns the bounds of a port.
 func (l *Limiter) Port(kind Kind) *Port {
 	p := &Port{
-		Limiter: l, kind: kind, max: max(1, int(kind.Share*float64(l.Connections))), closed: map[limit]tally.Counter{},
+		Limiter: l, kind: kind, max: kind.Connections(&l.Bounds), closed: map[limit]tally.Counter{},
 		conns: map[netip.AddrPort]*conn{}, perAddress: map[netip.Addr]int{},
 	}
 	scope := l.scope.Tagged(map[string]string{"port": kind.Name})
@@ -103,6 +117,9 @@
 	if p.kind.Messages {
 		return server
 	}
+	if p.kind.Bodies {
+		p.announceClose(server)
+	}
 	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		p.setState(c, state)
@@ -153,6 +170,12 @@
 func (p *Port) add(raw net.Conn) *conn {
 	c := &conn{Conn: raw, port: p, remote: remoteOf(raw), since: time.Now(), account: p.budget.Account()}
 	c.awaiting.Store(!p.kind.Messages)
+	switch {
+	case p.kind.Messages:
+		c.window = sockets.NewKeptWindow(raw, p.OutgoingBuffers(), p.Control)
+	case p.kind.Bodies:
+		c.window = sockets.NewWindow(raw, p.OutgoingBuffers(), p.Windows)
+	}
 	address := c.remote.Addr()
 	p.mu.Lock()
 	var replaced *conn
@@ -273,6 +296,7 @@
 	}
 	c.requested = true
 	if state == http.StateActive {
+		c.window.Begin()
 		c.awaiting.Store(false)
 		c.shrink()
 		return
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -303,7 +303,7 @@
 	// A copy of the response to a HEAD request has a length but no body, which only its
 	// request tells.
 	isHead := x.Request.Method == http.MethodHead
-	if x.Close || isHead || x.uploaded && !x.conn.pool.ServersStateUnread || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
+	if x.Close || isHead || x.uploaded && !x.conn.pool.ServersStateUnread || x.conn.window.MustClose() || x.StrayResponses > 0 || x.conn.carried.full() || x.conn.reader.Buffered() > 0 || FramingOf(x.Response) == FramedByClose {
 		x.conn.close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
@@ -67,11 +68,17 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// NewDialer returns the dialer of a pool whose connection setup takes at most timeout.
-func NewDialer(timeout time.Duration) Dialer {
+// NewDialer returns the dialer of a pool whose connections have the buffers and whose setup takes
+// at most timeout.
+func NewDialer(timeout time.Duration, buffers sockets.Buffers) Dialer {
 	return &net.Dialer{
 		Timeout: timeout, KeepAliveConfig: keepAliveProbes(),
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+		Control: func(network, address string, raw syscall.RawConn) error {
+			if err := buffers.Control(network, address, raw); err != nil {
+				return err
+			}
+			return setUserTimeout(raw, userTimeout)
+		},
 	}
 }
 
@@ -88,9 +95,14 @@
 	// ServersStateUnread means that the servers close a connection, and say so in the header
 	// of the response, on which they have not read the whole body of a request.
 	ServersStateUnread bool
+	// Total bounds the connections of this pool and others together.
+	Total *Total
 	// MaxIdlePerAddress bounds the idle connections to an address; zero means no bound.
 	MaxIdlePerAddress int
 
+	buffers sockets.Buffers
+	memory  *membudget.Budget
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	open map[string]int
@@ -104,6 +116,8 @@
 	// head bounds the headers that reader reads.
 	head   *headReader
 	reader *bufio.Reader
+	// window is the receive buffer.
+	window *sockets.Window
 	// idleSince and idleTimeout determine when an idle connection expires.
 	idleSince   clock.Instant
 	idleTimeout time.Duration
@@ -115,11 +129,17 @@
 // NewPool returns an empty pool whose connection setup takes at most dialTimeout.
 func NewPool(now clock.Clock, dialTimeout time.Duration) *Pool {
 	return &Pool{
-		Dialer: NewDialer(dialTimeout), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, IdleTimeout: defaultIdleTimeout,
+		Dialer: NewDialer(dialTimeout, sockets.Buffers{}), Now: now, MaxHeadBytes: DefaultMaxHeadBytes, IdleTimeout: defaultIdleTimeout,
 		idle: map[string][]*conn{}, open: map[string]int{},
 	}
 }
 
+// SetBuffers sets the buffers of new connections, whose setup takes at most dialTimeout, and the
+// budget for receive buffers that grow.
+func (p *Pool) SetBuffers(dialTimeout time.Duration, b sockets.Buffers, memory *membudget.Budget) {
+	p.Dialer, p.buffers, p.memory = NewDialer(dialTimeout, b), b, memory
+}
+
 // OpenConnections returns the number of connections to all addresses, including
 // idle ones.
 func (p *Pool) OpenConnections() int {
@@ -195,6 +215,10 @@
 	if !p.reserve(call) {
 		return nil, ErrAtLimit.New("%d connections to %s are in use", call.MaxOpen, address)
 	}
+	if !p.Total.Take() {
+		p.uncount(address)
+		return nil, ErrExhausted.New("all %d connections to other processes are in use", p.Total.max)
+	}
 	raw, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if isExhausted(err) {
 		p.closeIdle(func(*conn, clock.Instant) bool { return true })
@@ -213,8 +237,8 @@
 		}
 		return nil, ErrNoConnection.New("%v", err)
 	}
-	c := &conn{Conn: raw, pool: p, address: address}
-	c.head = &headReader{r: raw}
+	c := &conn{Conn: raw, pool: p, address: address, window: sockets.NewWindow(raw, p.buffers, p.memory)}
+	c.head = &headReader{r: c}
 	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	return c, nil
 }
@@ -301,7 +325,13 @@
 	return failed
 }
 
+// decrementOpen counts a connection as closed.
 func (p *Pool) decrementOpen(address string) {
+	p.Total.Give()
+	p.uncount(address)
+}
+
+func (p *Pool) uncount(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[address]--; p.open[address] <= 0 {
@@ -345,6 +375,13 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.window.Received(n)
+	return n, err
+}
+
 func (c *conn) close() { c.closeWith(c.Conn.Close) }
 
 // reset closes the connection of a request that is given up.
@@ -353,6 +390,7 @@
 func (c *conn) closeWith(end func() error) {
 	c.closeOnce.Do(func() {
 		_ = end()
+		c.window.End()
 		c.pool.decrementOpen(c.address)
 	})
 }
