Messages for team quota take their memory from the budget

What callers saw: 300 clients that sent requests for units to the port for other VMs, short of their end, took 135 MB at a VM of 64 MB.

Cause: the handler read up to 1 MB with io.ReadAll, beside the budget and without a deadline.

Change: the message is read like a body, from the budget and in at most four times the time that its sender waits; what announces more than 1 MB is refused at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -247,7 +247,7 @@
 	e.teamLimits = newTeamLimits(settings, limitsConfig{
 		Self: e.self, Now: e.now, Log: e.log, Scope: e.metrics.Scope.SubScope("team_limit"), Table: e.follower.Table,
 		Members: e.mesh.Members, ActiveVMs: e.mesh.ActiveVMs, Accepts: e.ready.Load,
-		Capacity: settings.capacity, Pool: e.gatewayPool,
+		Capacity: settings.capacity, Pool: e.gatewayPool, Memory: e.memory,
 	})
 	e.relay = relay.New(relay.Config{
 		Memory: e.memory, BodyTimeout: bounds.BodyTimeout,
--- a/internal/edge/teamlimits.go
+++ b/internal/edge/teamlimits.go
@@ -14,6 +14,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/chestnutspring/chestnutspring/internal/answer"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/ingress"
 	"github.com/chestnutspring/chestnutspring/internal/membudget"
@@ -32,6 +33,8 @@
 	pathQuota = "/peer/v1/quota"
 	// quotaTimeout bounds an exchange: grants are valid for as long.
 	quotaTimeout = 500 * time.Millisecond
+	// quotaReadTimeout bounds the receipt of a message. Its sender has given up by then.
+	quotaReadTimeout = 4 * quotaTimeout
 	// maxQuotaBytes bounds a message. One of the largest number of teams has about 200 KB.
 	maxQuotaBytes = 1 << 20
 	// quotaMaxIdle is the maximum idle time of a pooled connection, below that for which
@@ -85,6 +88,8 @@
 	Accepts  func() bool
 	Capacity func() float64
 	Pool     *upstream.Pool
+	// Memory holds the messages of other VMs; nil means no bound.
+	Memory *membudget.Budget
 }
 
 // teamLimits implements relay.TeamLimits.
@@ -494,11 +499,35 @@
 	return l.ledger.Exchange(r, l.Now())
 }
 
+// read reads the message of another VM into memory of the account.
+func (l *teamLimits) read(w http.ResponseWriter, hr *http.Request, memory *membudget.Account) ([]byte, error) {
+	if hr.ContentLength > maxQuotaBytes {
+		return nil, &http.MaxBytesError{Limit: maxQuotaBytes}
+	}
+	// Every connection of a net/http server supports deadlines, so the errors are ignored.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(quotaReadTimeout))
+	message, err := memory.ReadAll(http.MaxBytesReader(w, hr.Body, maxQuotaBytes), hr.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return memory.Join(message)
+}
+
 // ServeHTTP answers the requests of other VMs for units.
 func (l *teamLimits) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxQuotaBytes))
+	memory := l.Memory.Evictable(answer.InterruptBody(w))
+	defer memory.Close()
+	body, err := l.read(w, hr, memory)
+	if errors.Is(err, membudget.ErrNoMemory) {
+		w.Header().Set("Connection", "close")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	r := &quota.Request{}
 	if err = errors.Join(err, json.Unmarshal(body, r)); err != nil {
+		w.Header().Set("Connection", "close")
 		http.Error(w, "malformed request", http.StatusBadRequest)
 		return
 	}
