Large messages of other VMs take their memory from a budget of the control port

What callers saw: 300 clients that sent messages to the control port, short of their end, took 94 MB at a VM of 64 MB.

Cause: a frame of up to 1.4 MB was read into a buffer that grew by doubling, for as many connections as the port has, for up to 30 s without a byte.

It waits up to 3 s for memory, and frames that have stalled give way. The budget is apart from that of bodies, so that clients of the callers' port can't keep VMs from learning of one another.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -176,6 +176,7 @@
 	e.memory = membudget.New(bounds.PendingBytes)
 	e.limiter = listenlimit.New(bounds, e.memory, e.log, e.metrics.Scope)
 	e.mesh = mesh.New(mesh.Config{
+		Memory:    e.limiter.Control,
 		Self:      e.self,
 		Addresses: mesh.Addresses{Callers: settings.CallerListen, Hops: settings.HopListen, Control: settings.ControlListen},
 		Capacity:  settings.capacity(), LinkRate: settings.LinkMbps * bytesPerMbit,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
 	"github.com/chestnutspring/chestnutspring/internal/health"
 	"github.com/chestnutspring/chestnutspring/internal/membership"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/objects"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/published"
@@ -54,6 +55,8 @@
 	Now                  clock.Clock
 	Log                  *slog.Logger
 	Scope                tally.Scope
+	// Memory holds the large messages of other gateways; nil means no bound.
+	Memory *membudget.Budget
 	// Dial opens connections to peers and backend servers; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -142,7 +145,7 @@
 		version:          firstVersion(time.Now()),
 	}
 	f.dialer = &peer.Dialer{TLS: cfg.ClientTLS, Log: cfg.Log, Meter: f.controlMeter, Dial: cfg.Dial}
-	f.server = &peer.Server{Handler: handler{f}, TLS: cfg.ServerTLS, Log: cfg.Log, Meter: f.controlMeter}
+	f.server = &peer.Server{Handler: handler{f}, TLS: cfg.ServerTLS, Log: cfg.Log, Meter: f.controlMeter, Memory: cfg.Memory}
 	f.probeClient = newProbeClient(cfg.Dial, f.probeMeter)
 	f.callClients.fleet = f
 	f.startedAt = cfg.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,7 @@
 		Now:            g.now,
 		Log:            g.log,
 		Scope:          g.metrics.Scope,
+		Memory:         g.clients.Control,
 	})
 	g.config = configwatch.New(configwatch.Config{
 		Self: g.self, Reader: reader, Peers: g.fleet, Publisher: g.publisher,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutspring/chestnutspring/internal/balance"
 	"github.com/chestnutspring/chestnutspring/internal/clock"
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/peer"
 	"github.com/chestnutspring/chestnutspring/internal/snapshot"
 )
@@ -149,6 +150,8 @@
 	Seeds    []string
 	// Dialer opens the connections to other VMs; nil means the system's.
 	Dialer Dialer
+	// Memory holds the large messages of other VMs; nil means no bound.
+	Memory *membudget.Budget
 	Now    clock.Clock
 	Log    *slog.Logger
 	// ReadsRegistry reports whether this VM reads the registry on behalf of its
--- a/internal/mesh/receive.go
+++ b/internal/mesh/receive.go
@@ -121,7 +121,7 @@
 
 // Serve handles connections from peers on l until ctx is done.
 func (m *Mesh) Serve(ctx context.Context, l net.Listener) error {
-	return (&peer.Server{Handler: handler{m}, Log: m.Log}).Serve(ctx, l)
+	return (&peer.Server{Handler: handler{m}, Log: m.Log, Memory: m.Memory}).Serve(ctx, l)
 }
 
 // Self implements peer.Handler.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -18,6 +18,8 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 )
 
 // Errors of this package.
@@ -49,6 +51,9 @@
 	onGossip func(body []byte) error
 	frame    []byte // buffer of ReadObject
 	body     []byte
+	// memory bounds what large frames hold, and account is what the last one does.
+	memory  *membudget.Budget
+	account *membudget.Account
 
 	mu     sync.Mutex // guards writer
 	writer *bufio.Writer
@@ -114,6 +119,7 @@
 // ReadObject implements jsonrpc2.ObjectStream. Notifications with records that come
 // before the object go to onGossip.
 func (s *stream) ReadObject(v any) error {
+	defer s.releaseBuffers()
 	for {
 		data, err := s.readFrame()
 		if err != nil {
@@ -133,6 +139,9 @@
 			}
 			return nil
 		}
+		if len(data) > maxKeptBuffer && !s.account.TakeOrEvict(base64.StdEncoding.DecodedLen(len(text))) {
+			return ErrFrame.Wrap(membudget.ErrNoMemory, "frame of %d bytes", len(data))
+		}
 		if s.body, err = base64.StdEncoding.AppendDecode(s.body[:0], text); err != nil {
 			return ErrFrame.New("frame of %d bytes: %v", len(data), err)
 		}
@@ -146,6 +155,8 @@
 // releaseBuffers drops buffers that are larger than most frames need, before the next frame,
 // which may be long in coming.
 func (s *stream) releaseBuffers() {
+	s.account.Close()
+	s.account = nil
 	if cap(s.frame) > maxKeptBuffer {
 		s.frame = nil
 	}
@@ -178,6 +189,9 @@
 		return nil, ErrFrame.New("frame length %d is not between 1 and %d", size, MaxFrameBytes)
 	}
 	s.releaseBuffers()
+	if size > maxKeptBuffer {
+		return s.readLargeFrame(int64(size))
+	}
 	buffer := bytes.NewBuffer(s.frame[:0])
 	n, err := buffer.ReadFrom(io.LimitReader(s.reader, int64(size)))
 	s.frame = buffer.Bytes()
@@ -190,5 +204,22 @@
 	return s.frame, nil
 }
 
+// readLargeFrame returns a frame of the given size, which the budget holds until the next one.
+func (s *stream) readLargeFrame(size int64) ([]byte, error) {
+	s.account = s.memory.Evictable(func() { _ = s.conn.Close() })
+	s.account.Wait = memoryTimeout
+	segments, err := s.account.ReadAll(io.LimitReader(s.reader, size), size)
+	if err != nil {
+		return nil, ErrFrame.Wrap(err, "frame of %d bytes not read", size)
+	}
+	if n := segments.Len(); int64(n) < size {
+		return nil, ErrFrame.New("frame truncated after %d of %d bytes", n, size)
+	}
+	if s.frame, err = s.account.Join(segments); err != nil {
+		return nil, ErrFrame.Wrap(err, "frame of %d bytes", size)
+	}
+	return s.frame, nil
+}
+
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.conn.Close() }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/chestnutspring/chestnutspring/internal/gossip"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
 	"github.com/chestnutspring/chestnutspring/internal/published"
 )
 
@@ -29,6 +30,8 @@
 	pingTimeout = 3 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 3 * time.Second
+	// memoryTimeout bounds the wait of a large message for memory that others hold.
+	memoryTimeout = 3 * time.Second
 )
 
 // Handler handles the messages of peers. Its methods are called concurrently for
@@ -62,6 +65,8 @@
 	Log *slog.Logger
 	// Meter counts the bytes of the connections, if it isn't nil.
 	Meter *Meter
+	// Memory holds the large messages; nil means no bound.
+	Memory *membudget.Budget
 }
 
 // Serve accepts connections on l until ctx ends, and then waits for the open ones
@@ -123,7 +128,9 @@
 	in := &inbound{server: s, remote: remote, close: func() { _ = conn.Close() }}
 	helloTimer := time.AfterFunc(handshakeTimeout, in.closeWithoutHello)
 	defer helloTimer.Stop()
-	rpc := newConn(ctx, newStream(secured, in.receiveGossip), in, s.Log, remote)
+	stream := newStream(secured, in.receiveGossip)
+	stream.memory = s.Memory
+	rpc := newConn(ctx, stream, in, s.Log, remote)
 	<-rpc.DisconnectNotify()
 }
 
