Requests of other gateways: smaller HTTP/2 buffers, a bound, and a deadline for bodies

What callers saw: 60 clients with 40 requests each on an HTTP/2 connection, short of their last byte, took 102 MB at a chestnut-gateway of 64 MB.

Cause: each connection could hold 1 MB that no handler had read, and up to 250 requests, each with its free bytes. A body that was withheld was read for as long as its connection lasted. In the other direction a response that its caller doesn't read could hold 4 MB for each request.

Change: 64 KB for each connection and each response; as many requests of other gateways in progress as the port has connections, and more are refused as not run; the body is read until the request's deadline. The buffers are in the sum of the bounds.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -46,6 +46,10 @@
 	// retryAfterFailure is the Retry-After of a request that failed between
 	// gateways.
 	retryAfterFailure = time.Second
+	// MaxReceiveBuffer bounds the bytes of a request, and of the requests on a connection to this
+	// gateway, that were received and not read. Responses that their callers don't read hold as
+	// much each.
+	MaxReceiveBuffer = 64 << 10
 	// copyBufferBytes is the size of the buffer for copying response bodies.
 	copyBufferBytes = 32 << 10
 )
@@ -80,10 +84,13 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	transport := &http.Transport{
-		DialContext:        dialer.DialContext,
-		TLSClientConfig:    config.TLS,
-		Protocols:          protocols,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext:     dialer.DialContext,
+		TLSClientConfig: config.TLS,
+		Protocols:       protocols,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
+			MaxReceiveBufferPerStream: MaxReceiveBuffer,
+		},
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -22,19 +22,10 @@
 // to send to.
 func startPeer(t *testing.T, handler pipeline.HandlerFunc) *snapshot.Member {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Protocols: protocols, HTTP2: ServerHTTP2(), Handler: NewServer(ServerConfig{
+	return startServer(t, NewServer(ServerConfig{
 		Publisher: snapshot.NewPublisher(snapshot.Identity{VM: "receiver"}),
 		Now:       clock.Boot, Handler: handler, Lookup: handler, OnPeerRevision: func(string, uint64) {},
-	})}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return &snapshot.Member{Identity: snapshot.Identity{VM: "receiver"}, ForwardAddress: l.Addr().String()}
+	}))
 }
 
 func newClient() *Client {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutspring/chestnutspring/internal/answer"
@@ -25,11 +26,15 @@
 	// OnPeerRevision is called with the configuration revision of the sender of
 	// each well-formed hop.
 	OnPeerRevision func(vm string, revision uint64)
+	// MaxRequests bounds the requests in progress, of which a connection may carry many; zero
+	// means no bound.
+	MaxRequests int
 }
 
 // Server receives requests from other gateways.
 type Server struct {
 	ServerConfig
+	inProgress atomic.Int64
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -48,9 +53,16 @@
 		http.Error(w, "malformed hop", http.StatusBadRequest)
 		return
 	}
+	// Ends the read of a body that is withheld. HTTP/2 streams support deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(req.Deadline.Sub(s.Now())))
 	s.reportRevision(sender, r)
 	w.Header().Set("Trailer", wire.HeaderRefusal)
 	out := answer.NewWriter(w, req)
+	defer s.inProgress.Add(-1)
+	if s.inProgress.Add(1) > int64(s.MaxRequests) && s.MaxRequests > 0 {
+		writeRefusal(w, out, req, verdict.Busy(verdict.CodeOverloaded, "this gateway serves as many requests of others as it may", retryAfterFailure))
+		return
+	}
 	if refusal := s.handlerFor(req).Handle(r.Context(), req, out); refusal != nil {
 		writeRefusal(w, out, req, refusal)
 	}
@@ -75,7 +87,10 @@
 // ServerHTTP2 returns the HTTP/2 settings of the server for other gateways. Requests end soon
 // after their sender has fallen silent.
 func ServerHTTP2() *http.HTTP2Config {
-	return &http.HTTP2Config{SendPingTimeout: senderPingAfter, PingTimeout: senderPingTimeout}
+	return &http.HTTP2Config{
+		SendPingTimeout: senderPingAfter, PingTimeout: senderPingTimeout,
+		MaxReceiveBufferPerConnection: MaxReceiveBuffer, MaxReceiveBufferPerStream: MaxReceiveBuffer,
+	}
 }
 
 // parse builds the request from the hop's headers and returns the VM that sent
--- a/internal/gateway/handlers.go
+++ b/internal/gateway/handlers.go
@@ -65,6 +65,7 @@
 		}),
 		forward: forward.NewServer(forward.ServerConfig{
 			Publisher: g.publisher, Now: g.now, Handler: handler, Lookup: lookup, OnPeerRevision: g.config.RecordPeerRevision,
+			MaxRequests: forwardKind.Connections(&g.clients.Bounds),
 		}),
 		operators: httpapi.NewOperators(httpapi.OperatorsConfig{
 			Ready: g.ready, Metrics: g.metrics.Handler, State: g.state,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutspring/chestnutspring/internal/background"
 	"github.com/chestnutspring/chestnutspring/internal/drain"
+	"github.com/chestnutspring/chestnutspring/internal/forward"
 	"github.com/chestnutspring/chestnutspring/internal/listenlimit"
 	"github.com/chestnutspring/chestnutspring/internal/logging"
 	"github.com/chestnutspring/chestnutspring/internal/wire"
@@ -16,7 +17,7 @@
 // The ports and their shares of the connections.
 var (
 	callerKind   = listenlimit.Kind{Name: "callers", Share: 0.6, Bodies: true, KeepAlive: drain.KeepAlive}
-	forwardKind  = listenlimit.Kind{Name: "forward", Share: 0.2, Bodies: true, Messages: true}
+	forwardKind  = listenlimit.Kind{Name: "forward", Share: 0.2, Bodies: true, BufferBytes: forward.MaxReceiveBuffer, Messages: true}
 	controlKind  = listenlimit.Kind{Name: "control", Share: 0.1, Messages: true}
 	operatorKind = listenlimit.Kind{Name: "operators", Share: 0.1}
 )
