chestnut-gateway: the buffers of TLS connections are in the sum of the bounds

Cause: a TLS connection holds a record each way, which the sum left out. Change: 32 KB for each connection of a port with TLS; fewer connections where the memory is short.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,13 +22,24 @@
 	operatorKind = listenlimit.Kind{Name: "operators", Share: 0.1}
 )
 
+// tlsBufferBytes is the memory of a TLS connection: a record each way.
+const tlsBufferBytes = 2 * 16 << 10
+
 // clientBounds returns the bounds of what clients may hold. The default of a header and of the
 // time for a whole request are those that callers were told.
 func clientBounds(s *Settings) listenlimit.Bounds {
 	clients := s.Clients
 	clients.MaxHeaderBytes = cmp.Or(clients.MaxHeaderBytes, wire.MaxHeaderBytes)
 	clients.BodyTimeout = cmp.Or(clients.BodyTimeout, bodyTimeout)
-	return clients.Resolve(s.MemoryMB<<20, listenlimit.Descriptors(s.Descriptors), callerKind, forwardKind, controlKind, operatorKind)
+	ports := []listenlimit.Kind{callerKind, forwardKind, controlKind, operatorKind}
+	if s.CallerTLSCert != "" {
+		ports[0].BufferBytes += tlsBufferBytes
+	}
+	if s.TLSCert != "" {
+		ports[1].BufferBytes += tlsBufferBytes
+		ports[2].BufferBytes += tlsBufferBytes
+	}
+	return clients.Resolve(s.MemoryMB<<20, listenlimit.Descriptors(s.Descriptors), ports...)
 }
 
 // forwardProtocols enables only HTTP/2, with or without TLS.
