Requests on the port for other VMs whose body nothing reads end their connection

What callers saw: a request to cancel a hop, to an unknown path or with another method got no response as long as its body was withheld, and its connection stayed in use for good. Such connections can't be replaced, so that a client could take all of the port's, and hops of other VMs were turned away.

Cause: net/http reads up to 256 KB of an unread body before it responds, and this port has no read deadline outside the handlers that set one.

Change: these handlers say Connection: close, as those of the auxiliary ports do; the server then responds without the body.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -54,8 +54,12 @@
 func (e *Edge) hopRouter() http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.PathHop, e.relay.HopHandler())
-	r.Method(http.MethodPost, relay.PathCancelHop, e.relay.CancelHopHandler())
+	r.Method(http.MethodPost, relay.PathCancelHop, listenlimit.CloseAfterBody(e.relay.CancelHopHandler()))
 	r.Method(http.MethodPost, pathQuota, e.teamLimits)
+	r.NotFound(listenlimit.CloseAfterBody(http.NotFoundHandler()).ServeHTTP)
+	r.MethodNotAllowed(listenlimit.CloseAfterBody(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	})).ServeHTTP)
 	return r
 }
 
