--- a/test/clients/bodies_test.go
+++ b/test/clients/bodies_test.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -98,6 +99,25 @@
 	}
 }
 
+// Guards against bodies that are held at two VMs: at the one that received them and at the one to
+// which it sends them, and against responses that stop between them.
+func TestBodiesThatCrossRegionsStayWithinTheMemoryOfBothVMs(t *testing.T) {
+	edge := buildEdge(t)
+	crowds := bodiesOf("callers", post, 300, largestBody)[:4]
+	crowds = append(crowds, crowd{name: "unread responses", port: "callers", connections: 300, first: "POST /large/x HTTP/1.1\r\nHost: callers.example\r\nRequest-Id: c\r\nDeadline: 4000\r\nContent-Length: 1\r\n\r\nx"})
+	for _, c := range crowds {
+		for _, at := range []string{"entry", "other"} {
+			t.Run(at+"/"+c.name, func(t *testing.T) {
+				entry, other := startTwoEdges(t, edge, bodyLimits)
+				if at == "other" {
+					entry.pid, entry.alive = other.pid, other.alive
+				}
+				withstandBodies(t, entry, c)
+			})
+		}
+	}
+}
+
 // Guards against what a crowd holds in the buffers of its sockets: on a small machine of the
 // users' platform, unread bytes alone took more than its memory.
 func TestBodiesOfALargeCrowdStayWithinTheMemoryOfAVM(t *testing.T) {
@@ -120,6 +140,45 @@
 	}
 }
 
+// servesLargestBodiesOfGateway reports whether a chestnut-gateway serves the largest legal body on
+// each kind of route, with its length and in chunks.
+func servesLargestBodiesOfGateway(ctx context.Context, address string) bool {
+	const start, end = `{"model":"wind-writer","max_tokens":1,"messages":[{"role":"user","content":"x"}],"user":"`, `"}`
+	chat := start + strings.Repeat("x", wire.MaxBodyBytes-len(start)-len(end)) + end
+	entries, err := http.Get("http://" + address + wire.PathEntries)
+	if err != nil {
+		return false
+	}
+	_ = entries.Body.Close()
+	for _, route := range []struct{ method, path, key string }{
+		{http.MethodPost, wire.PathChatCompletions, ""},
+		{http.MethodGet, wire.PathServices + "spot-desk/forecast", ""},
+		{http.MethodPost, wire.PathServices + "spot-desk/bookings", entries.Header.Get(wire.HeaderKeyPrefix) + "~"},
+	} {
+		for _, length := range []int64{int64(len(chat)), -1} {
+			req, err := http.NewRequestWithContext(ctx, route.method, "http://"+address+route.path, io.NopCloser(strings.NewReader(chat)))
+			if err != nil {
+				return false
+			}
+			req.ContentLength = length
+			req.Header.Set(wire.HeaderTeam, "jungmun-gear")
+			if route.key != "" {
+				req.Header.Set(wire.HeaderIdempotencyKey, fmt.Sprint(route.key, rand.Uint64()))
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return false
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || resp.StatusCode >= http.StatusMultipleChoices {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // forwardsPerConnection is the number of requests that each client of holdForwards sends on its
 // connection.
 const forwardsPerConnection = 40
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -107,6 +107,23 @@
 
 // startEdge starts a deployment with one chestnut-edge, whose binary was built before.
 func startEdge(t *testing.T, binary string, l limits) edgeTarget {
+	t.Helper()
+	vm := platformtest.NewVM("north-a-1", "north-a")
+	return startVM(t, startServers(t, "north-a"), binary, vm, []string{vm.ControlAddress}, l)
+}
+
+// startTwoEdges starts a deployment with a chestnut-edge in each of two regions, and servers only
+// in that of the second one, so that the first sends it all requests.
+func startTwoEdges(t *testing.T, binary string, l limits) (entry, other edgeTarget) {
+	t.Helper()
+	d := startServers(t, "west-a")
+	first, second := platformtest.NewVM("north-a-1", "north-a"), platformtest.NewVM("west-a-1", "west-a")
+	seeds := []string{first.ControlAddress, second.ControlAddress}
+	return startVM(t, d, binary, first, seeds, l), startVM(t, d, binary, second, seeds, l)
+}
+
+// startServers starts a deployment with its servers in a failure domain.
+func startServers(t *testing.T, domain string) *platformtest.Deployment {
 	t.Helper()
 	d, err := platformtest.NewDeployment()
 	if err != nil {
@@ -118,19 +135,23 @@
 		services(config)
 		config["limits"].(map[string]any)["maxBodyBytes"] = 4 << 20
 	})
-	if _, err := d.Start("i-1", platformtest.PlainService, "north-a", ""); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := d.Start("e-1", platformtest.EngineService, "north-a", ""); err != nil {
-		t.Fatal(err)
+	for id, service := range map[string]string{"i-1": platformtest.PlainService, "e-1": platformtest.EngineService} {
+		if _, err := d.Start(id, service, domain, ""); err != nil {
+			t.Fatal(err)
+		}
 	}
-	stop, err := d.StartRaw("i-2", largeService, "north-a", respondLarge)
+	stop, err := d.StartRaw("i-2", largeService, domain, respondLarge)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	vm := platformtest.NewVM("north-a-1", "north-a")
-	settings := strings.Replace(d.Settings(vm, d.StoreAddress, []string{vm.ControlAddress}, time.Second),
+	return d
+}
+
+// startVM starts a chestnut-edge on a VM of the deployment.
+func startVM(t *testing.T, d *platformtest.Deployment, binary string, vm platformtest.VM, seeds []string, l limits) edgeTarget {
+	t.Helper()
+	settings := strings.Replace(d.Settings(vm, d.StoreAddress, seeds, time.Second),
 		"memoryMb = 200", fmt.Sprintf("memoryMb = %d\nmaxFds = %d", l.memoryMb, l.descriptors), 1)
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
@@ -211,6 +232,9 @@
 		answered: func() bool {
 			ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 			defer cancel()
+			if !servesLargestBodiesOfGateway(ctx, g.CallerAddress()) {
+				return false
+			}
 			for _, url := range []string{"http://" + g.CallerAddress() + wire.PathEntries, g.OperatorURL() + "/readyz"} {
 				req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 				if err != nil {
