--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -540,6 +540,10 @@
 	s.Counter("slow_start_beyond").Inc(starts.Beyond)
 	s.Gauge("open_server_connections").Update(float64(e.serverPool.OpenConnections()))
 	s.Gauge("body_memory_bytes").Update(float64(e.memory.Held()))
+	s.Gauge("receive_window_memory_bytes").Update(float64(e.limiter.Windows.Held()))
+	s.Gauge("control_memory_bytes").Update(float64(e.limiter.Control.Held()))
+	s.Counter("evicted_bodies").Inc(e.memory.TakeEvictions())
+	s.Counter("evicted_control_messages").Inc(e.limiter.Control.TakeEvictions())
 	s.Gauge("open_hop_connections").Update(float64(e.gatewayPool.OpenConnections()))
 	if c := e.follower.Current(); c != nil {
 		s.Gauge("configuration_version").Update(float64(c.Table.Version))
--- a/internal/listenlimit/settings.go
+++ b/internal/listenlimit/settings.go
@@ -22,6 +22,7 @@
 	IdleTimeout              time.Duration `help:"Longest time of an idle connection." env:"CHESTNUT_IDLE_TIMEOUT"`
 	MaxConnections           int           `help:"Most connections from clients and other VMs, on all ports." env:"CHESTNUT_MAX_CONNECTIONS"`
 	MaxConnectionsPerAddress int           `help:"Most connections from one address to one port." env:"CHESTNUT_MAX_CONNECTIONS_PER_ADDRESS"`
+	MaxOutgoing              int           `help:"Most connections to backend servers and other VMs." env:"CHESTNUT_MAX_OUTGOING"`
 	MaxPendingBytes          int64         `help:"Most memory of request headers and bodies together, in bytes." env:"CHESTNUT_MAX_PENDING_BYTES"`
 }
 
@@ -122,7 +123,7 @@
 		b.ControlBytes = max(minControlBytes, int64(controlMemoryShare*float64(memoryBytes)))
 		b.WindowBytes = int64(windowMemoryShare * float64(memoryBytes))
 	}
-	if descriptors > 0 {
+	if b.Outgoing = s.MaxOutgoing; b.Outgoing <= 0 && descriptors > 0 {
 		b.Outgoing = descriptors - int(descriptorShare*float64(descriptors))
 		if memoryBytes > 0 {
 			b.Outgoing = min(b.Outgoing, int(outgoingMemoryShare*float64(memoryBytes)/(outgoingBytes+2*minReceiveBytes)))
@@ -222,7 +223,7 @@
 // Check returns the faults of the settings.
 func (s *Settings) Check() []string {
 	var faults []string
-	if s.MaxHeaderBytes < 0 || s.HeaderTimeout < 0 || s.BodyTimeout < 0 || s.IdleTimeout < 0 || s.MaxConnections < 0 || s.MaxConnectionsPerAddress < 0 || s.MaxPendingBytes < 0 {
+	if s.MaxHeaderBytes < 0 || s.HeaderTimeout < 0 || s.BodyTimeout < 0 || s.IdleTimeout < 0 || s.MaxConnections < 0 || s.MaxConnectionsPerAddress < 0 || s.MaxOutgoing < 0 || s.MaxPendingBytes < 0 {
 		faults = append(faults, "a limit of clients is below 0")
 	}
 	if s.MaxConnections > 0 && s.MaxConnections < minConnections {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -37,6 +37,7 @@
 	// mu guards evictable, the accounts of the messages that may be evicted.
 	mu        sync.Mutex
 	evictable map[*Account]struct{}
+	evictions atomic.Int64
 }
 
 // New returns a budget of the given number of bytes, or nil if that isn't above zero.
@@ -93,10 +94,19 @@
 	if stalled == nil {
 		return false
 	}
+	b.evictions.Add(1)
 	stalled.evict()
 	return true
 }
 
+// TakeEvictions returns the number of messages that were evicted since the last call.
+func (b *Budget) TakeEvictions() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.evictions.Swap(0)
+}
+
 // Account is what one buffer or a few hold of a Budget. It isn't safe for concurrent use.
 // Nil means that there is no bound.
 type Account struct {
@@ -194,10 +204,10 @@
 	a.evict = nil
 }
 
-// describe returns ErrNoMemory if the read failed because the message was evicted, or else err.
+// describe returns ErrEvicted if the read failed because the message was evicted, or else err.
 func (a *Account) describe(err error) error {
 	if a != nil && a.evicted.Load() {
-		return ErrNoMemory
+		return ErrEvicted
 	}
 	return err
 }
--- a/internal/membudget/segments.go
+++ b/internal/membudget/segments.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -12,8 +13,12 @@
 	maxSegmentBytes   = 64 << 10
 )
 
-// ErrNoMemory means that the budget has no memory for more of a message.
-var ErrNoMemory = errors.New("the requests in flight hold all the memory for bodies")
+// ErrNoMemory means that the budget has no memory for more of a message, and ErrEvicted, which
+// wraps it, that another message needed the memory of this one, which had stalled.
+var (
+	ErrNoMemory = errors.New("the requests in flight hold all the memory for bodies")
+	ErrEvicted  = fmt.Errorf("the body stalled: %w", ErrNoMemory)
+)
 
 // Segments are the bytes of a message in buffers that never move: unlike one buffer that grows
 // by doubling, they leave no garbage while the message arrives.
@@ -51,7 +56,7 @@
 
 // ReadAll reads to the end of r into memory of the account. It expects the given number of
 // bytes, or any if that is negative. The error is ErrNoMemory, at once if the budget could
-// never hold what is expected, or that of r.
+// never hold what is expected, ErrEvicted, or that of r.
 func (a *Account) ReadAll(r io.Reader, expected int64) (Segments, error) {
 	if expected >= 0 && !a.couldHold(expected) {
 		return nil, ErrNoMemory
--- a/internal/membudget/segments_test.go
+++ b/internal/membudget/segments_test.go
@@ -80,7 +80,8 @@
 		is.True(!other.TakeOrEvict(200 << 10)) // neither has stalled yet
 		time.Sleep(stallTime)
 		is.True(other.TakeOrEvict(100 << 10))
-		is.True(errors.Is(<-first, ErrNoMemory))
+		is.True(errors.Is(<-first, ErrEvicted))
+		is.Equal(b.TakeEvictions(), int64(1))
 		is.Equal(len(second), 0)
 		other.Close()
 		is.True(b.evictStalled(nil))
