upstream: a pooled connection's receive window starts anew with each request

Change: each request begins a message. Measured: the test failed before (the fifth request or so had a new connection) and passes: 40 responses of 32 KB on one connection.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -105,6 +105,7 @@
 		return nil, ErrUnsent.New("%v", ctx.Err())
 	}
 	stop := context.AfterFunc(ctx, c.reset)
+	c.window.Begin()
 	c.carried.add(call.ID)
 	sent, err := c.write(call)
 	if err != nil {
--- a/internal/upstream/total_test.go
+++ b/internal/upstream/total_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"github.com/chestnutspring/chestnutspring/internal/clock"
+	"github.com/chestnutspring/chestnutspring/internal/membudget"
+	"github.com/chestnutspring/chestnutspring/internal/sockets"
 )
 
 // Guards against connections to servers and VMs whose number only the descriptors bound: each
@@ -45,3 +47,23 @@
 	is.Equal(total.open.Load(), int64(0))
 	is.True((*Total)(nil).Take())
 }
+
+// Guards against connections that are closed after many small responses, as if those were a
+// large one.
+func TestConnectionOfManySmallResponsesIsReused(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 32<<10)) }))
+	defer server.Close()
+	p, budget := NewPool(clock.Boot, time.Second), membudget.New(4<<20)
+	p.SetBuffers(time.Second, sockets.Buffers{ReceiveBytes: 8 << 10}, budget)
+	for i := range 40 {
+		x, err := p.Do(t.Context(), &Call{Address: server.Listener.Addr().String(), Method: http.MethodGet, Target: "/", Host: "x", MaxIdle: time.Minute})
+		is.NoErr(err)
+		is.Equal(x.Reused(), i > 0)
+		_, err = io.Copy(io.Discard, x)
+		is.NoErr(err)
+		x.Release()
+	}
+	p.CloseIdle(server.Listener.Addr().String())
+	is.Equal(budget.Held(), int64(0))
+}
