Receive windows of other VMs' connections don't take the memory of their messages

Cause: the windows of control connections grew to 64 KB from the control port's own budget. Change: they grow to 32 KB, from the budget of all windows; 1 MB for twenty links. Measured: the packages' tests pass.

--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -61,7 +61,7 @@
 type Limiter struct {
 	Bounds
 	// Windows holds the memory of receive buffers that grow, and Control that of the messages
-	// of other VMs and of their receive buffers.
+	// of other VMs.
 	Windows, Control *membudget.Budget
 	budget           *membudget.Budget
 	log              *slog.Logger
@@ -172,7 +172,7 @@
 	c.awaiting.Store(!p.kind.Messages)
 	switch {
 	case p.kind.Messages:
-		c.window = sockets.NewKeptWindow(raw, p.OutgoingBuffers(), p.Control)
+		c.window = sockets.NewLastingWindow(raw, p.OutgoingBuffers(), p.Windows)
 	case p.kind.Bodies:
 		c.window = sockets.NewWindow(raw, p.OutgoingBuffers(), p.Windows)
 	}
--- a/internal/sockets/receive.go
+++ b/internal/sockets/receive.go
@@ -79,8 +79,9 @@
 
 const (
 	// maxKeptBytes is the largest size of the receive buffer of a connection that may serve
-	// further messages.
-	maxKeptBytes = 64 << 10
+	// further messages, and maxLastingBytes that of one which serves messages for as long as
+	// its other side runs.
+	maxKeptBytes, maxLastingBytes = 64 << 10, 32 << 10
 	// maxReceiveBytes is the largest size of a receive buffer. It lets 2.5 MB/s or more arrive
 	// over a round trip of 100 ms.
 	maxReceiveBytes = 256 << 10
@@ -109,12 +110,12 @@
 	return &Window{conn: conn, account: budget.Account(), size: b.ReceiveBytes, max: maxReceiveBytes}
 }
 
-// NewKeptWindow is like NewWindow for a connection that serves many messages. Its window never
-// has to be closed.
-func NewKeptWindow(c net.Conn, b Buffers, budget *membudget.Budget) *Window {
+// NewLastingWindow is like NewWindow for a connection to another process that lasts. It grows less,
+// and never has to be closed.
+func NewLastingWindow(c net.Conn, b Buffers, budget *membudget.Budget) *Window {
 	w := NewWindow(c, b, budget)
 	if w != nil {
-		w.max = maxKeptBytes
+		w.max = maxLastingBytes
 	}
 	return w
 }
