Soak: crowds of clients that hold bodies

Change: TestBodiesUnderFaults adds crowds of 80 clients at random VMs to the faults (kills, pauses, SIGTERM, registry, servers), with large bodies, large chunks, chunks of one byte and bodies over the limit, all held short of their end. What looks at a process's memory is in platformtest, for the soak and test/clients.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,8 @@
 	// Teams adds teams with keys that are removed and added, home regions and limits, and
 	// checks what servers get for them.
 	Teams bool
+	// Bodies adds crowds of clients that hold bodies, and checks the memory of the VMs.
+	Bodies bool
 }
 
 const (
@@ -106,7 +108,7 @@
 type Harness struct {
 	Config
 	*platformtest.Deployment
-	rng, registryRNG, statementRNG, versionRNG, continuationRNG, runRNG, copyRNG *rand.Rand
+	rng, registryRNG, statementRNG, versionRNG, continuationRNG, runRNG, copyRNG, bodyRNG *rand.Rand
 
 	vms      []*process
 	servers  []*serverProcess
@@ -162,7 +164,7 @@
 		Config: config, Deployment: d, rng: rand.New(rand.NewPCG(config.Seed, 1)),
 		registryRNG: rand.New(rand.NewPCG(config.Seed, 3)), statementRNG: rand.New(rand.NewPCG(config.Seed, 4)),
 		versionRNG: rand.New(rand.NewPCG(config.Seed, 6)), continuationRNG: rand.New(rand.NewPCG(config.Seed, 8)),
-		runRNG: rand.New(rand.NewPCG(config.Seed, 9)), copyRNG: rand.New(rand.NewPCG(config.Seed, 10)),
+		runRNG: rand.New(rand.NewPCG(config.Seed, 9)), copyRNG: rand.New(rand.NewPCG(config.Seed, 10)), bodyRNG: rand.New(rand.NewPCG(config.Seed, 12)),
 		replicas: map[string]*replica{}, drainedAt: map[string]time.Time{}, heldUp: map[string][]period{}, standstills: map[string][]period{}, started: time.Now(),
 	}
 	h.teams.removedAt = map[string]time.Time{}
@@ -176,7 +178,7 @@
 	if err := h.startAll(); err != nil {
 		return nil, nil, err
 	}
-	if !h.CountRuns && !h.Teams {
+	if !h.CountRuns && !h.Teams && !h.Bodies {
 		// These make replicas refuse or crash so often that few requests run.
 		h.nameLimits()
 		h.continueOddly()
@@ -185,6 +187,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var clients sync.WaitGroup
+	if h.Bodies {
+		clients.Go(func() { h.watchMemory(ctx) })
+	}
 	for _, p := range h.vms {
 		for n := range clientsPerVM {
 			seed := h.rng.Uint64()
@@ -203,6 +208,10 @@
 	for end := time.Now().Add(config.FaultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration((0.3 + 1.4*h.rng.Float64()) * float64(h.MeanFaultInterval)))
 		h.injectFault()
+		if h.Bodies {
+			h.holdBodies()
+			continue
+		}
 		if h.Teams {
 			h.injectTeamFault()
 			continue
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,6 +91,12 @@
 	runSeeds(t, seeds, Config{Teams: true, Binary: buildEdge(t), VMs: vms, Engines: 2, FaultDuration: faultDuration, MeanFaultInterval: 700 * time.Millisecond})
 }
 
+// TestBodiesUnderFaults does the same with crowds of clients that hold bodies.
+func TestBodiesUnderFaults(t *testing.T) {
+	seeds, faultDuration, vms := soakSettings(t, []string{"3"}, 12*time.Second)
+	runSeeds(t, seeds, Config{Bodies: true, Binary: buildEdge(t), VMs: vms, Engines: 2, FaultDuration: faultDuration, MeanFaultInterval: 700 * time.Millisecond})
+}
+
 // soakSettings returns the seeds, the time of the faults and the number of VMs in each
 // region: those given, or what the environment states.
 func soakSettings(t *testing.T, seeds []string, faultDuration time.Duration) ([]string, time.Duration, int) {
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -83,6 +83,9 @@
 	vm := p.VM
 	vm.FirstStart = firstStart
 	settings := h.Settings(vm, p.storeProxy.Address, h.seeds, grace)
+	if h.Bodies {
+		settings = strings.Replace(settings, "memoryMb = 200", fmt.Sprintf("memoryMb = %d\nmaxFds = %d", vmMemoryMb, vmDescriptors), 1)
+	}
 	if h.Teams {
 		settings = teamBounds.AddTo(settings)
 	}
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/chestnutspring/chestnutspring/platform/platformtest"
 )
 
 // limits are what the process under test has, and the bounds of what it takes at its peak.
@@ -201,11 +203,11 @@
 }
 
 // observe looks at the process until ctx ends.
-func (u *usage) observe(ctx context.Context, t *testing.T, p target) {
+func (u *usage) observe(ctx context.Context, p target) {
 	for sleep(ctx, 20*time.Millisecond) {
 		u.descriptors = max(u.descriptors, openDescriptors(p.pid))
-		unread := unreadBytes(p.pid) >> 20
-		if total := memoryMb(t, p.pid, "VmRSS:") + unread; total > u.totalMb {
+		unread := platformtest.UnreadBytes(p.pid) >> 20
+		if total := platformtest.ResidentBytes(p.pid, "VmRSS")>>20 + unread; total > u.totalMb {
 			u.totalMb, u.unreadMb = total, unread
 		}
 	}
@@ -220,13 +222,13 @@
 	defer cancel()
 	var observing sync.WaitGroup
 	var most usage
-	observing.Go(func() { most.observe(ctx, t, p) })
+	observing.Go(func() { most.observe(ctx, p) })
 	c.run(ctx, p.address(c.port))
 	observing.Wait()
 	if !p.alive() {
 		t.Fatal("the process has ended")
 	}
-	peak := memoryMb(t, p.pid, "VmHWM:")
+	peak := platformtest.ResidentBytes(p.pid, "VmHWM") >> 20
 	t.Logf("peak of %d MB, of %d MB with %d MB unread, and of %d descriptors", peak, most.totalMb, most.unreadMb, most.descriptors)
 	if peak > p.maxRSSMb {
 		t.Errorf("the process took %d MB; bound %d", peak, p.maxRSSMb)
--- a/test/clients/process_test.go
+++ b/test/clients/process_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -43,27 +42,6 @@
 	return len(entries)
 }
 
-// memoryMb returns a field of a process's status that is a number of kB, in MiB; zero if the
-// process has ended.
-func memoryMb(t *testing.T, pid int, field string) int {
-	t.Helper()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Error(err)
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if value, found := strings.CutPrefix(line, field); found {
-			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
-			if err != nil {
-				t.Error(err)
-			}
-			return kb >> 10
-		}
-	}
-	return 0
-}
-
 // limited returns the path of a script that runs a program within the limits.
 func (l limits) limited(t *testing.T, binary string) string {
 	t.Helper()
