A body that arrives as it is evicted is refused; stalls are told by the steady clock

Cause, two faults of found by reading: eviction makes a connection unreadable, and could do so just after the last byte had arrived, so that the request ran and was cancelled as if its caller had left; and a jump of the time of day by seconds made all bodies look stalled.

Change: a message that was evicted before it had arrived is refused as not run, whatever has been read; progress is kept as a time with a monotonic reading.

Measured: the new test fails without the change (the body was returned).

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -68,7 +68,7 @@
 		return a
 	}
 	a.evict = evict
-	a.progressAt.Store(time.Now().UnixNano())
+	a.recordProgress()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.evictable[a] = struct{}{}
@@ -78,12 +78,12 @@
 // evictStalled evicts the message that has stalled for longest, but for that of the account, and
 // reports whether there was one.
 func (b *Budget) evictStalled(other *Account) bool {
-	latest := time.Now().Add(-stallTime).UnixNano()
+	latest := time.Now().Add(-stallTime)
 	b.mu.Lock()
 	var stalled *Account
 	for a := range b.evictable {
-		if at := a.progressAt.Load(); a != other && a.held.Load() > FreeBytes && at <= latest {
-			stalled, latest = a, at
+		if at := a.progressAt.Load(); a != other && a.held.Load() > FreeBytes && !at.After(latest) {
+			stalled, latest = a, *at
 		}
 	}
 	if stalled != nil {
@@ -117,9 +117,8 @@
 
 	// evict ends the message; nil means that it isn't evictable, or no longer.
 	evict func()
-	// progressAt is the Unix time in nanoseconds of the last progress, and received the number
-	// of bytes since.
-	progressAt atomic.Int64
+	// progressAt is the time of the last progress, and received the number of bytes since.
+	progressAt atomic.Pointer[time.Time]
 	received   int
 	evicted    atomic.Bool
 }
@@ -189,19 +188,26 @@
 	}
 	if a.received += n; a.received >= progressBytes {
 		a.received = 0
-		a.progressAt.Store(time.Now().UnixNano())
+		a.recordProgress()
 	}
 }
 
-// Arrived ends the receipt of the message: it is no longer evictable.
-func (a *Account) Arrived() {
+func (a *Account) recordProgress() {
+	now := time.Now()
+	a.progressAt.Store(&now)
+}
+
+// arrive ends the receipt of the message, which is no longer evictable, and reports whether it was
+// not evicted before.
+func (a *Account) arrive() bool {
 	if a == nil || a.evict == nil {
-		return
+		return true
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	delete(a.budget.evictable, a)
 	a.evict = nil
+	return !a.evicted.Load()
 }
 
 // describe returns ErrEvicted if the read failed because the message was evicted, or else err.
@@ -226,7 +232,7 @@
 	if a == nil || a.budget == nil {
 		return
 	}
-	a.Arrived()
+	a.arrive()
 	a.budget.held.Add(-a.held.Swap(0))
 }
 
--- a/internal/membudget/segments.go
+++ b/internal/membudget/segments.go
@@ -61,7 +61,6 @@
 	if expected >= 0 && !a.couldHold(expected) {
 		return nil, ErrNoMemory
 	}
-	defer a.Arrived()
 	size := minBufferBytes
 	if expected >= 0 {
 		size = firstSegmentBytes
@@ -84,6 +83,9 @@
 			total += int64(n)
 			a.progressed(n)
 			if errors.Is(err, io.EOF) {
+				if !a.arrive() {
+					return nil, ErrEvicted // the connection can't be read any more
+				}
 				return s, nil
 			}
 			if err != nil {
--- a/internal/membudget/segments_test.go
+++ b/internal/membudget/segments_test.go
@@ -101,13 +101,32 @@
 			a.progressed(progressBytes)
 			is.True(!b.Account().TakeOrEvict(FreeBytes + 1))
 		}
-		a.Arrived()
+		is.True(a.arrive())
 		time.Sleep(2 * stallTime)
 		is.True(!b.Account().TakeOrEvict(FreeBytes + 1)) // it is whole
 		a.Close()
 	})
 }
 
+// Guards against requests that run although their connection was made unreadable, which looks
+// as if their callers had left.
+func TestMessageThatArrivesWhileItIsEvictedIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := New(64 << 10)
+	a := b.Evictable(func() {})
+	end := readerFunc(func([]byte) (int, error) {
+		a.evicted.Store(true)
+		return 0, io.EOF
+	})
+	_, err := a.ReadAll(io.MultiReader(bytes.NewReader(make([]byte, 100)), end), -1)
+	is.True(errors.Is(err, ErrEvicted))
+}
+
+// readerFunc is a reader made of a function.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 func TestSpareMemoryHasNoFreeBytes(t *testing.T) {
 	is := is.New(t)
 	b := New(1000)
