Buffers of responses are in the sum of the bounds

Cause: each response that is relayed may hold its free bytes beside those of the request's header and body, and up to five failure responses of one request were kept at once. The sum had none of them.

Change: a request keeps one failure response, and returns the memory of the one before. The sum counts a response's free bytes and its two buffers with each connection to a server or VM; these get receive buffers half as large, as what arrives on them is relayed, and the buffer of a stream has 4 KB instead of 8.

The tests of relay, and those of platform with streams, retries and cut responses pass.

--- a/internal/listenlimit/port.go
+++ b/internal/listenlimit/port.go
@@ -172,9 +172,9 @@
 	c.awaiting.Store(!p.kind.Messages)
 	switch {
 	case p.kind.Messages:
-		c.window = sockets.NewLastingWindow(raw, p.OutgoingBuffers(), p.Windows)
+		c.window = sockets.NewLastingWindow(raw, p.Buffers(p.kind), p.Windows)
 	case p.kind.Bodies:
-		c.window = sockets.NewWindow(raw, p.OutgoingBuffers(), p.Windows)
+		c.window = sockets.NewWindow(raw, p.Buffers(p.kind), p.Windows)
 	}
 	address := c.remote.Addr()
 	p.mu.Lock()
--- a/internal/listenlimit/settings.go
+++ b/internal/listenlimit/settings.go
@@ -67,8 +67,9 @@
 	windowMemoryShare = 0.02
 	// connectionBytes is the memory of a connection without a header: two buffers of 4 KB, a
 	// stack of 4 KB and the server's state. outgoingBytes is that of a connection to a server
-	// or another VM, which has one buffer and no goroutine of its own.
-	connectionBytes, outgoingBytes = 16 << 10, 8 << 10
+	// or another VM, which has a buffer for reading, one for relaying and no goroutine of its
+	// own, and of the free bytes of its response.
+	connectionBytes, outgoingBytes = 16 << 10, 8<<10 + membudget.FreeBytes
 	// backlogShare is the part of a port's connections that may wait to be accepted.
 	backlogShare = 0.25
 	// The sizes of receive buffers: of the ports on which callers and VMs send bodies, as far
@@ -126,7 +127,7 @@
 	if b.Outgoing = s.MaxOutgoing; b.Outgoing <= 0 && descriptors > 0 {
 		b.Outgoing = descriptors - int(descriptorShare*float64(descriptors))
 		if memoryBytes > 0 {
-			b.Outgoing = min(b.Outgoing, int(outgoingMemoryShare*float64(memoryBytes)/(outgoingBytes+2*minReceiveBytes)))
+			b.Outgoing = min(b.Outgoing, int(outgoingMemoryShare*float64(memoryBytes)/(outgoingBytes+2*smallReceiveBytes)))
 		}
 	}
 	if b.Connections <= 0 {
@@ -195,9 +196,10 @@
 	return min(int64(memoryLimitShare*float64(memoryBytes)), max(memoryBytes/4, memoryBytes-b.UnreadMemory()-textBytes))
 }
 
-// OutgoingBuffers returns the buffers of connections to servers and other VMs.
+// OutgoingBuffers returns the buffers of connections to servers and other VMs. They are half as
+// large as those of connections that carry bodies, as responses are relayed as they arrive.
 func (b *Bounds) OutgoingBuffers() sockets.Buffers {
-	return sockets.Buffers{ReceiveBytes: b.ReceiveBytes}
+	return sockets.Buffers{ReceiveBytes: max(smallReceiveBytes, b.ReceiveBytes/2)}
 }
 
 // smallBuffers are those of ports without bodies.
@@ -214,7 +216,7 @@
 func (b *Bounds) Buffers(kind Kind) sockets.Buffers {
 	buffers := smallBuffers
 	if kind.receives() {
-		buffers = b.OutgoingBuffers()
+		buffers.ReceiveBytes = b.ReceiveBytes
 	}
 	buffers.Backlog = max(minBacklog, int(backlogShare*float64(kind.Connections(b))))
 	return buffers
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -297,9 +297,9 @@
 	// origin is where the stream began, or nil. It goes on nowhere else.
 	origin   *resume.Origin
 	fallback *fallbackResponse
-	// buffers are what the responses that were buffered hold.
-	buffers     []*membudget.Account
-	firstByteAt clock.Instant
+	// fallbackMemory is what the fallback response holds.
+	fallbackMemory *membudget.Account
+	firstByteAt    clock.Instant
 	// answeredAt is when the first event of the last send arrived; zero before.
 	// Survived means that the send's survival was recorded.
 	answeredAt clock.Instant
@@ -376,7 +376,7 @@
 // run calls serve with a context that ends at the request's deadline, or when this VM shuts
 // down. After a panic, too, the request is no longer in flight.
 func (x *transaction) run(ctx context.Context, serve func(context.Context) *verdict.Refusal) *verdict.Refusal {
-	defer x.closeBuffers()
+	defer func() { x.fallbackMemory.Close() }()
 	ctx, end := x.inFlight.begin(ctx, x)
 	defer end()
 	ctx, cancel := context.WithTimeout(ctx, max(0, x.deadline.Sub(x.Now())))
@@ -424,21 +424,6 @@
 	return x, nil
 }
 
-// newBuffer returns the account of a buffer, which is held until the request ends unless it
-// is closed before.
-func (x *transaction) newBuffer() *membudget.Account {
-	a := x.Memory.Account()
-	x.buffers = append(x.buffers, a)
-	return a
-}
-
-// closeBuffers returns what the buffers of the request hold.
-func (x *transaction) closeBuffers() {
-	for _, a := range x.buffers {
-		a.Close()
-	}
-}
-
 // timeoutOf returns how long a request of the route may take.
 func timeoutOf(route *ingress.Route) time.Duration {
 	if route.Timeout <= 0 {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -415,7 +415,9 @@
 // handleFailure keeps a backend server's failure response as the fallback, so that
 // a request that may be retried is sent to other servers or regions first.
 func (x *transaction) handleFailure(ctx context.Context, plan balance.Plan, e *upstream.Exchange, in Inbound) outcome {
-	body, whole, err := x.readBuffered(ctx, plan.Load, e, x.newBuffer())
+	memory := x.Memory.Account()
+	defer func() { memory.Close() }()
+	body, whole, err := x.readBuffered(ctx, plan.Load, e, memory)
 	if err != nil {
 		return outcome{mayHaveArrived: true, reason: "answer broke off: " + err.Error()}
 	}
@@ -438,6 +440,8 @@
 		// run, which the server did not guarantee.
 		return outcome{mayHaveArrived: true, answered: true, reason: reason}
 	}
+	// The earlier fallback is no longer needed, and its memory is returned.
+	memory, x.fallbackMemory = x.fallbackMemory, memory
 	x.fallback = &fallbackResponse{head: pipeline.Head{Status: e.StatusCode, Header: endToEndHeader(e.Header, len(body))}, body: body}
 	// A status below 500 is caused by the request, so another server would
 	// return the same.
@@ -484,7 +488,7 @@
 // read first, as far as there is memory, so that a shorter response that is interrupted
 // can be retried.
 func (x *transaction) relayBody(ctx context.Context, plan balance.Plan, e *upstream.Exchange, work *balance.InFlight) outcome {
-	memory := x.newBuffer()
+	memory := x.Memory.Account()
 	defer memory.Close()
 	body, whole, err := x.readBuffered(ctx, plan.Load, e, memory)
 	if err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -21,7 +21,7 @@
 
 const (
 	// streamBufferBytes is the size of the buffer for reading a stream.
-	streamBufferBytes = 8 << 10
+	streamBufferBytes = 4 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 128 << 10
 	// runningCheckTimeout bounds the check whether a server's process still runs.
@@ -62,7 +62,7 @@
 		x.w.Start(pipeline.Head{Status: s.StatusCode, Header: endToEndHeader(s.Header, -1)})
 		x.w.Flush()
 	}
-	memory := x.newBuffer()
+	memory := x.Memory.Account()
 	defer memory.Close()
 	var pending []byte
 	events := 0
