upstream: at the bound of all connections, only the one idle for longest is closed

Cause: at the bound all idle connections of all pools were closed, so that a busy VM would have opened them again at once; and a fifth of the bound was kept for connections that are a few dozen. VMs of large deployments have had up to 995 connections of all kinds (docs/CAPACITY.md).

Change: one connection gives way for each that is opened; 90 % of the bound are for requests. CAPACITY has the sums of the bounds for the deployments' machines.

--- a/internal/listenlimit/settings.go
+++ b/internal/listenlimit/settings.go
@@ -207,7 +207,7 @@
 
 // pooledShare is the part of the outgoing connections that are for requests. The others are for
 // records, load reports and the registry.
-const pooledShare = 0.8
+const pooledShare = 0.9
 
 // PooledConnections returns the most connections to servers and other VMs for requests.
 func (b *Bounds) PooledConnections() int { return int(pooledShare * float64(b.Outgoing)) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -339,6 +339,31 @@
 	}
 }
 
+// oldestIdle returns the connection that has been idle for longest, or nil, and since when.
+func (p *Pool) oldestIdle() (oldest *conn, since clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince < since) {
+			oldest, since = list[0], list[0].idleSince
+		}
+	}
+	return oldest, since
+}
+
+// forget removes an idle connection, and reports whether it was still idle.
+func (p *Pool) forget(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.address]
+	i := slices.Index(list, c)
+	if i < 0 {
+		return false
+	}
+	p.idle[c.address] = slices.Delete(list, i, i+1)
+	return true
+}
+
 // CloseExpired closes idle connections whose idle timeout has passed. It is called
 // about once per second.
 func (p *Pool) CloseExpired() {
