--- a/internal/sockets/peek.go
+++ b/internal/sockets/peek.go
@@ -1,4 +1,5 @@
-// Package sockets looks at connections without reading from them.
+// Package sockets looks at connections without reading from them, and bounds what the kernel
+// holds for them.
 package sockets
 
 import (
