Callers that still send their body receive the refusal

What callers saw: a refusal before the body was read reset the connection at once, so that a caller in the middle of its body got "connection reset by peer" in place of 413 or 503.

Cause, a fault of: net/http waits 500 ms before it closes a connection whose body was not read to its end, and finds that out by its request's body. The wrapper for receive windows had replaced that body in the server's own request.

Change: the handler gets a copy of the request with the wrapped body.

Measured: the test failed before (first of 20 requests, both cases) and passes twice with the race detector.

--- a/internal/listenlimit/window.go
+++ b/internal/listenlimit/window.go
@@ -29,6 +29,9 @@
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if window, _ := r.Context().Value(windowKey{}).(*sockets.Window); window != nil && r.ContentLength != 0 {
+			// The server looks at its own request's body for whether it was read, so as to leave
+			// the client time for the response before it resets the connection.
+			r = r.WithContext(r.Context())
 			r.Body = &windowBody{ReadCloser: r.Body, window: window, header: w.Header()}
 		}
 		nextHandler.ServeHTTP(w, r)
