--- a/internal/edge/teamlimits.go
+++ b/internal/edge/teamlimits.go
@@ -33,7 +33,7 @@
 	pathQuota = "/peer/v1/quota"
 	// quotaTimeout bounds an exchange: grants are valid for as long.
 	quotaTimeout = 500 * time.Millisecond
-	// quotaReadTimeout bounds the receipt of a message. Its sender has given up by then.
+	// quotaReadTimeout bounds the reading of a message. Its sender has given up by then.
 	quotaReadTimeout = 4 * quotaTimeout
 	// maxQuotaBytes bounds a message. One of the largest number of teams has about 200 KB.
 	maxQuotaBytes = 1 << 20
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -197,7 +197,7 @@
 	a.progressAt.Store(&now)
 }
 
-// arrive ends the receipt of the message, which is no longer evictable, and reports whether it was
+// arrive records that the message is whole and no longer evictable, and reports whether it was
 // not evicted before.
 func (a *Account) arrive() bool {
 	if a == nil || a.evict == nil {
